--- /dev/null
+++ b/src/pistachionotch/clock.py
@@ -0,0 +1,73 @@
+"""Millisecond time for everything that waits, expires or is measured."""
+
+from __future__ import annotations
+
+import time
+from typing import Protocol
+
+import attrs
+
+MS_PER_SECOND = 1000
+
+
+class Clock(Protocol):
+    """Give monotonic time and sleep, both in milliseconds."""
+
+    def now_ms(self) -> int:
+        """Return monotonic milliseconds since an arbitrary start."""
+
+    def sleep_ms(self, duration_ms: int) -> None:
+        """Block the calling greenlet for ``duration_ms`` milliseconds."""
+
+
+class SystemClock:
+    """Read the machine's monotonic clock."""
+
+    def now_ms(self) -> int:
+        """Return monotonic milliseconds."""
+        return time.monotonic_ns() // 1_000_000
+
+    def sleep_ms(self, duration_ms: int) -> None:
+        """Block the calling greenlet; cooperative once gevent has patched ``time``."""
+        time.sleep(max(0, duration_ms) / MS_PER_SECOND)
+
+
+@attrs.define
+class ManualClock:
+    """Advance only when told to; for tests and the bench."""
+
+    current_ms: int = 0
+
+    def now_ms(self) -> int:
+        """Return the milliseconds set so far."""
+        return self.current_ms
+
+    def sleep_ms(self, duration_ms: int) -> None:
+        """Advance at once instead of blocking."""
+        self.advance(duration_ms)
+
+    def advance(self, duration_ms: int) -> None:
+        """Move time forward by ``duration_ms`` milliseconds."""
+        if duration_ms < 0:
+            raise ValueError("time does not go back")
+        self.current_ms += duration_ms
+
+
+@attrs.frozen
+class Deadline:
+    """Mark a point in monotonic milliseconds after which an answer has no use."""
+
+    at_ms: int
+
+    @classmethod
+    def after(cls, clock: Clock, duration_ms: int) -> Deadline:
+        """Return the deadline ``duration_ms`` milliseconds from now."""
+        return cls(clock.now_ms() + duration_ms)
+
+    def remaining_ms(self, clock: Clock) -> int:
+        """Return the milliseconds left, zero once expired."""
+        return max(0, self.at_ms - clock.now_ms())
+
+    def expired(self, clock: Clock) -> bool:
+        """Return whether the deadline has passed."""
+        return clock.now_ms() >= self.at_ms
