--- /dev/null
+++ b/src/pistachionotch/config/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of each process and the deployment's configuration."""
