--- /dev/null
+++ b/src/pistachionotch/cli/commands.py
@@ -0,0 +1,36 @@
+"""Table of the commands; a new command is a function in a module of its own and one line here."""
+
+from __future__ import annotations
+
+import importlib
+from collections.abc import Callable
+
+import attrs
+
+
+@attrs.frozen
+class Command:
+    """Name the function of a command, which returns an exit code, without importing it."""
+
+    module: str
+    function: str
+    summary: str
+
+    def load(self) -> Callable[..., int]:
+        """Import the command's module and return its function."""
+        module = importlib.import_module(self.module, __package__)
+        function: Callable[..., int] = getattr(module, self.function)
+        return function
+
+
+COMMANDS: dict[str, Command] = {
+    "check": Command(".configuration", "check", "report every finding of a configuration"),
+}
+
+
+def usage() -> str:
+    """Return the list of the commands."""
+    lines = ["usage: pistachionotch COMMAND [ARGUMENTS]", "", "commands:"]
+    lines.extend(f"  {name:10}{command.summary}" for name, command in COMMANDS.items())
+    lines.extend(["", "pistachionotch COMMAND --help describes one command."])
+    return "\n".join(lines)
--- /dev/null
+++ b/src/pistachionotch/config/document.py
@@ -0,0 +1,50 @@
+"""Reading a whole text by a specification: without lark if it is valid, else with places."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+from returns.result import Failure, Result, Success
+
+from ..findings import Finding
+from .located import Located
+from .plain import parse_valid
+from .spec import Reading, RecordSpec, read_value
+
+Built = TypeVar("Built")
+
+
+def read_document(spec: RecordSpec, located: Located, reading: Reading) -> Any:
+    """Return the value of a whole text by ``spec``, or ``REJECTED``."""
+    return read_value(spec, located, (), reading)
+
+
+def read_through(
+    text: str, file: str, build: Callable[[Located, Reading], Built | None]
+) -> Result[Built, tuple[Finding, ...]]:
+    """Build a value from ``text``, or return all findings with their places.
+
+    ``build`` may run twice: first on values without places, and again on values with places if
+    there were findings, so that valid input never needs lark.
+    """
+    quick = parse_valid(text, file)
+    if quick is not None:
+        reading = Reading()
+        built = build(quick, reading)
+        if built is not None and not reading.findings:
+            return Success(built)
+    return _with_places(text, file, build)
+
+
+def _with_places(
+    text: str, file: str, build: Callable[[Located, Reading], Built | None]
+) -> Result[Built, tuple[Finding, ...]]:
+    from .jsonc import read_jsonc
+
+    reading = Reading()
+    located = read_jsonc(text, file, reading.findings)
+    built = None if located is None else build(located, reading)
+    if built is None or reading.findings:
+        return Failure(tuple(sorted(reading.findings.items)))
+    return Success(built)
