--- a/src/pistachionotch/config/check.py
+++ b/src/pistachionotch/config/check.py
@@ -174,12 +174,16 @@
 
 
 def _check_retention(configuration: Configuration) -> Iterator[Problem]:
+    """Compare with the horizon and a deadline: the last retry may wait that long for its agent."""
     retention = configuration.claims.retention_ms
     for name, caller in configuration.callers.items():
-        if retention <= caller.retry_horizon_ms:
+        needed = caller.retry_horizon_ms
+        if caller.request_class in configuration.classes:
+            needed += configuration.classes[caller.request_class].default_deadline_ms
+        if retention <= needed:
             message = (
-                f"retention of {retention} ms is not above the retry horizon of"
-                f" {caller.retry_horizon_ms} ms of '{name}', whose late retry would run again"
+                f"retention of {retention} ms is not above {needed} ms, the retry horizon and"
+                f" deadline of '{name}', whose late retry would run again"
             )
             yield ("claims", "retention_ms"), message
 
@@ -223,7 +227,7 @@
     (_check_routes, ("services",)),
     (_check_class_names, ("classes", "callers", "models", "services")),
     (_check_callers, ("regions", "callers")),
-    (_check_retention, ("callers", "claims")),
+    (_check_retention, ("callers", "claims", "classes")),
     (_check_leases, ("leases",)),
     (_check_intervals, ("intervals",)),
     (_check_subset, ("regions", "subset")),
--- a/src/pistachionotch/config/spec.py
+++ b/src/pistachionotch/config/spec.py
@@ -97,11 +97,12 @@
 
 @attrs.frozen
 class ListSpec:
-    """Accept an array whose items all match ``item``."""
+    """Accept an array whose items all match ``item``; ``key`` names a member that is unique."""
 
     item: Spec
     minimum: int = 0
     distinct: bool = False
+    key: str | None = None
 
 
 @attrs.frozen
@@ -288,6 +289,11 @@
             complete = False
             reading.reject(entry, f"{describe(entry)} is in this array already")
             continue
+        if spec.key is not None and any(item[spec.key] == other[spec.key] for other in items):
+            complete = False
+            message = f"'{item[spec.key]}' is the {spec.key} of an earlier entry"
+            reading.findings.add(reading.place_of((*path, index, spec.key)), message)
+            continue
         items.append(item)
     return tuple(items) if complete else REJECTED
 
