--- /dev/null
+++ b/src/pistachionotch/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Members of the deployment and the subset of agents each entry connects to."""
--- /dev/null
+++ b/src/pistachionotch/membership/directory.py
@@ -0,0 +1,126 @@
+"""Directory of members, merged from zone objects, registrations and the lagging VM list."""
+
+from __future__ import annotations
+
+import enum
+import json
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+# A mark must outlive every object that still names its incarnation as live; 300 VMs are restarted
+# or replaced a day, so this many marks last for two weeks.
+MAX_LEAVING_MARKS = 4_096
+
+
+class MemberState(enum.StrEnum):
+    """Tell whether a member takes new work."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@attrs.frozen
+class Member:
+    """Describe one agent; a restart of the process changes its incarnation."""
+
+    node: str
+    address: str
+    zone: str
+    region: str
+    incarnation: str = ""
+    models: tuple[str, ...] = ()
+    state: MemberState = MemberState.LIVE
+
+
+@attrs.frozen
+class DirectoryChange:
+    """Tell what an update changed, with the reason as a short sentence."""
+
+    joined: tuple[str, ...]
+    left: tuple[str, ...]
+    reason: str
+
+
+def encode_members(members: Iterable[Member]) -> bytes:
+    """Return the value of a directory object."""
+    ordered = sorted(members, key=lambda member: member.node)
+    return json.dumps([attrs.asdict(member) for member in ordered]).encode()
+
+
+def decode_members(value: bytes) -> tuple[Member, ...]:
+    """Read the value of a directory object; raise ``ValueError`` when it is malformed."""
+    try:
+        return tuple(_decode_member(item) for item in json.loads(value))
+    except (TypeError, KeyError, AttributeError) as error:
+        raise ValueError(f"malformed directory object: {error}") from error
+
+
+def _decode_member(item: Mapping[str, object]) -> Member:
+    models = item["models"]
+    if not isinstance(models, list):
+        raise TypeError("models must be a list")
+    names = ("node", "address", "zone", "region", "incarnation")
+    texts = {name: str(item[name]) for name in names}
+    state = MemberState(str(item["state"]))
+    return Member(models=tuple(str(name) for name in models), state=state, **texts)
+
+
+@attrs.define
+class Directory:
+    """Merge what is known of the members; a leaving incarnation never becomes live again."""
+
+    zones: dict[str, tuple[int, dict[str, Member]]] = attrs.field(factory=dict)
+    leaving_incarnations: dict[tuple[str, str], None] = attrs.field(factory=dict)
+    leaving_vms: set[str] = attrs.field(factory=set)
+
+    def apply_zone(self, zone: str, version: int, members: Iterable[Member]) -> DirectoryChange:
+        """Take over a zone's directory object unless a newer one is known."""
+        known_version, known = self.zones.get(zone, (-1, {}))
+        if version <= known_version:
+            return DirectoryChange((), (), f"version {version} of {zone} is not newer")
+        fresh = {member.node: member for member in members}
+        self.zones[zone] = (version, fresh)
+        return DirectoryChange(
+            joined=tuple(sorted(fresh.keys() - known.keys())),
+            left=tuple(sorted(known.keys() - fresh.keys())),
+            reason=f"version {version} of {zone}",
+        )
+
+    def mark_leaving(self, node: str, incarnation: str) -> DirectoryChange:
+        """Record that an agent said it is leaving, whatever older objects say."""
+        self.leaving_incarnations[(node, incarnation)] = None
+        if len(self.leaving_incarnations) > MAX_LEAVING_MARKS:
+            del self.leaving_incarnations[next(iter(self.leaving_incarnations))]
+        return DirectoryChange((), (node,), f"{node} is leaving")
+
+    def apply_vm_list(self, states: Mapping[str, MemberState]) -> DirectoryChange:
+        """Take over the platform's list; a VM missing from it proves nothing, since it lags."""
+        leaving = {node for node, state in states.items() if state is MemberState.LEAVING}
+        newly = tuple(sorted(leaving - self.leaving_vms))
+        self.leaving_vms = leaving
+        return DirectoryChange((), newly, f"VM list with {len(leaving)} leaving")
+
+    def live(self, model: str = "") -> tuple[Member, ...]:
+        """Return the members that take new work, of one model if it is named."""
+        found = []
+        for member in self.known():
+            if self.is_leaving(member):
+                continue
+            if model and model not in member.models:
+                continue
+            found.append(member)
+        return tuple(found)
+
+    def known(self) -> tuple[Member, ...]:
+        """Return all members by node."""
+        merged = {
+            node: member for _, members in self.zones.values() for node, member in members.items()
+        }
+        return tuple(merged[node] for node in sorted(merged))
+
+    def is_leaving(self, member: Member) -> bool:
+        """Return whether any source says that the member is leaving."""
+        if member.state is MemberState.LEAVING or member.node in self.leaving_vms:
+            return True
+        return (member.node, member.incarnation) in self.leaving_incarnations
--- /dev/null
+++ b/src/pistachionotch/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Placement, retries and hedges, decided from facts and their age."""
--- /dev/null
+++ b/src/pistachionotch/routing/facts.py
@@ -0,0 +1,120 @@
+"""What an entry knows about requests and candidates, with the age of each fact."""
+
+from __future__ import annotations
+
+import attrs
+
+from ..admission.load import FACT_TRUST_MS, LoadFacts, MovingAverage
+from ..clock import MS_PER_SECOND, Deadline
+from ..outcomes import RequestClass
+
+
+@attrs.frozen
+class Location:
+    """Name where a process runs."""
+
+    node: str
+    zone: str
+    region: str
+
+
+@attrs.frozen
+class RoutedRequest:
+    """Describe a request as far as placement needs it; ``excluded`` names agents not to use."""
+
+    request_id: str
+    request_class: RequestClass
+    deadline: Deadline
+    model: str = ""
+    expected_tokens: int = 0
+    prompt_tokens: int = 0
+    transfer_bytes: int = 0
+    idempotent: bool = True
+    excluded: frozenset[str] = frozenset()
+
+
+@attrs.frozen
+class FirstHand:
+    """Summarise what this entry itself saw of one agent; zero speed means nothing was seen."""
+
+    time_to_first_token_ms: float = 0.0
+    first_token_age_ms: int = FACT_TRUST_MS
+    tokens_per_second: float = 0.0
+    speed_age_ms: int = FACT_TRUST_MS
+    # Age of the oldest attempt that still waits for its first token: it shows a slowdown before
+    # any attempt has finished.
+    longest_silence_ms: int = 0
+
+
+@attrs.frozen
+class CandidateFacts:
+    """Describe one agent: its report, when it was received, and what was seen from here."""
+
+    agent: str
+    zone: str
+    region: str
+    load: LoadFacts
+    observed_ms: int
+    in_flight_here: int = 0
+    sent_since_report: int = 0
+    draining: bool = False
+    cached_tokens: int = 0
+    models: frozenset[str] = frozenset()
+    first_hand: FirstHand = FirstHand()
+
+
+@attrs.define
+class _Attempt:
+    sent_ms: int
+    first_token_ms: int | None = None
+
+
+@attrs.define
+class AgentObservations:
+    """Collect what one entry sees of one agent."""
+
+    first_token_ms: MovingAverage = attrs.field(factory=MovingAverage)
+    tokens_per_second: MovingAverage = attrs.field(factory=MovingAverage)
+    attempts: dict[str, _Attempt] = attrs.field(factory=dict)
+
+    def sent(self, attempt: str, now_ms: int) -> None:
+        """Record that an attempt was submitted."""
+        self.attempts[attempt] = _Attempt(now_ms)
+
+    def first_token(self, attempt: str, now_ms: int) -> None:
+        """Record the first piece of an attempt."""
+        seen = self.attempts.get(attempt)
+        if seen is None or seen.first_token_ms is not None:
+            return
+        seen.first_token_ms = now_ms
+        self.first_token_ms.observe(now_ms - seen.sent_ms, now_ms)
+
+    def finished(self, attempt: str, tokens: int, now_ms: int) -> None:
+        """Record the complete response of an attempt."""
+        seen = self.attempts.pop(attempt, None)
+        if seen is None or seen.first_token_ms is None:
+            return
+        stream_ms = now_ms - seen.first_token_ms
+        if tokens > 0 and stream_ms > 0:
+            self.tokens_per_second.observe(tokens * MS_PER_SECOND / stream_ms, now_ms)
+
+    def dropped(self, attempt: str) -> None:
+        """Forget an attempt that was refused, cancelled or lost."""
+        self.attempts.pop(attempt, None)
+
+    def sent_since(self, time_ms: int) -> int:
+        """Return the attempts still open that were submitted after ``time_ms``."""
+        return sum(1 for seen in self.attempts.values() if seen.sent_ms > time_ms)
+
+    def summary(self, now_ms: int) -> FirstHand:
+        """Return the facts that placement uses."""
+        silences = [
+            now_ms - seen.sent_ms for seen in self.attempts.values() if seen.first_token_ms is None
+        ]
+        return FirstHand(
+            time_to_first_token_ms=self.first_token_ms.value,
+            first_token_age_ms=self.first_token_ms.age_ms(now_ms),
+            tokens_per_second=self.tokens_per_second.value,
+            speed_age_ms=self.tokens_per_second.age_ms(now_ms),
+            longest_silence_ms=max(silences, default=0),
+        )
--- /dev/null
+++ b/src/pistachionotch/routing/place.py
@@ -0,0 +1,247 @@
+"""Placement of one request on one agent."""
+
+from __future__ import annotations
+
+import random
+import statistics
+from collections.abc import Sequence
+
+import attrs
+
+from ..admission.load import FACT_TRUST_MS
+from ..clock import MS_PER_SECOND
+from .facts import CandidateFacts, Location, RoutedRequest
+
+
+@attrs.frozen
+class RoutingCosts:
+    """Hold the costs and tolerances that placement weighs; times in milliseconds."""
+
+    zone_ms: int = 1
+    region_ms: int = 12
+    # Link time plus what the billed volume is worth: 225 Mbit/s carry 28 bytes in a microsecond.
+    region_ms_per_mb: int = 100
+    # Facts lose half their weight in this time; slowdowns last tens of seconds.
+    half_life_ms: int = 5_000
+    # Beyond three heartbeats of 2 s the agent or its connection may be gone.
+    suspect_after_ms: int = 6_000
+    # Candidates within this share of the best estimate are chosen among at random, so that
+    # entries with the same report do not all pick the same agent.
+    tie_share: float = 0.1
+    tie_ms: int = 10
+    default_first_token_ms: int = 200
+    default_tokens_per_second: float = 40.0
+
+
+@attrs.frozen
+class Estimate:
+    """Break down the expected completion time at one candidate."""
+
+    agent: str
+    wait_ms: int
+    run_ms: int
+    transfer_ms: int
+    fact_age_ms: int
+    speed_age_ms: int
+
+    @property
+    def total_ms(self) -> int:
+        """Return the expected time to completion."""
+        return self.wait_ms + self.run_ms + self.transfer_ms
+
+
+@attrs.frozen
+class Typical:
+    """Hold the median speed of all candidates, which stands in where facts are missing or old."""
+
+    first_token_ms: float
+    tokens_per_second: float
+
+
+@attrs.frozen
+class Placement:
+    """Name the agent, or none with the time after which to retry."""
+
+    agent: str | None
+    reason: str
+    estimate_ms: int = 0
+    fact_age_ms: int = 0
+    alternatives: tuple[str, ...] = ()
+    retry_after_ms: int = 0
+
+
+NO_AGENT_RETRY_MS = 1_000
+MIN_RETRY_AFTER_MS = 100
+# Equals the weight of a fact that is five half-lives old.
+PRIOR_WEIGHT = 0.03
+
+
+def place(
+    request: RoutedRequest,
+    candidates: Sequence[CandidateFacts],
+    here: Location,
+    now_ms: int,
+    rng: random.Random,
+    costs: RoutingCosts,
+) -> Placement:
+    """Choose the agent with the earliest expected completion."""
+    usable = [candidate for candidate in candidates if _usable(request, candidate)]
+    if not usable:
+        return Placement(None, "no agent serves this request", retry_after_ms=NO_AGENT_RETRY_MS)
+    recent = [item for item in usable if now_ms - item.observed_ms <= costs.suspect_after_ms]
+    usable = recent or usable
+    typical = _typical(usable, costs)
+    estimates = [estimate(request, item, here, now_ms, costs, typical) for item in usable]
+    estimates.sort(key=lambda item: (item.total_ms, item.agent))
+    remaining_ms = request.deadline.at_ms - now_ms
+    if estimates[0].total_ms > remaining_ms and _certain(estimates, costs):
+        return _refuse(estimates, remaining_ms)
+    chosen = _choose(estimates, rng, costs)
+    return Placement(
+        agent=chosen.agent,
+        reason=_reason(chosen, len(estimates)),
+        estimate_ms=chosen.total_ms,
+        fact_age_ms=chosen.fact_age_ms,
+        alternatives=tuple(item.agent for item in estimates if item is not chosen),
+    )
+
+
+def estimate(
+    request: RoutedRequest,
+    candidate: CandidateFacts,
+    here: Location,
+    now_ms: int,
+    costs: RoutingCosts,
+    typical: Typical,
+) -> Estimate:
+    """Estimate when ``candidate`` would complete ``request``."""
+    age_ms = max(0, now_ms - candidate.observed_ms)
+    run_ms = _run_ms(request, candidate, age_ms, costs, typical)
+    told_age_ms = min(candidate.load.speed_age_ms, candidate.load.first_token_age_ms) + age_ms
+    seen_age_ms = min(candidate.first_hand.speed_age_ms, candidate.first_hand.first_token_age_ms)
+    return Estimate(
+        agent=candidate.agent,
+        wait_ms=_wait_ms(request, candidate, run_ms, age_ms),
+        run_ms=run_ms,
+        transfer_ms=_transfer_ms(request, candidate, here, costs),
+        fact_age_ms=age_ms,
+        speed_age_ms=min(told_age_ms, seen_age_ms),
+    )
+
+
+def _usable(request: RoutedRequest, candidate: CandidateFacts) -> bool:
+    if candidate.draining or candidate.load.draining:
+        return False
+    if candidate.agent in request.excluded:
+        return False
+    return not request.model or request.model in candidate.models
+
+
+def _certain(estimates: Sequence[Estimate], costs: RoutingCosts) -> bool:
+    # Old facts must not refuse work: the agent itself judges by facts of this moment, and a run
+    # is needed to show that a slowdown is over.
+    for item in estimates:
+        if item.fact_age_ms > costs.suspect_after_ms or item.speed_age_ms >= FACT_TRUST_MS:
+            return False
+    return True
+
+
+def _typical(candidates: Sequence[CandidateFacts], costs: RoutingCosts) -> Typical:
+    first_ms = [item.load.time_to_first_token_ms for item in candidates]
+    speeds = [item.load.tokens_per_second for item in candidates]
+    known_first_ms = [value for value in first_ms if value > 0]
+    known_speeds = [value for value in speeds if value > 0]
+    return Typical(
+        first_token_ms=statistics.median(known_first_ms or [costs.default_first_token_ms]),
+        tokens_per_second=statistics.median(known_speeds or [costs.default_tokens_per_second]),
+    )
+
+
+def _refuse(estimates: Sequence[Estimate], remaining_ms: int) -> Placement:
+    best = estimates[0]
+    reason = f"needs {best.total_ms} ms at {best.agent} but has {max(0, remaining_ms)} ms left"
+    late_ms = best.total_ms - max(0, remaining_ms)
+    retry_ms = min(late_ms, best.wait_ms) if remaining_ms > 0 else best.wait_ms
+    return Placement(
+        agent=None,
+        reason=reason,
+        estimate_ms=best.total_ms,
+        fact_age_ms=best.fact_age_ms,
+        retry_after_ms=max(MIN_RETRY_AFTER_MS, retry_ms),
+    )
+
+
+def _choose(estimates: Sequence[Estimate], rng: random.Random, costs: RoutingCosts) -> Estimate:
+    best_ms = estimates[0].total_ms
+    margin_ms = costs.tie_ms + costs.tie_share * best_ms
+    near = [item for item in estimates if item.total_ms <= best_ms + margin_ms]
+    return rng.choice(near)
+
+
+def _reason(chosen: Estimate, count: int) -> str:
+    parts = f"wait {chosen.wait_ms}, run {chosen.run_ms}, transfer {chosen.transfer_ms} ms"
+    return f"earliest of {count}: {parts}"
+
+
+def _blend(values: Sequence[tuple[float, int]], typical: float, half_life_ms: int) -> float:
+    """Average known values, weighed by age, with the typical value of all candidates.
+
+    ``values`` are pairs of value and age; zero means not known. Facts that grow old thus fade to
+    what is typical, and an agent that was slow is tried again.
+    """
+    total = PRIOR_WEIGHT
+    weighted = PRIOR_WEIGHT * typical
+    for value, age_ms in values:
+        if not value:
+            continue
+        weight = 0.5 ** (age_ms / half_life_ms)
+        total += weight
+        weighted += weight * value
+    return weighted / total
+
+
+def _run_ms(
+    request: RoutedRequest,
+    candidate: CandidateFacts,
+    age_ms: int,
+    costs: RoutingCosts,
+    typical: Typical,
+) -> int:
+    seen = candidate.first_hand
+    load = candidate.load
+    first_facts = (
+        (seen.time_to_first_token_ms, seen.first_token_age_ms),
+        (load.time_to_first_token_ms, load.first_token_age_ms + age_ms),
+    )
+    first_ms = _blend(first_facts, typical.first_token_ms, costs.half_life_ms)
+    if request.prompt_tokens > 0:
+        first_ms *= 1.0 - min(1.0, candidate.cached_tokens / request.prompt_tokens)
+    first_ms = max(first_ms, seen.longest_silence_ms)
+    if not request.expected_tokens:
+        return round(first_ms)
+    speed_facts = (
+        (seen.tokens_per_second, seen.speed_age_ms),
+        (load.tokens_per_second, load.speed_age_ms + age_ms),
+    )
+    speed = _blend(speed_facts, typical.tokens_per_second, costs.half_life_ms)
+    return round(first_ms + request.expected_tokens * MS_PER_SECOND / speed)
+
+
+def _wait_ms(request: RoutedRequest, candidate: CandidateFacts, run_ms: int, age_ms: int) -> int:
+    load = candidate.load
+    told_ms = max(0, load.expected_wait_ms.get(request.request_class, 0) - age_ms)
+    # Work sent from here after the report is not in it; each needs its part of a slot.
+    free = max(0, load.limit - load.total_running() - load.total_queued())
+    unseen = max(0, candidate.sent_since_report - free)
+    return told_ms + round(unseen * run_ms / max(1, load.limit))
+
+
+def _transfer_ms(
+    request: RoutedRequest, candidate: CandidateFacts, here: Location, costs: RoutingCosts
+) -> int:
+    if candidate.region != here.region:
+        volume_ms = request.transfer_bytes * costs.region_ms_per_mb // 1_000_000
+        return 2 * costs.region_ms + volume_ms
+    if candidate.zone != here.zone:
+        return 2 * costs.zone_ms
+    return 0
