Add the HTTP client of the object API and its stand-in

geventhttpclient sends PUT and DELETE again by itself when a kept connection closes, so writes use one new connection each, whose pool refuses a second attempt; a test counts the requests a broken server receives.

--- /dev/null
+++ b/src/pistachionotch/objects/client.py
@@ -0,0 +1,286 @@
+"""HTTP client of the object API.
+
+Reads use a few kept connections. ``HTTPClient.request`` sends a PUT or DELETE again by itself when
+the connection closes before an answer, which would report a write's own first effect as a conflict;
+writes and watches therefore use a new connection each and fail on a second attempt.
+"""
+
+from __future__ import annotations
+
+import base64
+import json
+from collections.abc import Mapping
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import quote, urlencode
+
+import attrs
+import gevent
+from geventhttpclient.client import HTTPClient
+from geventhttpclient.connectionpool import ConnectionPool
+from geventhttpclient.response import HTTPParseError
+from returns.result import Failure, Result, Success
+
+from ..clock import MS_PER_SECOND
+from .api import (
+    Change,
+    Snapshot,
+    StoredObject,
+    StoreError,
+    StoreRejected,
+    StoreUnavailable,
+    VersionConflict,
+    WatchBatch,
+    WatchExpired,
+    WriteAmbiguous,
+)
+
+CONNECT_TIMEOUT_MS = 1_000
+RESPONSE_TIMEOUT_MS = 3_000
+READ_CONNECTIONS = 4
+REJECTED = frozenset({HTTPStatus.BAD_REQUEST, HTTPStatus.REQUEST_ENTITY_TOO_LARGE})
+
+
+class SecondAttemptError(Exception):
+    """Stop the HTTP library from sending a request twice."""
+
+
+class OneConnectionPool(ConnectionPool):  # type: ignore[misc, unused-ignore]
+    """Hand out one new connection and no other; ``connected`` tells whether it was made."""
+
+    connected = False
+
+    def get_socket(self) -> Any:
+        """Return the connection, or raise when the request is about to be sent again."""
+        if self.connected:
+            raise SecondAttemptError("connection closed before the answer")
+        socket = super().get_socket()
+        self.connected = True
+        return socket
+
+
+class SingleAttemptClient(HTTPClient):  # type: ignore[misc, unused-ignore]
+    """Send at most one request, on a connection of its own."""
+
+    def __init__(self, host: str, port: int, connect_s: float, response_s: float) -> None:
+        super().__init__(host, port)
+        self.pool = OneConnectionPool(
+            host,
+            port,
+            host,
+            port,
+            size=1,
+            connection_timeout=connect_s,
+            network_timeout=response_s,
+        )
+        self._connection_pool = self.pool
+
+
+@attrs.frozen
+class Reply:
+    """Hold a complete HTTP response."""
+
+    status: int
+    etag: str
+    body: bytes
+
+    def version(self) -> int:
+        """Return the version in the ``ETag``; raises ``ValueError`` if there is none."""
+        return int(self.etag.strip('"'))
+
+
+@attrs.frozen
+class _NoReply:
+    reason: str
+    connected: bool
+
+
+# Everything that can go wrong between the request and a complete, well-formed response.
+_TRANSPORT_ERRORS = (OSError, HTTPParseError, SecondAttemptError, gevent.Timeout)
+
+
+class HttpObjectStore:
+    """Use the object API at one address."""
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        connect_timeout_ms: int = CONNECT_TIMEOUT_MS,
+        response_timeout_ms: int = RESPONSE_TIMEOUT_MS,
+    ) -> None:
+        self.host = host
+        self.port = port
+        self.connect_timeout_ms = connect_timeout_ms
+        self.response_timeout_ms = response_timeout_ms
+        self.reader = self._new_reader()
+
+    def close(self) -> None:
+        """Close the kept connections."""
+        self.reader.close()
+
+    def get(self, key: str) -> Result[StoredObject | None, StoreUnavailable]:
+        """Return the object, or None when there is none."""
+        reply = self._read(_object_path(key))
+        if isinstance(reply, _NoReply):
+            return Failure(StoreUnavailable(reply.reason))
+        if reply.status == HTTPStatus.NOT_FOUND:
+            return Success(None)
+        if reply.status != HTTPStatus.OK:
+            return Failure(_unavailable(reply))
+        try:
+            return Success(StoredObject(key, reply.version(), reply.body))
+        except ValueError as error:
+            return Failure(StoreUnavailable(f"malformed answer: {error}"))
+
+    def list(self, prefix: str) -> Result[tuple[StoredObject, ...], StoreUnavailable]:
+        """Return all objects under ``prefix``, by key."""
+        return self.snapshot(prefix).map(lambda snapshot: snapshot.objects)
+
+    def snapshot(self, prefix: str) -> Result[Snapshot, StoreUnavailable]:
+        """Return all objects under ``prefix`` with the revision to watch from."""
+        reply = self._read("/objects?" + urlencode({"prefix": prefix}))
+        if isinstance(reply, _NoReply):
+            return Failure(StoreUnavailable(reply.reason))
+        if reply.status != HTTPStatus.OK:
+            return Failure(_unavailable(reply))
+        try:
+            return Success(_parse_snapshot(reply.body))
+        except (ValueError, KeyError, TypeError) as error:
+            return Failure(StoreUnavailable(f"malformed answer: {error!r}"))
+
+    def put(
+        self, key: str, value: bytes, expected_version: int | None
+    ) -> Result[StoredObject, StoreError]:
+        """Write if the object has ``expected_version``; None means create only."""
+        condition = {"If-None-Match": "*"}
+        if expected_version is not None:
+            condition = {"If-Match": f'"{expected_version}"'}
+        reply = self._send_once("PUT", _object_path(key), value, condition)
+        answer = self._check_write(key, reply)
+        if isinstance(answer, Failure):
+            return answer
+        try:
+            return Success(StoredObject(key, answer.unwrap().version(), value))
+        except ValueError as error:
+            return Failure(WriteAmbiguous(f"malformed answer: {error}"))
+
+    def delete(self, key: str, expected_version: int) -> Result[None, StoreError]:
+        """Delete the object if it has ``expected_version``."""
+        condition = {"If-Match": f'"{expected_version}"'}
+        reply = self._send_once("DELETE", _object_path(key), b"", condition)
+        return self._check_write(key, reply).map(lambda _reply: None)
+
+    def watch(self, prefix: str, since: int, timeout_ms: int) -> Result[WatchBatch, StoreError]:
+        """Wait until something under ``prefix`` is newer than the revision ``since``."""
+        query = urlencode({"prefix": prefix, "since": since, "timeout_ms": timeout_ms})
+        reply = self._send_once("GET", f"/watch?{query}", b"", {}, wait_ms=timeout_ms)
+        if isinstance(reply, _NoReply):
+            return Failure(StoreUnavailable(reply.reason))
+        if reply.status == HTTPStatus.GONE:
+            return Failure(WatchExpired(since))
+        if reply.status != HTTPStatus.OK:
+            return Failure(_unavailable(reply))
+        try:
+            return Success(_parse_batch(reply.body))
+        except (ValueError, KeyError, TypeError) as error:
+            return Failure(StoreUnavailable(f"malformed answer: {error!r}"))
+
+    def _check_write(self, key: str, reply: Reply | _NoReply) -> Result[Reply, StoreError]:
+        if isinstance(reply, _NoReply):
+            if reply.connected:
+                return Failure(WriteAmbiguous(reply.reason))
+            return Failure(StoreUnavailable(reply.reason))
+        if reply.status == HTTPStatus.OK:
+            return Success(reply)
+        if reply.status in (HTTPStatus.PRECONDITION_FAILED, HTTPStatus.NOT_FOUND):
+            return Failure(self._conflict(key))
+        if reply.status in REJECTED:
+            return Failure(StoreRejected(reply.status, reply.body.decode(errors="replace")))
+        if reply.status == HTTPStatus.TOO_MANY_REQUESTS:
+            return Failure(_unavailable(reply))
+        # A 5xx may come from a gateway that had already passed the write on.
+        return Failure(WriteAmbiguous(f"status {reply.status}"))
+
+    def _conflict(self, key: str) -> VersionConflict | StoreUnavailable:
+        read = self.get(key)
+        if isinstance(read, Success):
+            return VersionConflict(read.unwrap())
+        # The refused write had no effect, which is what StoreUnavailable says.
+        return read.failure()
+
+    def _read(self, path: str) -> Reply | _NoReply:
+        limit_ms = self.connect_timeout_ms + self.response_timeout_ms
+        try:
+            with gevent.Timeout(limit_ms / MS_PER_SECOND):
+                return _complete(self.reader.request("GET", path))
+        except _TRANSPORT_ERRORS as error:
+            # The other kept connections may be silent as well, so none of them is used again.
+            self.reader.close()
+            self.reader = self._new_reader()
+            return _NoReply(repr(error), connected=True)
+
+    def _send_once(
+        self, method: str, path: str, body: bytes, headers: Mapping[str, str], wait_ms: int = 0
+    ) -> Reply | _NoReply:
+        response_ms = self.response_timeout_ms + wait_ms
+        client = SingleAttemptClient(
+            self.host,
+            self.port,
+            self.connect_timeout_ms / MS_PER_SECOND,
+            response_ms / MS_PER_SECOND,
+        )
+        limit_ms = self.connect_timeout_ms + response_ms
+        try:
+            with gevent.Timeout(limit_ms / MS_PER_SECOND):
+                return _complete(client.request(method, path, body, dict(headers)))
+        except _TRANSPORT_ERRORS as error:
+            return _NoReply(repr(error), connected=client.pool.connected)
+        finally:
+            client.close()
+
+    def _new_reader(self) -> HTTPClient:
+        return HTTPClient(
+            self.host,
+            self.port,
+            concurrency=READ_CONNECTIONS,
+            connection_timeout=self.connect_timeout_ms / MS_PER_SECOND,
+            network_timeout=self.response_timeout_ms / MS_PER_SECOND,
+        )
+
+
+def _complete(response: Any) -> Reply:
+    body = response.read()
+    if not response.message_complete:
+        raise HTTPParseError("connection closed before the end of the answer")
+    return Reply(response.status_code, str(response.get("etag") or ""), body)
+
+
+def _object_path(key: str) -> str:
+    return "/objects/" + quote(key, safe="/")
+
+
+def _unavailable(reply: Reply) -> StoreUnavailable:
+    return StoreUnavailable(f"status {reply.status}")
+
+
+def _parse_snapshot(body: bytes) -> Snapshot:
+    fields = json.loads(body)
+    objects = tuple(
+        StoredObject(item["key"], int(item["version"]), base64.b64decode(item["value"]))
+        for item in fields["objects"]
+    )
+    return Snapshot(int(fields["revision"]), objects)
+
+
+def _parse_batch(body: bytes) -> WatchBatch:
+    fields = json.loads(body)
+    changes = tuple(
+        Change(item["key"], int(item["version"]), _decode_value(item["value"]))
+        for item in fields["changes"]
+    )
+    return WatchBatch(int(fields["revision"]), changes)
+
+
+def _decode_value(text: str | None) -> bytes | None:
+    return None if text is None else base64.b64decode(text)
--- /dev/null
+++ b/src/pistachionotch/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for external systems, for the demo and tests."""
--- /dev/null
+++ b/tests/unit/standins/test_object_store.py
@@ -0,0 +1,148 @@
+"""Guards against a client that mislabels what happened to a write over real connections."""
+
+import gevent
+import pytest
+from gevent import socket
+from gevent.server import StreamServer
+from geventhttpclient.client import HTTPClient
+
+from pistachionotch.objects.api import (
+    MAX_VALUE_BYTES,
+    StoreRejected,
+    StoreUnavailable,
+    VersionConflict,
+    WatchExpired,
+    WriteAmbiguous,
+)
+from pistachionotch.objects.client import HttpObjectStore
+from pistachionotch.objects.memory import MemoryStore
+from pistachionotch.objects.settle import put_settled
+from pistachionotch.standins.object_store import ObjectStoreApp, serve
+
+HOST = "127.0.0.1"
+
+
+@pytest.fixture
+def app():
+    return ObjectStoreApp(MemoryStore(history_limit=4))
+
+
+@pytest.fixture
+def port(app):
+    server = serve(app)
+    yield server.server_port
+    server.stop(timeout=1)
+
+
+@pytest.fixture
+def client(port):
+    client = HttpObjectStore(HOST, port, connect_timeout_ms=300, response_timeout_ms=300)
+    yield client
+    client.close()
+
+
+@pytest.fixture
+def broken():
+    """Serve connections with a function that the test chooses; counts requests it received."""
+    requests = []
+
+    def handle(connection, _address):
+        requests.append(connection.recv(65536))
+        broken.behave(connection)
+
+    server = StreamServer((HOST, 0), handle)
+    server.start()
+    broken.client = HttpObjectStore(HOST, server.server_port, 300, 200)
+    broken.requests = requests
+    yield broken
+    server.stop(timeout=1)
+
+
+def test_objects_round_trip_with_conditions(client):
+    first = client.put("a/ü b", b"\x00\xff", None).unwrap()
+    assert client.get("a/ü b").unwrap() == first
+    assert client.get("a/none").unwrap() is None
+    assert client.put("a/ü b", b"2", None).failure() == VersionConflict(first)
+    second = client.put("a/ü b", b"2", first.version).unwrap()
+    assert client.list("a/").unwrap() == (second,)
+    assert client.delete("a/ü b", first.version).failure() == VersionConflict(second)
+    assert client.delete("a/ü b", second.version).unwrap() is None
+    assert client.delete("a/ü b", second.version).failure() == VersionConflict(None)
+
+
+def test_watch_over_http_waits_wakes_and_expires(client, app):
+    waiting = gevent.spawn(client.watch, "a/", 0, 5_000)
+    gevent.sleep(0.05)
+    client.put("a/1", b"x", None).unwrap()
+    batch = waiting.get(timeout=2).unwrap()
+    assert [(change.key, change.value) for change in batch.changes] == [("a/1", b"x")]
+    assert app.store.calls["watch"] == 1
+    assert client.watch("a/", batch.revision, 20).unwrap().changes == ()
+    for number in range(6):
+        client.put(f"b/{number}", b"", None).unwrap()
+    assert client.watch("a/", 0, 0).failure() == WatchExpired(0)
+
+
+def test_oversized_value_is_rejected_not_ambiguous(client):
+    rejected = client.put("a", b"x" * (MAX_VALUE_BYTES + 1), None).failure()
+    assert isinstance(rejected, StoreRejected)
+    assert isinstance(client.put("a", b"x" * MAX_VALUE_BYTES, None).unwrap().version, int)
+
+
+def test_lost_answer_over_http_is_ambiguous_and_settled(client, app):
+    app.store.faults.lose_answers = 1
+    assert isinstance(client.put("a", b"1", None).failure(), WriteAmbiguous)
+    assert app.store.calls["put"] == 1
+    app.store.faults.lose_answers = 1
+    assert put_settled(client, "b", b"token", None, "token").unwrap().value == b"token"
+
+
+def test_refused_connection_had_no_effect():
+    listener = socket.socket()
+    listener.bind((HOST, 0))
+    client = HttpObjectStore(HOST, listener.getsockname()[1], 200, 200)
+    assert isinstance(client.put("a", b"", None).failure(), StoreUnavailable)
+    assert isinstance(client.get("a").failure(), StoreUnavailable)
+
+
+def test_outage_and_slowness_set_over_http(client, app, port):
+    control = HTTPClient(HOST, port)
+    control.request("PUT", "/faults", b'{"slow_ms": 600}').read()
+    assert isinstance(client.get("a").failure(), StoreUnavailable)
+    assert isinstance(client.put("a", b"", None).failure(), WriteAmbiguous)
+    control.request("PUT", "/faults", b'{"slow_ms": 0, "outage": true}').read()
+    assert isinstance(client.get("a").failure(), StoreUnavailable)
+    assert isinstance(client.put("a", b"", None).failure(), WriteAmbiguous)
+    control.request("PUT", "/faults", b'{"outage": false}').read()
+    assert client.get("b").unwrap() is None
+    assert b'"get"' in control.request("GET", "/counters").read()
+
+
+def test_write_is_sent_once_when_the_connection_closes_before_the_answer(broken):
+    broken.behave = lambda connection: connection.close()
+    assert isinstance(broken.client.put("a", b"1", None).failure(), WriteAmbiguous)
+    assert len(broken.requests) == 1
+
+
+def test_silent_connection_times_out_for_reads_and_writes(broken):
+    broken.behave = lambda connection: gevent.sleep(2)
+    assert isinstance(broken.client.put("a", b"1", None).failure(), WriteAmbiguous)
+    assert isinstance(broken.client.get("a").failure(), StoreUnavailable)
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b'HTTP/1.1 200 OK\r\nContent-Length: 10\r\nETag: "3"\r\n\r\nshort',
+        b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+        b"nonsense\r\n\r\n",
+    ],
+)
+def test_incomplete_or_malformed_answer_is_never_a_value(broken, answer):
+    def behave(connection):
+        connection.sendall(answer)
+        connection.close()
+
+    broken.behave = behave
+    assert isinstance(broken.client.get("a").failure(), StoreUnavailable)
+    assert isinstance(broken.client.put("a", b"1", None).failure(), WriteAmbiguous)
