Add the step ledger and exactly-once delivery of samples

Samples are labelled from the pieces that the engine reports. The ledger assigns them to a cursor by a conditional write before they are handed over.

So a pull carries an optional attempt number, and an assignment changes only under a higher one. Ruled out: replacing on any repeat, since a load balancer may repeat a GET.

--- /dev/null
+++ b/src/pistachionotch/samples/ledger.py
@@ -0,0 +1,278 @@
+"""Ledger of one step: its slots, their samples, and the assignment of samples to a cursor.
+
+The ledger is plain state. Whoever changes it writes it back on the condition that nobody else wrote
+in between, and acts on the change only after that write succeeded (see ``delivery``).
+
+One pair of cursor and attempt has at most one assignment. Changing the assignment of a cursor takes
+a higher attempt, which is the trainer's statement that it uses no response to a lower one. So a
+repeated request that arrives late can never change what the trainer has already used.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterable, Iterator
+
+import attrs
+
+from .sample import Sample, Slot
+from .spans import find_span_fault
+from .staleness import is_fresh
+
+MAX_SLOTS = 2048
+
+
+class SlotState(enum.IntEnum):
+    """Say how far a slot has come; the numbers are part of the stored format."""
+
+    OPEN = 0
+    DELIVERED = 1
+    CUT = 2
+    READY = 3
+
+
+@attrs.frozen
+class Accepted:
+    """The sample fills its slot."""
+
+    repeated: bool = False
+
+
+@attrs.frozen
+class Duplicate:
+    """The slot needs no sample; this one must be discarded."""
+
+    reason: str
+
+
+@attrs.frozen
+class Stale:
+    """The sample is older than the bound; the slot stays open."""
+
+    oldest_version: int
+    newest_version: int
+
+
+@attrs.frozen
+class Unlabelled:
+    """The versions that produced the sample are not known; the slot stays open."""
+
+    reason: str
+
+
+RecordOutcome = Accepted | Duplicate | Stale | Unlabelled
+
+
+class Turn(enum.StrEnum):
+    """Classify a pull against the ledger's cursor."""
+
+    CURRENT = "current"
+    NEXT = "next"
+    NEW_ATTEMPT = "new-attempt"
+    OLD_ATTEMPT = "old-attempt"
+    GONE = "gone"
+    AHEAD = "ahead"
+
+
+@attrs.frozen
+class Assignment:
+    """List the samples of one cursor and attempt."""
+
+    cursor: int
+    attempt: int
+    samples: tuple[Sample, ...]
+
+
+@attrs.frozen
+class StepPlan:
+    """Hold what the trainer asked for; it never changes after the step was created."""
+
+    trainer: str
+    step: int
+    model: str
+    groups: int
+    samples_per_group: int
+    staleness_bound: int
+    deadline_unix_ms: int = 0
+
+    @property
+    def slot_count(self) -> int:
+        """Return the number of slots of the step."""
+        return self.groups * self.samples_per_group
+
+    def fault(self) -> str | None:
+        """Return why no step can have this plan, or None."""
+        if self.groups < 1 or self.samples_per_group < 1:
+            return "a step needs at least one group of one sample"
+        if self.slot_count > MAX_SLOTS:
+            return f"a step has at most {MAX_SLOTS} samples, not {self.slot_count}"
+        if self.staleness_bound < 0:
+            return "the staleness bound is negative"
+        if self.step < 0:
+            return "the step number is negative"
+        return None
+
+
+@attrs.define
+class StepLedger:
+    """Keep the state of one step."""
+
+    plan: StepPlan
+    states: list[SlotState]
+    samples: dict[int, Sample] = attrs.field(factory=dict)
+    cursor: int = 0
+    attempt: int = 0
+    assigned: tuple[int, ...] = ()
+    writer: bytes = b""
+
+    @classmethod
+    def create(cls, plan: StepPlan) -> StepLedger:
+        """Return the ledger of a step in which every slot is open."""
+        fault = plan.fault()
+        if fault is not None:
+            raise ValueError(fault)
+        return cls(plan, [SlotState.OPEN] * plan.slot_count)
+
+    # Slots
+
+    def number(self, slot: Slot) -> int | None:
+        """Return the position of a slot, or None if the step has no such slot."""
+        if not 0 <= slot.group < self.plan.groups:
+            return None
+        if not 0 <= slot.index < self.plan.samples_per_group:
+            return None
+        return slot.group * self.plan.samples_per_group + slot.index
+
+    def slot(self, number: int) -> Slot:
+        """Return the slot at a position."""
+        return Slot(*divmod(number, self.plan.samples_per_group))
+
+    def slots_in(self, state: SlotState) -> tuple[Slot, ...]:
+        """Return the slots in one state."""
+        return tuple(self.slot(n) for n, held in enumerate(self.states) if held == state)
+
+    def open_slots(self) -> tuple[Slot, ...]:
+        """Return the slots that still need a sample."""
+        return self.slots_in(SlotState.OPEN)
+
+    def complete(self) -> bool:
+        """Return whether every slot was acknowledged or cut."""
+        return all(state in (SlotState.DELIVERED, SlotState.CUT) for state in self.states)
+
+    # Samples
+
+    def record(self, sample: Sample, newest_version: int) -> RecordOutcome:
+        """Put a produced sample into its slot, unless it must not be used."""
+        number = self.number(sample.slot)
+        if number is None:
+            return Duplicate("the step has no such slot")
+        held = self.samples.get(number)
+        if held is not None and held.sample_id == sample.sample_id:
+            # A new coordinator holds its own copy of the same body.
+            same = attrs.evolve(sample, copy_holder=held.copy_holder) == held
+            return Accepted(repeated=True) if same else Duplicate("the id is taken")
+        if self.states[number] != SlotState.OPEN:
+            return Duplicate(f"the slot is {self.states[number].name.lower()}")
+        fault = find_span_fault(sample.spans)
+        if fault is not None:
+            return Unlabelled(fault.reason)
+        if not is_fresh(sample.spans, newest_version, self.plan.staleness_bound):
+            return Stale(min(span.version for span in sample.spans), newest_version)
+        self.states[number] = SlotState.READY
+        self.samples[number] = sample
+        return Accepted()
+
+    def cut(self, slot: Slot) -> bool:
+        """Give an open slot up for good; False if it is not open."""
+        number = self.number(slot)
+        if number is None or self.states[number] != SlotState.OPEN:
+            return False
+        self.states[number] = SlotState.CUT
+        return True
+
+    def reopen(self, slot: Slot) -> bool:
+        """Discard a sample that was recorded but not assigned; False if there is none."""
+        number = self.number(slot)
+        if number is None or number in self.assigned or number not in self.samples:
+            return False
+        self._open(number)
+        return True
+
+    def unassigned(self, newest_version: int) -> tuple[Sample, ...]:
+        """Return the fresh samples to hand out next, those of complete groups first."""
+        numbers = [n for n in sorted(self.samples) if n not in self.assigned]
+        waiting = {self.slot(n).group for n, s in enumerate(self.states) if s == SlotState.OPEN}
+        numbers.sort(key=lambda n: (self.slot(n).group in waiting, n))
+        return tuple(self.samples[n] for n in numbers if self._fresh(n, newest_version))
+
+    def discard_stale(self, newest_version: int) -> tuple[Slot, ...]:
+        """Reopen the slots of unassigned samples that are older than the bound."""
+        numbers = [n for n in self.samples if n not in self.assigned]
+        stale = [n for n in numbers if not self._fresh(n, newest_version)]
+        for number in stale:
+            self._open(number)
+        return tuple(self.slot(n) for n in stale)
+
+    # Cursor
+
+    def turn(self, cursor: int, attempt: int) -> Turn:
+        """Classify a pull."""
+        if cursor == self.cursor + 1 and self.assigned:
+            return Turn.NEXT
+        if cursor != self.cursor:
+            return Turn.GONE if cursor < self.cursor else Turn.AHEAD
+        if attempt == self.attempt:
+            return Turn.CURRENT
+        return Turn.NEW_ATTEMPT if attempt > self.attempt else Turn.OLD_ATTEMPT
+
+    def assignment(self) -> Assignment:
+        """Return what the current cursor holds."""
+        samples = tuple(self.samples[number] for number in self.assigned)
+        return Assignment(self.cursor, self.attempt, samples)
+
+    def assign(self, slots: Iterable[Slot], newest_version: int) -> Assignment:
+        """Give unassigned fresh samples to the current cursor, which holds none yet."""
+        if self.assigned:
+            raise ValueError("the assignment of a cursor and attempt never changes")
+        numbers = tuple(self._ready(slots, newest_version))
+        self.assigned = numbers
+        return self.assignment()
+
+    def acknowledge(self, cursor: int) -> bool:
+        """Mark the samples of the cursor as used and move on; False if it holds none."""
+        if cursor != self.cursor or not self.assigned:
+            return False
+        for number in self.assigned:
+            self.states[number] = SlotState.DELIVERED
+            del self.samples[number]
+        self.assigned = ()
+        self.cursor += 1
+        self.attempt = 0
+        return True
+
+    def begin_attempt(self, attempt: int) -> None:
+        """Take the assignment of the cursor back; its samples can be assigned again.
+
+        The caller states that the trainer uses no response to a lower attempt.
+        """
+        if attempt <= self.attempt:
+            raise ValueError(f"attempt {attempt} does not follow attempt {self.attempt}")
+        self.attempt = attempt
+        self.assigned = ()
+
+    def _ready(self, slots: Iterable[Slot], newest_version: int) -> Iterator[int]:
+        for slot in slots:
+            number = self.number(slot)
+            if number is None or number not in self.samples:
+                raise ValueError(f"no sample to assign in {slot}")
+            if not self._fresh(number, newest_version):
+                raise ValueError(f"the sample in {slot} is stale")
+            yield number
+
+    def _fresh(self, number: int, newest_version: int) -> bool:
+        spans = self.samples[number].spans
+        return is_fresh(spans, newest_version, self.plan.staleness_bound)
+
+    def _open(self, number: int) -> None:
+        self.states[number] = SlotState.OPEN
+        del self.samples[number]
--- /dev/null
+++ b/src/pistachionotch/samples/ledger_format.py
@@ -0,0 +1,95 @@
+"""Stored format of the step ledger: one compact CBOR array.
+
+Node names are stored once and referred to by number. A delivered or cut slot takes one byte, so the
+ledger shrinks while the trainer acknowledges.
+"""
+
+from __future__ import annotations
+
+import io
+from typing import Any
+
+import attrs
+import cbor2
+from returns.result import Failure, Result, Success
+
+from .ledger import SlotState, StepLedger, StepPlan
+from .sample import Sample
+from .spans import VersionSpan
+
+FORMAT = 1
+MAX_LEDGER_BYTES = 1_000_000
+
+
+@attrs.frozen
+class CorruptLedger:
+    """Say why stored bytes are no ledger."""
+
+    reason: str
+
+
+def to_bytes(ledger: StepLedger) -> bytes:
+    """Return the stored form; equal ledgers give equal bytes."""
+    names: dict[str, int] = {}
+    slots: list[Any] = []
+    for number, state in enumerate(ledger.states):
+        if state == SlotState.READY:
+            slots.append(_pack_sample(ledger.samples[number], names))
+            continue
+        slots.append(int(state))
+    plan = list(attrs.astuple(ledger.plan))
+    cursor = [ledger.cursor, ledger.attempt, list(ledger.assigned)]
+    return cbor2.dumps([FORMAT, plan, cursor, ledger.writer, list(names), slots])
+
+
+def from_bytes(data: bytes) -> Result[StepLedger, CorruptLedger]:
+    """Read a stored ledger; anything out of range makes it corrupt."""
+    if len(data) > MAX_LEDGER_BYTES:
+        return Failure(CorruptLedger(f"{len(data)} bytes are more than a ledger has"))
+    try:
+        stream = io.BytesIO(data)
+        fields = cbor2.load(stream)
+        if stream.read(1):
+            return Failure(CorruptLedger("bytes follow the ledger"))
+        return _unpack(fields)
+    except (cbor2.CBORDecodeError, ValueError, TypeError, LookupError, AttributeError) as error:
+        return Failure(CorruptLedger(f"{type(error).__name__}: {error}"))
+
+
+def _pack_sample(sample: Sample, names: dict[str, int]) -> list[Any]:
+    agent = names.setdefault(sample.agent, len(names))
+    holder = names.setdefault(sample.copy_holder, len(names))
+    spans = [part for span in sample.spans for part in (span.version, span.tokens)]
+    return [bytes.fromhex(sample.sample_id), sample.digest, agent, holder, spans]
+
+
+def _unpack(fields: Any) -> Result[StepLedger, CorruptLedger]:
+    if fields[0] != FORMAT:
+        return Failure(CorruptLedger(f"format {fields[0]} is not {FORMAT}"))
+    _, plan_fields, (cursor, attempt, assigned), writer, names, slots = fields
+    plan = StepPlan(*plan_fields)
+    fault = plan.fault()
+    if fault is not None:
+        return Failure(CorruptLedger(fault))
+    if len(slots) != plan.slot_count:
+        return Failure(CorruptLedger(f"{len(slots)} slots instead of {plan.slot_count}"))
+    ledger = StepLedger.create(plan)
+    ledger.cursor, ledger.attempt, ledger.writer = cursor, attempt, writer
+    for number, packed in enumerate(slots):
+        if isinstance(packed, int):
+            ledger.states[number] = SlotState(packed)
+            continue
+        ledger.states[number] = SlotState.READY
+        ledger.samples[number] = _unpack_sample(ledger, number, packed, names)
+    ledger.assigned = tuple(assigned)
+    if any(number not in ledger.samples for number in ledger.assigned):
+        return Failure(CorruptLedger("an assigned slot has no sample"))
+    return Success(ledger)
+
+
+def _unpack_sample(ledger: StepLedger, number: int, packed: Any, names: list[str]) -> Sample:
+    sample_id, digest, agent, holder, flat = packed
+    pairs = zip(flat[::2], flat[1::2], strict=True)
+    spans = tuple(VersionSpan(version, tokens) for version, tokens in pairs)
+    slot = ledger.slot(number)
+    return Sample(sample_id.hex(), slot, digest, spans, names[agent], names[holder])
--- /dev/null
+++ b/src/pistachionotch/samples/spans.py
@@ -0,0 +1,83 @@
+"""Version labels of a sample, merged from what the engine reports piece by piece."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import attrs
+from returns.result import Failure, Result, Success
+
+# Weights change every few minutes, so a sample that needs more spans than this is not plausible.
+# The limit bounds the size of the step ledger.
+MAX_SPANS = 16
+MAX_COUNT = 2**32 - 1
+
+
+@attrs.frozen
+class VersionSpan:
+    """State that one weight version produced this many consecutive tokens."""
+
+    version: int
+    tokens: int
+
+
+@attrs.frozen
+class SpanFault:
+    """Say why the labels of a sample cannot be trusted."""
+
+    reason: str
+
+
+def merge_spans(spans: Iterable[VersionSpan]) -> tuple[VersionSpan, ...]:
+    """Join neighbours of equal version; the order of versions is kept."""
+    merged: list[VersionSpan] = []
+    for span in spans:
+        if merged and merged[-1].version == span.version:
+            merged[-1] = VersionSpan(span.version, merged[-1].tokens + span.tokens)
+            continue
+        merged.append(span)
+    return tuple(merged)
+
+
+def _is_count(value: object) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool) and 0 <= value <= MAX_COUNT
+
+
+def find_span_fault(spans: tuple[VersionSpan, ...]) -> SpanFault | None:
+    """Return why these spans cannot label a sample, or None if they can."""
+    if not spans:
+        return SpanFault("the sample has no labelled token")
+    if len(spans) > MAX_SPANS:
+        return SpanFault(f"the sample has {len(spans)} spans, more than {MAX_SPANS}")
+    for span in spans:
+        if not _is_count(span.version):
+            return SpanFault(f"span has no usable version: {span.version!r}")
+        if not _is_count(span.tokens) or span.tokens == 0:
+            return SpanFault(f"span has no usable token count: {span.tokens!r}")
+    return None
+
+
+@attrs.define
+class SpanRecorder:
+    """Collect the version that the engine reports with each piece of one sample."""
+
+    spans: list[VersionSpan] = attrs.field(factory=list)
+    fault: SpanFault | None = None
+
+    def add(self, version: int | None, tokens: int) -> None:
+        """Record one piece; a piece without tokens needs no version."""
+        if self.fault is not None or tokens == 0:
+            return
+        if not _is_count(tokens):
+            self.fault = SpanFault(f"piece has no usable token count: {tokens!r}")
+            return
+        if version is None or not _is_count(version):
+            self.fault = SpanFault(f"{tokens} tokens came without a version")
+            return
+        self.spans[-1:] = merge_spans([*self.spans[-1:], VersionSpan(version, tokens)])
+
+    def finish(self) -> Result[tuple[VersionSpan, ...], SpanFault]:
+        """Return the merged spans, or why the sample must not be delivered."""
+        spans = tuple(self.spans)
+        fault = self.fault or find_span_fault(spans)
+        return Success(spans) if fault is None else Failure(fault)
--- /dev/null
+++ b/src/pistachionotch/samples/staleness.py
@@ -0,0 +1,26 @@
+"""Age of a sample in weight versions."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from .spans import VersionSpan
+
+
+def newest_known(published: int, trainer_version: int | None) -> int:
+    """Return the version that ages count from: the trainer's own if it is ahead."""
+    if trainer_version is None:
+        return published
+    return max(published, trainer_version)
+
+
+def sample_age(spans: Sequence[VersionSpan], newest_version: int) -> int:
+    """Return how many versions the oldest span is behind; negative if it is ahead."""
+    return newest_version - min(span.version for span in spans)
+
+
+def is_fresh(spans: Sequence[VersionSpan], newest_version: int, bound: int) -> bool:
+    """Return whether every span is within the bound; a sample without spans never is."""
+    if not spans:
+        return False
+    return sample_age(spans, newest_version) <= bound
