--- a/src/pistachionotch/admission/limit.py
+++ b/src/pistachionotch/admission/limit.py
@@ -21,7 +21,7 @@
     maximum: int
     exact: float
     floor_ms: float = 0.0
-    runs_since_decrease: int = 0
+    runs_to_ignore: int = 0
 
     @classmethod
     def fixed(cls, value: int) -> ConcurrencyLimit:
@@ -43,18 +43,18 @@
         first_ms = facts.time_to_first_token_ms
         if first_ms is None or not facts.succeeded:
             return
-        self.runs_since_decrease += 1
+        self.runs_to_ignore = max(0, self.runs_to_ignore - 1)
         if not self.floor_ms or first_ms < self.floor_ms:
             self.floor_ms = max(1.0, first_ms)
         self.floor_ms *= FLOOR_GROWTH
         if first_ms > CONGESTED_RATIO * self.floor_ms:
-            self._decrease()
+            self._decrease(running)
         elif running >= self.value:
             self.exact = min(self.maximum, self.exact + 1 / self.exact)
 
-    def _decrease(self) -> None:
-        # One decrease per round of runs: the others of the round saw the same congestion.
-        if self.runs_since_decrease < self.value:
+    def _decrease(self, running: int) -> None:
+        # One decrease per round of runs: those in progress now saw the same congestion.
+        if self.runs_to_ignore:
             return
-        self.runs_since_decrease = 0
+        self.runs_to_ignore = running
         self.exact = max(self.minimum, self.exact * DECREASE)
--- /dev/null
+++ b/tests/unit/admission/test_load.py
@@ -0,0 +1,40 @@
+"""Guards against estimates from stale or failed runs, and facts without their age."""
+
+from pistachionotch.admission.load import FACT_TRUST_MS, MovingAverage, RunFacts, SpeedEstimate
+from pistachionotch.admission.wait import estimate_wait_ms
+
+
+def test_service_time_follows_observed_speed():
+    speed = SpeedEstimate()
+    speed.observe(RunFacts(time_to_first_token_ms=200, tokens=100, duration_ms=2_200), 0)
+    assert speed.service_ms(50) == 1_200
+
+
+def test_observation_after_a_long_silence_replaces_the_average():
+    """Guards against a slowdown of an hour ago that still counts."""
+    average = MovingAverage()
+    average.observe(1_000, 0)
+    average.observe(10, FACT_TRUST_MS + 1)
+    assert average.value == 10
+
+
+def test_estimate_is_not_trusted_without_a_recent_observation():
+    speed = SpeedEstimate()
+    assert not speed.trusted(0)
+    speed.observe(RunFacts(5, 0, 5), 0)
+    assert speed.trusted(FACT_TRUST_MS - 1)
+    assert not speed.trusted(FACT_TRUST_MS)
+
+
+def test_failed_run_teaches_no_speed():
+    speed = SpeedEstimate()
+    speed.observe(RunFacts(1, 10, 2, succeeded=False), 0)
+    assert speed.service_ms(100) == 0
+
+
+def test_wait_is_the_time_until_a_slot_is_left():
+    """Guards against a wait that ignores parallel slots or the work ahead."""
+    assert estimate_wait_ms(1, [500], 2, []) == 0
+    assert estimate_wait_ms(0, [500, 300], 2, []) == 300
+    assert estimate_wait_ms(0, [500, 300], 2, [1_000]) == 500
+    assert estimate_wait_ms(1, [500], 2, [100, 100]) == 200
--- /dev/null
+++ b/tests/unit/routing/test_hedge.py
@@ -0,0 +1,78 @@
+"""Guards against hedges that come early, repeat non-idempotent work, or leave the loser running."""
+
+import pytest
+
+from pistachionotch.routing.hedge import HedgeFacts, HedgeRace, LatencyTail, decide_hedge
+from pistachionotch.routing.retry import RetryBudget
+
+
+def make_tail():
+    tail = LatencyTail()
+    for elapsed_ms in range(100, 200):
+        tail.observe(elapsed_ms)
+    return tail
+
+
+def decide(tail=None, budget=None, **fields):
+    values = {
+        "idempotent": True,
+        "elapsed_ms": 500,
+        "remaining_ms": 5_000,
+        "first_token_seen": False,
+        "attempts_open": 1,
+        "alternative": "other",
+        "alternative_ms": 300,
+    }
+    facts = HedgeFacts(**(values | fields))
+    return decide_hedge(facts, tail or make_tail(), budget or RetryBudget(), 0)
+
+
+def test_late_attempt_is_hedged():
+    assert decide().agent == "other"
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"idempotent": False},
+        {"elapsed_ms": 190},
+        {"first_token_seen": True},
+        {"attempts_open": 2},
+        {"alternative": None},
+        {"alternative_ms": 5_000},
+        {"tail": LatencyTail()},
+    ],
+)
+def test_no_hedge_and_no_budget_taken(fields):
+    budget = RetryBudget()
+    assert decide(budget=budget, **fields).agent is None
+    assert budget.available(0) == budget.minimum
+
+
+def test_early_decision_says_when_to_check_again():
+    decision = decide(elapsed_ms=150)
+    assert decide(elapsed_ms=150 + decision.check_again_ms).agent == "other"
+
+
+def test_hedges_share_the_retry_budget():
+    """Guards against doubled load when every upstream is slow."""
+    budget = RetryBudget()
+    assert sum(decide(budget=budget).agent is not None for _ in range(50)) == budget.minimum
+
+
+def test_first_token_wins_and_all_others_are_cancelled():
+    race = HedgeRace()
+    race.start("first")
+    race.start("second")
+    assert race.first_token("second").cancel == ("first",)
+    late = race.first_token("first")
+    assert not late.won
+    assert late.cancel == ()
+
+
+def test_failed_attempt_leaves_the_other_in_the_race():
+    race = HedgeRace()
+    race.start("first")
+    race.start("second")
+    assert not race.failed("first")
+    assert race.failed("second")
