--- a/src/pistachionotch/cli/commands.py
+++ b/src/pistachionotch/cli/commands.py
@@ -24,7 +24,11 @@
 
 
 COMMANDS: dict[str, Command] = {
+    "ask": Command(".configuration", "ask", "ask the questionnaire's questions, write the answers"),
+    "generate": Command(".configuration", "generate", "generate the configuration from answers"),
     "check": Command(".configuration", "check", "report every finding of a configuration"),
+    "fetch": Command(".apply", "fetch", "save the configuration in effect"),
+    "apply": Command(".apply", "apply", "put a configuration into effect everywhere"),
 }
 
 
--- a/src/pistachionotch/cli/invocation.py
+++ b/src/pistachionotch/cli/invocation.py
@@ -26,6 +26,9 @@
 
 def invoke(name: str, command: Callable[..., int], arguments: Sequence[str]) -> int:
     """Bind ``arguments`` to ``command``, run it, and return its exit code."""
+    if any(argument in ("-h", "--help") for argument in arguments):
+        print(help_text(name, command))
+        return ExitCode.DONE
     import fire
     from fire.core import FireExit
 
@@ -34,7 +37,7 @@
         bound = fire.Fire(
             _recorder(command, calls),
             command=list(arguments),
-            name=f"pistachionotch {name}",
+            name=name,
             serialize=_print_nothing,
         )
     except FireExit as exit_request:
@@ -45,6 +48,23 @@
     return ExitCode.USAGE
 
 
+def help_text(name: str, command: Callable[..., int]) -> str:
+    """Return the usage line and the documentation of a command.
+
+    Fire's own help would also list the metadata that its decorators leave on the function.
+    """
+    words = ["usage: pistachionotch", name]
+    for parameter in inspect.signature(command, eval_str=True).parameters.values():
+        option = "--" + parameter.name.replace("_", "-")
+        if parameter.default is inspect.Parameter.empty:
+            words.append(parameter.name.upper())
+        elif parameter.annotation is bool:
+            words.append(f"[{option}]")
+        else:
+            words.append(f"[{option}=VALUE]")
+    return " ".join(words) + "\n\n" + (inspect.getdoc(command) or "")
+
+
 def _print_nothing(_result: Any) -> None:
     return None
 
--- a/src/pistachionotch/config/check.py
+++ b/src/pistachionotch/config/check.py
@@ -12,13 +12,15 @@
 from returns.result import Failure, Result
 
 from ..findings import Finding
+from ..outcomes import RequestClass
 from .document import read_through
 from .located import Located, decode_text
+from .reading import Reading, ValuePath, read_members
 from .schema import CONFIGURATION, Configuration, Model, Route, Service
-from .spec import Reading, ValuePath, read_members
 
 LEAVING_BOUND_MS = 3_000  # guarantee 7: no new work for a leaving upstream after this time
 LEASE_STEP_MS = 1_000  # a holder judges and renews its lease once a second
+SHORT_CLASSES = (RequestClass.STOREFRONT, RequestClass.CONFIRMATION)
 
 Problem: TypeAlias = tuple[ValuePath, str]
 CrossCheck: TypeAlias = Callable[[Configuration], Iterator[Problem]]
@@ -97,9 +99,16 @@
 
 
 def _check_shares(configuration: Configuration) -> Iterator[Problem]:
-    total = sum(settings.share for settings in configuration.classes.values())
+    total = 0.0
+    for name, settings in configuration.classes.items():
+        total += settings.reserved_share
+        if settings.reserved_share > 0 and name not in SHORT_CLASSES:
+            path = ("classes", str(name), "reserved_share")
+            yield path, f"slots are reserved for {' and '.join(SHORT_CLASSES)} only"
+        if settings.max_share < 1 and name is not RequestClass.LONG:
+            yield ("classes", str(name), "max_share"), "only class 'long' can be limited to a share"
     if total > 1 + 1e-9:  # decimal shares such as 0.7, 0.2 and 0.1 add up to slightly above 1
-        yield ("classes",), f"the shares of all classes add up to {total:g}, which is above 1"
+        yield ("classes",), f"the reserved shares add up to {total:g}, which is above 1"
 
 
 def _check_class_deadlines(configuration: Configuration) -> Iterator[Problem]:
@@ -203,15 +212,6 @@
         yield ("intervals", "vm_list_poll_ms"), message
 
 
-def _check_subset(configuration: Configuration) -> Iterator[Problem]:
-    subset = configuration.subset
-    zones = sum(len(region.zones) for region in configuration.regions.values())
-    if subset.min_zones > zones:
-        yield ("subset", "min_zones"), f"{subset.min_zones} zones wanted, but only {zones} exist"
-    if subset.size < subset.min_zones:
-        yield ("subset", "size"), f"{subset.size} agents cannot be in {subset.min_zones} zones"
-
-
 def _check_upstreams(configuration: Configuration) -> Iterator[Problem]:
     if not configuration.models and not configuration.services:
         yield (), "neither 'models' nor 'services' has an entry"
@@ -230,6 +230,5 @@
     (_check_retention, ("callers", "claims", "classes")),
     (_check_leases, ("leases",)),
     (_check_intervals, ("intervals",)),
-    (_check_subset, ("regions", "subset")),
     (_check_upstreams, ("models", "services")),
 )
--- a/src/pistachionotch/config/document.py
+++ b/src/pistachionotch/config/document.py
@@ -10,7 +10,8 @@
 from ..findings import Finding
 from .located import Located
 from .plain import parse_valid
-from .spec import Reading, RecordSpec, read_value
+from .reading import Reading, read_value
+from .spec import RecordSpec
 
 Built = TypeVar("Built")
 
--- a/src/pistachionotch/config/interview.py
+++ b/src/pistachionotch/config/interview.py
@@ -10,7 +10,8 @@
 from ..findings import Place
 from .located import Located, Member, number_of
 from .questionnaire import Question, questions
-from .spec import FlagSpec, IntegerSpec, ListSpec, NumberSpec, Reading, Spec, read_value
+from .reading import Reading, read_value
+from .spec import FlagSpec, IntegerSpec, ListSpec, NumberSpec, Spec
 from .writer import Noted, Tree, Writer
 
 _YES = frozenset({"y", "yes", "true"})
--- a/src/pistachionotch/config/questionnaire.py
+++ b/src/pistachionotch/config/questionnaire.py
@@ -13,20 +13,18 @@
 from .document import read_document, read_through
 from .located import Located, plain
 from .plain import parse_valid
+from .reading import REJECTED, Reading, ValuePath
 from .schema import METHOD, ROUTE_PATH
 from .spec import (
     NAME,
-    REJECTED,
     ChoiceSpec,
     FieldSpec,
     FlagSpec,
     IntegerSpec,
     ListSpec,
     NumberSpec,
-    Reading,
     RecordSpec,
     Spec,
-    ValuePath,
 )
 
 _NO_DEFAULT = object()
--- a/src/pistachionotch/config/schema.py
+++ b/src/pistachionotch/config/schema.py
@@ -27,6 +27,7 @@
 ROUTE_PATH = TextSpec(r"/[!-~]{0,999}", "a path that starts with '/'")
 DURATION_MS = IntegerSpec(1)
 LATENCY_MS = NumberSpec(0)
+MIN_SUBSET = 2  # the subset has agents of at least two zones, where there are two
 REQUEST_CLASS = enumeration(RequestClass)
 
 
@@ -74,10 +75,11 @@
 
 @attrs.frozen(kw_only=True)
 class RequestClassSettings:
-    """Hold what all requests of a class have in common; ``share`` is reserved in every agent."""
+    """Hold what all requests of a class have in common; shares are of every agent's slots."""
 
     default_deadline_ms: int = member(DURATION_MS)
-    share: float = member(SHARE)
+    reserved_share: float = member(SHARE, 0)
+    max_share: float = member(NumberSpec(0, 1, above_minimum=True), 1)
     hedging: Hedging | None = member(record_of(Hedging), None)
 
 
@@ -152,10 +154,9 @@
 
 @attrs.frozen(kw_only=True)
 class Subset:
-    """Hold how many agents an entry connects to, and in how many zones at least."""
+    """Hold how many agents an entry connects to."""
 
-    size: int = member(IntegerSpec(1), 80)
-    min_zones: int = member(IntegerSpec(1), 2)
+    size: int = member(IntegerSpec(MIN_SUBSET), 80)
 
 
 @attrs.frozen(kw_only=True)
--- a/src/pistachionotch/config/settings.py
+++ b/src/pistachionotch/config/settings.py
@@ -12,15 +12,14 @@
 from ..findings import Finding, Place
 from .document import read_document, read_through
 from .located import Located, read_text
+from .reading import REJECTED, Reading
 from .spec import (
     NAME,
-    REJECTED,
     Address,
     AddressSpec,
     FlagSpec,
     IntegerSpec,
     ListSpec,
-    Reading,
     TextSpec,
     enumeration,
     member,
--- a/src/pistachionotch/config/writer.py
+++ b/src/pistachionotch/config/writer.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from .spec import ValuePath
+from .reading import ValuePath
 
 
 @attrs.frozen
