--- a/tests/unit/config/test_apply.py
+++ b/tests/unit/config/test_apply.py
@@ -1,9 +1,9 @@
 """Guards against operators who overwrite each other's changes without seeing them."""
 
+from config_examples import changed, example
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from returns.result import Failure, Success
-from worlds import changed, example
 
 from pistachionotch.clock import ManualClock
 from pistachionotch.config.apply import (
--- a/tests/unit/config/test_check.py
+++ b/tests/unit/config/test_check.py
@@ -3,10 +3,10 @@
 import json
 
 import pytest
+from config_examples import changed, example, values
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from returns.result import Success
-from worlds import changed, example, values
 
 from pistachionotch.config.check import check, read_configuration
 from pistachionotch.outcomes import RequestClass
--- a/tests/unit/config/test_generate.py
+++ b/tests/unit/config/test_generate.py
@@ -3,8 +3,8 @@
 import json
 
 import pytest
+from config_examples import DEPLOYMENTS, example, values
 from returns.result import Success
-from worlds import DEPLOYMENTS, example, values
 
 from pistachionotch.config.check import check
 from pistachionotch.config.generate import generate, generate_checked
--- a/tests/unit/config/test_interview.py
+++ b/tests/unit/config/test_interview.py
@@ -3,10 +3,10 @@
 import io
 
 import pytest
+from config_examples import DEPLOYMENTS, example
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from returns.result import Success
-from worlds import DEPLOYMENTS, example
 
 from pistachionotch.config.generate import generate
 from pistachionotch.config.interview import InputEndedError, Interview, answers_text
--- a/tests/unit/config/test_jsonc.py
+++ b/tests/unit/config/test_jsonc.py
@@ -102,6 +102,7 @@
     (finding,) = parse_jsonc(text, "f").failure()
     assert (finding.place.line, finding.place.column) == place
     assert message in finding.message
+    assert parse_valid(text, "f") is None
 
 
 def test_problems_that_keep_the_structure_are_reported_together():
@@ -114,6 +115,7 @@
         (3, 21),
     ]
     assert "first at line 1:2" in findings[1].message
+    assert parse_valid('{"a": 1, "b": {"c": 1, "c": 1}}', "f") is None
 
 
 def test_input_above_the_size_limit_is_refused_unparsed(tmp_path):
--- a/tests/unit/config/test_settings.py
+++ b/tests/unit/config/test_settings.py
@@ -6,8 +6,8 @@
 import sys
 
 import pytest
+from config_examples import DEPLOYMENTS, EXAMPLES, example, values
 from returns.result import Failure
-from worlds import DEPLOYMENTS, EXAMPLES, example, values
 
 from pistachionotch.config.settings import Role, UpstreamKind, load_settings
 from pistachionotch.config.spec import Address
