--- a/src/pistachionotch/config/reading.py
+++ b/src/pistachionotch/config/reading.py
@@ -27,6 +27,7 @@
 )
 
 ValuePath: TypeAlias = tuple[str | int, ...]
+MAX_HINTS = 100  # the search for a similar name takes about as long as the rest of the check
 
 
 class _Rejected(enum.Enum):
@@ -143,8 +144,8 @@
 def _read_list(spec: ListSpec, located: Located, path: ValuePath, reading: Reading) -> Any:
     if not isinstance(located.value, tuple):
         return reading.reject(located, f"expected an array, found {describe(located)}")
-    if len(located.value) < spec.minimum:
-        return reading.reject(located, f"at least {spec.minimum} needed in this array")
+    if not spec.minimum <= len(located.value) <= spec.maximum:
+        return reading.reject(located, _wrong_count(spec, len(located.value), "array"))
     items: list[Any] = []
     complete = True
     for index, entry in enumerate(located.value):
@@ -169,8 +170,8 @@
 def _read_table(spec: TableSpec, located: Located, path: ValuePath, reading: Reading) -> Any:
     if not isinstance(located.value, dict):
         return reading.reject(located, f"expected an object, found {describe(located)}")
-    if len(located.value) < spec.minimum:
-        return reading.reject(located, f"at least {spec.minimum} needed in this object")
+    if not spec.minimum <= len(located.value) <= spec.maximum:
+        return reading.reject(located, _wrong_count(spec, len(located.value), "object"))
     items: dict[Any, Any] = {}
     complete = True
     for key, entry in located.value.items():
@@ -199,7 +200,9 @@
     members: dict[str, Member] = located.value if isinstance(located.value, dict) else {}
     for key, entry in members.items():
         if key not in spec.fields:
-            reading.findings.add(entry.key_place, _unknown_key(key, spec))
+            reading.findings.add(
+                entry.key_place, _unknown_key(key, spec, len(reading.findings.items) < MAX_HINTS)
+            )
     values = {}
     for key, field in spec.fields.items():
         if key not in members:
@@ -214,7 +217,13 @@
     return values
 
 
-def _unknown_key(key: str, spec: RecordSpec) -> str:
-    close = difflib.get_close_matches(key, spec.fields, n=1)
+def _wrong_count(spec: ListSpec | TableSpec, count: int, kind: str) -> str:
+    if count < spec.minimum:
+        return f"at least {spec.minimum} needed in this {kind}"
+    return f"{count} entries in this {kind}, at most {spec.maximum} allowed"
+
+
+def _unknown_key(key: str, spec: RecordSpec, hint_wanted: bool) -> str:
+    close = difflib.get_close_matches(key, spec.fields, n=1) if hint_wanted else []
     hint = f"; did you mean '{close[0]}'?" if close else ""
     return f"unknown field {key[:60]!r}{hint}"
--- a/src/pistachionotch/config/schema.py
+++ b/src/pistachionotch/config/schema.py
@@ -27,6 +27,7 @@
 ROUTE_PATH = TextSpec(r"/[!-~]{0,999}", "a path that starts with '/'")
 DURATION_MS = IntegerSpec(1)
 LATENCY_MS = NumberSpec(0)
+MAX_REGIONS = 64  # every pair of regions needs a link
 MIN_SUBSET = 2  # the subset has agents of at least two zones, where there are two
 REQUEST_CLASS = enumeration(RequestClass)
 
@@ -171,7 +172,9 @@
     """Hold everything that all nodes of a deployment have to agree on."""
 
     deployment: str = member(NAME)
-    regions: dict[str, Region] = member(TableSpec(record_of(Region), minimum=1))
+    regions: dict[str, Region] = member(
+        TableSpec(record_of(Region), minimum=1, maximum=MAX_REGIONS)
+    )
     object_api_region: str = member(NAME)
     network: Network = member(record_of(Network))
     classes: dict[RequestClass, RequestClassSettings] = member(
--- a/src/pistachionotch/config/spec.py
+++ b/src/pistachionotch/config/spec.py
@@ -12,6 +12,7 @@
 
 NAME_PATTERN = r"[A-Za-z0-9][A-Za-z0-9._-]{0,99}"
 MAX_PORT = 65535
+MAX_ENTRIES = 1_000  # checks compare the entries of a list pairwise
 
 
 @attrs.frozen
@@ -87,6 +88,7 @@
 
     item: Spec
     minimum: int = 0
+    maximum: int = MAX_ENTRIES
     distinct: bool = False
     key: str | None = None
 
@@ -98,6 +100,7 @@
     item: Spec
     keys: Spec = TextSpec(NAME_PATTERN, "a name of letters, digits, '.', '_' and '-'")
     minimum: int = 0
+    maximum: int = MAX_ENTRIES
 
 
 @attrs.frozen
--- a/tests/unit/config/test_check.py
+++ b/tests/unit/config/test_check.py
@@ -1,6 +1,7 @@
 """Guards against configurations that are accepted although they contradict themselves."""
 
 import json
+import time
 
 import pytest
 from config_examples import changed, example, values
@@ -92,6 +93,20 @@
     assert findings == tuple(sorted(findings))
 
 
+@pytest.mark.parametrize("shape", ["zones", "keys", "regions"])
+def test_a_file_full_of_wrong_entries_is_checked_in_seconds(shape):
+    """Guards against checks whose time grows with the square of the input."""
+    if shape == "zones":
+        text = changed(("regions", "luzon", "zones"), [f"z{number}" for number in range(60_000)])
+    elif shape == "keys":
+        text = changed(("models", "fitting"), {f"key{number}": 0 for number in range(10_000)})
+    else:
+        text = changed(("regions",), {f"r{number}": {"zones": ["z"]} for number in range(6_000)})
+    started = time.monotonic()
+    assert check(text, "f").failure()
+    assert time.monotonic() - started < 20
+
+
 JUNK = st.none() | st.booleans() | st.integers(-5, 10**6) | st.floats(-2, 2) | st.text(max_size=3)
 JUNK |= st.lists(st.text(max_size=2), max_size=2) | st.dictionaries(st.text(max_size=2), st.none())
 
