--- a/src/pistachionotch/config/check.py
+++ b/src/pistachionotch/config/check.py
@@ -12,13 +12,15 @@
 from returns.result import Failure, Result
 
 from ..findings import Finding
+from ..outcomes import RequestClass
 from .document import read_through
 from .located import Located, decode_text
+from .reading import Reading, ValuePath, read_members
 from .schema import CONFIGURATION, Configuration, Model, Route, Service
-from .spec import Reading, ValuePath, read_members
 
 LEAVING_BOUND_MS = 3_000  # guarantee 7: no new work for a leaving upstream after this time
 LEASE_STEP_MS = 1_000  # a holder judges and renews its lease once a second
+SHORT_CLASSES = (RequestClass.STOREFRONT, RequestClass.CONFIRMATION)
 
 Problem: TypeAlias = tuple[ValuePath, str]
 CrossCheck: TypeAlias = Callable[[Configuration], Iterator[Problem]]
@@ -97,9 +99,16 @@
 
 
 def _check_shares(configuration: Configuration) -> Iterator[Problem]:
-    total = sum(settings.share for settings in configuration.classes.values())
+    total = 0.0
+    for name, settings in configuration.classes.items():
+        total += settings.reserved_share
+        if settings.reserved_share > 0 and name not in SHORT_CLASSES:
+            path = ("classes", str(name), "reserved_share")
+            yield path, f"slots are reserved for {' and '.join(SHORT_CLASSES)} only"
+        if settings.max_share < 1 and name is not RequestClass.LONG:
+            yield ("classes", str(name), "max_share"), "only class 'long' can be limited to a share"
     if total > 1 + 1e-9:  # decimal shares such as 0.7, 0.2 and 0.1 add up to slightly above 1
-        yield ("classes",), f"the shares of all classes add up to {total:g}, which is above 1"
+        yield ("classes",), f"the reserved shares add up to {total:g}, which is above 1"
 
 
 def _check_class_deadlines(configuration: Configuration) -> Iterator[Problem]:
@@ -174,12 +183,16 @@
 
 
 def _check_retention(configuration: Configuration) -> Iterator[Problem]:
+    """Compare with the horizon and a deadline: the last retry may wait that long for its agent."""
     retention = configuration.claims.retention_ms
     for name, caller in configuration.callers.items():
-        if retention <= caller.retry_horizon_ms:
+        needed = caller.retry_horizon_ms
+        if caller.request_class in configuration.classes:
+            needed += configuration.classes[caller.request_class].default_deadline_ms
+        if retention <= needed:
             message = (
-                f"retention of {retention} ms is not above the retry horizon of"
-                f" {caller.retry_horizon_ms} ms of '{name}', whose late retry would run again"
+                f"retention of {retention} ms is not above {needed} ms, the retry horizon and"
+                f" deadline of '{name}', whose late retry would run again"
             )
             yield ("claims", "retention_ms"), message
 
@@ -199,15 +212,6 @@
         yield ("intervals", "vm_list_poll_ms"), message
 
 
-def _check_subset(configuration: Configuration) -> Iterator[Problem]:
-    subset = configuration.subset
-    zones = sum(len(region.zones) for region in configuration.regions.values())
-    if subset.min_zones > zones:
-        yield ("subset", "min_zones"), f"{subset.min_zones} zones wanted, but only {zones} exist"
-    if subset.size < subset.min_zones:
-        yield ("subset", "size"), f"{subset.size} agents cannot be in {subset.min_zones} zones"
-
-
 def _check_upstreams(configuration: Configuration) -> Iterator[Problem]:
     if not configuration.models and not configuration.services:
         yield (), "neither 'models' nor 'services' has an entry"
@@ -223,9 +227,8 @@
     (_check_routes, ("services",)),
     (_check_class_names, ("classes", "callers", "models", "services")),
     (_check_callers, ("regions", "callers")),
-    (_check_retention, ("callers", "claims")),
+    (_check_retention, ("callers", "claims", "classes")),
     (_check_leases, ("leases",)),
     (_check_intervals, ("intervals",)),
-    (_check_subset, ("regions", "subset")),
     (_check_upstreams, ("models", "services")),
 )
