Keep first-hand times to first token by request class

Silent training attempts in an agent's queue made that agent look slow for short work, and the reported wait was added to a first-hand time that already included it. Placement now blends the two as times until the first token.

--- a/src/pistachionotch/routing/facts.py
+++ b/src/pistachionotch/routing/facts.py
@@ -35,7 +35,10 @@
 
 @attrs.frozen
 class FirstHand:
-    """Summarise what this entry itself saw of one agent; zero speed means nothing was seen."""
+    """Summarise what this entry itself saw of one agent; zero means nothing was seen.
+
+    The time to first token is that of the request's class and includes the agent's queue.
+    """
 
     time_to_first_token_ms: float = 0.0
     first_token_age_ms: int = FACT_TRUST_MS
@@ -65,21 +68,26 @@
 
 @attrs.define
 class _Attempt:
+    request_class: RequestClass
     sent_ms: int
     first_token_ms: int | None = None
 
 
 @attrs.define
 class AgentObservations:
-    """Collect what one entry sees of one agent."""
+    """Collect what one entry sees of one agent.
 
-    first_token_ms: MovingAverage = attrs.field(factory=MovingAverage)
+    Times to first token include the agent's queue, so they are kept by request class; the speed
+    of streams is common to all classes.
+    """
+
+    first_token_ms: dict[RequestClass, MovingAverage] = attrs.field(factory=dict)
     tokens_per_second: MovingAverage = attrs.field(factory=MovingAverage)
     attempts: dict[str, _Attempt] = attrs.field(factory=dict)
 
-    def sent(self, attempt: str, now_ms: int) -> None:
+    def sent(self, attempt: str, request_class: RequestClass, now_ms: int) -> None:
         """Record that an attempt was submitted."""
-        self.attempts[attempt] = _Attempt(now_ms)
+        self.attempts[attempt] = _Attempt(request_class, now_ms)
 
     def first_token(self, attempt: str, now_ms: int) -> None:
         """Record the first piece of an attempt."""
@@ -87,7 +95,8 @@
         if seen is None or seen.first_token_ms is not None:
             return
         seen.first_token_ms = now_ms
-        self.first_token_ms.observe(now_ms - seen.sent_ms, now_ms)
+        average = self.first_token_ms.setdefault(seen.request_class, MovingAverage())
+        average.observe(now_ms - seen.sent_ms, now_ms)
 
     def finished(self, attempt: str, tokens: int, now_ms: int) -> None:
         """Record the complete response of an attempt."""
@@ -106,15 +115,20 @@
         """Return the attempts still open that were submitted after ``time_ms``."""
         return sum(1 for seen in self.attempts.values() if seen.sent_ms > time_ms)
 
-    def summary(self, now_ms: int) -> FirstHand:
-        """Return the facts that placement uses."""
-        silences = [
-            now_ms - seen.sent_ms for seen in self.attempts.values() if seen.first_token_ms is None
-        ]
+    def summary(self, request_class: RequestClass, now_ms: int) -> FirstHand:
+        """Return the facts that placement of this class uses."""
+        first = self.first_token_ms.get(request_class, MovingAverage())
         return FirstHand(
-            time_to_first_token_ms=self.first_token_ms.value,
-            first_token_age_ms=self.first_token_ms.age_ms(now_ms),
+            time_to_first_token_ms=first.value,
+            first_token_age_ms=first.age_ms(now_ms),
             tokens_per_second=self.tokens_per_second.value,
             speed_age_ms=self.tokens_per_second.age_ms(now_ms),
-            longest_silence_ms=max(silences, default=0),
+            longest_silence_ms=self._longest_silence_ms(request_class, now_ms),
         )
+
+    def _longest_silence_ms(self, request_class: RequestClass, now_ms: int) -> int:
+        longest_ms = 0
+        for seen in self.attempts.values():
+            if seen.request_class is request_class and seen.first_token_ms is None:
+                longest_ms = max(longest_ms, now_ms - seen.sent_ms)
+        return longest_ms
--- a/src/pistachionotch/routing/place.py
+++ b/src/pistachionotch/routing/place.py
@@ -39,15 +39,16 @@
 
     agent: str
     wait_ms: int
-    run_ms: int
+    first_token_ms: int
+    stream_ms: int
     transfer_ms: int
     fact_age_ms: int
     speed_age_ms: int
 
     @property
     def total_ms(self) -> int:
-        """Return the expected time to completion."""
-        return self.wait_ms + self.run_ms + self.transfer_ms
+        """Return the expected time to completion; the queue is part of the first token's time."""
+        return self.first_token_ms + self.stream_ms + self.transfer_ms
 
 
 @attrs.frozen
@@ -116,16 +117,16 @@
 ) -> Estimate:
     """Estimate when ``candidate`` would complete ``request``."""
     age_ms = max(0, now_ms - candidate.observed_ms)
-    run_ms = _run_ms(request, candidate, age_ms, costs, typical)
-    told_age_ms = min(candidate.load.speed_age_ms, candidate.load.first_token_age_ms) + age_ms
-    seen_age_ms = min(candidate.first_hand.speed_age_ms, candidate.first_hand.first_token_age_ms)
+    stream_ms = _stream_ms(request, candidate, age_ms, costs, typical)
+    wait_ms = _told_wait_ms(request, candidate, stream_ms, age_ms)
     return Estimate(
         agent=candidate.agent,
-        wait_ms=_wait_ms(request, candidate, run_ms, age_ms),
-        run_ms=run_ms,
+        wait_ms=wait_ms,
+        first_token_ms=_first_token_ms(request, candidate, wait_ms, age_ms, costs, typical),
+        stream_ms=stream_ms,
         transfer_ms=_transfer_ms(request, candidate, here, costs),
         fact_age_ms=age_ms,
-        speed_age_ms=min(told_age_ms, seen_age_ms),
+        speed_age_ms=_speed_age_ms(candidate, age_ms),
     )
 
 
@@ -179,8 +180,9 @@
 
 
 def _reason(chosen: Estimate, count: int) -> str:
-    parts = f"wait {chosen.wait_ms}, run {chosen.run_ms}, transfer {chosen.transfer_ms} ms"
-    return f"earliest of {count}: {parts}"
+    first = f"first token after {chosen.first_token_ms} ms"
+    rest = f"stream {chosen.stream_ms} ms, transfer {chosen.transfer_ms} ms"
+    return f"earliest of {count}: {first}, {rest}"
 
 
 def _blend(values: Sequence[tuple[float, int]], typical: float, half_life_ms: int) -> float:
@@ -200,42 +202,68 @@
     return weighted / total
 
 
-def _run_ms(
+def _first_token_ms(
     request: RoutedRequest,
     candidate: CandidateFacts,
+    wait_ms: int,
     age_ms: int,
     costs: RoutingCosts,
     typical: Typical,
 ) -> int:
+    """Estimate the time to first token, queue included."""
     seen = candidate.first_hand
     load = candidate.load
-    first_facts = (
+    told_ms = load.time_to_first_token_ms or typical.first_token_ms
+    facts = (
         (seen.time_to_first_token_ms, seen.first_token_age_ms),
-        (load.time_to_first_token_ms, load.first_token_age_ms + age_ms),
+        (wait_ms + told_ms, load.first_token_age_ms + age_ms),
     )
-    first_ms = _blend(first_facts, typical.first_token_ms, costs.half_life_ms)
+    first_ms = _blend(facts, wait_ms + typical.first_token_ms, costs.half_life_ms)
     if request.prompt_tokens > 0:
-        first_ms *= 1.0 - min(1.0, candidate.cached_tokens / request.prompt_tokens)
-    first_ms = max(first_ms, seen.longest_silence_ms)
+        cached_share = min(1.0, candidate.cached_tokens / request.prompt_tokens)
+        first_ms -= min(first_ms, told_ms * cached_share)
+    return round(max(first_ms, seen.longest_silence_ms))
+
+
+def _stream_ms(
+    request: RoutedRequest,
+    candidate: CandidateFacts,
+    age_ms: int,
+    costs: RoutingCosts,
+    typical: Typical,
+) -> int:
+    """Estimate the time from the first to the last token."""
     if not request.expected_tokens:
-        return round(first_ms)
-    speed_facts = (
+        return 0
+    seen = candidate.first_hand
+    load = candidate.load
+    facts = (
         (seen.tokens_per_second, seen.speed_age_ms),
         (load.tokens_per_second, load.speed_age_ms + age_ms),
     )
-    speed = _blend(speed_facts, typical.tokens_per_second, costs.half_life_ms)
-    return round(first_ms + request.expected_tokens * MS_PER_SECOND / speed)
+    speed = _blend(facts, typical.tokens_per_second, costs.half_life_ms)
+    return round(request.expected_tokens * MS_PER_SECOND / speed)
 
 
-def _wait_ms(request: RoutedRequest, candidate: CandidateFacts, run_ms: int, age_ms: int) -> int:
+def _told_wait_ms(
+    request: RoutedRequest, candidate: CandidateFacts, stream_ms: int, age_ms: int
+) -> int:
     load = candidate.load
     told_ms = max(0, load.expected_wait_ms.get(request.request_class, 0) - age_ms)
     # Work sent from here after the report is not in it; each needs its part of a slot.
     free = max(0, load.limit - load.total_running() - load.total_queued())
     unseen = max(0, candidate.sent_since_report - free)
+    run_ms = load.time_to_first_token_ms + stream_ms
     return told_ms + round(unseen * run_ms / max(1, load.limit))
 
 
+def _speed_age_ms(candidate: CandidateFacts, age_ms: int) -> int:
+    seen = candidate.first_hand
+    load = candidate.load
+    told_age_ms = min(load.speed_age_ms, load.first_token_age_ms) + age_ms
+    return min(told_age_ms, seen.speed_age_ms, seen.first_token_age_ms)
+
+
 def _transfer_ms(
     request: RoutedRequest, candidate: CandidateFacts, here: Location, costs: RoutingCosts
 ) -> int:
