Add the policy benchmark

Fakes at the interfaces (upstreams with hidden slowdowns, lagging reports, trainers) drive the real placement, admission, retry and hedge code on an event heap with a manual clock. Baselines are round robin, least outstanding by lagged reports and two choices; the bound is a central queue that knows run times and slowdowns. Refusals count in the tail with the whole deadline.

--- a/src/pistachionotch/admission/load.py
+++ b/src/pistachionotch/admission/load.py
@@ -99,11 +99,14 @@
         if facts.tokens > 0 and stream_ms > 0:
             self.tokens_per_second.observe(facts.tokens * MS_PER_SECOND / stream_ms, now_ms)
 
+    def ms_per_token(self) -> float:
+        """Return the expected time of one token; zero while nothing was observed."""
+        speed = self.tokens_per_second.value
+        return MS_PER_SECOND / speed if speed > 0 else 0.0
+
     def service_ms(self, tokens: int) -> int:
         """Return the expected run time of ``tokens`` tokens; zero while nothing was observed."""
-        speed = self.tokens_per_second.value
-        stream_ms = tokens * MS_PER_SECOND / speed if speed > 0 else 0
-        return round(self.first_token_ms.value + stream_ms)
+        return round(self.first_token_ms.value + tokens * self.ms_per_token())
 
     def trusted(self, now_ms: int) -> bool:
         """Return whether an observation is recent enough to refuse work by."""
--- a/src/pistachionotch/admission/queue.py
+++ b/src/pistachionotch/admission/queue.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from bisect import insort
 
 import attrs
@@ -173,8 +174,8 @@
 
     def next_expiry_ms(self) -> int | None:
         """Return when to call ``next`` even if no slot frees, so that expired work is answered."""
-        starts = [self._last_start_ms(work) for work in self.queued_attempts.values()]
-        return min(starts) + 1 if starts else None
+        starts = [last_ms for last_ms, _ in self._last_starts_ms()]
+        return math.floor(min(starts)) + 1 if starts else None
 
     def load(self) -> LoadFacts:
         """Return the facts that the heartbeat carries."""
@@ -222,20 +223,26 @@
         return RefusedWork(work.attempt, reason, max(MIN_RETRY_AFTER_MS, need_ms - remaining_ms))
 
     def _service_ms(self, work: QueuedWork) -> int:
+        first_ms, token_ms = self._trusted_speed()
+        return round(first_ms + work.expected_tokens * token_ms)
+
+    def _trusted_speed(self) -> tuple[float, float]:
         # Without a recent observation no work is refused for its run time: a run is needed to show
         # that a slowdown is over.
         if not self.speed.trusted(self.clock.now_ms()):
-            return 0
-        return self.speed.service_ms(work.expected_tokens)
-
-    def _last_start_ms(self, work: QueuedWork) -> int:
-        return work.deadline.at_ms - self._service_ms(work)
+            return 0.0, 0.0
+        return self.speed.first_token_ms.value, self.speed.ms_per_token()
+
+    def _last_starts_ms(self) -> list[tuple[float, QueuedWork]]:
+        first_ms, token_ms = self._trusted_speed()
+        return [
+            (work.deadline.at_ms - first_ms - work.expected_tokens * token_ms, work)
+            for work in self.queued_attempts.values()
+        ]
 
     def _expire(self) -> tuple[ExpiredWork, ...]:
         now_ms = self.clock.now_ms()
-        late = [
-            work for work in self.queued_attempts.values() if self._last_start_ms(work) < now_ms
-        ]
+        late = [work for last_ms, work in self._last_starts_ms() if last_ms < now_ms]
         expired = []
         for work in late:
             self._remove(work, charge=False)
--- /dev/null
+++ b/src/pistachionotch/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Policy benchmark: the real decision modules against fakes at their interfaces."""
--- /dev/null
+++ b/src/pistachionotch/bench/agents.py
@@ -0,0 +1,228 @@
+"""Fake agents: a queue in front of a fake upstream, with lagging load reports."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Protocol
+
+import attrs
+
+from ..admission.limit import ConcurrencyLimit
+from ..admission.load import LoadFacts, RunFacts
+from ..admission.queue import (
+    AdmissionQueue,
+    Admitted,
+    CancelledWork,
+    DuplicateWork,
+    ExpiredWork,
+    QueuedWork,
+    RefusedWork,
+)
+from ..admission.shares import ClassShares
+from ..clock import Deadline, ManualClock
+from ..outcomes import RequestClass
+from .events import EventLoop
+from .upstreams import FakeUpstream
+from .versions import Versions
+from .workload import SERVICE, Job
+
+EXPIRY_TICK_MS = 100
+HEARTBEAT_MS = 2_000
+
+
+class Queue(Protocol):
+    """Give what the fake agents need from a queue."""
+
+    def offer(self, work: QueuedWork) -> Admitted | RefusedWork | DuplicateWork:
+        """Take work or refuse it."""
+
+    def next(self) -> tuple[QueuedWork | None, tuple[ExpiredWork, ...]]:
+        """Hand out work that has a slot."""
+
+    def finish(self, attempt: str, facts: RunFacts) -> None:
+        """Free a slot."""
+
+    def cancel(self, attempt: str) -> CancelledWork:
+        """Remove queued work."""
+
+    def load(self) -> LoadFacts:
+        """Return what the heartbeat carries."""
+
+
+class FifoQueue:
+    """Serve first come, first served, as an engine's own queue does; refuse nothing."""
+
+    def __init__(self, slots: int) -> None:
+        self.slots = slots
+        self.waiting: deque[QueuedWork] = deque()
+        self.running: set[str] = set()
+
+    def offer(self, work: QueuedWork) -> Admitted | RefusedWork | DuplicateWork:
+        """Take all work."""
+        self.waiting.append(work)
+        return Admitted(work.attempt, 0, "first come, first served")
+
+    def next(self) -> tuple[QueuedWork | None, tuple[ExpiredWork, ...]]:
+        """Hand out the oldest work."""
+        if not self.waiting or len(self.running) >= self.slots:
+            return None, ()
+        work = self.waiting.popleft()
+        self.running.add(work.attempt)
+        return work, ()
+
+    def finish(self, attempt: str, facts: RunFacts) -> None:
+        """Free a slot."""
+        self.running.discard(attempt)
+
+    def cancel(self, attempt: str) -> CancelledWork:
+        """Tell only where the attempt is; the baselines cancel nothing."""
+        return CancelledWork(attempt, False, attempt in self.running, "not cancelled")
+
+    def load(self) -> LoadFacts:
+        """Return the queue length and the running count."""
+        return LoadFacts(
+            queued={RequestClass.TRAINING: len(self.waiting)},
+            running={RequestClass.TRAINING: len(self.running)},
+            expected_wait_ms={},
+            limit=self.slots,
+        )
+
+
+class Caller(Protocol):
+    """Receive what becomes of an attempt."""
+
+    def refused(self, attempt: Attempt, reason: str, retry_after_ms: int) -> None:
+        """Handle a refusal; the attempt was not run."""
+
+    def first_token(self, attempt: Attempt) -> None:
+        """Handle the first piece."""
+
+    def finished(self, attempt: Attempt) -> None:
+        """Handle the complete response."""
+
+
+@attrs.define(eq=False)
+class Attempt:
+    """Carry one attempt of a job at one agent; ``hop_ms`` is the one-way delay to its entry."""
+
+    name: str
+    job: Job
+    agent: str
+    caller: Caller
+    hop_ms: int
+    number: int = 1
+    version: int = 0
+    started_ms: int = 0
+    cancelled: bool = False
+
+
+class FakeAgent:
+    """Queue attempts, run them on the upstream and answer after one hop."""
+
+    def __init__(
+        self, loop: EventLoop, upstream: FakeUpstream, queue: Queue, versions: Versions
+    ) -> None:
+        self.loop = loop
+        self.upstream = upstream
+        self.queue = queue
+        self.versions = versions
+        self.attempts: dict[str, Attempt] = {}
+        self.ticking = False
+        self.report = queue.load()
+        self.reported_ms = 0
+        self.observer = queue if isinstance(queue, AdmissionQueue) else None
+
+    def submit(self, attempt: Attempt) -> None:
+        """Offer an attempt to the queue."""
+        job = attempt.job
+        work = QueuedWork(
+            attempt=attempt.name,
+            request_class=job.request_class,
+            deadline=Deadline(job.deadline_ms),
+            expected_tokens=job.kind.mean_tokens,
+            arrived_ms=self.loop.clock.now_ms(),
+            tenant=job.tenant,
+        )
+        answer = self.queue.offer(work)
+        if isinstance(answer, RefusedWork):
+            self._refuse(attempt, answer.reason, answer.retry_after_ms)
+            return
+        self.attempts[attempt.name] = attempt
+        self.pump()
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Drop an attempt, queued or running."""
+        outcome = self.queue.cancel(attempt.name)
+        if self.attempts.pop(attempt.name, None) is None:
+            return
+        attempt.cancelled = True
+        if outcome.was_running:
+            self.queue.finish(attempt.name, RunFacts(None, 0, 0, succeeded=False))
+            self.pump()
+
+    def pump(self) -> None:
+        """Start all work that has a slot and answer expired work."""
+        while True:
+            work, expired = self.queue.next()
+            for late in expired:
+                attempt = self.attempts.pop(late.work.attempt)
+                self._refuse(attempt, late.reason, late.retry_after_ms)
+            if work is None:
+                break
+            self.run(self.attempts[work.attempt])
+        self._tick_while_queued()
+
+    def run(self, attempt: Attempt) -> None:
+        """Start an attempt on the upstream."""
+        now_ms = self.loop.clock.now_ms()
+        job = attempt.job
+        prefill_ms = self.upstream.prefill_ms(job.kind.prompt_tokens, job.prefix)
+        attempt.started_ms = now_ms
+        attempt.version = self.versions.serving(now_ms, self.upstream.name)
+        done_ms = self.upstream.finish_ms(now_ms, prefill_ms + job.stream_ms)
+        first_ms = done_ms
+        if job.kind is not SERVICE:
+            first_ms = self.upstream.finish_ms(now_ms, prefill_ms)
+        self.loop.at(first_ms, self._first_token, attempt)
+        self.loop.at(done_ms, self._done, attempt, first_ms - now_ms)
+
+    def start_heartbeats(self, offset_ms: int) -> None:
+        """Send a report now and then every heartbeat interval."""
+        self.loop.after(offset_ms, self._heartbeat)
+
+    def _heartbeat(self) -> None:
+        self.report = self.queue.load()
+        self.reported_ms = self.loop.clock.now_ms()
+        self.loop.after(HEARTBEAT_MS, self._heartbeat)
+
+    def _first_token(self, attempt: Attempt) -> None:
+        if not attempt.cancelled:
+            self.loop.after(attempt.hop_ms, attempt.caller.first_token, attempt)
+
+    def _done(self, attempt: Attempt, first_token_ms: int) -> None:
+        if attempt.cancelled:
+            return
+        duration_ms = self.loop.clock.now_ms() - attempt.started_ms
+        facts = RunFacts(first_token_ms, attempt.job.tokens, duration_ms)
+        self.queue.finish(attempt.name, facts)
+        del self.attempts[attempt.name]
+        self.loop.after(attempt.hop_ms, attempt.caller.finished, attempt)
+        self.pump()
+
+    def _refuse(self, attempt: Attempt, reason: str, retry_after_ms: int) -> None:
+        self.loop.after(attempt.hop_ms, attempt.caller.refused, attempt, reason, retry_after_ms)
+
+    def _tick_while_queued(self) -> None:
+        if self.observer is None or self.ticking or not self.observer.queued_attempts:
+            return
+        self.ticking = True
+        self.loop.after(EXPIRY_TICK_MS, self._tick)
+
+    def _tick(self) -> None:
+        self.ticking = False
+        self.pump()
+
+
+def make_queue(clock: ManualClock, upstream: FakeUpstream) -> AdmissionQueue:
+    """Create the real queue with the real shares and a fixed limit."""
+    return AdmissionQueue(clock, ConcurrencyLimit.fixed(upstream.slots), ClassShares())
--- /dev/null
+++ b/src/pistachionotch/bench/own.py
@@ -0,0 +1,239 @@
+"""Dispatcher that uses the project's placement, retry and hedge decisions."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+import attrs
+
+from ..clock import Deadline
+from ..outcomes import Execution
+from ..routing.facts import AgentObservations, CandidateFacts, Location, RoutedRequest
+from ..routing.hedge import HedgeFacts, HedgeRace, LatencyTail, decide_hedge
+from ..routing.place import Placement, RoutingCosts, place
+from ..routing.retry import FailedAttempt, RetryBudget, decide_retry
+from .agents import HEARTBEAT_MS, Attempt, FakeAgent
+from .upstreams import CACHED_PREFIXES
+from .workload import Job
+from .world import World
+
+CANCEL_BYTES = 60
+
+
+@attrs.define(eq=False)
+class _Open:
+    """Follow one job at its entry."""
+
+    job: Job
+    race: HedgeRace = attrs.field(factory=HedgeRace)
+    attempts: dict[str, Attempt] = attrs.field(factory=dict)
+    tried: frozenset[str] = frozenset()
+    sent: int = 0
+    estimate_ms: int = 0
+
+
+class Entry:
+    """Hold what one entry knows."""
+
+    def __init__(self, here: Location, agents: list[str]) -> None:
+        self.here = here
+        self.observations = {name: AgentObservations() for name in agents}
+        self.prefixes: dict[str, OrderedDict[str, None]] = {n: OrderedDict() for n in agents}
+        self.budget = RetryBudget()
+        self.tails: dict[str, LatencyTail] = {}
+
+    def remember_prefix(self, agent: str, prefix: str) -> None:
+        """Expect the prefix in the agent's cache from now on."""
+        known = self.prefixes[agent]
+        known[prefix] = None
+        known.move_to_end(prefix)
+        if len(known) > CACHED_PREFIXES:
+            known.popitem(last=False)
+
+
+class OwnDispatcher:
+    """Place, retry and hedge by the decision modules; each entry has its own facts."""
+
+    def __init__(self, world: World, costs: RoutingCosts | None = None) -> None:
+        self.world = world
+        sites = world.deployment.sites
+        self.costs = costs or RoutingCosts(
+            zone_ms=world.deployment.zone_ms, region_ms=world.deployment.region_ms
+        )
+        self.states: dict[str, _Open] = {}
+        names = list(world.agents)
+        self.entries = [
+            Entry(Location(f"entry-{site.zone}", site.zone, site.region), names) for site in sites
+        ]
+        for number, agent in enumerate(world.agents.values()):
+            agent.start_heartbeats(number * HEARTBEAT_MS // len(world.agents))
+
+    def start(self, job: Job) -> None:
+        """Place a new job, or refuse it at once."""
+        state = _Open(job)
+        placement = self._place(state)
+        if placement.agent is None:
+            self.world.give_up(job, placement.retry_after_ms)
+            return
+        state.estimate_ms = placement.estimate_ms
+        self._send(state, placement.agent)
+        if job.idempotent:
+            self._check_hedge(state)
+
+    def refused(self, attempt: Attempt, reason: str, retry_after_ms: int) -> None:
+        """Retry a refused attempt elsewhere, or give up when it was the last one."""
+        state = self.states.pop(attempt.name, None)
+        if state is None:
+            return
+        self._drop(state, attempt)
+        if state.job.done or not state.race.failed(attempt.name):
+            return
+        job = state.job
+        entry = self.entries[job.entry]
+        now_ms = self.world.loop.clock.now_ms()
+        decision = decide_retry(
+            FailedAttempt(state.sent, Execution.NOT_RUN, job.idempotent, retry_after_ms),
+            remaining_ms=job.deadline_ms - now_ms,
+            estimate_ms=state.estimate_ms,
+            other_agents=len(self.world.pools[job.kind.pool]) - len(state.tried),
+            budget=entry.budget,
+            now_ms=now_ms,
+            rng=self.world.rng,
+        )
+        if not decision.retry:
+            self.world.give_up(job, retry_after_ms)
+            return
+        self.world.measures.counts["retries"] += 1
+        self.world.loop.after(decision.wait_ms, self._retry, state)
+
+    def first_token(self, attempt: Attempt) -> None:
+        """Settle the race and cancel the loser."""
+        state = self.states.get(attempt.name)
+        if state is None:
+            return
+        job = state.job
+        entry = self.entries[job.entry]
+        now_ms = self.world.loop.clock.now_ms()
+        entry.observations[attempt.agent].first_token(attempt.name, now_ms)
+        entry.tails.setdefault(job.kind.name, LatencyTail()).observe(now_ms - job.arrived_ms)
+        for loser in state.race.first_token(attempt.name).cancel:
+            self._cancel(state, state.attempts[loser])
+
+    def finished(self, attempt: Attempt) -> None:
+        """Complete the job."""
+        state = self.states.pop(attempt.name, None)
+        if state is None:
+            return
+        entry = self.entries[state.job.entry]
+        now_ms = self.world.loop.clock.now_ms()
+        entry.observations[attempt.agent].finished(attempt.name, attempt.job.tokens, now_ms)
+        entry.budget.record_success(now_ms)
+        self.world.complete(state.job, attempt)
+
+    def candidates(self, job: Job) -> list[CandidateFacts]:
+        """Return the facts of all agents that serve the job, as its entry knows them."""
+        entry = self.entries[job.entry]
+        now_ms = self.world.loop.clock.now_ms()
+        return [self._facts(entry, job, agent, now_ms) for agent in self.world.pools[job.kind.pool]]
+
+    def _facts(self, entry: Entry, job: Job, agent: FakeAgent, now_ms: int) -> CandidateFacts:
+        name = agent.upstream.name
+        seen = entry.observations[name]
+        cached = bool(job.prefix) and job.prefix in entry.prefixes[name]
+        return CandidateFacts(
+            agent=name,
+            zone=agent.upstream.zone,
+            region=agent.upstream.region,
+            load=agent.report,
+            observed_ms=agent.reported_ms,
+            in_flight_here=len(seen.attempts),
+            sent_since_report=seen.sent_since(agent.reported_ms),
+            cached_tokens=job.kind.prompt_tokens if cached else 0,
+            first_hand=seen.summary(job.request_class, now_ms),
+        )
+
+    def _place(self, state: _Open) -> Placement:
+        job = state.job
+        request = RoutedRequest(
+            request_id=job.name,
+            request_class=job.request_class,
+            deadline=Deadline(job.deadline_ms),
+            expected_tokens=job.kind.mean_tokens,
+            prompt_tokens=job.kind.prompt_tokens,
+            transfer_bytes=job.transfer_bytes,
+            idempotent=job.idempotent,
+            excluded=state.tried,
+        )
+        return place(
+            request,
+            self.candidates(job),
+            self.entries[job.entry].here,
+            self.world.loop.clock.now_ms(),
+            self.world.rng,
+            self.costs,
+        )
+
+    def _send(self, state: _Open, agent_name: str) -> None:
+        state.sent += 1
+        state.tried |= {agent_name}
+        job = state.job
+        agent = self.world.agents[agent_name]
+        name = f"{job.name}#{state.sent}"
+        attempt = Attempt(name, job, agent_name, self, self.world.hop_ms(job.entry, agent))
+        state.attempts[name] = attempt
+        state.race.start(name)
+        self.states[name] = state
+        entry = self.entries[job.entry]
+        entry.observations[agent_name].sent(name, job.request_class, self.world.loop.clock.now_ms())
+        if job.prefix:
+            entry.remember_prefix(agent_name, job.prefix)
+        self.world.send(attempt)
+
+    def _retry(self, state: _Open) -> None:
+        placement = self._place(state)
+        if placement.agent is None:
+            self.world.give_up(state.job, placement.retry_after_ms)
+            return
+        self._send(state, placement.agent)
+
+    def _cancel(self, state: _Open, attempt: Attempt) -> None:
+        self.states.pop(attempt.name, None)
+        self._drop(state, attempt)
+        self.world.count_control(1, CANCEL_BYTES)
+        agent = self.world.agents[attempt.agent]
+        self.world.loop.after(attempt.hop_ms, agent.cancel, attempt)
+
+    def _drop(self, state: _Open, attempt: Attempt) -> None:
+        entry = self.entries[state.job.entry]
+        entry.observations[attempt.agent].dropped(attempt.name)
+
+    def _check_hedge(self, state: _Open) -> None:
+        job = state.job
+        if job.done or state.race.winner is not None:
+            return
+        entry = self.entries[job.entry]
+        now_ms = self.world.loop.clock.now_ms()
+        tail = entry.tails.setdefault(job.kind.name, LatencyTail())
+        facts = HedgeFacts(
+            idempotent=job.idempotent,
+            elapsed_ms=now_ms - job.arrived_ms,
+            remaining_ms=job.deadline_ms - now_ms,
+            first_token_seen=False,
+            attempts_open=len(state.race.open_attempts),
+            alternative=None,
+            alternative_ms=0,
+        )
+        first = decide_hedge(facts, tail, entry.budget, now_ms)
+        if first.check_again_ms is not None:
+            self.world.loop.after(first.check_again_ms, self._check_hedge, state)
+            return
+        if facts.attempts_open != 1 or tail.quantile_ms(0.5) is None:
+            return
+        placement = self._place(state)
+        facts = attrs.evolve(
+            facts, alternative=placement.agent, alternative_ms=placement.estimate_ms
+        )
+        decision = decide_hedge(facts, tail, entry.budget, now_ms)
+        if decision.agent is not None:
+            self.world.measures.counts["hedges"] += 1
+            self._send(state, decision.agent)
