--- a/src/pistachionotch/cli/__init__.py
+++ b/src/pistachionotch/cli/__init__.py
@@ -6,12 +6,17 @@
 from collections.abc import Sequence
 
 from .commands import COMMANDS, usage
-from .output import ExitCode
+from .output import ExitCode, complain
 
 
 def run(arguments: Sequence[str] | None = None) -> None:
     """Run the command that the arguments name and exit with its code."""
-    raise SystemExit(execute(sys.argv[1:] if arguments is None else arguments))
+    try:
+        code = execute(sys.argv[1:] if arguments is None else arguments)
+    except KeyboardInterrupt:
+        complain("interrupted")
+        code = ExitCode.INTERRUPTED
+    raise SystemExit(code)
 
 
 def execute(arguments: Sequence[str]) -> int:
--- a/src/pistachionotch/cli/output.py
+++ b/src/pistachionotch/cli/output.py
@@ -20,6 +20,7 @@
     CONFLICT = 3
     UNAVAILABLE = 4
     UNKNOWN = 5
+    INTERRUPTED = 130
 
 
 def print_json(value: Any) -> None:
--- a/tests/unit/cli/test_cli.py
+++ b/tests/unit/cli/test_cli.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from pistachionotch.cli import commands, execute
+from pistachionotch.cli import commands, execute, run
 from pistachionotch.cli.output import ExitCode
 
 
@@ -56,6 +56,16 @@
     assert "check" in capsys.readouterr().out
 
 
+def test_an_interrupt_ends_with_its_own_exit_code(monkeypatch, capsys):
+    def interrupted(self):
+        raise KeyboardInterrupt
+
+    monkeypatch.setattr(commands.Command, "load", interrupted)
+    with pytest.raises(SystemExit) as ended:
+        run(["check", "f"])
+    assert ended.value.code == ExitCode.INTERRUPTED
+
+
 def test_every_command_loads():
     for command in commands.COMMANDS.values():
         assert callable(command.load())
--- a/tests/unit/config/test_check.py
+++ b/tests/unit/config/test_check.py
@@ -4,9 +4,8 @@
 import time
 
 import pytest
-from config_examples import changed, example, values
+from config_examples import changed, damaged, example, values
 from hypothesis import given, settings
-from hypothesis import strategies as st
 from returns.result import Success
 
 from pistachionotch.config.check import check, read_configuration
@@ -107,37 +106,8 @@
     assert time.monotonic() - started < 20
 
 
-JUNK = st.none() | st.booleans() | st.integers(-5, 10**6) | st.floats(-2, 2) | st.text(max_size=3)
-JUNK |= st.lists(st.text(max_size=2), max_size=2) | st.dictionaries(st.text(max_size=2), st.none())
-
-
-@st.composite
-def damaged_configurations(draw):
-    tree = values(example(draw(st.sampled_from(["bituin", "furao"])), "configuration.jsonc"))
-    for _ in range(draw(st.integers(1, 4))):
-        target = tree
-        while True:
-            keys = list(target) if isinstance(target, dict) else range(len(target))
-            key = draw(st.sampled_from(list(keys)))
-            inner = target[key]
-            if isinstance(inner, dict | list) and inner and draw(st.integers(0, 4)):
-                target = inner
-                continue
-            break
-        action = draw(st.sampled_from(["replace", "remove", "rename"]))
-        if action == "replace":
-            target[key] = draw(JUNK)
-        elif action == "remove":
-            del target[key]
-        elif isinstance(target, dict):
-            target[draw(st.text(max_size=4))] = target.pop(key)
-        if not tree:
-            break
-    return json.dumps(tree, indent=draw(st.sampled_from([None, 1])))
-
-
 @settings(derandomize=True, max_examples=300, deadline=None)
-@given(damaged_configurations())
+@given(damaged("configuration.jsonc"))
 def test_damaged_configurations_give_findings_with_places_and_no_exception(text):
     lines = text.split("\n")
     result = check(text, "f")
--- a/tests/unit/config/test_generate.py
+++ b/tests/unit/config/test_generate.py
@@ -3,7 +3,8 @@
 import json
 
 import pytest
-from config_examples import DEPLOYMENTS, example, values
+from config_examples import DEPLOYMENTS, damaged, example, values
+from hypothesis import given, settings
 from returns.result import Success
 
 from pistachionotch.config.check import check
@@ -79,6 +80,20 @@
     assert on_line in text.split("\n")[matching[0].place.line - 1]
 
 
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(damaged("answers.jsonc"))
+def test_damaged_answers_give_findings_inside_the_answers_file(text):
+    lines = text.split("\n")
+    result = generate_checked(text, "answers")
+    if isinstance(result, Success):
+        return
+    assert result.failure()
+    for finding in result.failure():
+        assert finding.place.file == "answers"
+        assert 1 <= finding.place.line <= len(lines)
+        assert 1 <= finding.place.column <= len(lines[finding.place.line - 1])
+
+
 def test_links_take_their_own_answers_before_the_general_ones():
     text = answers(
         other_links=[{"between": ["luzon", "visayas"], "latency_ms": 40, "mbit_per_s": 100}]
