Add a state machine for sample delivery with mutants

The oracle holds what the engine produced and what the trainer used. Entries are paused or die at any outside call, and requests, responses and writes are lost, repeated and delayed. Twelve variants without one protecting step each are found.

--- /dev/null
+++ b/tests/unit/samples/test_delivery_machine.py
@@ -0,0 +1,123 @@
+"""Guards exactly-once delivery, labels and staleness; mutants show that the machine can fail."""
+
+import attrs
+import pytest
+from delivery_machine import SETTINGS, StepMachine
+from hypothesis.stateful import run_state_machine_as_test
+from returns.result import Success
+
+from pistachionotch.samples.delivery import Delivered, DeliveredSample, Prepared, StepDelivery
+from pistachionotch.samples.ledger import Assignment, Turn
+from pistachionotch.samples.ledger_store import LedgerStore
+from pistachionotch.samples.spans import SpanRecorder
+
+
+def test_every_promise_holds():
+    run_state_machine_as_test(StepMachine, settings=SETTINGS)
+
+
+class UnconditionalWrite(LedgerStore):
+    def write(self, ledger, expected_version):
+        self.store.before("put")
+        current = self.store.objects.get(self.key)
+        return super().write(ledger, current.version if current else None)
+
+
+class ConflictCountsAsWritten(LedgerStore):
+    def write(self, ledger, expected_version):
+        written = super().write(ledger, expected_version)
+        return Success(True) if isinstance(written, Success) else written
+
+
+class AmbiguousCountsAsWritten(LedgerStore):
+    def settle(self, value):
+        return Success(True)
+
+
+class RepeatReplacesLostSamples(StepDelivery):
+    def answer(self, ledger, pull, version, cache):
+        if ledger.turn(pull.cursor, pull.attempt) == Turn.CURRENT:
+            ledger.assigned = ()
+        return super().answer(ledger, pull, version, cache)
+
+
+class NewAttemptIsNotWritten(StepDelivery):
+    def answer(self, ledger, pull, version, cache):
+        if ledger.turn(pull.cursor, pull.attempt) == Turn.NEW_ATTEMPT and ledger.assigned:
+            prepared = self.prepare(ledger, version, cache)
+            if isinstance(prepared, Prepared):
+                renamed = attrs.evolve(prepared.assignment, attempt=pull.attempt)
+                return attrs.evolve(prepared, assignment=renamed)
+        return super().answer(ledger, pull, version, cache)
+
+
+class OldAttemptIsAnswered(StepDelivery):
+    def answer(self, ledger, pull, version, cache):
+        if ledger.turn(pull.cursor, pull.attempt) == Turn.OLD_ATTEMPT:
+            ledger.attempt = pull.attempt
+        return super().answer(ledger, pull, version, cache)
+
+
+class NoAgeCheckAfterWrite(StepDelivery):
+    def hand_over(self, prepared, pull):
+        assignment = prepared.assignment
+        pairs = zip(assignment.samples, prepared.bodies, strict=True)
+        samples = tuple(DeliveredSample(sample, body) for sample, body in pairs)
+        return Delivered(assignment.cursor, assignment.attempt, samples, 0, 0)
+
+
+class MissingBodyIsLeftOut(StepDelivery):
+    def prepare(self, ledger, version, cache):
+        whole = ledger.assignment()
+        found = tuple(s for s in whole.samples if self.body(s, cache) is not None)
+        if not found:
+            return super().prepare(ledger, version, cache)
+        bodies = tuple(cache[s.sample_id] for s in found)
+        return Prepared(Assignment(whole.cursor, whole.attempt, found), bodies, 0, 1)
+
+
+class NoDigestCheck(StepDelivery):
+    def body(self, sample, cache):
+        return self.bodies(sample)
+
+
+class AssignedCountsAsUsed(StepDelivery):
+    def hand_over(self, prepared, pull):
+        outcome = super().hand_over(prepared, pull)
+        self.ledgers.update(lambda ledger: ledger.acknowledge(pull.cursor))
+        return outcome
+
+
+class MissingVersionTakesThePrevious(SpanRecorder):
+    def add(self, version, tokens):
+        if version is None and self.spans:
+            version = self.spans[-1].version
+        super().add(version, tokens)
+
+
+class SwapInMidStreamIsIgnored(SpanRecorder):
+    def add(self, version, tokens):
+        super().add(self.spans[0].version if self.spans else version, tokens)
+
+
+DELIVERIES = [
+    RepeatReplacesLostSamples,
+    NewAttemptIsNotWritten,
+    OldAttemptIsAnswered,
+    NoAgeCheckAfterWrite,
+    MissingBodyIsLeftOut,
+    NoDigestCheck,
+    AssignedCountsAsUsed,
+]
+LEDGERS = [UnconditionalWrite, ConflictCountsAsWritten, AmbiguousCountsAsWritten]
+RECORDERS = [MissingVersionTakesThePrevious, SwapInMidStreamIsIgnored]
+MUTANTS = [("delivery_class", mutant) for mutant in DELIVERIES]
+MUTANTS += [("ledgers_class", mutant) for mutant in LEDGERS]
+MUTANTS += [("recorder_class", mutant) for mutant in RECORDERS]
+
+
+@pytest.mark.parametrize(("part", "mutant"), MUTANTS, ids=[m.__name__ for _, m in MUTANTS])
+def test_machine_finds_the_fault_of(part, mutant):
+    machine = type("Mutated", (StepMachine,), {part: mutant})
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(machine, settings=SETTINGS)
