--- a/src/pistachionotch/samples/ledger.py
+++ b/src/pistachionotch/samples/ledger.py
@@ -200,14 +200,15 @@
 
     def unassigned(self, newest_version: int) -> tuple[Sample, ...]:
         """Return the fresh samples to hand out next, those of complete groups first."""
-        numbers = [n for n in sorted(self.samples) if n not in self.assigned]
-        waiting = {self.slot(n).group for n, s in enumerate(self.states) if s == SlotState.OPEN}
-        numbers.sort(key=lambda n: (self.slot(n).group in waiting, n))
+        size = self.plan.samples_per_group
+        waiting = {n // size for n, state in enumerate(self.states) if state == SlotState.OPEN}
+        numbers = sorted(self.samples.keys() - set(self.assigned))
+        numbers.sort(key=lambda n: n // size in waiting)
         return tuple(self.samples[n] for n in numbers if self._fresh(n, newest_version))
 
     def discard_stale(self, newest_version: int) -> tuple[Slot, ...]:
         """Reopen the slots of unassigned samples that are older than the bound."""
-        numbers = [n for n in self.samples if n not in self.assigned]
+        numbers = sorted(self.samples.keys() - set(self.assigned))
         stale = [n for n in numbers if not self._fresh(n, newest_version)]
         for number in stale:
             self._open(number)
--- a/src/pistachionotch/samples/ledger_format.py
+++ b/src/pistachionotch/samples/ledger_format.py
@@ -15,7 +15,7 @@
 
 from .ledger import SlotState, StepLedger, StepPlan
 from .sample import Sample
-from .spans import VersionSpan
+from .spans import VersionSpan, find_span_fault
 
 FORMAT = 1
 MAX_LEDGER_BYTES = 1_000_000
@@ -68,6 +68,12 @@
         return Failure(CorruptLedger(f"format {fields[0]} is not {FORMAT}"))
     _, plan_fields, (cursor, attempt, assigned), writer, names, slots = fields
     plan = StepPlan(*plan_fields)
+    numbers = [cursor, attempt, *assigned, *attrs.astuple(plan)[3:], plan.step]
+    texts = [plan.trainer, plan.model, *names]
+    if not _all_are(int, numbers) or min(numbers) < 0:
+        return Failure(CorruptLedger("a number is not a count"))
+    if not _all_are(str, texts) or not isinstance(writer, bytes):
+        return Failure(CorruptLedger("a name is not text, or the writer token is not bytes"))
     fault = plan.fault()
     if fault is not None:
         return Failure(CorruptLedger(fault))
@@ -76,14 +82,31 @@
     ledger = StepLedger.create(plan)
     ledger.cursor, ledger.attempt, ledger.writer = cursor, attempt, writer
     for number, packed in enumerate(slots):
-        if isinstance(packed, int):
+        if not isinstance(packed, list):
             ledger.states[number] = SlotState(packed)
             continue
         ledger.states[number] = SlotState.READY
         ledger.samples[number] = _unpack_sample(ledger, number, packed, names)
     ledger.assigned = tuple(assigned)
+    return _consistent(ledger)
+
+
+def _all_are(kind: type, values: list[Any]) -> bool:
+    return all(type(value) is kind for value in values)
+
+
+def _consistent(ledger: StepLedger) -> Result[StepLedger, CorruptLedger]:
+    ready = [n for n, state in enumerate(ledger.states) if state == SlotState.READY]
+    if len(ready) != len(ledger.samples):
+        return Failure(CorruptLedger("a ready slot has no sample"))
+    if len(set(ledger.assigned)) != len(ledger.assigned):
+        return Failure(CorruptLedger("a slot is assigned twice"))
     if any(number not in ledger.samples for number in ledger.assigned):
         return Failure(CorruptLedger("an assigned slot has no sample"))
+    for sample in ledger.samples.values():
+        fault = find_span_fault(sample.spans)
+        if fault is not None:
+            return Failure(CorruptLedger(fault.reason))
     return Success(ledger)
 
 
