--- /dev/null
+++ b/src/pistachionotch/samples/coordinator.py
@@ -0,0 +1,311 @@
+"""Policy of a step: which samples to start, hedge, restart elsewhere, cancel or cut.
+
+Input are facts with their times, output are typed actions with their reasons. Which agent runs an
+action is decided by placement; an action only names the agents to avoid.
+"""
+
+from __future__ import annotations
+
+import statistics
+from collections.abc import Iterator, Sequence
+
+import attrs
+
+from .sample import Slot
+
+
+@attrs.frozen
+class StragglerLimits:
+    """Bound what the policy may do about slow samples."""
+
+    # The tail of a step: hedges are allowed once this share of its slots or less is open.
+    tail_share: float = 0.1
+    # An attempt is slow below this share of the median speed of finished samples.
+    slow_share: float = 0.4
+    # Speeds are compared only after this many samples finished.
+    min_finished: int = 8
+    # The speed of an attempt is meaningful after this long; before, it is mostly prompt processing.
+    min_run_ms: int = 5_000
+    # An attempt without a new token for this long is stalled.
+    stall_ms: int = 10_000
+    # Facts that an agent has not renewed for this long say nothing (five heartbeats of 2 s).
+    silent_ms: int = 10_000
+    max_hedges: int = 16
+    max_cut_share: float = 0.0
+
+
+@attrs.frozen
+class AttemptFacts:
+    """Describe one running production of a sample; it starts when the engine accepts it."""
+
+    attempt: str
+    slot: Slot
+    agent: str
+    started_ms: int
+    observed_ms: int
+    tokens: int = 0
+    last_token_ms: int | None = None
+    oldest_version: int | None = None
+
+    def speed(self) -> float:
+        """Return tokens per second up to the last observation."""
+        return self.tokens * 1000 / max(1, self.observed_ms - self.started_ms)
+
+
+@attrs.frozen
+class FinishedFacts:
+    """Describe one finished production; recent ones are enough."""
+
+    tokens: int
+    duration_ms: int
+
+    def speed(self) -> float:
+        """Return tokens per second over the whole production."""
+        return self.tokens * 1000 / max(1, self.duration_ms)
+
+
+@attrs.frozen
+class StepFacts:
+    """Collect what is known about a step at one time."""
+
+    slot_count: int
+    open_slots: tuple[Slot, ...]
+    staleness_bound: int
+    newest_version: int
+    attempts: tuple[AttemptFacts, ...] = ()
+    finished: tuple[FinishedFacts, ...] = ()
+    cut_count: int = 0
+    deadline_at_ms: int | None = None
+    next_version_at_ms: int | None = None
+
+
+@attrs.frozen
+class StartSlot:
+    """Start a first production of a slot."""
+
+    slot: Slot
+    reason: str
+
+
+@attrs.frozen
+class HedgeSlot:
+    """Start a second production; the first one to finish fills the slot."""
+
+    slot: Slot
+    avoid: tuple[str, ...]
+    reason: str
+
+
+@attrs.frozen
+class RestartSlot:
+    """Cancel the productions of a slot and start a new one."""
+
+    slot: Slot
+    cancel: tuple[str, ...]
+    avoid: tuple[str, ...]
+    reason: str
+
+
+@attrs.frozen
+class CancelAttempt:
+    """Cancel one production whose result cannot be used."""
+
+    attempt: str
+    reason: str
+
+
+@attrs.frozen
+class CutSlot:
+    """Give a slot up: cut it in the ledger, then cancel its productions."""
+
+    slot: Slot
+    cancel: tuple[str, ...]
+    reason: str
+
+
+@attrs.frozen
+class DeadlineMissed:
+    """Report slots that are late and must not be cut."""
+
+    late_slots: int
+    reason: str
+
+
+StepAction = StartSlot | HedgeSlot | RestartSlot | CancelAttempt | CutSlot | DeadlineMissed
+
+
+def decide_step(
+    facts: StepFacts, limits: StragglerLimits, quota: int, now_ms: int
+) -> tuple[StepAction, ...]:
+    """Return the actions that are due now; ``quota`` bounds the productions in parallel."""
+    actions: list[StepAction] = list(_cancel_unneeded(facts))
+    if facts.deadline_at_ms is not None and now_ms >= facts.deadline_at_ms:
+        late = tuple(_after_deadline(facts, limits, now_ms - facts.deadline_at_ms))
+        actions.extend(late)
+        if any(isinstance(action, CutSlot) for action in late):
+            return tuple(actions)
+    policy = _StepPolicy(facts, limits, now_ms)
+    idle = [slot for slot in facts.open_slots if not policy.attempts_of(slot)]
+    repairs = policy.repairs()
+    actions.extend(repairs)
+    running = _running_after(facts, repairs)
+    hedges = policy.hedges(quota - running - len(idle))
+    actions.extend(hedges)
+    actions.extend(_start_idle(facts, idle, quota - running - len(hedges)))
+    return tuple(actions)
+
+
+@attrs.define
+class _StepPolicy:
+    facts: StepFacts
+    limits: StragglerLimits
+    now_ms: int
+    by_slot: dict[Slot, list[AttemptFacts]] = attrs.field(factory=dict)
+    median_speed: float = 0.0
+
+    def __attrs_post_init__(self) -> None:
+        for attempt in self.facts.attempts:
+            self.by_slot.setdefault(attempt.slot, []).append(attempt)
+        if len(self.facts.finished) >= self.limits.min_finished:
+            self.median_speed = statistics.median(f.speed() for f in self.facts.finished)
+
+    def attempts_of(self, slot: Slot) -> Sequence[AttemptFacts]:
+        return self.by_slot.get(slot, ())
+
+    def repairs(self) -> list[RestartSlot | CancelAttempt]:
+        """Return what to do about attempts whose result cannot be used."""
+        found: list[RestartSlot | CancelAttempt] = []
+        for slot in self.facts.open_slots:
+            found.extend(self.repair(slot, self.attempts_of(slot)))
+        return found
+
+    def hedges(self, room: int) -> list[HedgeSlot]:
+        """Return hedges while starts of idle slots leave room and the limit allows."""
+        room = min(room, self.limits.max_hedges - _hedge_count(self.facts))
+        found: list[HedgeSlot] = []
+        for slot in self.facts.open_slots:
+            if len(found) >= room:
+                break
+            hedge = self.hedge(slot)
+            if hedge is not None:
+                found.append(hedge)
+        return found
+
+    def repair(
+        self, slot: Slot, attempts: Sequence[AttemptFacts]
+    ) -> tuple[RestartSlot | CancelAttempt, ...]:
+        """Cancel what cannot be used; restart if nothing usable is left."""
+        reasons = {attempt.attempt: self.fault(attempt) for attempt in attempts}
+        failed = [attempt for attempt in attempts if reasons[attempt.attempt]]
+        if not failed:
+            return ()
+        if len(failed) < len(attempts):
+            return tuple(CancelAttempt(a.attempt, reasons[a.attempt] or "") for a in failed)
+        cancel = tuple(attempt.attempt for attempt in failed)
+        # A stale attempt says nothing against its agent.
+        avoid = tuple(a.agent for a in failed if not self.stale_reason(a))
+        return (RestartSlot(slot, cancel, avoid, reasons[cancel[0]] or ""),)
+
+    def fault(self, attempt: AttemptFacts) -> str | None:
+        """Return why this attempt must be replaced, or None."""
+        silent_ms = self.now_ms - attempt.observed_ms
+        if silent_ms > self.limits.silent_ms:
+            return f"agent {attempt.agent} has been silent for {silent_ms} ms"
+        last_ms = attempt.started_ms if attempt.last_token_ms is None else attempt.last_token_ms
+        if attempt.observed_ms - last_ms > self.limits.stall_ms:
+            return f"no token for {attempt.observed_ms - last_ms} ms"
+        return self.stale_reason(attempt)
+
+    def stale_reason(self, attempt: AttemptFacts) -> str | None:
+        """Return why this attempt is or will be older than the bound, or None."""
+        if attempt.oldest_version is None:
+            return None
+        age = self.facts.newest_version - attempt.oldest_version
+        bound = self.facts.staleness_bound
+        if age > bound:
+            return f"{age} versions old, more than {bound}"
+        due_ms = self.facts.next_version_at_ms
+        if age == bound and due_ms is not None and self.expected_end_ms(attempt) > due_ms:
+            return f"will be stale when the next version is published in {due_ms - self.now_ms} ms"
+        return None
+
+    def expected_end_ms(self, attempt: AttemptFacts) -> int:
+        """Return when the attempt ends if it gets as long as the median of finished samples.
+
+        Without finished samples, or for a longer attempt, the end is unknown and taken as now, so
+        that no work is thrown away on a guess.
+        """
+        if not self.median_speed:
+            return self.now_ms
+        length = statistics.median(f.tokens for f in self.facts.finished)
+        left = max(0.0, length - attempt.tokens)
+        return self.now_ms + int(left * 1000 / max(attempt.speed(), 0.001))
+
+    def hedge(self, slot: Slot) -> HedgeSlot | None:
+        """Hedge a lone slow attempt in the tail of the step.
+
+        Only speed counts. A long sample at normal speed is left alone, because replacing it would
+        gain nothing and would favour short samples in training.
+        """
+        attempts = self.attempts_of(slot)
+        if len(attempts) != 1 or self.fault(attempts[0]) or not self.median_speed:
+            return None
+        if len(self.facts.open_slots) > self.limits.tail_share * self.facts.slot_count:
+            return None
+        if attempts[0].observed_ms - attempts[0].started_ms < self.limits.min_run_ms:
+            return None
+        speed, floor = attempts[0].speed(), self.limits.slow_share * self.median_speed
+        if speed >= floor:
+            return None
+        reason = f"{speed:.1f} tokens/s, less than {floor:.1f}"
+        return HedgeSlot(slot, (attempts[0].agent,), reason)
+
+
+def _cancel_unneeded(facts: StepFacts) -> Iterator[CancelAttempt]:
+    still_open = set(facts.open_slots)
+    for attempt in facts.attempts:
+        if attempt.slot not in still_open:
+            yield CancelAttempt(attempt.attempt, "the slot needs no sample any more")
+
+
+def _hedge_count(facts: StepFacts) -> int:
+    still_open = set(facts.open_slots)
+    running = [attempt.slot for attempt in facts.attempts if attempt.slot in still_open]
+    return len(running) - len(set(running))
+
+
+def _running_after(facts: StepFacts, repairs: Sequence[RestartSlot | CancelAttempt]) -> int:
+    still_open = set(facts.open_slots)
+    running = sum(attempt.slot in still_open for attempt in facts.attempts)
+    for action in repairs:
+        if isinstance(action, RestartSlot):
+            running += 1 - len(action.cancel)
+            continue
+        running -= 1
+    return running
+
+
+def _after_deadline(
+    facts: StepFacts, limits: StragglerLimits, late_ms: int
+) -> Iterator[CutSlot | DeadlineMissed]:
+    """Cut the open slots if that ends the step within the allowed share, else none of them."""
+    if not facts.open_slots:
+        return
+    allowed = int(limits.max_cut_share * facts.slot_count) - facts.cut_count
+    if len(facts.open_slots) > allowed:
+        reason = f"late by {late_ms} ms; at most {max(0, allowed)} slots may be cut"
+        yield DeadlineMissed(len(facts.open_slots), reason)
+        return
+    for slot in facts.open_slots:
+        cancel = tuple(a.attempt for a in facts.attempts if a.slot == slot)
+        yield CutSlot(slot, cancel, f"late by {late_ms} ms")
+
+
+def _start_idle(facts: StepFacts, idle: Sequence[Slot], room: int) -> Iterator[StartSlot]:
+    """Start the groups with the fewest open slots first, so that groups complete early."""
+    open_in_group: dict[int, int] = {}
+    for slot in facts.open_slots:
+        open_in_group[slot.group] = open_in_group.get(slot.group, 0) + 1
+    ranked = sorted(idle, key=lambda slot: (open_in_group[slot.group], slot))
+    for slot in ranked[: max(0, room)]:
+        yield StartSlot(slot, f"{open_in_group[slot.group]} open in group {slot.group}")
--- /dev/null
+++ b/tests/unit/samples/test_coordinator.py
@@ -0,0 +1,110 @@
+"""Guards the policy of a step: no wasted work, no bias to short samples, deadlines kept."""
+
+import attrs
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pistachionotch.samples import coordinator as c
+from pistachionotch.samples.capacity import StepDemand, max_min_shares, share_capacity
+from pistachionotch.samples.sample import Slot
+
+FINISHED = tuple(c.FinishedFacts(tokens=1000, duration_ms=10_000) for _ in range(8))
+LIMITS = c.StragglerLimits()
+RUNNING = c.AttemptFacts("a1", Slot(0, 0), "agent-1", 0, 20_000, 2000, 20_000, 5)
+
+
+def facts(**changes):
+    base = c.StepFacts(20, (Slot(0, 0),), 1, 5, finished=FINISHED)
+    return attrs.evolve(base, **changes)
+
+
+def decide(attempt, limits=LIMITS, quota=9, now_ms=20_000, **changes):
+    return c.decide_step(facts(attempts=(attempt,), **changes), limits, quota, now_ms)
+
+
+def test_long_sample_at_normal_speed_is_left_alone():
+    assert decide(attrs.evolve(RUNNING, tokens=1900)) == ()
+
+
+def test_slow_engine_is_hedged_elsewhere_only_in_the_tail_and_within_quota():
+    slow = attrs.evolve(RUNNING, tokens=100)
+    (action,) = decide(slow)
+    assert isinstance(action, c.HedgeSlot) and action.avoid == ("agent-1",)
+    assert decide(slow, slot_count=9) == ()
+    assert decide(slow, quota=1) == ()
+    assert decide(slow, limits=c.StragglerLimits(max_hedges=0)) == ()
+    assert decide(attrs.evolve(slow, started_ms=19_000, tokens=0)) == ()
+
+
+def test_silent_or_stalled_attempt_restarts_elsewhere():
+    for broken in (
+        attrs.evolve(RUNNING, observed_ms=9_000),
+        attrs.evolve(RUNNING, last_token_ms=1_000),
+        attrs.evolve(RUNNING, tokens=0, last_token_ms=None),
+    ):
+        (action,) = decide(broken)
+        assert isinstance(action, c.RestartSlot)
+        assert (action.cancel, action.avoid) == (("a1",), ("agent-1",))
+
+
+def test_stale_attempt_restarts_without_blaming_its_agent():
+    (action,) = decide(attrs.evolve(RUNNING, oldest_version=3))
+    assert isinstance(action, c.RestartSlot) and action.avoid == ()
+
+
+def test_attempt_that_cannot_finish_before_the_next_version_restarts_early():
+    doomed = attrs.evolve(RUNNING, tokens=900, started_ms=0, oldest_version=4)
+    assert decide(doomed, next_version_at_ms=30_000) == ()
+    (action,) = decide(doomed, next_version_at_ms=21_000)
+    assert isinstance(action, c.RestartSlot)
+
+
+def test_one_bad_hedge_is_cancelled_and_the_other_kept():
+    bad = attrs.evolve(RUNNING, attempt="a2", agent="agent-2", oldest_version=1)
+    actions = c.decide_step(facts(attempts=(RUNNING, bad)), LIMITS, 9, 20_000)
+    assert [type(action) for action in actions] == [c.CancelAttempt]
+    assert actions[0].attempt == "a2"
+
+
+def test_loser_of_a_hedge_is_cancelled_once_the_slot_is_filled():
+    (action,) = decide(RUNNING, open_slots=())
+    assert action == c.CancelAttempt("a1", "the slot needs no sample any more")
+
+
+def test_deadline_cuts_only_within_the_allowed_share():
+    late = {"now_ms": 20_000, "deadline_at_ms": 19_000}
+    (missed,) = decide(RUNNING, **late)
+    assert isinstance(missed, c.DeadlineMissed) and missed.late_slots == 1
+    allowed = c.StragglerLimits(max_cut_share=0.05)
+    (cut,) = decide(RUNNING, limits=allowed, **late)
+    assert isinstance(cut, c.CutSlot) and cut.cancel == ("a1",)
+    (missed,) = decide(RUNNING, limits=allowed, cut_count=1, **late)
+    assert isinstance(missed, c.DeadlineMissed)
+
+
+def test_nearly_complete_groups_start_first_within_quota():
+    slots = (Slot(0, 0), Slot(0, 1), Slot(1, 1), Slot(2, 0), Slot(2, 1))
+    actions = c.decide_step(facts(open_slots=slots), LIMITS, 2, 0)
+    assert [action.slot for action in actions] == [Slot(1, 1), Slot(0, 0)]
+
+
+def test_tight_deadline_gets_capacity_before_steps_without_one():
+    shares = share_capacity(
+        [
+            StepDemand("relaxed", 100, 10_000),
+            StepDemand("tight", 100, 10_000, remaining_ms=20_000),
+        ],
+        60,
+    )
+    assert shares == {"relaxed": 5, "tight": 55}
+
+
+@settings(derandomize=True, database=None, max_examples=200)
+@given(st.dictionaries(st.text(max_size=2), st.integers(0, 50), max_size=6), st.integers(0, 200))
+def test_shares_use_the_capacity_and_are_max_min_fair(wishes, capacity):
+    shares = max_min_shares(wishes, dict.fromkeys(wishes, 1), capacity)
+    assert sum(shares.values()) == min(capacity, sum(wishes.values()))
+    for step, share in shares.items():
+        assert share <= wishes[step]
+        if share < wishes[step]:
+            assert max(shares.values()) <= share + 1
