--- a/src/pistachionotch/samples/delivery.py
+++ b/src/pistachionotch/samples/delivery.py
@@ -11,12 +11,12 @@
 import attrs
 from returns.result import Failure, Result, Success
 
+from ..objects.api import StoreUnavailable
 from .ledger import Assignment, RecordOutcome, SlotState, StepLedger, Turn
 from .ledger_format import CorruptLedger
 from .ledger_store import LedgerStore, StepUnknown
 from .sample import Sample, Slot
 from .staleness import is_fresh, newest_known
-from .store import StoreUnavailable
 
 DEFAULT_LIMIT = 64
 MAX_LIMIT = 2048
--- a/src/pistachionotch/samples/ledger_store.py
+++ b/src/pistachionotch/samples/ledger_store.py
@@ -9,9 +9,9 @@
 import attrs
 from returns.result import Failure, Result, Success
 
+from ..objects.api import ObjectStore, StoredObject, VersionConflict, WriteAmbiguous
 from .ledger import StepLedger, StepPlan
 from .ledger_format import MAX_LEDGER_BYTES, CorruptLedger, from_bytes, to_bytes
-from .store import ObjectStore, StoredObject, StoreUnavailable, VersionConflict
 
 T = TypeVar("T")
 
@@ -113,9 +113,9 @@
         error = put.failure()
         if isinstance(error, VersionConflict):
             return Success(False)
-        if isinstance(error, StoreUnavailable):
-            return Failure(NotCommitted(error.reason))
-        return self.settle(value)
+        if isinstance(error, WriteAmbiguous):
+            return self.settle(value)
+        return Failure(NotCommitted(str(error)))
 
     def settle(self, value: bytes) -> Result[bool, NotCommitted]:
         """Read back after an ambiguous write; the writer token makes the value unique.
--- a/tests/unit/samples/step_world.py
+++ b/tests/unit/samples/step_world.py
@@ -8,15 +8,15 @@
 import attrs
 from returns.result import Failure, Success
 
-from pistachionotch.samples.ledger_store import LedgerStore
-from pistachionotch.samples.sample import Sample, Slot, body_digest, new_sample_id
-from pistachionotch.samples.spans import VersionSpan
-from pistachionotch.samples.store import (
+from pistachionotch.objects.api import (
     StoredObject,
     StoreUnavailable,
     VersionConflict,
     WriteAmbiguous,
 )
+from pistachionotch.samples.ledger_store import LedgerStore
+from pistachionotch.samples.sample import Sample, Slot, body_digest, new_sample_id
+from pistachionotch.samples.spans import VersionSpan
 
 
 @attrs.define
