--- a/src/pistachionotch/weights/gate.py
+++ b/src/pistachionotch/weights/gate.py
@@ -85,6 +85,13 @@
     observed: int | None
 
 
+@attrs.frozen
+class AwaitingOrder:
+    """The engine does not serve the ordered version, and a later one is due to be ordered."""
+
+    floor: int
+
+
 @attrs.frozen
 class GivenUp:
     """Corrections did not help; report it and wait for the next order."""
@@ -93,7 +100,7 @@
     observed: int | None
 
 
-ReadBack = InOrder | OrderRunning | Correct | GivenUp
+ReadBack = InOrder | OrderRunning | Correct | AwaitingOrder | GivenUp
 
 
 @attrs.define
@@ -158,6 +165,10 @@
         if ordered is None or observed == ordered.version:
             self.corrections.pop(model, None)
             return InOrder()
+        floor = self.floors.get(model, ordered.version)
+        if floor > ordered.version:
+            # ``admit`` would refuse the correction; the holder sends the later order again.
+            return AwaitingOrder(floor)
         count = self.corrections.get(model, 0)
         if count >= self.max_corrections:
             return GivenUp(ordered.version, observed)
--- a/tests/unit/weights/test_gate.py
+++ b/tests/unit/weights/test_gate.py
@@ -48,6 +48,14 @@
     assert gate.admit(order(2, 2)) == g.Admitted(order(2, 2))
 
 
+def test_failed_order_is_not_repeated_once_a_later_version_was_refused_as_busy():
+    gate = started()
+    gate.admit(order(1, 8))
+    gate.admit(order(1, 9))
+    assert gate.finish(order(1, 8), 7) == g.AwaitingOrder(9)
+    assert gate.admit(order(1, 9)) == g.Admitted(order(1, 9))
+
+
 def test_delayed_order_of_the_same_holder_does_not_go_back():
     gate = started()
     gate.admit(order(1, 8))
--- /dev/null
+++ b/tests/unit/weights/test_rollout.py
@@ -0,0 +1,99 @@
+"""Guards capacity, fetch rate, retries and the estimate of roll-outs."""
+
+import attrs
+import pytest
+from fleet import make_fleet
+from hypothesis import Phase, given, settings
+from hypothesis import strategies as st
+
+from pistachionotch.weights import rollout as r
+
+SETTINGS = settings(
+    max_examples=80, derandomize=True, deadline=None, database=None, phases=[Phase.generate]
+)
+
+
+@SETTINGS
+@given(st.data())
+def roll_out_with_faults(data):
+    zones, per_zone = data.draw(st.integers(1, 3)), data.draw(st.integers(1, 9))
+    fleet = make_fleet(zones, per_zone, data.draw(st.integers(0, 4000)), fetches_per_s=4.0)
+    names = st.sampled_from(sorted(fleet.agents))
+    fleet.fails = data.draw(st.sets(st.tuples(names, st.integers(1, 4)), max_size=12))
+    for ticks in data.draw(st.lists(st.integers(0, 20), max_size=2)):
+        for _ in range(ticks):
+            fleet.tick()
+        fleet.publish()
+    fleet.run()
+    failed = {report.agent for report in fleet.reported}
+    for agent in fleet.agents.values():
+        assert (agent.version == fleet.desired) != (agent.agent in failed), "lost sight of an agent"
+        assert agent.failures <= fleet.limits.max_attempts, "retried without limit"
+
+
+def test_roll_outs_keep_their_limits_and_end():
+    roll_out_with_faults()
+
+
+@pytest.mark.parametrize(
+    ("step", "broken"),
+    [
+        ("has_capacity", lambda planner, agent: True),
+        ("room", lambda planner: 99),
+        ("is_done", lambda planner, agent: agent.version >= 2),
+        ("gave_up", lambda planner, agent: False),
+        ("is_ready", lambda planner, agent: not planner.is_done(agent)),
+    ],
+)
+def test_roll_out_without_a_step_is_found(monkeypatch, step, broken):
+    monkeypatch.setattr(r._Planner, step, broken)
+    with pytest.raises(AssertionError):
+        roll_out_with_faults()
+
+
+def test_1100_servers_in_nine_zones_take_less_than_28_s():
+    """The assumptions are those of docs/weights.md; the estimate must not be optimistic."""
+    fleet = make_fleet(9, 123, 5_000, fetches_per_s=63.0)
+    agents = list(fleet.agents.values())
+    estimate = r.estimate_rollout(agents, 2, fleet.limits, [4_500] * 95 + [5_000] * 6)
+    fleet.run()
+    assert fleet.now_ms <= estimate.total_ms + 1_000 <= 28_000, (fleet.now_ms, estimate)
+
+
+def test_single_agents_of_several_zones_leave_service_one_at_a_time():
+    fleet = make_fleet(3, 1, 2_000, fetches_per_s=9.0)
+    assert [len(fleet.tick().orders) for _ in range(3)] == [1, 0, 0]
+
+
+def test_version_that_nobody_can_load_does_not_take_the_fleet_down():
+    fleet = make_fleet(2, 8, 1_000, fetches_per_s=9.0)
+    fleet.fails = {(name, attempt) for name in fleet.agents for attempt in range(1, 9)}
+    for _ in range(12):
+        fleet.tick()
+    assert max(len(fleet.tick().orders) + len(fleet.swaps) - 1 for _ in range(40)) <= 1
+    fleet.run()
+    assert len(fleet.reported) == 16
+
+
+def test_other_zones_count_but_are_not_ordered():
+    limits = r.RolloutLimits(9.0, max_out_share=0.5, zones=frozenset({"a"}))
+    agents = [r.AgentWeights(f"{zone}{n}", zone, 1) for zone in "ab" for n in range(2)]
+    wave = r.plan_wave(agents, 2, [], limits, 0)
+    assert [order.agent for order in wave.orders] == ["a0"] and wave.waiting == 1
+
+
+def test_newer_version_supersedes_and_a_running_swap_is_left_to_end():
+    agents = [attrs.evolve(r.AgentWeights("a", "z", 1), failures=0), r.AgentWeights("b", "z", 2)]
+    swaps = [r.SwapInProgress("a", 2, 0)]
+    limits = r.RolloutLimits(9.0, max_out_share=1.0)
+    wave = r.plan_wave(agents, 3, swaps, limits, 16_000)
+    assert [order.agent for order in wave.orders] == ["b"]
+    assert wave.overdue == ("a",) and wave.waiting == 1
+
+
+def test_estimate_needs_measurements_and_names_its_bound():
+    agents = [r.AgentWeights(f"{n}", "z", 1) for n in range(8)]
+    assert r.estimate_rollout(agents, 2, r.RolloutLimits(9.0), []) is None
+    slow = r.estimate_rollout(agents, 2, r.RolloutLimits(0.5), [1_000])
+    assert (slow.bound, slow.total_ms) == ("fetch rate", 15_000)
+    assert r.estimate_rollout(agents, 2, r.RolloutLimits(9.0), [1_000]).bound == "capacity"
