Add the claim book for issued keys and caller's keys

Memory is bounded by raising a floor before the record of an issued key is evicted; the claim object does the same for caller's keys. The machine found one fault during development: a record whose release had an unknown outcome was dropped on the next refused write, and a later clean-up of the stale record dropped a new permission of the same key. Such records now count as uncertain and stay.

--- /dev/null
+++ b/src/pistachionotch/idempotency/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once execution of non-idempotent calls: claims of caller's keys and issued keys."""
--- /dev/null
+++ b/src/pistachionotch/idempotency/book.py
@@ -0,0 +1,332 @@
+"""Claim book: decides whether a non-idempotent call may be sent to the upstream.
+
+Why no call runs twice, although memory is bounded. A run is permitted in two cases only:
+(1) An issued key of this incarnation has no record and lies above the floor. Every such key that
+was ever sent has a record, and evicting a record first raises the floor to its sequence number.
+(2) The claim object of a caller's key was created by this incarnation, or taken over from
+``released``, by a conditional update, and the call was not sent since. Evicting a record leaves the
+claim object in place, so a later ``begin`` finds it. The clean-up deletes only final claims that
+are older than the retention (see ``cleanup``).
+``sending`` succeeds once for each permission, and a call may be sent only after it returned.
+
+``begin`` and ``maintain`` use the store and may wait for it; the other methods change memory only.
+Call ``maintain`` a few times a second: it saves final states, releases abandoned claims and evicts
+old records.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from ..clock import Clock
+from ..objects.api import ObjectStore
+from .claim import (
+    ClaimDecision,
+    ClaimPhase,
+    ClaimState,
+    ClaimStateError,
+    ClaimStatus,
+    InProgress,
+    Refuse,
+    Replay,
+    Run,
+    StoredClaim,
+    StoredResult,
+    Unknown,
+    WrongAgent,
+)
+from .keys import IssuedKey, claim_key, decode_key, encode_key, is_issued
+from .records import FINAL_PHASES, Record, RecordPhase, Records
+from .writer import RELEASABLE_PHASES, ClaimOutcome, ClaimWriter
+
+MAX_RECORDS = 4_000
+MAX_RESULT_BYTES = 256 * 1024
+MAX_MEMORY_BYTES = 2 * 1024 * 1024
+RETRY_AFTER_MS = 1_000
+OUTCOME_UNKNOWN = "the outcome at the upstream is not known"
+STATUS_BY_PHASE = {
+    RecordPhase.READY: ClaimStatus.IN_PROGRESS,
+    RecordPhase.SENT: ClaimStatus.IN_PROGRESS,
+    RecordPhase.DONE: ClaimStatus.DONE,
+    RecordPhase.REVOKED: ClaimStatus.NOT_RUN,
+}
+
+IsLive = Callable[[str, str], bool]
+
+
+def assume_live(_agent: str, _incarnation: str) -> bool:
+    """Take every claimant for live, so that its claims count as in progress."""
+    return True
+
+
+class ClaimBook:
+    """Hold the claims of one agent incarnation."""
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        clock: Clock,
+        agent: str,
+        incarnation: str,
+        deployment_key: bytes,
+        retention_ms: int,
+        rng: random.Random,
+        is_live: IsLive = assume_live,
+        max_records: int = MAX_RECORDS,
+        max_memory_bytes: int = MAX_MEMORY_BYTES,
+    ) -> None:
+        self.store = store
+        self.clock = clock
+        self.agent = agent
+        self.incarnation = incarnation
+        self.deployment_key = deployment_key
+        self.retention_ms = retention_ms
+        self.rng = rng
+        self.is_live = is_live
+        self.records = Records(max_records, max_memory_bytes)
+        self.writer = ClaimWriter(store, agent, incarnation)
+        # Records for which ``maintain`` has a write to make.
+        self.unsettled: dict[str, Record] = {}
+        self.issued = 0
+        self.claims = 0
+        self.runs = 0
+
+    def issue(self, scope: str) -> str:
+        """Return a new key that only this incarnation may run."""
+        self.issued += 1
+        return encode_key(
+            IssuedKey(self.agent, self.incarnation, self.issued), scope, self.deployment_key
+        )
+
+    def begin(self, scope: str, key: str) -> ClaimDecision:
+        """Decide on an attempt; only ``Run`` permits it to be sent, after ``sending``."""
+        if is_issued(key):
+            return self._begin_issued(decode_key(key, scope, self.deployment_key), key)
+        return self._begin_claim(claim_key(scope, key))
+
+    def sending(self, scope: str, key: str, run: int | None = None) -> None:
+        """Record that the call may have run from here on; raise if it must not be sent."""
+        record = self._record(scope, key, run)
+        if record.phase is not RecordPhase.READY:
+            raise ClaimStateError(f"not permitted to send in state {record.phase.name}")
+        record.phase = RecordPhase.SENT
+
+    def finish(self, scope: str, key: str, result: StoredResult, run: int | None = None) -> None:
+        """Record the upstream's response, also when it came after ``fail_unknown``."""
+        record = self._record(scope, key, run)
+        if record.phase is RecordPhase.DONE:
+            return
+        if record.phase not in (RecordPhase.SENT, RecordPhase.UNKNOWN):
+            raise ClaimStateError(f"a response in state {record.phase.name}")
+        kept = result if result.size() <= MAX_RESULT_BYTES else None
+        self._finish(record, RecordPhase.DONE, kept)
+
+    def fail_unknown(self, scope: str, key: str, run: int | None = None) -> None:
+        """Record that the upstream's outcome is not known."""
+        record = self._record(scope, key, run)
+        if record.phase in (RecordPhase.DONE, RecordPhase.UNKNOWN):
+            return
+        if record.phase is not RecordPhase.SENT:
+            raise ClaimStateError(f"no outcome to miss in state {record.phase.name}")
+        self._finish(record, RecordPhase.UNKNOWN, None)
+
+    def abandon(self, scope: str, key: str, run: int | None = None) -> None:
+        """Give up a call before it was sent; it may be answered ``not-run``."""
+        record = self._record(scope, key, run)
+        if record.phase is not RecordPhase.READY:
+            raise ClaimStateError(f"not known to be unsent in state {record.phase.name}")
+        if record.sequence > 0:
+            self.records.drop(record)
+            return
+        record.phase = RecordPhase.ABANDONED
+        self.unsettled[record.name] = record
+
+    def query(self, scope: str, key: str) -> ClaimState:
+        """Return what memory proves about a call.
+
+        NOT_RUN revokes an issued key: its ``Submit`` may still arrive on an older connection.
+        """
+        if not is_issued(key):
+            return _state_of(self.records.get(claim_key(scope, key)))
+        issued = decode_key(key, scope, self.deployment_key)
+        if issued is None or not self._is_own(issued):
+            return ClaimState(ClaimStatus.UNKNOWN)
+        record = self.records.get(key)
+        if record is not None or not self._never_begun(issued):
+            return _state_of(record)
+        revoked = Record(key, issued.sequence, RecordPhase.REVOKED)
+        revoked.finished_ms = self.clock.now_ms()
+        return _state_of(revoked if self.records.add(revoked) else None)
+
+    def maintain(self) -> None:
+        """Save final states, release abandoned claims and evict old records."""
+        for record in list(self.unsettled.values()):
+            if record.busy:
+                continue
+            record.busy = True
+            try:
+                settled = self._settle(record)
+            finally:
+                record.busy = False
+            self.unsettled.pop(record.name, None)
+            if not settled:
+                # The store has a problem, so the rest waits; another record is first next time.
+                self.unsettled[record.name] = record
+                break
+            if not record.saved:
+                self.unsettled[record.name] = record
+        self.records.evict_older_than(self.clock.now_ms() - self.retention_ms)
+
+    def _settle(self, record: Record) -> bool:
+        if record.phase in FINAL_PHASES:
+            return self.writer.save(record)
+        if record.phase not in RELEASABLE_PHASES:
+            return True
+        if not self.writer.release(record):
+            return False
+        self.records.drop(record)
+        return True
+
+    def _begin_issued(self, issued: IssuedKey | None, key: str) -> ClaimDecision:
+        if issued is None:
+            # It may have run before the deployment key changed, so "not run" is not proved.
+            return Unknown("the issued key does not verify")
+        if issued.agent != self.agent:
+            return WrongAgent(issued.agent)
+        if issued.incarnation != self.incarnation:
+            return Unknown("the agent restarted after it issued the key")
+        record = self.records.get(key)
+        if record is not None:
+            return self._decide_known(record)
+        if not self._never_begun(issued):
+            return Unknown("the record of the key is no longer kept")
+        record = Record(key, issued.sequence, RecordPhase.READY)
+        if not self.records.add(record):
+            return self._refuse("too many calls in progress")
+        return self._permit(record)
+
+    def _begin_claim(self, name: str) -> ClaimDecision:
+        record = self.records.get(name)
+        if record is None:
+            record = Record(name, 0, RecordPhase.CLAIMING, identity=self._new_identity())
+            if not self.records.add(record):
+                return self._refuse("too many calls in progress")
+            record.token = self._new_token(record)
+            return self._claim(record)
+        if record.phase in FINAL_PHASES:
+            return self._decide_known(record)
+        if record.busy:
+            return self._in_progress()
+        if record.phase is RecordPhase.RELEASING:
+            # The release may still arrive; a write with a new token keeps it from taking effect.
+            record.token = self._new_token(record)
+            record.phase = RecordPhase.CLAIMING
+        if record.phase is RecordPhase.CLAIMING:
+            return self._claim(record)
+        return self._decide_known(record)
+
+    def _decide_known(self, record: Record) -> ClaimDecision:
+        if record.phase is RecordPhase.ABANDONED:
+            return self._permit(record)
+        if record.phase is RecordPhase.UNKNOWN:
+            return Unknown(OUTCOME_UNKNOWN)
+        if record.phase is RecordPhase.REVOKED:
+            return self._refuse("the key was reported as not run and is revoked")
+        if record.phase is RecordPhase.DONE:
+            return _replay(record.result)
+        return self._in_progress()
+
+    def _claim(self, record: Record) -> ClaimDecision:
+        record.busy = True
+        try:
+            outcome = self.writer.claim(record)
+        finally:
+            record.busy = False
+        if outcome is ClaimOutcome.CLAIMED:
+            self.unsettled.pop(record.name, None)
+            return self._permit(record)
+        if outcome is ClaimOutcome.UNAVAILABLE:
+            if record.uncertain:
+                self.unsettled[record.name] = record
+            else:
+                self._drop(record)
+            return self._refuse("the object API is unavailable")
+        self._drop(record)
+        return self._decide_other(outcome)
+
+    def _drop(self, record: Record) -> None:
+        self.unsettled.pop(record.name, None)
+        self.records.drop(record)
+
+    def _decide_other(self, claim: StoredClaim | None) -> ClaimDecision:
+        if claim is None:
+            return Unknown("the stored claim is malformed")
+        if claim.phase is ClaimPhase.DONE:
+            return _replay(claim.result)
+        if claim.phase is ClaimPhase.UNKNOWN:
+            return Unknown(OUTCOME_UNKNOWN)
+        if claim.phase is ClaimPhase.RELEASED:
+            return self._in_progress()
+        if claim.agent == self.agent:
+            return Unknown("this agent has no record of the run that it claimed")
+        if not self.is_live(claim.agent, claim.incarnation):
+            return Unknown("the agent that claimed the call is gone")
+        return self._in_progress()
+
+    def _permit(self, record: Record) -> Run:
+        self.runs += 1
+        record.run = self.runs
+        record.phase = RecordPhase.READY
+        return Run(record.run)
+
+    def _refuse(self, reason: str) -> Refuse:
+        return Refuse(self._retry_after_ms(), reason)
+
+    def _in_progress(self) -> InProgress:
+        return InProgress(self._retry_after_ms())
+
+    def _retry_after_ms(self) -> int:
+        # The random part keeps the callers of one outage from returning all at once.
+        return RETRY_AFTER_MS + self.rng.randrange(RETRY_AFTER_MS)
+
+    def _record(self, scope: str, key: str, run: int | None) -> Record:
+        record = self.records.get(key if is_issued(key) else claim_key(scope, key))
+        if record is None:
+            raise ClaimStateError("there is no record of the call")
+        if run is not None and record.run != run:
+            raise ClaimStateError("the permission to run was given to another attempt")
+        return record
+
+    def _finish(self, record: Record, phase: RecordPhase, result: StoredResult | None) -> None:
+        if record.sequence == 0:
+            record.saved = False
+            self.unsettled[record.name] = record
+        self.records.finish(record, phase, result, self.clock.now_ms())
+
+    def _is_own(self, issued: IssuedKey) -> bool:
+        return issued.agent == self.agent and issued.incarnation == self.incarnation
+
+    def _never_begun(self, issued: IssuedKey) -> bool:
+        """Return whether a key without a record is proved not to have run."""
+        return self.records.floor < issued.sequence <= self.issued
+
+    def _new_identity(self) -> str:
+        self.claims += 1
+        return f"{self.claims}/"
+
+    def _new_token(self, record: Record) -> str:
+        return f"{record.identity}{self.rng.getrandbits(64):016x}"
+
+
+def _replay(result: StoredResult | None) -> Replay | Unknown:
+    if result is None:
+        return Unknown("the call ran, but its response was too large to keep")
+    return Replay(result)
+
+
+def _state_of(record: Record | None) -> ClaimState:
+    if record is None:
+        return ClaimState(ClaimStatus.UNKNOWN)
+    status = STATUS_BY_PHASE.get(record.phase, ClaimStatus.UNKNOWN)
+    return ClaimState(status, record.result)
--- /dev/null
+++ b/src/pistachionotch/idempotency/claim.py
@@ -0,0 +1,138 @@
+"""Values of the claim book: stored claims and results, decisions and query answers."""
+
+from __future__ import annotations
+
+import base64
+import enum
+import json
+
+import attrs
+
+
+@attrs.frozen
+class StoredResult:
+    """Hold the upstream's complete response, to be replayed."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+    def size(self) -> int:
+        """Return the approximate number of bytes that the result occupies."""
+        return len(self.body) + sum(len(name) + len(value) for name, value in self.headers)
+
+
+class ClaimPhase(enum.StrEnum):
+    """Say what the object of a claim records."""
+
+    CLAIMED = "claimed"
+    RELEASED = "released"
+    DONE = "done"
+    UNKNOWN = "unknown"
+
+
+@attrs.frozen
+class StoredClaim:
+    """Hold the value of a claim object; ``result`` is None in DONE if it was too large to keep."""
+
+    token: str
+    agent: str
+    incarnation: str
+    phase: ClaimPhase
+    result: StoredResult | None = None
+
+    def to_bytes(self) -> bytes:
+        """Return the JSON form."""
+        fields = attrs.asdict(self)
+        if self.result is not None:
+            fields["result"]["body"] = base64.b64encode(self.result.body).decode()
+        return json.dumps(fields, separators=(",", ":")).encode()
+
+
+def parse_claim(value: bytes) -> StoredClaim | None:
+    """Return the claim of an object's value, or None if it is malformed."""
+    try:
+        fields = json.loads(value)
+        return StoredClaim(
+            str(fields["token"]),
+            str(fields["agent"]),
+            str(fields["incarnation"]),
+            ClaimPhase(fields["phase"]),
+            _parse_result(fields["result"]),
+        )
+    except (ValueError, KeyError, TypeError):
+        return None
+
+
+def _parse_result(fields: dict | None) -> StoredResult | None:
+    if fields is None:
+        return None
+    headers = tuple((str(name), str(value)) for name, value in fields["headers"])
+    return StoredResult(int(fields["status"]), headers, base64.b64decode(fields["body"]))
+
+
+@attrs.frozen
+class Run:
+    """Permit one run; ``run`` identifies the permission in later calls of the book."""
+
+    run: int
+
+
+@attrs.frozen
+class Replay:
+    """Return the stored result; the call already ran."""
+
+    result: StoredResult
+
+
+@attrs.frozen
+class InProgress:
+    """Refuse because another attempt with the key is being handled."""
+
+    retry_after_ms: int
+
+
+@attrs.frozen
+class Unknown:
+    """Refuse for good: the call may or may not have run."""
+
+    reason: str
+
+
+@attrs.frozen
+class Refuse:
+    """Refuse this attempt; it did not run and will not."""
+
+    retry_after_ms: int
+    reason: str
+
+
+@attrs.frozen
+class WrongAgent:
+    """Refuse because only the agent ``home`` may decide on this issued key."""
+
+    home: str
+
+
+ClaimDecision = Run | Replay | InProgress | Unknown | Refuse | WrongAgent
+
+
+class ClaimStatus(enum.StrEnum):
+    """Say what the agent's memory proves about a call."""
+
+    NOT_RUN = "not-run"
+    IN_PROGRESS = "in-progress"
+    DONE = "done"
+    UNKNOWN = "unknown"
+
+
+@attrs.frozen
+class ClaimState:
+    """Answer a query; ``result`` is set in DONE if it is still in memory."""
+
+    status: ClaimStatus
+    result: StoredResult | None = None
+
+
+class ClaimStateError(Exception):
+    """Report a call of the book that the claim's state does not allow; nothing may be sent."""
