--- a/tests/unit/standins/test_object_store.py
+++ b/tests/unit/standins/test_object_store.py
@@ -5,6 +5,7 @@
 from gevent import socket
 from gevent.server import StreamServer
 from geventhttpclient.client import HTTPClient
+from geventhttpclient.response import HTTPParseError
 
 from pistachionotch.objects.api import (
     MAX_VALUE_BYTES,
@@ -124,6 +125,14 @@
     assert len(broken.requests) == 1
 
 
+def test_the_http_library_alone_would_send_the_write_again(broken):
+    """Shows that the test above can fail: the same server sees several requests."""
+    broken.behave = lambda connection: connection.close()
+    with pytest.raises(HTTPParseError):
+        HTTPClient(HOST, broken.client.port).request("PUT", "/objects/a", b"1")
+    assert len(broken.requests) > 1
+
+
 def test_silent_connection_times_out_for_reads_and_writes(broken):
     broken.behave = lambda connection: gevent.sleep(2)
     assert isinstance(broken.client.put("a", b"1", None).failure(), WriteAmbiguous)
