--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -3,9 +3,14 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 . scripts/bootstrap.sh
-export PYTHONPATH="$PWD/src"
+export PYTHONPATH="$PWD/src:$PWD"
 export PYTHONHASHSEED=0
 black --check --quiet src tests
-ruff check src tests
+ruff check --quiet src tests
 mypy
-python -m pytest
+# Parallel test workers use threads that do not survive gevent's patching of the standard library.
+patched="tests/unit/agent tests/unit/wire"
+python -m pytest --numprocesses 6 --ignore tests/unit/agent --ignore tests/unit/wire
+python -m pytest $patched
+python -m behave --no-capture --format progress3 tests/features
+python -m pistachionotch demo
--- /dev/null
+++ b/src/pistachionotch/agent/__init__.py
@@ -0,0 +1,1 @@
+"""Agent: the only path to one upstream."""
--- /dev/null
+++ b/src/pistachionotch/agent/attempts.py
@@ -0,0 +1,223 @@
+"""Run one admitted attempt: claim it if needed, call the upstream, report the result."""
+
+from __future__ import annotations
+
+from functools import singledispatchmethod
+
+import attrs
+import gevent
+
+from ..admission.load import RunFacts
+from ..clock import Clock, Deadline
+from ..idempotency import claim as claims
+from ..idempotency.book import ClaimBook
+from ..outcomes import Execution
+from ..samples.spans import SpanRecorder, VersionSpan
+from ..wire.assembly import PieceCounter
+from ..wire.messages import Finished, Piece, Refused, Submit
+from ..wire.session import Session
+from .upstream import (
+    NO_VERSION,
+    Upstream,
+    UpstreamBroken,
+    UpstreamEnd,
+    UpstreamPiece,
+    call,
+)
+
+# An entry that reads nothing for this long is treated as gone.
+SEND_TIMEOUT_S = 5.0
+MAX_STORED_RESULT_BYTES = 256 * 1024
+
+
+@attrs.frozen
+class AttemptEnded:
+    """Tell the agent's core that an attempt left the upstream."""
+
+    attempt: str
+    facts: RunFacts
+
+
+@attrs.define
+class AttemptRunner:
+    """Own one attempt from admission to its final message."""
+
+    submit: Submit
+    session: Session
+    upstream: Upstream
+    book: ClaimBook
+    clock: Clock
+    deadline: Deadline
+    counter: PieceCounter = attrs.field(factory=PieceCounter)
+    spans: SpanRecorder = attrs.field(factory=SpanRecorder)
+    body: bytearray = attrs.field(factory=bytearray)
+    started_ms: int = 0
+    first_piece_ms: int | None = None
+    succeeded: bool = False
+    permission: int | None = None
+
+    def run(self) -> None:
+        """Run the attempt and send its final message."""
+        self.started_ms = self.clock.now_ms()
+        try:
+            self.succeeded = self._run()
+        except Exception as error:  # a fault of one attempt must not end without an answer
+            self._finish_broken(UpstreamBroken(f"{type(error).__name__}: {error}", sent=True))
+            raise
+
+    def ended(self) -> AttemptEnded:
+        """Return what the core learns from this attempt, however it ended."""
+        now_ms = self.clock.now_ms()
+        first_ms = self.first_piece_ms
+        facts = RunFacts(
+            None if first_ms is None else first_ms - self.started_ms,
+            sum(span.tokens for span in self.spans.spans),
+            now_ms - self.started_ms,
+            self.succeeded,
+        )
+        return AttemptEnded(self.submit.attempt, facts)
+
+    def _run(self) -> bool:
+        if self.submit.idempotent:
+            return self._call_upstream()
+        decision = self.book.begin(self.submit.scope, self.submit.key)
+        if not isinstance(decision, claims.Run):
+            self._answer_claim(decision)
+            return False
+        self.permission = decision.run
+        if self.deadline.expired(self.clock):
+            self.book.abandon(self.submit.scope, self.submit.key, self.permission)
+            self.refuse("deadline passed before sending", Execution.NOT_RUN, proved=True)
+            return False
+        self.book.sending(self.submit.scope, self.submit.key, self.permission)
+        return self._call_upstream()
+
+    def _call_upstream(self) -> bool:
+        outcome: UpstreamEnd | UpstreamBroken | None = None
+        remaining_s = self.deadline.remaining_ms(self.clock) / 1000
+        # Non-idempotent work runs on past its deadline, so that its claim can record the result.
+        limit = gevent.Timeout(remaining_s) if self.submit.idempotent else None
+        try:
+            if limit is not None:
+                limit.start()
+            outcome = call(self.upstream, self.submit, self.clock, self._emit)
+        except gevent.Timeout as timeout:
+            if timeout is not limit:
+                raise
+            outcome = UpstreamBroken("deadline passed while running", sent=True)
+        finally:
+            if limit is not None:
+                limit.close()
+        return self._finish(outcome)
+
+    def _emit(self, piece: UpstreamPiece) -> None:
+        if self.first_piece_ms is None:
+            self.first_piece_ms = self.clock.now_ms()
+        self.spans.add(None if piece.version == NO_VERSION else piece.version, piece.tokens)
+        keep = self.submit.retain or not self.submit.idempotent
+        if keep and len(self.body) <= MAX_STORED_RESULT_BYTES:
+            self.body += piece.data
+        sequence = self.counter.add(piece.data)
+        message = Piece(self.submit.attempt, sequence, piece.data, piece.version, piece.tokens)
+        delivered = self.session.send_waiting(message, SEND_TIMEOUT_S)
+        if not delivered and self.submit.idempotent:
+            raise ConnectionError("entry is gone")
+
+    def _finish(self, outcome: UpstreamEnd | UpstreamBroken) -> bool:
+        if isinstance(outcome, UpstreamBroken):
+            return self._finish_broken(outcome)
+        if not self.submit.idempotent:
+            result = claims.StoredResult(outcome.status, outcome.headers, self._stored_body())
+            self.book.finish(self.submit.scope, self.submit.key, result, self.permission)
+        self._send_finished(outcome.status, outcome.headers, Execution.DONE, "")
+        return True
+
+    def _finish_broken(self, outcome: UpstreamBroken) -> bool:
+        if not outcome.sent:
+            if not self.submit.idempotent:
+                self.book.not_sent(self.submit.scope, self.submit.key, self.permission)
+            self.refuse(outcome.reason, Execution.NOT_RUN, proved=not self.submit.idempotent)
+            return False
+        if self.submit.idempotent:
+            self._send_finished(0, (), Execution.FAILED, outcome.reason)
+            return False
+        self.book.fail_unknown(self.submit.scope, self.submit.key, self.permission)
+        self._send_finished(0, (), Execution.UNKNOWN, outcome.reason)
+        return False
+
+    def _stored_body(self) -> bytes:
+        if len(self.body) > MAX_STORED_RESULT_BYTES:
+            return b""
+        return bytes(self.body)
+
+    def _send_finished(
+        self, status: int, headers: tuple[tuple[str, str], ...], execution: Execution, reason: str
+    ) -> None:
+        spans = self.spans.finish().value_or(())
+        message = finished_message(
+            self.submit.attempt, self.counter, status, headers, spans, execution, reason
+        )
+        self.session.send_waiting(message, SEND_TIMEOUT_S)
+
+    def refuse(
+        self,
+        reason: str,
+        execution: Execution,
+        retry_after_ms: int = 0,
+        home: str = "",
+        proved: bool = False,
+    ) -> None:
+        """Send the final answer of an attempt that produced no response."""
+        self.session.send(
+            Refused(self.submit.attempt, reason, execution, retry_after_ms, home, proved)
+        )
+
+    @singledispatchmethod
+    def _answer_claim(self, decision: object) -> None:
+        raise TypeError(type(decision))
+
+    @_answer_claim.register
+    def _(self, decision: claims.Replay) -> None:
+        result = decision.result
+        if result.body:
+            self._emit(UpstreamPiece(result.body, NO_VERSION, 0))
+        self._send_finished(result.status, result.headers, Execution.DONE, "replayed")
+
+    @_answer_claim.register
+    def _(self, decision: claims.InProgress) -> None:
+        self.refuse("the same key is in progress", Execution.UNKNOWN, decision.retry_after_ms)
+
+    @_answer_claim.register
+    def _(self, decision: claims.Unknown) -> None:
+        self.refuse(decision.reason, Execution.UNKNOWN)
+
+    @_answer_claim.register
+    def _(self, decision: claims.Refuse) -> None:
+        self.refuse(decision.reason, Execution.NOT_RUN, decision.retry_after_ms)
+
+    @_answer_claim.register
+    def _(self, decision: claims.WrongAgent) -> None:
+        self.refuse("the key belongs to another agent", Execution.NOT_RUN, 0, decision.home)
+
+
+def finished_message(
+    attempt: str,
+    counter: PieceCounter,
+    status: int = 200,
+    headers: tuple[tuple[str, str], ...] = (),
+    spans: tuple[VersionSpan, ...] = (),
+    execution: Execution = Execution.DONE,
+    reason: str = "",
+) -> Finished:
+    """Return the final message for the pieces that were counted."""
+    return Finished(
+        attempt,
+        counter.pieces,
+        counter.size_bytes,
+        counter.checksum,
+        status,
+        headers,
+        spans,
+        execution,
+        reason,
+    )
--- /dev/null
+++ b/src/pistachionotch/agent/core.py
@@ -0,0 +1,297 @@
+"""The agent's core task: owns the admission queue, the attempts and the sessions."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import singledispatchmethod
+from typing import Any
+
+import attrs
+import gevent
+from gevent.queue import Queue
+
+from ..admission.load import LoadFacts, RunFacts
+from ..admission.queue import AdmissionQueue, Admitted, ExpiredWork, QueuedWork
+from ..clock import Clock, Deadline
+from ..config.revisions import Revisions
+from ..idempotency.book import ClaimBook
+from ..outcomes import Execution
+from ..samples.bodies import BodyStore
+from ..wire import messages
+from ..wire.assembly import PieceCounter
+from ..wire.session import Session, SessionClosed
+from .attempts import AttemptEnded, AttemptRunner, finished_message
+from .upstream import Upstream
+
+TICK_MS = 50
+DRAIN_RETRY_MS = 1000
+MAX_ATTEMPTS = 4096
+# At 9 trainers with 2,048 samples a step and 1,100 agents, a step leaves about 17 bodies here.
+MAX_RETAINED_BYTES = 4 * 1024 * 1024
+RETAINED_PIECE_BYTES = 64 * 1024
+
+
+@attrs.frozen
+class Tick:
+    """Ask the core to look at its queue and its peers again."""
+
+
+@attrs.frozen
+class Drain:
+    """Ask the core to take no new work."""
+
+    reason: str
+
+
+@attrs.frozen
+class VersionObserved:
+    """Report the weight version that the engine said it serves."""
+
+    version: int
+
+
+@attrs.define
+class AgentCore:
+    """Serve messages one at a time; only this task changes its state."""
+
+    clock: Clock
+    upstream: Upstream
+    queue: AdmissionQueue
+    book: ClaimBook
+    revisions: Revisions
+    log: Any
+    heartbeat_ms: int
+    on_order: Callable[[Session, messages.Order], None]
+    inbox: Queue = attrs.field(factory=Queue)
+    retained: BodyStore = attrs.field(factory=lambda: BodyStore(MAX_RETAINED_BYTES))
+    sessions: dict[Session, int] = attrs.field(factory=dict)
+    waiting: dict[str, AttemptRunner] = attrs.field(factory=dict)
+    running: dict[str, tuple[AttemptRunner, gevent.Greenlet]] = attrs.field(factory=dict)
+
+    def run(self) -> None:
+        """Serve the inbox until the greenlet is killed."""
+        gevent.spawn(self._tick)
+        for session, message in self.inbox:
+            self.handle(message, session)
+            self._start_runnable()
+
+    def idle(self) -> bool:
+        """Return whether no attempt waits or runs."""
+        return not self.waiting and not self.running
+
+    def load(self) -> LoadFacts:
+        """Return what the entries should know."""
+        return self.queue.load()
+
+    def _tick(self) -> None:
+        while True:
+            self.clock.sleep_ms(TICK_MS)
+            self.inbox.put((None, Tick()))
+
+    @singledispatchmethod
+    def handle(self, message: object, session: Session) -> None:
+        """Act on one message."""
+        self.log.warning("unexpected message", kind=type(message).__name__)
+        session.close("unexpected message")
+
+    @handle.register
+    def _(self, message: Tick, _session: None) -> None:
+        now_ms = self.clock.now_ms()
+        for session, last_sent_ms in list(self.sessions.items()):
+            if session.silent():
+                session.close("no heartbeat")
+                continue
+            if now_ms - last_sent_ms < self.heartbeat_ms:
+                continue
+            self._send_heartbeat(session)
+
+    def _send_heartbeat(self, session: Session) -> None:
+        revision = self.revisions.revision
+        session.send(messages.Heartbeat(0, revision, self.load()))
+        self.sessions[session] = self.clock.now_ms()
+
+    @handle.register
+    def _(self, message: Drain, _session: None) -> None:
+        self.queue.drain()
+        for session in self.sessions:
+            session.send(messages.Leaving(message.reason))
+        self.log.info("draining", reason=message.reason, running=len(self.running))
+
+    @handle.register
+    def _(self, message: VersionObserved, _session: None) -> None:
+        self.queue.observe_versions((message.version,))
+
+    @handle.register
+    def _(self, message: messages.Heartbeat, session: Session) -> None:
+        if session not in self.sessions:
+            self.sessions[session] = 0
+            self._send_heartbeat(session)
+            self.log.info("entry connected", entry=session.peer.node)
+            if self.queue.draining:
+                session.send(messages.Leaving("draining"))
+        if message.config_revision > self.revisions.revision:
+            session.send(messages.ConfigFetch(message.config_revision))
+
+    @handle.register
+    def _(self, message: messages.ConfigOffer, session: Session) -> None:
+        if message.revision > self.revisions.revision:
+            session.send(messages.ConfigFetch(message.revision))
+
+    @handle.register
+    def _(self, message: messages.ConfigFetch, session: Session) -> None:
+        session.send(messages.ConfigBody(self.revisions.revision, self.revisions.body))
+
+    @handle.register
+    def _(self, message: messages.ConfigBody, _session: Session) -> None:
+        before = self.revisions.revision
+        self.revisions.offer(message.revision, message.body)
+        if self.revisions.revision == before:
+            return
+        self.log.info("configuration in force", revision=self.revisions.revision)
+        for session in self.sessions:
+            self._send_heartbeat(session)
+
+    @handle.register
+    def _(self, message: SessionClosed, session: Session) -> None:
+        self.sessions.pop(session, None)
+        self.log.info("entry disconnected", entry=session.peer.node, reason=message.reason)
+        for attempt, runner in list(self.waiting.items()):
+            if runner.session is session:
+                self._withdraw(attempt)
+        for runner, greenlet in list(self.running.values()):
+            if runner.session is session and runner.submit.idempotent:
+                greenlet.kill(block=False)
+
+    @handle.register
+    def _(self, message: messages.Submit, session: Session) -> None:
+        runner = AttemptRunner(
+            message,
+            session,
+            self.upstream,
+            self.book,
+            self.clock,
+            Deadline.after(self.clock, message.remaining_ms),
+        )
+        refusal = self._refusal(message)
+        if refusal is not None:
+            reason, retry_after_ms = refusal
+            self._refuse(runner, reason, retry_after_ms, "refused")
+            return
+        work = QueuedWork(
+            message.attempt,
+            message.request_class,
+            runner.deadline,
+            message.expected_tokens,
+            self.clock.now_ms(),
+            message.tenant,
+        )
+        answer = self.queue.offer(work)
+        if not isinstance(answer, Admitted):
+            retry_after_ms = getattr(answer, "retry_after_ms", DRAIN_RETRY_MS)
+            self._refuse(runner, answer.reason, retry_after_ms, "refused")
+            return
+        self.waiting[message.attempt] = runner
+        self._log_admission(message, "queued", "")
+
+    def _refusal(self, message: messages.Submit) -> tuple[str, int] | None:
+        if self.queue.draining:
+            return "upstream is leaving", DRAIN_RETRY_MS
+        if len(self.waiting) + len(self.running) >= MAX_ATTEMPTS:
+            return "agent holds too many attempts", DRAIN_RETRY_MS
+        return None
+
+    def _log_admission(self, message: messages.Submit, decision: str, reason: str) -> None:
+        self.log.info(
+            decision,
+            request=message.request,
+            attempt=message.attempt,
+            request_class=message.request_class,
+            remaining_ms=message.remaining_ms,
+            reason=reason,
+        )
+
+    def _start_runnable(self) -> None:
+        while True:
+            work, expired = self.queue.next()
+            for item in expired:
+                self._answer_expired(item)
+            if work is None:
+                return
+            runner = self.waiting.pop(work.attempt, None)
+            if runner is None:
+                self.queue.finish(work.attempt, RunFacts(None, 0, 0, False))
+                continue
+            runner.session.send(messages.Started(work.attempt))
+            self._start(runner)
+
+    def _start(self, runner: AttemptRunner) -> None:
+        greenlet = gevent.spawn(runner.run)
+        self.running[runner.submit.attempt] = (runner, greenlet)
+        # A link also fires for a greenlet that is killed before it ran, where ``finally`` does not.
+        greenlet.link(lambda _greenlet: self.inbox.put((None, runner.ended())))
+
+    def _answer_expired(self, expired: ExpiredWork) -> None:
+        runner = self.waiting.pop(expired.work.attempt, None)
+        if runner is None:
+            return
+        self._refuse(runner, expired.reason, expired.retry_after_ms, "expired")
+
+    def _refuse(
+        self, runner: AttemptRunner, reason: str, retry_after_ms: int, decision: str
+    ) -> None:
+        """Answer an attempt that was not handed to the upstream."""
+        submit = runner.submit
+        proved = submit.idempotent or self.book.never_run(submit.scope, submit.key)
+        runner.refuse(reason, Execution.NOT_RUN, retry_after_ms, proved=proved)
+        self._log_admission(submit, decision, reason)
+
+    def _withdraw(self, attempt: str) -> None:
+        self.waiting.pop(attempt, None)
+        self.queue.cancel(attempt)
+
+    @handle.register
+    def _(self, message: messages.Cancel, _session: Session) -> None:
+        if message.attempt in self.waiting:
+            self._withdraw(message.attempt)
+            return
+        entry = self.running.get(message.attempt)
+        if entry is not None and entry[0].submit.idempotent:
+            entry[1].kill(block=False)
+
+    @handle.register
+    def _(self, message: AttemptEnded, _session: None) -> None:
+        runner, _greenlet = self.running.pop(message.attempt)
+        self.queue.finish(message.attempt, message.facts)
+        if runner.submit.retain and message.facts.succeeded:
+            self.retained.put(runner.submit.retain, bytes(runner.body))
+        if runner.spans.spans:
+            self.queue.observe_versions((runner.spans.spans[-1].version,))
+        self.log.info(
+            "attempt ended",
+            request=runner.submit.request,
+            attempt=message.attempt,
+            succeeded=message.facts.succeeded,
+            duration_ms=message.facts.duration_ms,
+        )
+
+    @handle.register
+    def _(self, message: messages.FetchBody, session: Session) -> None:
+        body = self.retained.get(message.name)
+        if body is None:
+            session.send(
+                messages.Refused(message.attempt, "body is not held", Execution.NOT_RUN, 0)
+            )
+            return
+        counter = PieceCounter()
+        for start in range(0, len(body), RETAINED_PIECE_BYTES):
+            data = body[start : start + RETAINED_PIECE_BYTES]
+            session.send(messages.Piece(message.attempt, counter.add(data), data, -1, 0))
+        session.send(finished_message(message.attempt, counter))
+
+    @handle.register
+    def _(self, message: messages.IssueKey, session: Session) -> None:
+        session.send(messages.KeyIssued(message.attempt, self.book.issue(message.scope)))
+
+    @handle.register
+    def _(self, message: messages.Order, session: Session) -> None:
+        self.on_order(session, message)
--- /dev/null
+++ b/src/pistachionotch/agent/daemon.py
@@ -0,0 +1,198 @@
+"""Agent daemon: wires the agent's tasks together and drains them."""
+
+from __future__ import annotations
+
+import random
+import secrets
+from typing import Any
+
+import attrs
+import gevent
+from gevent.pywsgi import WSGIServer
+
+from ..admission.limit import ConcurrencyLimit
+from ..admission.queue import AdmissionQueue
+from ..admission.shares import ClassShares
+from ..clock import SystemClock
+from ..config.revisions import Revisions
+from ..config.settings import Settings, UpstreamKind
+from ..idempotency.book import ClaimBook
+from ..logs import logger
+from ..membership.directory import Member
+from ..membership.registration import Registration
+from ..objects.api import ObjectStore
+from ..objects.client import HttpObjectStore
+from ..probes import ProbeApp
+from ..wire.messages import Order, OrderResult
+from ..wire.session import Identity, Session, make_server
+from .core import AgentCore, Drain, VersionObserved
+from .orders import OrderTask
+from .upstream import EngineUpstream, ServiceUpstream, Upstream
+
+HEARTBEAT_MS = 2000
+CLAIM_RETENTION_MS = 24 * 3600 * 1000
+DRAIN_POLL_S = 0.05
+
+
+def target_of(settings: Settings) -> str:
+    """Return the routing target that the agent's upstream serves."""
+    upstream = settings.upstream
+    assert upstream is not None
+    if upstream.kind is UpstreamKind.ENGINE:
+        return upstream.model or ""
+    return f"services/{upstream.service}"
+
+
+def make_upstream(settings: Settings) -> Upstream:
+    """Return the upstream that the settings describe."""
+    upstream = settings.upstream
+    assert upstream is not None
+    if upstream.kind is UpstreamKind.ENGINE:
+        return EngineUpstream(upstream.address.host, upstream.address.port, upstream.model or "")
+    return ServiceUpstream(upstream.address.host, upstream.address.port, upstream.service or "")
+
+
+@attrs.define
+class AgentDaemon:
+    """Run one agent."""
+
+    settings: Settings
+    heartbeat_ms: int = HEARTBEAT_MS
+    clock: SystemClock = attrs.field(factory=SystemClock)
+    incarnation: str = attrs.field(factory=lambda: secrets.token_hex(6))
+    core: AgentCore = attrs.field(init=False)
+    registration: Registration = attrs.field(init=False)
+    orders: OrderTask | None = attrs.field(init=False, default=None)
+    server: Any = attrs.field(init=False, default=None)
+    probes: WSGIServer | None = attrs.field(init=False, default=None)
+    state: str = attrs.field(init=False, default="starting")
+
+    def __attrs_post_init__(self) -> None:
+        settings = self.settings
+        upstream = make_upstream(settings)
+        store: ObjectStore = HttpObjectStore(settings.object_api.host, settings.object_api.port)
+        log = logger("agent")
+        rng = random.Random(secrets.randbits(64))
+        book = ClaimBook(
+            store,
+            self.clock,
+            settings.node,
+            self.incarnation,
+            settings.key,
+            CLAIM_RETENTION_MS,
+            rng,
+        )
+        assert settings.upstream is not None
+        limit = ConcurrencyLimit.fixed(settings.upstream.concurrency_limit)
+        queue = AdmissionQueue(self.clock, limit, ClassShares())
+        if isinstance(upstream, EngineUpstream):
+            shard = f"{upstream.model}-{settings.zone}"
+            self.orders = OrderTask(upstream, store, shard, self.clock, logger("orders"))
+        self.core = AgentCore(
+            self.clock,
+            upstream,
+            queue,
+            book,
+            Revisions(),
+            log,
+            self.heartbeat_ms,
+            self._take_order,
+        )
+        if self.orders is not None:
+            self.orders.on_observed = self._version_observed
+        member = Member(
+            settings.node,
+            self._address(),
+            settings.zone,
+            settings.region,
+            self.incarnation,
+            (target_of(settings),),
+        )
+        self.registration = Registration(store, member, self.clock, log)
+
+    def _address(self) -> str:
+        wire = self.settings.listen.wire
+        assert wire is not None
+        return f"{wire.host}:{wire.port}"
+
+    def _version_observed(self, version: int) -> None:
+        self.core.inbox.put((None, VersionObserved(version)))
+
+    def _take_order(self, session: Session, order: Order) -> None:
+        if self.orders is None:
+            session.send(OrderResult(order.order, False, -1, "upstream takes no orders"))
+            return
+        self.orders.submit(session, order)
+
+    def start(self) -> None:
+        """Start all tasks in the background."""
+        settings = self.settings
+        identity = Identity(
+            settings.deployment,
+            settings.node,
+            "agent",
+            settings.zone,
+            self.incarnation,
+            settings.key,
+            target_of(settings),
+        )
+        wire = settings.listen.wire
+        assert wire is not None
+        self.server = make_server(
+            wire.host,
+            wire.port,
+            identity,
+            self.clock,
+            self.core.inbox,
+            self.heartbeat_ms,
+            logger("wire"),
+        )
+        gevent.spawn(self.server.serve_forever)
+        gevent.spawn(self.core.run)
+        if self.orders is not None:
+            gevent.spawn(self.orders.run)
+        gevent.spawn(self.registration.run)
+        if settings.listen.http is not None:
+            app = ProbeApp(settings.key, self.status, self.drain)
+            address = (settings.listen.http.host, settings.listen.http.port)
+            self.probes = WSGIServer(address, app, log=None)
+            self.probes.start()
+        self.state = "serving"
+        self.core.log.info("serving", node=settings.node, upstream=target_of(settings))
+
+    def status(self) -> dict[str, Any]:
+        """Return what operators and probes see."""
+        load = self.core.load()
+        return {
+            "node": self.settings.node,
+            "role": "agent",
+            "zone": self.settings.zone,
+            "state": self.state,
+            "ready": self.state == "serving",
+            "incarnation": self.incarnation,
+            "upstream": target_of(self.settings),
+            "config_revision": self.core.revisions.revision,
+            "queued": load.total_queued(),
+            "running": load.total_running(),
+            "entries": len(self.core.sessions),
+            "serving_versions": list(load.serving_versions),
+        }
+
+    def drain(self, reason: str) -> None:
+        """Take no new work, finish what is in flight, then stop."""
+        if self.state != "serving":
+            return
+        self.state = "draining"
+        self.core.inbox.put((None, Drain(reason)))
+        # The store may be slow; connected entries learn of the drain without it.
+        gevent.spawn(self.registration.withdraw)
+        while not (self.core.queue.draining and self.core.idle()):
+            gevent.sleep(DRAIN_POLL_S)
+        for session in list(self.core.sessions):
+            session.flush(1.0)
+            session.close("agent stopped")
+        self.server.shutdown()
+        if self.probes is not None:
+            self.probes.stop(timeout=1)
+        self.state = "stopped"
+        self.core.log.info("stopped", node=self.settings.node)
--- a/src/pistachionotch/cli/commands.py
+++ b/src/pistachionotch/cli/commands.py
@@ -24,11 +24,17 @@
 
 
 COMMANDS: dict[str, Command] = {
+    "demo": Command(".demo", "demo", "show the whole path in one process"),
+    "entry": Command(".daemons", "entry", "run an entry"),
+    "agent": Command(".daemons", "agent", "run an agent beside an upstream"),
     "ask": Command(".configuration", "ask", "ask the questionnaire's questions, write the answers"),
     "generate": Command(".configuration", "generate", "generate the configuration from answers"),
     "check": Command(".configuration", "check", "report every finding of a configuration"),
     "fetch": Command(".apply", "fetch", "save the configuration in effect"),
     "apply": Command(".apply", "apply", "put a configuration into effect everywhere"),
+    "status": Command(".status", "status", "show processes, members, queues and revisions"),
+    "explain": Command(".status", "explain", "show the decisions for one request"),
+    "drain": Command(".status", "drain", "tell a process to finish its work and stop"),
 }
 
 
--- /dev/null
+++ b/src/pistachionotch/cli/daemons.py
@@ -0,0 +1,79 @@
+"""Commands that run the daemons until they are told to stop."""
+
+from __future__ import annotations
+
+import signal
+from typing import Protocol
+
+import gevent
+from gevent.event import Event
+from returns.result import Failure
+
+from ..config.settings import Role, Settings, load_settings
+from ..logs import configure_logs
+from .output import ExitCode, report_findings
+
+
+class Daemon(Protocol):
+    """Start in the background, then drain when asked to."""
+
+    def start(self) -> None:
+        """Start all tasks."""
+
+    def drain(self, reason: str) -> None:
+        """Finish what is in flight and stop."""
+
+
+def entry(settings: str) -> int:
+    """Run an entry until SIGTERM; open requests are finished first.
+
+    Args:
+        settings: The settings file.
+    """
+    return _run(settings, Role.ENTRY)
+
+
+def agent(settings: str) -> int:
+    """Run an agent until SIGTERM; work in flight is finished first.
+
+    Args:
+        settings: The settings file.
+    """
+    return _run(settings, Role.AGENT)
+
+
+def _run(path: str, role: Role) -> int:
+    loaded = load_settings(path)
+    if isinstance(loaded, Failure):
+        return report_findings(loaded.failure(), False)
+    settings = loaded.unwrap()
+    if settings.role is not role:
+        print(f"{path}: these settings are for an {settings.role}")
+        return ExitCode.USAGE
+    configure_logs()
+    daemon = make_daemon(settings)
+    stopping = Event()
+    gevent.signal_handler(signal.SIGTERM, stopping.set)
+    gevent.signal_handler(signal.SIGINT, stopping.set)
+    daemon.start()
+    _wait(daemon, stopping)
+    daemon.drain("signal")
+    return ExitCode.DONE
+
+
+def _wait(daemon: Daemon, stopping: Event) -> None:
+    """Wait for a signal, or for a drain that an operator asked for over HTTP."""
+    while not stopping.wait(0.5):
+        if getattr(daemon, "state", "") == "stopped":
+            return
+
+
+def make_daemon(settings: Settings) -> Daemon:
+    """Return the daemon that the settings describe; only its role's modules are imported."""
+    if settings.role is Role.ENTRY:
+        from ..entry.daemon import EntryDaemon
+
+        return EntryDaemon(settings)
+    from ..agent.daemon import AgentDaemon
+
+    return AgentDaemon(settings)
--- /dev/null
+++ b/src/pistachionotch/demo/scenario.py
@@ -0,0 +1,129 @@
+"""Requests of the demo, sent over HTTP as a caller or a trainer would send them."""
+
+from __future__ import annotations
+
+import json
+import time
+from typing import Any
+
+import attrs
+from geventhttpclient import HTTPClient
+
+from ..config.spec import Address
+
+RESPONSE_TIMEOUT_S = 30.0
+READY_TIMEOUT_S = 15.0
+
+
+@attrs.frozen
+class Answer:
+    """Hold one HTTP answer and how long it took."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    elapsed_ms: int
+
+    def json(self) -> Any:
+        """Return the body as JSON."""
+        return json.loads(self.body)
+
+
+@attrs.frozen
+class Caller:
+    """Send requests to one entry."""
+
+    address: Address
+
+    def send(
+        self, method: str, path: str, value: Any = None, headers: dict[str, str] | None = None
+    ) -> Answer:
+        """Send one request and read the whole answer."""
+        body = b"" if value is None else json.dumps(value).encode()
+        client = HTTPClient(
+            self.address.host,
+            self.address.port,
+            concurrency=1,
+            network_timeout=RESPONSE_TIMEOUT_S,
+        )
+        started = time.monotonic()
+        try:
+            response = client.request(method, path, body, headers or {})
+            content = bytes(response.read())
+            names = {str(name).lower(): str(text) for name, text in response.items()}
+            elapsed_ms = round((time.monotonic() - started) * 1000)
+            return Answer(response.status_code, names, content, elapsed_ms)
+        finally:
+            client.close()
+
+    def wait_ready(self) -> bool:
+        """Wait until the entry has agents to route to."""
+        limit = time.monotonic() + READY_TIMEOUT_S
+        while time.monotonic() < limit:
+            if self.send("GET", "/readyz").status == 200:
+                return True
+            time.sleep(0.05)
+        return False
+
+    def order(self, key: str, body: dict[str, Any]) -> Answer:
+        """Send a storefront order, which must run at most once."""
+        return self.send("POST", "/services/storefront/orders", body, {"Idempotency-Key": key})
+
+    def complete(self, prompt: str, max_tokens: int, timeout_ms: int = 10_000) -> Answer:
+        """Ask for one completion."""
+        wanted = {"model": "fitting", "prompt": prompt, "max_tokens": max_tokens}
+        headers = {"X-Request-Timeout-Ms": str(timeout_ms)}
+        return self.send("POST", "/v1/completions", wanted, headers)
+
+    def stream(self, prompt: str, max_tokens: int) -> tuple[Answer, list[dict[str, Any]]]:
+        """Ask for a streamed completion and return its events; a broken one is not complete."""
+        wanted = {
+            "model": "fitting",
+            "prompt": prompt,
+            "max_tokens": max_tokens,
+            "stream": True,
+        }
+        answer = self.send("POST", "/v1/completions", wanted)
+        events = []
+        for block in answer.body.decode().split("\n\n"):
+            if not block.startswith("data: ") or block == "data: [DONE]":
+                continue
+            events.append(json.loads(block.removeprefix("data: ")))
+        return answer, events
+
+    def run_step(
+        self, trainer: str, step: int, prompts: list[str], samples_per_group: int
+    ) -> list[dict[str, Any]]:
+        """Ask for a step and pull all its samples."""
+        wanted = {
+            "trainer": trainer,
+            "step": step,
+            "model": "fitting",
+            "prompts": prompts,
+            "samples_per_group": samples_per_group,
+            "max_tokens": 12,
+        }
+        created = self.send("POST", "/v1/steps", wanted)
+        if created.status != 201:
+            raise RuntimeError(f"step not created: {created.status} {created.body!r}")
+        return self.pull_all(trainer, step)
+
+    def pull_all(self, trainer: str, step: int) -> list[dict[str, Any]]:
+        """Pull the samples of a step cursor by cursor; each pull acknowledges the one before."""
+        samples: list[dict[str, Any]] = []
+        cursor, attempt = 0, 1
+        while True:
+            path = f"/v1/steps/{trainer}/{step}/samples?cursor={cursor}&attempt={attempt}"
+            answer = self.send("GET", path)
+            if answer.status == 409 and "x-next-attempt" in answer.headers:
+                attempt = int(answer.headers["x-next-attempt"])
+                continue
+            if answer.status != 200:
+                time.sleep(0.2)
+                continue
+            batch = answer.json()
+            samples.extend(batch["samples"])
+            if batch["complete"]:
+                return samples
+            if batch["samples"]:
+                cursor, attempt = cursor + 1, 1
--- /dev/null
+++ b/src/pistachionotch/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Entry: serves callers and trainers and routes their work to agents."""
--- /dev/null
+++ b/src/pistachionotch/entry/bodies.py
@@ -0,0 +1,54 @@
+"""Fetches of sample bodies from the agents that produced them."""
+
+from __future__ import annotations
+
+import secrets
+
+import attrs
+from gevent.queue import Empty, Queue
+
+from ..samples.bodies import BodyStore
+from ..samples.sample import Sample
+from ..wire.assembly import Assembler
+from ..wire.messages import FetchBody, Finished, Piece
+from .table import LinkTable
+
+FETCH_TIMEOUT_S = 3.0
+
+
+@attrs.define
+class BodyFinder:
+    """Find the body of a sample here or at the agent that produced it."""
+
+    held: BodyStore
+    table: LinkTable
+
+    def __call__(self, sample: Sample) -> bytes | None:
+        """Return the body, or none if neither VM has it."""
+        body = self.held.get(sample.sample_id)
+        if body is not None:
+            return body
+        return self._fetch(sample)
+
+    def _fetch(self, sample: Sample) -> bytes | None:
+        link = self.table.links.get(sample.agent)
+        if link is None:
+            return None
+        identifier = f"body-{secrets.token_hex(6)}"
+        channel: Queue = Queue()
+        if not link.ask(identifier, FetchBody(identifier, sample.sample_id), channel):
+            return None
+        assembler = Assembler(identifier)
+        try:
+            while True:
+                _link, message = channel.get(timeout=FETCH_TIMEOUT_S)
+                if isinstance(message, Piece):
+                    assembler.add(message)
+                    continue
+                if not isinstance(message, Finished):
+                    return None
+                return assembler.finish(message).map(lambda whole: whole.body).value_or(None)
+        except Empty:
+            return None
+        finally:
+            link.forget(identifier)
--- /dev/null
+++ b/src/pistachionotch/entry/calls.py
@@ -0,0 +1,117 @@
+"""A caller's request on its way through an entry, and the events it produces."""
+
+from __future__ import annotations
+
+import json
+
+import attrs
+
+from ..clock import Deadline
+from ..outcomes import Execution, Problem, RequestClass
+from ..routing.facts import RoutedRequest
+from ..samples.spans import VersionSpan
+from ..wire.messages import Submit
+
+PROMPT_BYTES_PER_TOKEN = 4
+COMPLETIONS_PATH = "/v1/completions"
+DEFAULT_MAX_TOKENS = 16
+
+
+@attrs.frozen
+class Call:
+    """Describe one request; ``target`` is a model, or ``services/<name>`` for a plain service."""
+
+    request_id: str
+    request_class: RequestClass
+    deadline: Deadline
+    target: str
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    idempotent: bool
+    key: str = ""
+    expected_tokens: int = 0
+    tenant: str = ""
+    retain: str = ""
+
+    def routed(self, excluded: frozenset[str]) -> RoutedRequest:
+        """Return what placement needs to know."""
+        return RoutedRequest(
+            request_id=self.request_id,
+            request_class=self.request_class,
+            deadline=self.deadline,
+            model=self.target,
+            expected_tokens=self.expected_tokens,
+            prompt_tokens=len(self.body) // PROMPT_BYTES_PER_TOKEN,
+            transfer_bytes=len(self.body),
+            idempotent=self.idempotent,
+            excluded=excluded,
+        )
+
+    def submit(self, attempt: str, remaining_ms: int) -> Submit:
+        """Return the message that asks an agent to run one attempt."""
+        return Submit(
+            attempt,
+            self.request_id,
+            self.request_class,
+            remaining_ms,
+            self.idempotent,
+            self.target,
+            self.key,
+            self.method,
+            self.path,
+            self.headers,
+            self.body,
+            self.expected_tokens,
+            self.tenant,
+            self.retain,
+        )
+
+    def resumed(self, text: bytes, tokens: int) -> Call | None:
+        """Return the call for the rest of a completion, or none where that cannot be had."""
+        if self.path != COMPLETIONS_PATH or not self.idempotent:
+            return None
+        wanted = json.loads(self.body)
+        remaining = int(wanted.get("max_tokens", DEFAULT_MAX_TOKENS)) - tokens
+        if remaining <= 0:
+            return None
+        wanted["prompt"] = wanted["prompt"] + text.decode()
+        wanted["max_tokens"] = remaining
+        return attrs.evolve(self, body=json.dumps(wanted).encode(), expected_tokens=remaining)
+
+
+@attrs.frozen
+class Delivered:
+    """Hand over the next part of a response; ``version`` is -1 where none was reported."""
+
+    data: bytes
+    version: int
+    tokens: int
+
+
+@attrs.frozen
+class CallDone:
+    """End a complete response."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    spans: tuple[VersionSpan, ...]
+    agent: str
+
+
+@attrs.frozen
+class CallFailed:
+    """End a call without a complete response."""
+
+    problem: Problem
+
+
+RouteEvent = Delivered | CallDone | CallFailed
+
+_GRAVITY = (Execution.NOT_RUN, Execution.FAILED, Execution.UNKNOWN)
+
+
+def graver(first: Execution, second: Execution) -> Execution:
+    """Return the execution state that promises less to the caller."""
+    return max(first, second, key=_GRAVITY.index)
--- /dev/null
+++ b/src/pistachionotch/entry/duties.py
@@ -0,0 +1,95 @@
+"""Leased duty of publishing the directory of one availability zone."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+from returns.result import Failure
+
+from ..clock import Clock
+from ..lease.lease import Lease
+from ..membership.directory import Member, MemberState, encode_members
+from ..membership.registration import MEMBERS_PREFIX, decode_registration
+from ..objects.api import ObjectStore, StoredObject
+from ..objects.vms import VmList
+from .control import DIRECTORY_PREFIX
+
+STEP_MS = 1000
+# A VM missing from the lagging list for this long is taken out of the directory.
+ABSENT_MS = 120_000
+
+
+@attrs.define
+class DirectoryDuty:
+    """Merge registrations and the VM list into the directory object of one zone."""
+
+    zone: str
+    store: ObjectStore
+    vms: VmList
+    lease: Lease
+    clock: Clock
+    log: Any
+    period_ms: int = STEP_MS
+    registered_zones: set[str] = attrs.field(factory=set)
+    absent_since_ms: dict[str, int] = attrs.field(factory=dict)
+
+    def run(self) -> None:
+        """Hold the lease if possible and publish while it is held."""
+        while True:
+            self.lease.step()
+            if self.lease.held():
+                self.publish()
+            self.clock.sleep_ms(self.period_ms)
+
+    def publish(self) -> None:
+        """Write the directory if it changed; a lost race is repaired in the next period."""
+        registered = self.store.list(MEMBERS_PREFIX)
+        listed = self.vms.read()
+        if isinstance(registered, Failure):
+            return
+        members = self._members(registered.unwrap(), listed)
+        key = DIRECTORY_PREFIX + self.zone
+        read = self.store.get(key)
+        if isinstance(read, Failure):
+            return
+        current: StoredObject | None = read.unwrap()
+        value = encode_members(members)
+        if current is not None and current.value == value:
+            return
+        # The lease may have lapsed during the reads; a late write is still conditional.
+        if not self.lease.held():
+            return
+        written = self.store.put(key, value, current.version if current else None)
+        if isinstance(written, Failure):
+            self.log.info("directory not written", zone=self.zone, reason=str(written.failure()))
+            return
+        self.log.info("directory written", zone=self.zone, members=len(members))
+
+    def _members(
+        self, registered: tuple[StoredObject, ...], listed: dict[str, MemberState] | None
+    ) -> list[Member]:
+        members = []
+        for stored in registered:
+            member = decode_registration(stored.value)
+            if member is None:
+                continue
+            self.registered_zones.add(member.zone)
+            if member.zone != self.zone:
+                continue
+            state = self._state(member.node, listed)
+            if state is None:
+                continue
+            members.append(attrs.evolve(member, state=state))
+        return members
+
+    def _state(self, node: str, listed: dict[str, MemberState] | None) -> MemberState | None:
+        if listed is None:
+            return MemberState.LIVE
+        if node in listed:
+            self.absent_since_ms.pop(node, None)
+            return listed[node]
+        since_ms = self.absent_since_ms.setdefault(node, self.clock.now_ms())
+        if self.clock.now_ms() - since_ms > ABSENT_MS:
+            return None
+        return MemberState.LIVE
--- /dev/null
+++ b/src/pistachionotch/entry/http.py
@@ -0,0 +1,215 @@
+"""HTTP interface of an entry towards callers and trainers."""
+
+from __future__ import annotations
+
+import json
+import secrets
+from collections.abc import Callable, Iterable, Iterator
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import parse_qsl
+
+import attrs
+
+from ..clock import Clock
+from ..findings import InvalidInputError
+from ..outcomes import Execution, Problem
+from ..samples.spans import VersionSpan
+from .calls import Call, CallDone, CallFailed, Delivered, RouteEvent
+from .requests import (
+    MAX_BODY_BYTES,
+    CallDefaults,
+    HttpRequest,
+    completion_call,
+    findings_text,
+    service_call,
+)
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+Body = Iterable[bytes]
+
+
+@attrs.frozen
+class HttpResponse:
+    """Hold one complete HTTP response."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+
+    @classmethod
+    def json(cls, value: Any, status: int = 200) -> HttpResponse:
+        """Return a JSON response."""
+        body = json.dumps(value).encode()
+        return cls(status, [("Content-Type", "application/json")], body)
+
+    @classmethod
+    def of_problem(cls, problem: Problem) -> HttpResponse:
+        """Return the response that tells a problem."""
+        return cls(problem.status, problem.headers(), problem.body())
+
+
+Handler = Callable[[HttpRequest], HttpResponse]
+Route = Callable[[Call], Iterator[RouteEvent]]
+
+
+@attrs.define
+class HttpInterface:
+    """Serve HTTP; ``handlers`` maps method and path prefix to further handlers."""
+
+    clock: Clock
+    defaults: Callable[[], CallDefaults]
+    route: Route
+    handlers: dict[tuple[str, str], Handler]
+    on_open: Callable[[int], None]
+
+    def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> Body:
+        """Serve one WSGI request."""
+        self.on_open(1)
+        try:
+            yield from self._serve(environ, start_response)
+        finally:
+            self.on_open(-1)
+
+    def _serve(self, environ: dict[str, Any], start_response: StartResponse) -> Body:
+        try:
+            request = _read_request(environ)
+            if (request.method, request.path) == ("POST", "/v1/completions"):
+                call, streamed = completion_call(request, self.clock, self.defaults())
+                if streamed:
+                    return self._stream(call, start_response)
+                return self._respond(self._complete(call), start_response)
+            if request.path.startswith("/services/"):
+                call = service_call(request, self.clock, self.defaults())
+                return self._respond(self._collect(call), start_response)
+            return self._respond(self._handle(request), start_response)
+        except InvalidInputError as error:
+            problem = _bad_request(findings_text(error))
+            return self._respond(HttpResponse.of_problem(problem), start_response)
+
+    def _handle(self, request: HttpRequest) -> HttpResponse:
+        for (method, prefix), handler in self.handlers.items():
+            if request.method == method and request.path.startswith(prefix):
+                return handler(request)
+        return HttpResponse.of_problem(
+            Problem(404, "not found", "no such resource", Execution.NOT_RUN)
+        )
+
+    def _respond(self, response: HttpResponse, start_response: StartResponse) -> Body:
+        headers = [*response.headers, ("Content-Length", str(len(response.body)))]
+        start_response(f"{response.status} {_phrase(response.status)}", headers)
+        return [response.body]
+
+    def _collect(self, call: Call) -> HttpResponse:
+        """Return the whole response of a call, or its problem."""
+        parts: list[bytes] = []
+        for event in self.route(call):
+            if isinstance(event, Delivered):
+                parts.append(event.data)
+            elif isinstance(event, CallDone):
+                return HttpResponse(event.status, list(event.headers), b"".join(parts))
+            else:
+                return HttpResponse.of_problem(event.problem)
+        raise AssertionError("a call ended without a final event")
+
+    def _complete(self, call: Call) -> HttpResponse:
+        """Return a completion as one JSON object."""
+        parts: list[bytes] = []
+        for event in self.route(call):
+            if isinstance(event, Delivered):
+                parts.append(event.data)
+                continue
+            if isinstance(event, CallFailed):
+                return HttpResponse.of_problem(event.problem)
+            text = b"".join(parts)
+            if event.status != HTTPStatus.OK:
+                return HttpResponse(event.status, list(event.headers), text)
+            return HttpResponse.json(completion_body(call, text.decode(), event.spans))
+        raise AssertionError("a call ended without a final event")
+
+    def _stream(self, call: Call, start_response: StartResponse) -> Body:
+        events = self.route(call)
+        first = next(events)
+        if isinstance(first, CallFailed):
+            return self._respond(HttpResponse.of_problem(first.problem), start_response)
+        if isinstance(first, Delivered) and not first.tokens:
+            return self._respond(self._refused_by_engine(first, events), start_response)
+        headers = [("Content-Type", "text/event-stream"), ("X-Request-Id", call.request_id)]
+        start_response("200 OK", headers)
+        return _event_stream(call, first, events)
+
+    def _refused_by_engine(self, first: Delivered, events: Iterator[RouteEvent]) -> HttpResponse:
+        parts = [first.data]
+        for event in events:
+            if isinstance(event, Delivered):
+                parts.append(event.data)
+            elif isinstance(event, CallDone):
+                return HttpResponse(event.status, list(event.headers), b"".join(parts))
+            else:
+                return HttpResponse.of_problem(event.problem)
+        raise AssertionError("a call ended without a final event")
+
+
+def completion_body(call: Call, text: str, spans: tuple[VersionSpan, ...]) -> dict[str, Any]:
+    """Return the completion object with the weight versions that produced it."""
+    return {
+        "id": call.request_id,
+        "object": "text_completion",
+        "model": call.target,
+        "choices": [{"index": 0, "text": text, "finish_reason": "length"}],
+        "weight_versions": [attrs.asdict(span) for span in spans],
+    }
+
+
+def _event_stream(call: Call, first: RouteEvent, events: Iterator[RouteEvent]) -> Iterator[bytes]:
+    yield from _server_event(call, first)
+    for event in events:
+        yield from _server_event(call, event)
+
+
+def _server_event(call: Call, event: RouteEvent) -> Iterator[bytes]:
+    if isinstance(event, Delivered):
+        chunk = {
+            "id": call.request_id,
+            "object": "text_completion",
+            "model": call.target,
+            "choices": [{"index": 0, "text": event.data.decode(), "finish_reason": None}],
+            "weight_version": event.version,
+        }
+        yield _data(json.dumps(chunk))
+        return
+    if isinstance(event, CallFailed):
+        # The status line is out already; the error event keeps the part from passing as whole.
+        yield b"event: error\n" + _data(event.problem.body().decode())
+        return
+    final = completion_body(call, "", event.spans)
+    yield _data(json.dumps(final))
+    yield _data("[DONE]")
+
+
+def _data(text: str) -> bytes:
+    return f"data: {text}\n\n".encode()
+
+
+def _bad_request(detail: str) -> Problem:
+    return Problem(400, "bad request", detail, Execution.NOT_RUN, secrets.token_hex(8))
+
+
+def _phrase(status: int) -> str:
+    try:
+        return HTTPStatus(status).phrase
+    except ValueError:
+        return "Status"
+
+
+def _read_request(environ: dict[str, Any]) -> HttpRequest:
+    headers = {
+        name[5:].replace("_", "-").lower(): value
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    }
+    if environ.get("CONTENT_TYPE"):
+        headers["content-type"] = environ["CONTENT_TYPE"]
+    body = environ["wsgi.input"].read(MAX_BODY_BYTES + 1)
+    query = dict(parse_qsl(environ.get("QUERY_STRING", "")))
+    return HttpRequest(environ["REQUEST_METHOD"], environ["PATH_INFO"], query, headers, body)
--- /dev/null
+++ b/src/pistachionotch/entry/keys.py
@@ -0,0 +1,48 @@
+"""Issue of idempotency keys by the agents that will run the calls."""
+
+from __future__ import annotations
+
+import random
+import secrets
+
+import attrs
+from gevent.queue import Empty, Queue
+
+from ..wire.messages import IssueKey, KeyIssued
+from .links import AgentLink
+from .table import LinkTable
+
+ISSUE_TIMEOUT_S = 2.0
+
+
+def issue_at(link: AgentLink, scope: str) -> str | None:
+    """Ask one agent for a key; none if it does not answer in time."""
+    identifier = f"key-{secrets.token_hex(6)}"
+    channel: Queue = Queue()
+    if not link.ask(identifier, IssueKey(identifier, scope), channel):
+        return None
+    try:
+        _link, answer = channel.get(timeout=ISSUE_TIMEOUT_S)
+    except Empty:
+        return None
+    finally:
+        link.forget(identifier)
+    return answer.key if isinstance(answer, KeyIssued) else None
+
+
+@attrs.frozen
+class KeyIssuer:
+    """Choose an agent of a target and have it issue a key."""
+
+    table: LinkTable
+    rng: random.Random
+
+    def issue(self, target: str) -> str | None:
+        """Return a key for a call to ``target``, or none if no agent can issue one."""
+        links = [link for link in self.table.ready() if target in link.member.models]
+        self.rng.shuffle(links)
+        for link in links:
+            key = issue_at(link, target)
+            if key is not None:
+                return key
+        return None
--- /dev/null
+++ b/src/pistachionotch/entry/links.py
@@ -0,0 +1,260 @@
+"""Links to agents: each link task owns one session and what is known of its agent."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import singledispatchmethod
+from typing import Any
+
+import attrs
+import gevent
+from gevent.event import Event
+from gevent.queue import Queue
+
+from ..admission.load import LoadFacts
+from ..clock import Clock
+from ..config.revisions import Revisions
+from ..membership.directory import Member
+from ..outcomes import RequestClass
+from ..routing.facts import AgentObservations, CandidateFacts
+from ..wire import messages
+from ..wire.session import HandshakeError, Identity, Session, SessionClosed, open_session
+
+RECONNECT_MIN_MS = 100
+RECONNECT_MAX_MS = 5000
+CHECK_MS = 100
+
+
+@attrs.frozen
+class LinkLost:
+    """Tell the owner of an attempt that the agent's answer can no longer arrive."""
+
+    attempt: str
+    reason: str
+
+
+ChannelMessage = (
+    messages.Started
+    | messages.Piece
+    | messages.Finished
+    | messages.Refused
+    | messages.KeyIssued
+    | messages.OrderResult
+    | LinkLost
+)
+
+
+@attrs.define(eq=False)
+class AgentLink:
+    """Keep a proved session to one agent and hand its answers to the attempts they belong to."""
+
+    member: Member
+    identity: Identity
+    clock: Clock
+    heartbeat_ms: int
+    revisions: Revisions
+    log: Any
+    on_config: Callable[[], None]
+    session: Session | None = None
+    load: LoadFacts | None = None
+    incarnation: str = ""
+    observed_ms: int = 0
+    leaving: bool = False
+    stopped: bool = False
+    channels: dict[str, Queue] = attrs.field(factory=dict)
+    late_messages: int = 0
+    up: Event = attrs.field(factory=Event)
+    inbox: Queue = attrs.field(factory=Queue)
+    heartbeat_sequence: int = 0
+    observations: AgentObservations = attrs.field(factory=AgentObservations)
+
+    def run(self) -> None:
+        """Connect, serve and reconnect until stopped."""
+        pause_ms = RECONNECT_MIN_MS
+        while not self.stopped:
+            try:
+                self._connect()
+            except (OSError, HandshakeError) as error:
+                self.log.info("agent not reached", agent=self.member.node, reason=str(error))
+                self.clock.sleep_ms(pause_ms)
+                pause_ms = min(2 * pause_ms, RECONNECT_MAX_MS)
+                continue
+            pause_ms = RECONNECT_MIN_MS
+            self._serve()
+
+    def stop(self) -> None:
+        """End the link; the session closes and the task returns."""
+        self.stopped = True
+        if self.session is not None:
+            self.session.close("link is no longer needed")
+
+    def ready(self) -> bool:
+        """Return whether the agent can be given work."""
+        return self.session is not None and self.load is not None and not self.leaving
+
+    def facts(self, request_class: RequestClass) -> CandidateFacts | None:
+        """Return what placement should know, or none while the agent cannot be given work."""
+        if self.session is None or self.load is None:
+            return None
+        now_ms = self.clock.now_ms()
+        return CandidateFacts(
+            agent=self.member.node,
+            zone=self.member.zone,
+            region=self.member.region,
+            load=self.load,
+            observed_ms=self.observed_ms,
+            in_flight_here=len(self.observations.attempts),
+            sent_since_report=self.observations.sent_since(self.observed_ms),
+            draining=self.leaving,
+            models=frozenset(self.member.models),
+            first_hand=self.observations.summary(request_class, now_ms),
+        )
+
+    def submit(self, submit: messages.Submit, channel: Queue) -> bool:
+        """Send one attempt; false means that nothing was written to the agent."""
+        return self.ask(submit.attempt, submit, channel)
+
+    def ask(self, identifier: str, message: messages.Message, channel: Queue) -> bool:
+        """Send a message whose answers, named by ``identifier``, go to ``channel``."""
+        session = self.session
+        if session is None:
+            return False
+        self.channels[identifier] = channel
+        if not session.send(message):
+            self.channels.pop(identifier, None)
+            return False
+        return True
+
+    def forget(self, identifier: str) -> None:
+        """Drop later answers for ``identifier``."""
+        self.channels.pop(identifier, None)
+
+    def cancel(self, attempt: str) -> None:
+        """Withdraw an attempt and drop its later answers."""
+        self.forget(attempt)
+        if self.session is not None:
+            self.session.send(messages.Cancel(attempt))
+
+    def _connect(self) -> None:
+        self.inbox = Queue()
+        host, port = self.member.address.rsplit(":", 1)
+        session = open_session(
+            host,
+            int(port),
+            self.identity,
+            self.clock,
+            self.inbox,
+            self.heartbeat_ms,
+        )
+        if session.peer.node != self.member.node:
+            session.close("other node")
+            raise HandshakeError(f"node is {session.peer.node}")
+        self.session = session
+        self.incarnation = session.peer.incarnation
+        self.leaving = False
+        gevent.spawn(session.run)
+        self._send_heartbeat(session)
+
+    def _serve(self) -> None:
+        session = self.session
+        assert session is not None
+        heartbeats = gevent.spawn(self._beat, session)
+        try:
+            for _session, message in self.inbox:
+                if isinstance(message, SessionClosed):
+                    self._lose(message.reason)
+                    return
+                self.handle(message, session)
+        finally:
+            heartbeats.kill(block=False)
+
+    def _beat(self, session: Session) -> None:
+        sent_ms = self.clock.now_ms()
+        while not session.closed:
+            self.clock.sleep_ms(min(CHECK_MS, self.heartbeat_ms))
+            if session.silent():
+                session.close("no heartbeat")
+                return
+            if self.clock.now_ms() - sent_ms >= self.heartbeat_ms:
+                sent_ms = self.clock.now_ms()
+                self._send_heartbeat(session)
+
+    def _send_heartbeat(self, session: Session) -> None:
+        self.heartbeat_sequence += 1
+        session.send(messages.Heartbeat(self.heartbeat_sequence, self.revisions.revision))
+
+    def announce_config(self) -> None:
+        """Offer the configuration in force to the agent."""
+        if self.session is not None:
+            self.session.send(messages.ConfigOffer(self.revisions.revision))
+
+    def _lose(self, reason: str) -> None:
+        self.log.info("agent connection lost", agent=self.member.node, reason=reason)
+        self.session = None
+        self.load = None
+        self.up.clear()
+        channels, self.channels = self.channels, {}
+        for identifier, channel in channels.items():
+            channel.put((self, LinkLost(identifier, reason)))
+
+    @singledispatchmethod
+    def handle(self, message: object, session: Session) -> None:
+        """Act on one message of the agent."""
+        self.log.warning("unexpected message", kind=type(message).__name__)
+        session.close("unexpected message")
+
+    @handle.register
+    def _(self, message: messages.Heartbeat, session: Session) -> None:
+        self.load = message.load
+        self.observed_ms = self.clock.now_ms()
+        if message.load is not None and message.load.draining:
+            self.leaving = True
+        self.up.set()
+        if message.config_revision > self.revisions.revision:
+            session.send(messages.ConfigFetch(message.config_revision))
+
+    @handle.register
+    def _(self, message: messages.Leaving, _session: Session) -> None:
+        self.leaving = True
+        self.log.info("agent is leaving", agent=self.member.node, reason=message.reason)
+
+    @handle.register
+    def _(self, message: messages.ConfigOffer, session: Session) -> None:
+        if message.revision > self.revisions.revision:
+            session.send(messages.ConfigFetch(message.revision))
+
+    @handle.register
+    def _(self, message: messages.ConfigFetch, session: Session) -> None:
+        session.send(messages.ConfigBody(self.revisions.revision, self.revisions.body))
+
+    @handle.register
+    def _(self, message: messages.ConfigBody, _session: Session) -> None:
+        before = self.revisions.revision
+        self.revisions.offer(message.revision, message.body)
+        if self.revisions.revision > before:
+            self.on_config()
+
+    @handle.register
+    def _(self, message: messages.OrderResult, _session: Session) -> None:
+        self._hand_over(message.order, message, last=True)
+
+    @handle.register(messages.Started)
+    @handle.register(messages.Piece)
+    def _(self, message: messages.Started | messages.Piece, _session: Session) -> None:
+        self._hand_over(message.attempt, message, last=False)
+
+    @handle.register(messages.Finished)
+    @handle.register(messages.Refused)
+    @handle.register(messages.KeyIssued)
+    def _(self, message: Any, _session: Session) -> None:
+        self._hand_over(message.attempt, message, last=True)
+
+    def _hand_over(self, identifier: str, message: Any, last: bool) -> None:
+        channel = self.channels.get(identifier)
+        if channel is None:
+            # The attempt was given up; its late answer must not reach another request.
+            self.late_messages += 1
+            return
+        if last:
+            del self.channels[identifier]
+        channel.put((self, message))
--- /dev/null
+++ b/src/pistachionotch/entry/once.py
@@ -0,0 +1,262 @@
+"""Routing of non-idempotent calls: at most one run, and answers that say what is known."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from functools import singledispatchmethod
+
+import attrs
+from gevent.queue import Empty, Queue
+from returns.result import Success
+
+from ..idempotency.keys import decode_key
+from ..objects.api import ObjectStore
+from ..outcomes import Execution, Problem
+from ..routing.retry import FailedAttempt, decide_retry
+from ..wire.assembly import Assembler
+from ..wire.messages import Finished, Piece, Refused, Started
+from .calls import Call, CallDone, CallFailed, Delivered, RouteEvent
+from .claims import look_up_earlier_call
+from .keys import issue_at
+from .links import AgentLink, LinkLost
+from .router import FINAL_ANSWER_GRACE_MS, RoutingState
+
+RESUBMIT_PAUSE_MS = 100
+ASK_AGAIN_MS = 1000
+
+
+@attrs.define
+class OnceCall:
+    """Route one non-idempotent call; it is sent again only where it provably did not run."""
+
+    state: RoutingState
+    call: Call
+    deployment_key: bytes
+    store: ObjectStore
+    channel: Queue = attrs.field(factory=Queue)
+    link: AgentLink | None = None
+    attempt: str = ""
+    assembler: Assembler | None = None
+    excluded: set[str] = attrs.field(factory=set)
+    number: int = 0
+    ended: bool = False
+    proved_not_run: bool = False
+    resubmitted: bool = False
+    key_from_caller: bool = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.key_from_caller = bool(self.call.key)
+
+    def run(self) -> Iterator[RouteEvent]:
+        """Yield the response and one final event."""
+        yield from self._send("")
+        while not self.ended:
+            left_ms = self.call.deadline.at_ms - self.state.clock.now_ms() + FINAL_ANSWER_GRACE_MS
+            try:
+                link, message = self.channel.get(timeout=max(0, left_ms) / 1000)
+            except Empty:
+                yield self._failed(504, Execution.UNKNOWN, "deadline passed", ASK_AGAIN_MS)
+                break
+            yield from self.on_message(message, link)
+        if self.link is not None:
+            self.link.forget(self.attempt)
+            self.link.observations.dropped(self.attempt)
+
+    def _send(self, home: str) -> Iterator[RouteEvent]:
+        """Submit to ``home`` if given, else to the key's home or to a placed agent."""
+        home = home or self._home_of_key()
+        if home:
+            self.state.decisions.fixed(self.call, home, "home of the idempotency key")
+        else:
+            placement = self.state.place(self.call, frozenset(self.excluded))
+            if placement.agent is None:
+                yield from self._refuse(placement.reason, placement.retry_after_ms)
+                return
+            home = placement.agent
+        link = self.state.table.links.get(home)
+        if link is None or link.session is None:
+            yield from self._not_run(home, "agent is not connected", ASK_AGAIN_MS)
+            return
+        if not self._ensure_key(link):
+            yield from self._not_run(home, "agent issued no key", ASK_AGAIN_MS)
+            return
+        if not self._submit(link):
+            yield from self._not_run(home, "agent is not connected", ASK_AGAIN_MS)
+
+    def _submit(self, link: AgentLink) -> bool:
+        """Write one attempt to the agent; false means that nothing was written."""
+        state = self.state
+        self.link = link
+        self.number += 1
+        self.attempt = state.next_attempt()
+        self.assembler = Assembler(self.attempt)
+        remaining_ms = self.call.deadline.remaining_ms(state.clock)
+        if not link.submit(self.call.submit(self.attempt, remaining_ms), self.channel):
+            return False
+        link.observations.sent(self.attempt, self.call.request_class, state.clock.now_ms())
+        return True
+
+    def _home_of_key(self) -> str:
+        issued = decode_key(self.call.key, self.call.target, self.deployment_key)
+        return issued.agent if issued is not None else ""
+
+    def _ensure_key(self, link: AgentLink) -> bool:
+        """Give a call without a key one that only this agent incarnation may run."""
+        if self.call.key:
+            return True
+        key = issue_at(link, self.call.target)
+        if key is None:
+            return False
+        self.call = attrs.evolve(self.call, key=key)
+        return True
+
+    def _not_run(self, agent: str, reason: str, retry_after_ms: int) -> Iterator[RouteEvent]:
+        """Try elsewhere or later within the budget, or answer ``not-run``."""
+        state = self.state
+        others = [
+            link
+            for link in state.table.ready()
+            if link.member.node not in self.excluded and link.member.node != agent
+        ]
+        decision = decide_retry(
+            FailedAttempt(max(1, self.number), Execution.NOT_RUN, False, retry_after_ms),
+            self.call.deadline.remaining_ms(state.clock),
+            0,
+            0 if self._home_of_key() else len(others),
+            state.budget,
+            state.clock.now_ms(),
+            state.rng,
+        )
+        state.decisions.retried(self.call, reason, decision)
+        if not decision.retry:
+            yield from self._refuse(reason, retry_after_ms)
+            return
+        state.clock.sleep_ms(decision.wait_ms)
+        if others and not self._home_of_key():
+            self.excluded.add(agent)
+        self.number += 1
+        yield from self._send("")
+
+    def _refuse(self, reason: str, retry_after_ms: int) -> Iterator[RouteEvent]:
+        """Refuse a call of which nothing was sent, by what is known of its key."""
+        if self.proved_not_run or not self.key_from_caller:
+            yield self._failed(503, Execution.NOT_RUN, reason, retry_after_ms)
+            return
+        earlier = look_up_earlier_call(self.store, self.call.target, self.call.key)
+        if earlier.result is not None:
+            result = earlier.result
+            yield from self._done(result.body, result.status, result.headers, "")
+            return
+        yield self._failed(503, earlier.execution, reason, retry_after_ms)
+
+    @singledispatchmethod
+    def on_message(self, message: object, link: AgentLink) -> Iterator[RouteEvent]:
+        """Act on one message of the agent."""
+        raise TypeError(type(message))
+
+    @on_message.register
+    def _(self, message: Started, link: AgentLink) -> Iterator[RouteEvent]:
+        return iter(())
+
+    @on_message.register
+    def _(self, message: Piece, link: AgentLink) -> Iterator[RouteEvent]:
+        if message.attempt != self.attempt or self.assembler is None:
+            return iter(())
+        # The parts wait in the assembler: a caller gets the whole response or a problem.
+        self.assembler.add(message)
+        return iter(())
+
+    @on_message.register
+    def _(self, message: Finished, link: AgentLink) -> Iterator[RouteEvent]:
+        if message.attempt != self.attempt or self.assembler is None:
+            return
+        if message.execution is not Execution.DONE:
+            yield self._failed(502, Execution.UNKNOWN, message.reason, ASK_AGAIN_MS)
+            return
+        complete = self.assembler.finish(message)
+        if not isinstance(complete, Success):
+            yield from self._submit_again(link, complete.failure().reason)
+            return
+        state = self.state
+        link.observations.first_token(self.attempt, state.clock.now_ms())
+        link.observations.finished(self.attempt, 0, state.clock.now_ms())
+        state.budget.record_success(state.clock.now_ms())
+        yield from self._done(
+            complete.unwrap().body, message.status, message.headers, link.member.node
+        )
+
+    def _done(
+        self, body: bytes, status: int, headers: tuple[tuple[str, str], ...], agent: str
+    ) -> Iterator[RouteEvent]:
+        self.ended = True
+        self.state.decisions.done(self.call, agent)
+        yield Delivered(body, -1, 0)
+        yield CallDone(status, headers, (), agent)
+
+    @on_message.register
+    def _(self, message: Refused, link: AgentLink) -> Iterator[RouteEvent]:
+        if message.attempt != self.attempt:
+            return
+        link.observations.dropped(self.attempt)
+        if message.home:
+            yield from self._send_home(message.home)
+            return
+        if message.execution is Execution.NOT_RUN and self.resubmitted and not message.proved:
+            # The agent refused to look at the key now, which says nothing of the earlier attempt.
+            self.state.clock.sleep_ms(RESUBMIT_PAUSE_MS)
+            yield from self._submit_again(link, message.reason)
+            return
+        if message.execution is Execution.NOT_RUN:
+            self.proved_not_run = message.proved
+            yield from self._not_run(link.member.node, message.reason, message.retry_after_ms)
+            return
+        if message.retry_after_ms and self.resubmitted:
+            # The call in progress is this one, whose earlier answer was cut off.
+            self.state.clock.sleep_ms(RESUBMIT_PAUSE_MS)
+            yield from self._submit_again(link, message.reason)
+            return
+        status = 409 if message.retry_after_ms else 502
+        yield self._failed(status, Execution.UNKNOWN, message.reason, message.retry_after_ms)
+
+    def _send_home(self, home: str) -> Iterator[RouteEvent]:
+        """Go on at the agent that holds the key's claim; nobody else may answer for it."""
+        link = self.state.table.links.get(home)
+        if link is None or link.session is None:
+            reason = "the agent that holds this key is not connected"
+            yield self._failed(503, Execution.UNKNOWN, reason, ASK_AGAIN_MS)
+            return
+        yield from self._send(home)
+
+    @on_message.register
+    def _(self, message: LinkLost, link: AgentLink) -> Iterator[RouteEvent]:
+        if message.attempt != self.attempt:
+            return
+        yield from self._submit_again(link, message.reason)
+
+    def _submit_again(self, link: AgentLink, reason: str) -> Iterator[RouteEvent]:
+        """Send the same key to the same agent, whose claim turns a second run into a replay."""
+        state = self.state
+        left_ms = self.call.deadline.remaining_ms(state.clock)
+        state.decisions.resubmitted(self.call, link.member.node, reason)
+        if not left_ms or not link.up.wait(left_ms / 1000):
+            yield self._failed(502, Execution.UNKNOWN, "agent was lost", ASK_AGAIN_MS)
+            return
+        self.resubmitted = True
+        if not self._submit(link):
+            state.clock.sleep_ms(RESUBMIT_PAUSE_MS)
+            yield from self._submit_again(link, reason)
+
+    def _failed(
+        self, status: int, execution: Execution, reason: str, retry_after_ms: int
+    ) -> CallFailed:
+        self.ended = True
+        problem = Problem(
+            status,
+            "request not completed",
+            reason,
+            execution,
+            self.call.request_id,
+            retry_after_ms or ASK_AGAIN_MS,
+        )
+        self.state.decisions.failed(self.call, problem)
+        return CallFailed(problem)
--- /dev/null
+++ b/src/pistachionotch/entry/requests.py
@@ -0,0 +1,236 @@
+"""Checks of HTTP requests: every fault of one request is reported in one answer."""
+
+from __future__ import annotations
+
+import json
+import re
+import secrets
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+
+from ..clock import Clock, Deadline
+from ..findings import Findings, InvalidInputError, Place
+from ..outcomes import RequestClass
+from .calls import COMPLETIONS_PATH, DEFAULT_MAX_TOKENS, Call
+
+# A request body and its message framing must fit one message to the agent.
+MAX_BODY_BYTES = 900 * 1024
+MAX_TIMEOUT_MS = 600_000
+MAX_TOKENS = 131_072
+MAX_KEY_CHARACTERS = 200
+_IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE"})
+_IDENTIFIER = re.compile(r"[A-Za-z0-9._:-]{1,100}")
+_PRIVATE_HEADERS = frozenset(
+    {"host", "connection", "content-length", "transfer-encoding", "te", "upgrade", "expect"}
+)
+
+
+@attrs.frozen
+class HttpRequest:
+    """Hold one parsed HTTP request."""
+
+    method: str
+    path: str
+    query: Mapping[str, str]
+    headers: Mapping[str, str]
+    body: bytes
+
+    def header(self, name: str, default: str = "") -> str:
+        """Return a header by its lower-case name."""
+        return self.headers.get(name, default)
+
+
+@attrs.define
+class RequestChecker:
+    """Collect the faults of one request while reading its fields."""
+
+    request: HttpRequest
+    findings: Findings = attrs.field(factory=Findings)
+
+    def fault(self, field: str, message: str) -> None:
+        """Record one fault."""
+        self.findings.add(Place(field), message)
+
+    def integer(self, name: str, text: Any, default: int, low: int, high: int) -> int:
+        """Return a whole number within bounds."""
+        if text in ("", None):
+            return default
+        try:
+            value = int(text)
+        except (TypeError, ValueError):
+            self.fault(name, "is not a whole number")
+            return default
+        if not low <= value <= high:
+            self.fault(name, f"is not between {low} and {high}")
+            return default
+        return value
+
+    def identifier(self, name: str, text: Any, default: str) -> str:
+        """Return a short name of letters, digits and ``._:-``."""
+        if text in ("", None):
+            return default
+        if not isinstance(text, str) or not _IDENTIFIER.fullmatch(text):
+            self.fault(name, "is not 1 to 100 letters, digits or ._:-")
+            return default
+        return text
+
+    def request_class(self, default: RequestClass) -> RequestClass:
+        """Return the class that the caller named."""
+        text = self.request.header("x-request-class")
+        if not text:
+            return default
+        try:
+            return RequestClass(text)
+        except ValueError:
+            known = ", ".join(RequestClass)
+            self.fault("X-Request-Class", f"is not one of {known}")
+            return default
+
+    def json_object(self) -> dict[str, Any]:
+        """Return the body as a JSON object."""
+        try:
+            value = json.loads(self.request.body)
+        except (ValueError, RecursionError) as error:
+            self.fault("body", f"is not JSON: {error}")
+            return {}
+        if not isinstance(value, dict):
+            self.fault("body", "is not a JSON object")
+            return {}
+        return value
+
+    def raise_if_any(self) -> None:
+        """Raise ``InvalidInputError`` with all faults."""
+        self.findings.raise_if_any()
+
+
+@attrs.frozen
+class RouteRule:
+    """Say whether calls of a method below a path of a service may be repeated."""
+
+    service: str
+    method: str
+    path: str
+    idempotent: bool
+
+    def covers(self, service: str, method: str, path: str) -> bool:
+        """Return whether the rule applies to a call."""
+        if (service, method) != (self.service, self.method):
+            return False
+        prefix = self.path.rstrip("/")
+        return path == self.path or path == prefix or path.startswith(prefix + "/")
+
+
+@attrs.frozen
+class CallDefaults:
+    """Hold what configuration says for calls that do not say it themselves."""
+
+    timeouts_ms: Mapping[RequestClass, int]
+    routes: tuple[RouteRule, ...] = ()
+
+    def timeout_ms(self, request_class: RequestClass) -> int:
+        """Return the timeout of a class."""
+        return self.timeouts_ms[request_class]
+
+    def idempotent(self, service: str, method: str, path: str) -> bool:
+        """Return whether a call may be repeated, by its longest rule, else by RFC 9110."""
+        rules = [rule for rule in self.routes if rule.covers(service, method, path)]
+        if rules:
+            return max(rules, key=lambda rule: len(rule.path)).idempotent
+        return method in _IDEMPOTENT_METHODS
+
+
+def _forwarded_headers(request: HttpRequest) -> tuple[tuple[str, str], ...]:
+    return tuple(
+        (name, value)
+        for name, value in request.headers.items()
+        if name not in _PRIVATE_HEADERS and not name.startswith(("x-request-", "idempotency-key"))
+    )
+
+
+def _common(
+    checker: RequestChecker, clock: Clock, defaults: CallDefaults, default_class: RequestClass
+) -> tuple[str, RequestClass, Deadline, str]:
+    request = checker.request
+    request_id = checker.identifier(
+        "X-Request-Id", request.header("x-request-id"), secrets.token_hex(8)
+    )
+    request_class = checker.request_class(default_class)
+    timeout_ms = checker.integer(
+        "X-Request-Timeout-Ms",
+        request.header("x-request-timeout-ms"),
+        defaults.timeout_ms(request_class),
+        1,
+        MAX_TIMEOUT_MS,
+    )
+    key = request.header("idempotency-key")
+    if len(key) > MAX_KEY_CHARACTERS:
+        checker.fault("Idempotency-Key", f"is longer than {MAX_KEY_CHARACTERS} characters")
+    if len(request.body) > MAX_BODY_BYTES:
+        checker.fault("body", f"is longer than {MAX_BODY_BYTES} bytes")
+    return request_id, request_class, Deadline.after(clock, timeout_ms), key
+
+
+def completion_call(
+    request: HttpRequest, clock: Clock, defaults: CallDefaults
+) -> tuple[Call, bool]:
+    """Return the call for a completion request and whether to stream its response."""
+    checker = RequestChecker(request)
+    wanted = checker.json_object()
+    request_id, request_class, deadline, _key = _common(
+        checker, clock, defaults, RequestClass.STOREFRONT
+    )
+    model = checker.identifier("model", wanted.get("model"), "")
+    if not model:
+        checker.fault("model", "is missing")
+    if not isinstance(wanted.get("prompt"), str):
+        checker.fault("prompt", "is not a string")
+    tokens = checker.integer(
+        "max_tokens", wanted.get("max_tokens"), DEFAULT_MAX_TOKENS, 1, MAX_TOKENS
+    )
+    checker.raise_if_any()
+    call = Call(
+        request_id,
+        request_class,
+        deadline,
+        model,
+        "POST",
+        COMPLETIONS_PATH,
+        (),
+        request.body,
+        idempotent=True,
+        expected_tokens=tokens,
+        tenant=checker.identifier("X-Request-Tenant", request.header("x-request-tenant"), ""),
+    )
+    return call, bool(wanted.get("stream"))
+
+
+def service_call(request: HttpRequest, clock: Clock, defaults: CallDefaults) -> Call:
+    """Return the call for ``/services/<service>/<path>``."""
+    checker = RequestChecker(request)
+    _empty, _services, service, *rest = request.path.split("/", 3)
+    path = "/" + (rest[0] if rest else "")
+    request_id, request_class, deadline, key = _common(
+        checker, clock, defaults, RequestClass.STOREFRONT
+    )
+    checker.identifier("service", service, "")
+    checker.raise_if_any()
+    idempotent = defaults.idempotent(service, request.method, path)
+    return Call(
+        request_id,
+        request_class,
+        deadline,
+        f"services/{service}",
+        request.method,
+        path,
+        _forwarded_headers(request),
+        request.body,
+        idempotent=idempotent,
+        key=key,
+    )
+
+
+def findings_text(error: InvalidInputError) -> str:
+    """Return all findings of a refused request as one sentence each."""
+    return "; ".join(f"{finding.place.file} {finding.message}" for finding in error.findings)
--- /dev/null
+++ b/src/pistachionotch/entry/table.py
@@ -0,0 +1,102 @@
+"""Table of links to the agents that this entry connects to."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+import gevent
+
+from ..membership.directory import Directory, Member
+from ..membership.subset import choose_agents
+from ..outcomes import RequestClass
+from ..routing.facts import CandidateFacts, Location
+from .links import AgentLink
+from .policy import PolicyView
+
+
+@attrs.define
+class LinkTable:
+    """Open and close links as the directory changes."""
+
+    here: Location
+    directory: Directory
+    make_link: Callable[[Member], AgentLink]
+    policy: PolicyView
+    links: dict[str, AgentLink] = attrs.field(factory=dict)
+    required: dict[str, frozenset[str]] = attrs.field(factory=dict)
+
+    def refresh(self) -> None:
+        """Connect to the chosen agents and drop those no longer chosen."""
+        wanted = {member.node: member for member in self._chosen()}
+        for node, link in list(self.links.items()):
+            member = wanted.get(node)
+            if member is not None and member.address == link.member.address:
+                link.member = member
+                continue
+            self._drop(node, link)
+        for node, member in wanted.items():
+            if node in self.links:
+                continue
+            link = self.make_link(member)
+            self.links[node] = link
+            gevent.spawn(link.run)
+        self._mark_leaving()
+
+    def candidates(self, request_class: RequestClass) -> list[CandidateFacts]:
+        """Return the facts of all connected agents, as they are for one class."""
+        found = []
+        for link in self.links.values():
+            facts = link.facts(request_class)
+            if facts is None:
+                continue
+            found.append(facts)
+        return found
+
+    def ready(self) -> list[AgentLink]:
+        """Return the links that can be given work."""
+        return [link for link in self.links.values() if link.ready()]
+
+    def require(self, duty: str, nodes: list[str]) -> None:
+        """Keep links to the agents that a leased duty has to reach, beside the chosen ones."""
+        wanted = frozenset(nodes)
+        if self.required.get(duty, frozenset()) == wanted:
+            return
+        self.required[duty] = wanted
+        self.refresh()
+
+    def announce_config(self) -> None:
+        """Offer the configuration in force to all agents."""
+        for link in self.links.values():
+            link.announce_config()
+
+    def _chosen(self) -> tuple[Member, ...]:
+        members = self.directory.known()
+        targets = sorted({target for member in members for target in member.models})
+        share = max(2, self.policy.subset_size() // max(1, len(targets)))
+        chosen: dict[str, Member] = {}
+        for target in targets:
+            serving = [member for member in members if target in member.models]
+            for member in choose_agents(self.here.node, self.here, serving, share):
+                chosen[member.node] = member
+        required = frozenset().union(*self.required.values())
+        for member in members:
+            if member.node in required:
+                chosen[member.node] = member
+        return tuple(chosen.values())
+
+    def _drop(self, node: str, link: AgentLink) -> None:
+        # Answers still due arrive over the old session, so it ends only once nothing is open.
+        del self.links[node]
+        link.leaving = True
+        gevent.spawn(self._stop_when_idle, link)
+
+    def _stop_when_idle(self, link: AgentLink) -> None:
+        while link.channels and link.session is not None:
+            gevent.sleep(0.2)
+        link.stop()
+
+    def _mark_leaving(self) -> None:
+        for link in self.links.values():
+            if self.directory.is_leaving(link.member):
+                link.leaving = True
--- a/src/pistachionotch/idempotency/book.py
+++ b/src/pistachionotch/idempotency/book.py
@@ -142,6 +142,24 @@
         record.phase = RecordPhase.ABANDONED
         self.unsettled[record.name] = record
 
+    def not_sent(self, scope: str, key: str, run: int | None = None) -> None:
+        """Take ``sending`` back: no connection to the upstream was made, so nothing was sent."""
+        record = self._record(scope, key, run)
+        if record.phase is not RecordPhase.SENT:
+            raise ClaimStateError(f"nothing to take back in state {record.phase.name}")
+        record.phase = RecordPhase.READY
+        self.abandon(scope, key, run)
+
+    def never_run(self, scope: str, key: str) -> bool:
+        """Return whether memory alone proves that no call with this key was sent."""
+        if not is_issued(key):
+            record = self.records.get(claim_key(scope, key))
+            return record is not None and record.phase is RecordPhase.ABANDONED
+        issued = decode_key(key, scope, self.deployment_key)
+        if issued is None or not self._is_own(issued):
+            return False
+        return self.records.get(key) is None and self._never_begun(issued)
+
     def query(self, scope: str, key: str) -> ClaimState:
         """Return what memory proves about a call.
 
--- /dev/null
+++ b/src/pistachionotch/membership/registration.py
@@ -0,0 +1,80 @@
+"""Registration of an agent, written when it starts or changes and never as a heartbeat."""
+
+from __future__ import annotations
+
+import json
+import secrets
+from typing import Any
+
+import attrs
+from returns.result import Failure
+
+from ..clock import Clock
+from ..objects.api import ObjectStore, VersionConflict
+from ..objects.settle import put_settled
+from .directory import Member, decode_members
+
+MEMBERS_PREFIX = "members/"
+RETRY_MS = 1000
+
+
+def encode_registration(member: Member, token: str) -> bytes:
+    """Return the value of a member object."""
+    return json.dumps({"member": attrs.asdict(member), "writer": token}).encode()
+
+
+def decode_registration(value: bytes) -> Member | None:
+    """Return the member in a member object, or none if it is malformed."""
+    try:
+        item = json.loads(value)["member"]
+        return decode_members(json.dumps([item]).encode())[0]
+    except (ValueError, KeyError, TypeError):
+        return None
+
+
+@attrs.define
+class Registration:
+    """Write one member object and remove it again."""
+
+    store: ObjectStore
+    member: Member
+    clock: Clock
+    log: Any
+    registered: bool = False
+
+    def run(self) -> None:
+        """Try until the registration is in the store."""
+        while not self.registered:
+            self.registered = self._write()
+            if not self.registered:
+                self.clock.sleep_ms(RETRY_MS)
+        self.log.info("registered", node=self.member.node, incarnation=self.member.incarnation)
+
+    def _write(self) -> bool:
+        key = MEMBERS_PREFIX + self.member.node
+        read = self.store.get(key)
+        if isinstance(read, Failure):
+            return False
+        current = read.unwrap()
+        token = secrets.token_hex(8)
+        value = encode_registration(self.member, token)
+        version = current.version if current else None
+        written = put_settled(self.store, key, value, version, token)
+        if isinstance(written, Failure):
+            self.log.info("registration not written", reason=str(written.failure()))
+            return False
+        return True
+
+    def withdraw(self) -> None:
+        """Remove the member object, unless a newer incarnation has replaced it."""
+        key = MEMBERS_PREFIX + self.member.node
+        read = self.store.get(key)
+        current = read.value_or(None)
+        if current is None:
+            return
+        held = decode_registration(current.value)
+        if held is None or held.incarnation != self.member.incarnation:
+            return
+        deleted = self.store.delete(key, current.version)
+        if isinstance(deleted, Failure) and not isinstance(deleted.failure(), VersionConflict):
+            self.log.info("registration not removed", reason=str(deleted.failure()))
--- a/src/pistachionotch/routing/retry.py
+++ b/src/pistachionotch/routing/retry.py
@@ -52,6 +52,8 @@
     execution: Execution
     idempotent: bool
     retry_after_ms: int = 0
+    # The agent went away with the attempt, so another attempt replaces work instead of adding it.
+    agent_lost: bool = False
 
 
 @attrs.frozen
@@ -90,6 +92,6 @@
         wait_ms += failed.retry_after_ms
     if wait_ms + estimate_ms >= remaining_ms:
         return RetryDecision(False, f"{remaining_ms} ms left do not suffice for another attempt")
-    if not budget.spend(now_ms):
+    if not failed.agent_lost and not budget.spend(now_ms):
         return RetryDecision(False, "retry budget is spent")
     return RetryDecision(True, f"attempt {failed.number + 1} within the budget", wait_ms)
--- /dev/null
+++ b/src/pistachionotch/standins/engine.py
@@ -0,0 +1,152 @@
+"""Stand-in for a model engine: completions, load reports, orders, run ledger and faults."""
+
+from __future__ import annotations
+
+import errno
+import json
+import random
+from collections.abc import Iterator
+from typing import Any
+
+import attrs
+import gevent
+from gevent.lock import BoundedSemaphore
+
+from ..clock import Clock, SystemClock
+from .http import Environ, StartResponse, read_body, respond_json
+
+_WORDS = ("saddle", "tyre", "jersey", "hub", "spoke", "crank", "ferret", "class", "judge", "show")
+
+
+@attrs.define
+class EngineFaults:
+    """Switch faults on and off while the engine runs."""
+
+    slow_factor: float = 1.0
+    break_after_tokens: int = -1
+    hide_versions: bool = False
+    fail_orders: int = 0
+    lose_order_answers: int = 0
+
+
+@attrs.define
+class EngineRun:
+    """Record one completion that the engine really ran."""
+
+    request: str
+    spans: list[list[int]]
+    finished: bool = False
+    cancelled: bool = False
+
+
+@attrs.define
+class EngineStandIn:
+    """Serve completions token by token and swap weights when ordered."""
+
+    model: str
+    clock: Clock = attrs.field(factory=SystemClock)
+    version: int = 1
+    slots: int = 8
+    token_ms: int = 4
+    checks_fences: bool = False
+    swap_ms: int = 50
+    fence: int = 0
+    faults: EngineFaults = attrs.field(factory=EngineFaults)
+    runs: list[EngineRun] = attrs.field(factory=list)
+    orders: list[dict[str, Any]] = attrs.field(factory=list)
+    running: int = 0
+    waiting: int = 0
+    _slots: BoundedSemaphore = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._slots = BoundedSemaphore(self.slots)
+
+    def __call__(self, environ: Environ, start_response: StartResponse) -> Any:
+        """Dispatch one HTTP request."""
+        route = (environ["REQUEST_METHOD"], environ["PATH_INFO"])
+        if route == ("POST", "/v1/completions"):
+            return self._complete(environ, start_response)
+        if route == ("GET", "/load"):
+            report = {"running": self.running, "waiting": self.waiting, "measured_ms_ago": 0}
+            return respond_json(start_response, 200, report)
+        if route == ("GET", "/admin/version"):
+            return respond_json(start_response, 200, {"model": self.model, "version": self.version})
+        if route == ("POST", "/admin/orders"):
+            return self._order(json.loads(read_body(environ)), start_response)
+        if route == ("POST", "/faults"):
+            for name, value in json.loads(read_body(environ)).items():
+                setattr(self.faults, name, value)
+            return respond_json(start_response, 200, attrs.asdict(self.faults))
+        if route == ("GET", "/ledger"):
+            ledger = {"runs": [attrs.asdict(run) for run in self.runs], "orders": self.orders}
+            return respond_json(start_response, 200, ledger)
+        return respond_json(start_response, 404, {"error": "no such route"})
+
+    def _complete(self, environ: Environ, start_response: StartResponse) -> Any:
+        wanted = json.loads(read_body(environ))
+        if wanted.get("model") != self.model:
+            return respond_json(start_response, 404, {"error": "no such model"})
+        run = EngineRun(environ.get("HTTP_X_REQUEST_ID", ""), [])
+        self.runs.append(run)
+        start_response("200 OK", [("Content-Type", "text/event-stream")])
+        return self._stream(run, wanted)
+
+    def _stream(self, run: EngineRun, wanted: dict[str, Any]) -> Iterator[bytes]:
+        self.waiting += 1
+        try:
+            self._slots.acquire()
+        finally:
+            self.waiting -= 1
+        self.running += 1
+        try:
+            yield from self._tokens(run, wanted)
+        except GeneratorExit:
+            run.cancelled = True
+            raise
+        finally:
+            self.running -= 1
+            self._slots.release()
+
+    def _tokens(self, run: EngineRun, wanted: dict[str, Any]) -> Iterator[bytes]:
+        words = random.Random(f"{wanted.get('seed', 0)}:{wanted['prompt']}")
+        count = int(wanted.get("max_tokens", 16))
+        for position in range(count):
+            if position == self.faults.break_after_tokens:
+                raise ConnectionResetError(errno.ECONNRESET, "stand-in breaks the stream")
+            gevent.sleep(self.token_ms * self.faults.slow_factor / 1000)
+            version = self.version
+            if run.spans and run.spans[-1][0] == version:
+                run.spans[-1][1] += 1
+            else:
+                run.spans.append([version, 1])
+            reason = "length" if position == count - 1 else None
+            yield self._chunk(words.choice(_WORDS) + " ", reason, version)
+        run.finished = True
+        yield b"data: [DONE]\n\n"
+
+    def _chunk(self, text: str, reason: str | None, version: int) -> bytes:
+        chunk: dict[str, Any] = {
+            "object": "text_completion",
+            "model": self.model,
+            "choices": [{"index": 0, "text": text, "finish_reason": reason}],
+        }
+        if not self.faults.hide_versions:
+            chunk["weight_version"] = version
+        return b"data: " + json.dumps(chunk).encode() + b"\n\n"
+
+    def _order(self, order: dict[str, Any], start_response: StartResponse) -> list[bytes]:
+        fence = int(order["fence"])
+        self.orders.append(dict(order))
+        if self.checks_fences and fence < self.fence:
+            return respond_json(start_response, 409, {"error": "old fence"})
+        self.fence = max(self.fence, fence)
+        if self.faults.fail_orders > 0:
+            self.faults.fail_orders -= 1
+            return respond_json(start_response, 500, {"error": "swap failed"})
+        gevent.sleep(self.swap_ms / 1000)
+        self.version = int(order["version"])
+        if self.faults.lose_order_answers > 0:
+            self.faults.lose_order_answers -= 1
+            # The WSGI server closes the connection without an answer on this error.
+            raise ConnectionResetError(errno.ECONNRESET, "stand-in loses the answer")
+        return respond_json(start_response, 200, {"version": self.version})
--- /dev/null
+++ b/src/pistachionotch/standins/http.py
@@ -0,0 +1,34 @@
+"""Shared helpers of the stand-ins: JSON answers and serving a WSGI application."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Iterable
+from http import HTTPStatus
+from typing import Any
+
+from gevent.pywsgi import WSGIServer
+
+Environ = dict[str, Any]
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+Application = Callable[[Environ, StartResponse], Iterable[bytes]]
+
+
+def read_body(environ: Environ) -> bytes:
+    """Return the request body."""
+    return environ["wsgi.input"].read()
+
+
+def respond_json(start_response: StartResponse, status: int, value: Any) -> list[bytes]:
+    """Answer with a JSON body."""
+    body = json.dumps(value).encode()
+    headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
+    start_response(f"{status} {HTTPStatus(status).phrase}", headers)
+    return [body]
+
+
+def start_server(application: Application, host: str, port: int) -> WSGIServer:
+    """Start serving in the background; port 0 takes a free port."""
+    server = WSGIServer((host, port), application, log=None, error_log=None)
+    server.start()
+    return server
--- /dev/null
+++ b/src/pistachionotch/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Protocol between entries and agents: typed messages, codec and authenticated sessions."""
--- /dev/null
+++ b/src/pistachionotch/wire/codec.py
@@ -0,0 +1,100 @@
+"""CBOR encoding of messages as arrays: a type number, then the fields by position."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+import cattrs
+import cbor2
+from cattrs import UnstructureStrategy
+
+from ..admission.load import LoadFacts
+from ..outcomes import Execution, RequestClass
+from ..samples.spans import VersionSpan
+from . import messages
+
+# A number belongs to a message type for good; a retired type leaves its number unused.
+_TYPE_NUMBERS: dict[type, int] = {
+    messages.Hello: 1,
+    messages.Proof: 2,
+    messages.Heartbeat: 3,
+    messages.Submit: 4,
+    messages.Refused: 5,
+    messages.Started: 6,
+    messages.Piece: 7,
+    messages.Finished: 8,
+    messages.Cancel: 9,
+    messages.IssueKey: 12,
+    messages.KeyIssued: 13,
+    messages.Leaving: 14,
+    messages.ConfigOffer: 15,
+    messages.ConfigFetch: 16,
+    messages.ConfigBody: 17,
+    messages.Order: 18,
+    messages.OrderResult: 19,
+    messages.FetchBody: 20,
+}
+_TYPES = {number: kind for kind, number in _TYPE_NUMBERS.items()}
+
+MAX_MESSAGE_BYTES = 1024 * 1024
+MAX_UNPROVED_BYTES = 4096
+
+
+class MalformedMessageError(Exception):
+    """The peer sent bytes that are not a message of this protocol."""
+
+
+def _exact(value: Any, kind: type) -> Any:
+    if type(value) is not kind:
+        raise ValueError(f"expected {kind.__name__}, got {type(value).__name__}")
+    return value
+
+
+def _float(value: Any, _kind: type) -> float:
+    if type(value) not in (int, float):
+        raise ValueError(f"expected float, got {type(value).__name__}")
+    return float(value)
+
+
+def _enumeration(value: Any, kind: type) -> Any:
+    return kind(_exact(value, str))
+
+
+def _make_converter() -> cattrs.Converter:
+    converter = cattrs.Converter(
+        unstruct_strat=UnstructureStrategy.AS_TUPLE, detailed_validation=False
+    )
+    # Without these hooks cattrs would coerce, so that "1" passed for 1.
+    for kind in (int, str, bytes, bool):
+        converter.register_structure_hook(kind, _exact)
+    converter.register_structure_hook(float, _float)
+    for enumeration in (Execution, RequestClass):
+        converter.register_structure_hook(enumeration, _enumeration)
+    for record in (*_TYPES.values(), LoadFacts, VersionSpan):
+        # Annotations are strings in every module; the converter needs the types themselves.
+        attrs.resolve_types(record)
+    return converter
+
+
+_CONVERTER = _make_converter()
+
+
+def encode(message: messages.Message) -> bytes:
+    """Return the frame for a message."""
+    number = _TYPE_NUMBERS[type(message)]
+    return cbor2.dumps([number, *_CONVERTER.unstructure(message)])
+
+
+def decode(frame: bytes | str) -> messages.Message:
+    """Return the message in a frame, or raise ``MalformedMessageError``."""
+    if isinstance(frame, str):
+        raise MalformedMessageError("text frame")
+    if len(frame) > MAX_MESSAGE_BYTES:
+        raise MalformedMessageError(f"frame of {len(frame)} bytes exceeds {MAX_MESSAGE_BYTES}")
+    try:
+        fields = cbor2.loads(frame)
+        kind = _TYPES[fields[0]]
+        return _CONVERTER.structure(tuple(fields[1:]), kind)
+    except Exception as error:  # the libraries raise many types on hostile input
+        raise MalformedMessageError(f"{type(error).__name__}: {error}") from error
--- /dev/null
+++ b/src/pistachionotch/wire/session.py
@@ -0,0 +1,268 @@
+"""Authenticated websocket sessions between an entry and an agent.
+
+A session owns its connection: one greenlet reads, one writes. The owner talks to it through
+``send`` and receives ``(session, message)`` pairs and one final ``SessionClosed`` in its inbox.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import hashlib
+import hmac
+import secrets
+from typing import Any
+
+import attrs
+import gevent
+from gevent.queue import Full, Queue
+from websockets.exceptions import ConnectionClosed, WebSocketException
+from websockets.sync.client import connect
+from websockets.sync.connection import Connection
+from websockets.sync.server import Server, serve
+
+from ..clock import Clock
+from . import codec
+from .messages import PROTOCOL_VERSION, Hello, Message, Proof
+
+OUTBOX_MESSAGES = 1024
+HANDSHAKE_TIMEOUT_S = 3.0
+CLOSE_TIMEOUT_S = 1.0
+MISSED_HEARTBEATS = 3
+
+
+class HandshakeError(Exception):
+    """The peer did not prove that it belongs to the deployment."""
+
+
+@attrs.frozen
+class Identity:
+    """Name this process to its peers."""
+
+    deployment: str
+    node: str
+    role: str
+    zone: str
+    incarnation: str
+    key: bytes
+    upstream: str = ""
+
+    def hello(self) -> Hello:
+        """Return a hello with a fresh nonce."""
+        return Hello(
+            PROTOCOL_VERSION,
+            self.deployment,
+            self.node,
+            self.role,
+            self.zone,
+            self.incarnation,
+            secrets.token_bytes(16),
+            self.upstream,
+        )
+
+
+@attrs.frozen
+class SessionClosed:
+    """Tell the owner that the session ended and why."""
+
+    reason: str
+
+
+def _mac(key: bytes, sender: str, client_hello: bytes, server_hello: bytes) -> bytes:
+    # The sender's side is part of the text, so that a proof cannot be reflected to its author.
+    digest = hmac.new(key, sender.encode(), hashlib.sha256)
+    for hello in (client_hello, server_hello):
+        digest.update(len(hello).to_bytes(4, "big"))
+        digest.update(hello)
+    return digest.digest()
+
+
+def _receive_unproved(connection: Connection) -> bytes:
+    frame = connection.recv(timeout=HANDSHAKE_TIMEOUT_S)
+    if isinstance(frame, str):
+        raise HandshakeError("text frame")
+    return frame
+
+
+def _check_hello(identity: Identity, frame: bytes) -> Hello:
+    message = codec.decode(frame)
+    if not isinstance(message, Hello):
+        raise HandshakeError("first message is not a hello")
+    if message.protocol != PROTOCOL_VERSION:
+        raise HandshakeError(f"protocol version {message.protocol}")
+    if message.deployment != identity.deployment:
+        raise HandshakeError("other deployment")
+    return message
+
+
+def handshake(connection: Connection, identity: Identity, side: str) -> Hello:
+    """Prove both sides to each other and return the peer's hello; ``side`` is client or server."""
+    own = codec.encode(identity.hello())
+    if side == "client":
+        connection.send(own)
+        peer = _receive_unproved(connection)
+        hellos, peer_side = (own, peer), "server"
+    else:
+        peer = _receive_unproved(connection)
+        connection.send(own)
+        hellos, peer_side = (peer, own), "client"
+    hello = _check_hello(identity, peer)
+    connection.send(codec.encode(Proof(_mac(identity.key, side, *hellos))))
+    proof = codec.decode(_receive_unproved(connection))
+    expected = _mac(identity.key, peer_side, *hellos)
+    if not isinstance(proof, Proof) or not hmac.compare_digest(proof.mac, expected):
+        raise HandshakeError("wrong proof")
+    connection.protocol.max_message_size = codec.MAX_MESSAGE_BYTES
+    return hello
+
+
+class Session:
+    """Carry messages to and from one proved peer."""
+
+    def __init__(
+        self, connection: Connection, peer: Hello, clock: Clock, inbox: Queue, heartbeat_ms: int
+    ) -> None:
+        self.connection = connection
+        self.peer = peer
+        self.clock = clock
+        self.inbox = inbox
+        self.heartbeat_ms = heartbeat_ms
+        self.last_received_ms = clock.now_ms()
+        self.closed = False
+        self._outbox: Queue = Queue(OUTBOX_MESSAGES)
+        self._writer = gevent.spawn(self._write)
+
+    def send(self, message: Message) -> bool:
+        """Queue a message; return false if the session is closed or its peer too slow."""
+        if self.closed:
+            return False
+        try:
+            self._outbox.put_nowait(message)
+        except Full:
+            self.close("peer does not read")
+            return False
+        return True
+
+    def send_waiting(self, message: Message, timeout_s: float) -> bool:
+        """Queue a message, waiting up to ``timeout_s`` seconds for the peer to read."""
+        if self.closed:
+            return False
+        try:
+            self._outbox.put(message, timeout=timeout_s)
+        except Full:
+            self.close("peer does not read")
+            return False
+        return not self.closed
+
+    def silent(self) -> bool:
+        """Return whether the peer missed its heartbeat deadline."""
+        silence_ms = self.clock.now_ms() - self.last_received_ms
+        return silence_ms > MISSED_HEARTBEATS * self.heartbeat_ms
+
+    def run(self) -> None:
+        """Read until the connection ends; then deliver ``SessionClosed`` to the inbox."""
+        reason = "closed by peer"
+        try:
+            while not self.closed:
+                message = codec.decode(self.connection.recv())
+                self.last_received_ms = self.clock.now_ms()
+                self.inbox.put((self, message))
+        except codec.MalformedMessageError as error:
+            reason = f"malformed message, {error}"
+        except (ConnectionClosed, WebSocketException, OSError, EOFError) as error:
+            reason = str(error) or type(error).__name__
+        self.close(reason)
+
+    def close(self, reason: str) -> None:
+        """Close the connection once and tell the owner."""
+        if self.closed:
+            return
+        self.closed = True
+        self.inbox.put((self, SessionClosed(reason)))
+        gevent.spawn(self._close_connection, reason)
+
+    def flush(self, timeout_s: float) -> None:
+        """Wait until queued messages were written."""
+        deadline_ms = self.clock.now_ms() + int(timeout_s * 1000)
+        while not self._outbox.empty() and not self.closed and self.clock.now_ms() < deadline_ms:
+            gevent.sleep(0.005)
+
+    def _close_connection(self, reason: str) -> None:
+        with gevent.Timeout(CLOSE_TIMEOUT_S, False):
+            self.connection.close(reason=reason[:100])
+        # A silent peer never answers the closing handshake, so the socket is closed regardless.
+        with contextlib.suppress(OSError):
+            self.connection.socket.close()
+        self._writer.kill(block=False)
+
+    def _write(self) -> None:
+        try:
+            for message in self._outbox:
+                self.connection.send(codec.encode(message))
+        except (ConnectionClosed, OSError) as error:
+            self.close(f"write failed, {error}")
+
+
+def open_session(
+    host: str, port: int, identity: Identity, clock: Clock, inbox: Queue, heartbeat_ms: int
+) -> Session:
+    """Connect to an agent and prove both sides; raise ``OSError`` or ``HandshakeError``."""
+    try:
+        connection = connect(
+            f"ws://{host}:{port}/",
+            compression=None,
+            proxy=None,
+            open_timeout=HANDSHAKE_TIMEOUT_S,
+            close_timeout=CLOSE_TIMEOUT_S,
+            ping_interval=None,
+            max_size=codec.MAX_UNPROVED_BYTES,
+            legacy=True,  # returns the connection itself instead of a context manager
+        )
+    except (WebSocketException, TimeoutError, EOFError) as error:
+        raise HandshakeError(str(error)) from error
+    try:
+        peer = handshake(connection, identity, "client")
+    except (WebSocketException, TimeoutError, codec.MalformedMessageError) as error:
+        connection.close()
+        raise HandshakeError(str(error) or type(error).__name__) from error
+    except HandshakeError:
+        connection.close()
+        raise
+    return Session(connection, peer, clock, inbox, heartbeat_ms)
+
+
+def make_server(
+    host: str,
+    port: int,
+    identity: Identity,
+    clock: Clock,
+    inbox: Queue,
+    heartbeat_ms: int,
+    log: Any,
+) -> Server:
+    """Return a server that proves each peer and then delivers its messages to ``inbox``."""
+
+    def accept(connection: Any) -> None:
+        try:
+            peer = handshake(connection, identity, "server")
+        except (
+            HandshakeError,
+            WebSocketException,
+            TimeoutError,
+            OSError,
+            codec.MalformedMessageError,
+        ) as error:
+            log.warning("peer refused", reason=str(error) or type(error).__name__)
+            connection.close(code=1008, reason="peer did not prove itself")
+            return
+        Session(connection, peer, clock, inbox, heartbeat_ms).run()
+
+    return serve(
+        accept,
+        host,
+        port,
+        compression=None,
+        open_timeout=HANDSHAKE_TIMEOUT_S,
+        close_timeout=CLOSE_TIMEOUT_S,
+        ping_interval=None,
+        max_size=codec.MAX_UNPROVED_BYTES,
+    )
--- /dev/null
+++ b/tests/features/steps/deployment_steps.py
@@ -0,0 +1,120 @@
+"""Steps that build a deployment and bring about faults."""
+
+import gevent
+from behave import given, when
+
+from tests.support.deployment import Deployment, wait_until
+from tests.support.forwarder import Forwarder
+
+
+@given("a deployment of two entries and three agents")
+def start(context):
+    context.deployment.start_standard()
+
+
+@given("a deployment whose storefront agent is reached through a forwarder")
+def start_with_forwarder(context):
+    deployment: Deployment = context.deployment
+    deployment.start_platform()
+    deployment.start_standin("storefront", "plain-service", "storefront")
+    deployment.start_agent("agent-3", "cebu", "storefront", "plain-service", "storefront", 32)
+    context.forwarder = Forwarder(deployment.ports["agent-3"])
+    deployment.move_member("agent-3", context.forwarder.port)
+    deployment.start_entry("entry-1", "cebu")
+    deployment.wait_agents("entry-1", 1)
+
+
+@given("the storefront takes {delay_ms:d} ms for a call")
+def slow_storefront(context, delay_ms):
+    context.deployment.faults("storefront", delay_ms=delay_ms)
+
+
+@given("the storefront loses its next answer")
+def lose_answer(context):
+    context.deployment.faults("storefront", lose_next_answers=1)
+
+
+@given("the object API is out")
+def store_out(context):
+    context.deployment.faults("object-store", outage=True)
+
+
+@when("the object API is back")
+def store_back(context):
+    context.deployment.faults("object-store", outage=False)
+
+
+@given("the object API loses the answers to the next {count:d} writes")
+def store_loses_answers(context, count):
+    context.deployment.faults("object-store", lose_answers=count)
+
+
+@given("{engine:Name} breaks each stream after {count:d} tokens")
+def break_streams(context, engine, count):
+    context.deployment.faults(engine, break_after_tokens=count)
+
+
+@given("{engine:Name} fails its next order")
+def fail_order(context, engine):
+    context.deployment.faults(engine, fail_orders=1)
+
+
+@given("{engine:Name} loses its next order's answer")
+def lose_order_answer(context, engine):
+    context.deployment.faults(engine, lose_order_answers=1)
+
+
+@when('{name:Name} is killed once the storefront has the order "{key}"')
+def kill_in_flight(context, name, key):
+    def arrived():
+        calls = context.deployment.ledger("storefront")["calls"]
+        return any(call["key"] == key for call in calls)
+
+    wait_until(arrived, 10, f"the storefront has {key}")
+    context.deployment.kill(name)
+
+
+@when("{name:Name} is killed")
+def kill(context, name):
+    context.deployment.kill(name)
+
+
+@when("{name:Name} is started again")
+def start_again(context, name):
+    context.deployment.restart(name)
+
+
+@when("the forwarder goes silent on open connections")
+def silence(context):
+    context.forwarder.silence_open()
+
+
+@when("the VM list says that {name:Name} is leaving")
+def leaving(context, name):
+    vms = [
+        {
+            "name": other,
+            "address": "127.0.0.1",
+            "zone": "cebu",
+            "state": "leaving" if other == name else "live",
+        }
+        for other in context.deployment.processes
+    ]
+    context.deployment.standin("vm-list", "PUT", "/vms", vms)
+
+
+@when(
+    "{name:Name} is frozen for {seconds:d} seconds while {count:d} completions with a timeout of"
+    " {timeout:d} seconds run"
+)
+def freeze(context, name, seconds, count, timeout):
+    caller = context.deployment.caller("entry-1")
+    context.deployment.freeze(name)
+    jobs = [
+        gevent.spawn(caller.complete, f"prompt {number}", 8, timeout * 1000)
+        for number in range(count)
+    ]
+    gevent.sleep(seconds)
+    context.deployment.thaw(name)
+    gevent.joinall(jobs, timeout=60)
+    context.answers = [job.get() for job in jobs]
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers shared by the tests."""
--- /dev/null
+++ b/tests/support/deployment.py
@@ -0,0 +1,210 @@
+"""A deployment of separate processes on loopback, with faults for the tests to inject."""
+
+import contextlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+from pistachionotch.config.spec import Address
+from pistachionotch.demo.scenario import Caller
+
+HOST = "127.0.0.1"
+KEY = "a-key-for-tests-only-0123456789"
+READY_S = 20.0
+ROOT = Path(__file__).resolve().parents[2]
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return probe.getsockname()[1]
+
+
+class Deployment:
+    """Start, stop, freeze and kill the processes of one deployment by their ids."""
+
+    def __init__(self):
+        self.folder = Path(tempfile.mkdtemp(prefix="pistachionotch-"))
+        self.processes = {}
+        self.commands = {}
+        self.ports = {}
+        self.settings = {}
+        self.frozen = set()
+
+    # Processes
+
+    def spawn(self, name, command):
+        log = open(self.folder / f"{name}.log", "ab")  # noqa: SIM115
+        environment = dict(os.environ, PYTHONPATH=f"{ROOT / 'src'}:{ROOT}")
+        self.commands[name] = command
+        self.processes[name] = subprocess.Popen(
+            command, stdout=log, stderr=log, cwd=ROOT, env=environment
+        )
+        log.close()
+
+    def restart(self, name):
+        self.spawn(name, self.commands[name])
+
+    def send_signal(self, name, number):
+        self.processes[name].send_signal(number)
+
+    def kill(self, name):
+        self.thaw(name)
+        self.processes[name].kill()
+        self.processes[name].wait()
+
+    def freeze(self, name):
+        self.send_signal(name, signal.SIGSTOP)
+        self.frozen.add(name)
+
+    def thaw(self, name):
+        if name in self.frozen:
+            self.frozen.discard(name)
+            with contextlib.suppress(ProcessLookupError):
+                self.send_signal(name, signal.SIGCONT)
+
+    def terminate(self, name, timeout_s=30):
+        self.send_signal(name, signal.SIGTERM)
+        return self.processes[name].wait(timeout_s)
+
+    def stop(self):
+        for name in list(self.processes):
+            self.thaw(name)
+        for process in self.processes.values():
+            process.kill()
+        for process in self.processes.values():
+            process.wait()
+
+    def log(self, name):
+        return (self.folder / f"{name}.log").read_text(errors="replace")
+
+    # Parts
+
+    def start_standin(self, name, kind, model=""):
+        port = self.ports.setdefault(name, free_port())
+        module = "tests.support.standin_process"
+        self.spawn(name, [sys.executable, "-m", module, kind, str(port), model])
+        wait_for_port(port)
+
+    def start_platform(self):
+        self.start_standin("object-store", "object-store")
+        self.start_standin("vm-list", "vm-list")
+
+    def start_agent(self, name, zone, upstream, kind, serves, limit=8, wire_port=None):
+        port = self.ports.setdefault(name, free_port())
+        http = self.ports.setdefault(f"{name}-http", free_port())
+        named = "model" if kind == "engine" else "service"
+        self._write_settings(
+            name,
+            "agent",
+            zone,
+            listen={"wire": f"{HOST}:{wire_port or port}", "http": f"{HOST}:{http}"},
+            upstream={
+                "kind": kind,
+                "address": f"{HOST}:{self.ports[upstream]}",
+                named: serves,
+                "concurrency_limit": limit,
+            },
+        )
+        self.spawn(name, self._daemon_command("agent", name))
+
+    def start_entry(self, name, zone):
+        port = self.ports.setdefault(name, free_port())
+        self._write_settings(name, "entry", zone, listen={"http": f"{HOST}:{port}"})
+        self.spawn(name, self._daemon_command("entry", name))
+
+    def _daemon_command(self, role, name):
+        return [sys.executable, "-m", "pistachionotch", role, str(self.settings[name])]
+
+    def _write_settings(self, name, role, zone, **fields):
+        regions = {"cebu": "visayas", "iloilo": "visayas", "manila": "luzon"}
+        settings = {
+            "deployment": "bituin",
+            "node": name,
+            "role": role,
+            "region": regions[zone],
+            "zone": zone,
+            "deployment_key": KEY,
+            "object_api": f"{HOST}:{self.ports['object-store']}",
+            "vm_list": f"{HOST}:{self.ports['vm-list']}",
+            **fields,
+        }
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(settings, indent=2))
+        self.settings[name] = path
+
+    def start_standard(self, entries=2):
+        """Start two entries, two engines and one storefront, each with its agent."""
+        self.start_platform()
+        for number, zone in ((1, "cebu"), (2, "iloilo")):
+            self.start_standin(f"engine-{number}", "engine", "fitting")
+            self.start_agent(f"agent-{number}", zone, f"engine-{number}", "engine", "fitting")
+        self.start_standin("storefront", "plain-service", "storefront")
+        self.start_agent("agent-3", "cebu", "storefront", "plain-service", "storefront", 32)
+        for number in range(1, entries + 1):
+            self.start_entry(f"entry-{number}", "cebu")
+        for number in range(1, entries + 1):
+            self.wait_agents(f"entry-{number}", 3)
+
+    # Views
+
+    def caller(self, entry):
+        return Caller(Address(HOST, self.ports[entry]))
+
+    def status(self, name):
+        port = self.ports.get(f"{name}-http", self.ports[name])
+        return Caller(Address(HOST, port)).send("GET", "/v1/status").json()
+
+    def wait_agents(self, entry, count):
+        def connected():
+            agents = self.status(entry)["agents"]
+            return sum(agent["ready"] for agent in agents) >= count
+
+        wait_until(connected, READY_S, f"{entry} has {count} agents")
+
+    def standin(self, name, method, path, value=None):
+        answer = Caller(Address(HOST, self.ports[name])).send(method, path, value)
+        return answer.json()
+
+    def faults(self, name, **faults):
+        method = "PUT" if name == "object-store" else "POST"
+        return self.standin(name, method, "/faults", faults)
+
+    def move_member(self, name, port):
+        """Make the registration of an agent name another port, such as a forwarder's."""
+        store = Caller(Address(HOST, self.ports["object-store"]))
+        path = f"/objects/members/{name}"
+        wait_until(lambda: store.send("GET", path).status == 200, READY_S, f"{name} registered")
+        found = store.send("GET", path)
+        value = found.json()
+        value["member"]["address"] = f"{HOST}:{port}"
+        answer = store.send("PUT", path, value, {"If-Match": found.headers["etag"]})
+        assert answer.status == 200, answer
+
+    def ledger(self, name):
+        return self.standin(name, "GET", "/ledger")
+
+
+def wait_until(condition, timeout_s, what):
+    limit = time.monotonic() + timeout_s
+    while True:
+        with contextlib.suppress(Exception):
+            if condition():
+                return
+        if time.monotonic() > limit:
+            raise AssertionError(f"not reached within {timeout_s} s: {what}")
+        time.sleep(0.05)
+
+
+def wait_for_port(port):
+    def listening():
+        with socket.create_connection((HOST, port), timeout=1):
+            return True
+
+    wait_until(listening, READY_S, f"port {port} listens")
--- /dev/null
+++ b/tests/unit/agent/test_upstream.py
@@ -0,0 +1,98 @@
+"""Guards against upstream calls that run twice or broken responses that pass as complete."""
+
+import json
+
+import pytest
+from gevent.server import StreamServer
+
+from pistachionotch.agent.upstream import (
+    EngineUpstream,
+    ServiceUpstream,
+    UpstreamBroken,
+    UpstreamEnd,
+    call,
+)
+from pistachionotch.clock import SystemClock
+from pistachionotch.outcomes import RequestClass
+from pistachionotch.standins.engine import EngineStandIn
+from pistachionotch.standins.http import start_server
+from pistachionotch.wire.messages import Submit
+
+HOST = "127.0.0.1"
+
+
+def _submit(method="POST", path="/orders", body=b"{}"):
+    return Submit(
+        "a", "r", RequestClass.STOREFRONT, 1000, False, "s", "k", method, path, (), body, 0
+    )
+
+
+def _completion(tokens):
+    body = json.dumps({"model": "fitting", "prompt": "p", "max_tokens": tokens}).encode()
+    return _submit(path="/v1/completions", body=body)
+
+
+def _run(upstream, submit):
+    pieces = []
+    return call(upstream, submit, SystemClock(), pieces.append), pieces
+
+
+@pytest.mark.parametrize("method", ["POST", "PUT", "DELETE", "GET"])
+def test_call_cut_before_its_answer_is_sent_once(method):
+    """The HTTP library repeats some methods by itself; the upstream must see one request."""
+    requests = []
+
+    def cut(sock, _address):
+        requests.append(sock.recv(65536))
+        sock.close()
+
+    server = StreamServer((HOST, 0), cut)
+    server.start()
+    outcome, _pieces = _run(ServiceUpstream(HOST, server.server_port, "s"), _submit(method))
+    server.stop(timeout=0)
+    assert isinstance(outcome, UpstreamBroken)
+    assert outcome.sent
+    assert len(requests) == 1
+
+
+def test_refused_connection_is_known_not_to_have_run():
+    server = StreamServer((HOST, 0), lambda *_: None)
+    server.start()
+    port = server.server_port
+    server.stop()
+    outcome, _pieces = _run(ServiceUpstream(HOST, port, "s"), _submit())
+    assert isinstance(outcome, UpstreamBroken)
+    assert not outcome.sent
+
+
+def test_body_shorter_than_its_length_is_broken():
+    def short(sock, _address):
+        sock.recv(65536)
+        sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc")
+        sock.close()
+
+    server = StreamServer((HOST, 0), short)
+    server.start()
+    outcome, _pieces = _run(ServiceUpstream(HOST, server.server_port, "s"), _submit())
+    server.stop(timeout=0)
+    assert isinstance(outcome, UpstreamBroken)
+
+
+def test_engine_tokens_carry_the_version_that_the_engine_reported():
+    engine = EngineStandIn("fitting", token_ms=1)
+    engine.version = 7
+    server = start_server(engine, HOST, 0)
+    outcome, pieces = _run(EngineUpstream(HOST, server.server_port, "fitting"), _completion(9))
+    server.stop(timeout=0)
+    assert isinstance(outcome, UpstreamEnd)
+    assert {piece.version for piece in pieces} == {7}
+    assert sum(piece.tokens for piece in pieces) == 9
+
+
+def test_stream_without_its_end_mark_is_broken():
+    engine = EngineStandIn("fitting", token_ms=1)
+    engine.faults.break_after_tokens = 3
+    server = start_server(engine, HOST, 0)
+    outcome, _pieces = _run(EngineUpstream(HOST, server.server_port, "fitting"), _completion(9))
+    server.stop(timeout=0)
+    assert isinstance(outcome, UpstreamBroken)
