--- /dev/null
+++ b/src/pistachionotch/samples/answers.py
@@ -0,0 +1,183 @@
+"""HTTP form of step requests, pulls and their outcomes, as ``docs/samples.md`` describes it."""
+
+from __future__ import annotations
+
+import base64
+import json
+from collections.abc import Mapping
+from functools import singledispatch
+from http import HTTPStatus
+from typing import Any
+
+import attrs
+from returns.result import Failure, Result, Success
+
+from . import delivery
+from .ledger import StepPlan
+from .ledger_store import StepUnknown
+from .request import StepRequest
+from .sample import Sample, Slot
+
+# An answer without samples is repeated after this time; a pull costs one read of the ledger.
+RETRY_AFTER_MS = 1_000
+PULL_FIELDS = {
+    "cursor": "cursor",
+    "attempt": "attempt",
+    "limit": "limit",
+    "version": "trainer_version",
+}
+STEP_NUMBERS = ("step", "groups", "samples_per_group", "staleness_bound")
+
+
+@attrs.frozen
+class Answer:
+    """Hold status and JSON fields; errors become RFC 9457 problems with these fields."""
+
+    status: HTTPStatus
+    fields: dict[str, Any]
+    retry_after_ms: int | None = None
+
+    def body(self) -> bytes:
+        """Return the JSON body."""
+        return json.dumps(self.fields).encode()
+
+
+def parse_pull(query: Mapping[str, str]) -> Result[delivery.Pull, str]:
+    """Read the query of a pull; ``cursor`` is required."""
+    unknown = sorted(set(query) - set(PULL_FIELDS))
+    if unknown:
+        return Failure(f"unknown parameter: {', '.join(unknown)}")
+    if "cursor" not in query:
+        return Failure("the parameter 'cursor' is missing")
+    numbers: dict[str, int] = {}
+    for name, text in query.items():
+        if not text.isascii() or not text.isdigit() or len(text) > 10:
+            return Failure(f"{name} is not a number: {text[:20]!r}")
+        numbers[PULL_FIELDS[name]] = int(text)
+    pull = delivery.Pull(**numbers)
+    fault = pull.fault()
+    return Success(pull) if fault is None else Failure(fault)
+
+
+def parse_step(body: bytes, now_unix_ms: int) -> Result[tuple[StepPlan, StepRequest], str]:
+    """Read the body of ``POST /v1/steps``."""
+    try:
+        fields = json.loads(body)
+    except ValueError as error:
+        return Failure(f"the body is no JSON: {error}")
+    if not isinstance(fields, dict):
+        return Failure("the body is no JSON object")
+    numbers = {name: fields.get(name) for name in (*STEP_NUMBERS, "deadline_ms")}
+    for name in numbers:
+        if type(numbers[name]) is not int:
+            return Failure(f"{name} is missing or no integer")
+    texts = [fields.get("trainer"), fields.get("model"), *_prompts(fields)]
+    if not all(isinstance(text, str) for text in texts):
+        return Failure("trainer, model and every prompt must be text")
+    sampling = fields.get("sampling", {})
+    if not isinstance(sampling, dict):
+        return Failure("sampling is no JSON object")
+    counts = {name: fields[name] for name in STEP_NUMBERS}
+    deadline_unix_ms = now_unix_ms + fields["deadline_ms"]
+    plan = StepPlan(
+        trainer=fields["trainer"],
+        model=fields["model"],
+        deadline_unix_ms=deadline_unix_ms,
+        **counts,
+    )
+    fault = plan.fault()
+    if fault is not None:
+        return Failure(fault)
+    return Success((plan, StepRequest(tuple(_prompts(fields)), sampling)))
+
+
+def _prompts(fields: Mapping[str, Any]) -> list[Any]:
+    prompts = fields.get("prompts")
+    return prompts if isinstance(prompts, list) else [None]
+
+
+def _sample_fields(sample: Sample) -> dict[str, Any]:
+    return {
+        "id": sample.sample_id,
+        "group": sample.slot.group,
+        "index": sample.slot.index,
+        "spans": [{"version": span.version, "tokens": span.tokens} for span in sample.spans],
+        "agent": sample.agent,
+    }
+
+
+def _slot_fields(slot: Slot) -> dict[str, int]:
+    return {"group": slot.group, "index": slot.index}
+
+
+@singledispatch
+def answer(outcome: object) -> Answer:
+    """Return the HTTP answer for an outcome of a pull."""
+    raise TypeError(f"no outcome of a pull: {outcome!r}")
+
+
+@answer.register
+def _(outcome: delivery.Delivered) -> Answer:
+    samples = [
+        {**_sample_fields(item.sample), "body": base64.b64encode(item.body).decode()}
+        for item in outcome.samples
+    ]
+    fields = {
+        "cursor": outcome.cursor,
+        "attempt": outcome.attempt,
+        "newest_version": outcome.newest_version,
+        "outstanding": outcome.outstanding,
+        "complete": False,
+        "samples": samples,
+    }
+    return Answer(HTTPStatus.OK, fields)
+
+
+@answer.register
+def _(outcome: delivery.NothingReady) -> Answer:
+    fields = {
+        "cursor": outcome.cursor,
+        "outstanding": outcome.outstanding,
+        "complete": False,
+        "samples": [],
+    }
+    return Answer(HTTPStatus.OK, fields, RETRY_AFTER_MS)
+
+
+@answer.register
+def _(outcome: delivery.StepComplete) -> Answer:
+    cut = [_slot_fields(slot) for slot in outcome.cut]
+    fields = {"cursor": outcome.cursor, "complete": True, "samples": [], "cut": cut}
+    return Answer(HTTPStatus.OK, fields)
+
+
+@answer.register
+def _(outcome: delivery.AttemptNeeded) -> Answer:
+    fields = {
+        "cursor": outcome.cursor,
+        "next_attempt": outcome.next_attempt,
+        "detail": outcome.reason,
+    }
+    return Answer(HTTPStatus.CONFLICT, fields)
+
+
+@answer.register
+def _(outcome: delivery.WrongCursor) -> Answer:
+    status = HTTPStatus.CONFLICT if outcome.ahead else HTTPStatus.GONE
+    return Answer(status, {"cursor": outcome.cursor, "detail": outcome.reason})
+
+
+@answer.register
+def _(outcome: delivery.TryLater) -> Answer:
+    fields = {"detail": outcome.reason}
+    return Answer(HTTPStatus.SERVICE_UNAVAILABLE, fields, RETRY_AFTER_MS)
+
+
+@answer.register
+def _(outcome: delivery.Rejected) -> Answer:
+    return Answer(HTTPStatus.BAD_REQUEST, {"detail": outcome.reason})
+
+
+@answer.register
+def _(_outcome: StepUnknown) -> Answer:
+    return Answer(HTTPStatus.NOT_FOUND, {"detail": "there is no such step"})
--- a/src/pistachionotch/samples/delivery.py
+++ b/src/pistachionotch/samples/delivery.py
@@ -99,6 +99,7 @@
 
     cursor: int
     reason: str
+    ahead: bool = False
 
 
 @attrs.frozen
@@ -188,8 +189,9 @@
         """Change the ledger for this pull and prepare the answer."""
         turn = ledger.turn(pull.cursor, pull.attempt)
         if turn in (Turn.GONE, Turn.AHEAD):
-            reason = "already acknowledged" if turn == Turn.GONE else "not yet reached"
-            return WrongCursor(ledger.cursor, reason)
+            ahead = turn == Turn.AHEAD
+            reason = "not yet reached" if ahead else "already acknowledged"
+            return WrongCursor(ledger.cursor, reason, ahead)
         if turn == Turn.OLD_ATTEMPT:
             reason = f"attempt {ledger.attempt} was already sent"
             return AttemptNeeded(ledger.cursor, ledger.attempt + 1, reason)
--- a/src/pistachionotch/samples/ledger.py
+++ b/src/pistachionotch/samples/ledger.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import enum
+import re
 from collections.abc import Iterable, Iterator
 
 import attrs
@@ -20,6 +21,8 @@
 from .staleness import is_fresh
 
 MAX_SLOTS = 2048
+# Names are part of object keys.
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
 
 
 class SlotState(enum.IntEnum):
@@ -94,6 +97,9 @@
     samples_per_group: int
     staleness_bound: int
     deadline_unix_ms: int = 0
+    # The prompts are stored apart from the ledger, under the digest of their bytes.
+    request_parts: int = 0
+    request_digest: str = ""
 
     @property
     def slot_count(self) -> int:
@@ -108,6 +114,8 @@
             return f"a step has at most {MAX_SLOTS} samples, not {self.slot_count}"
         if self.staleness_bound < 0:
             return "the staleness bound is negative"
+        if not NAME.fullmatch(self.trainer) or not NAME.fullmatch(self.model):
+            return f"trainer and model need names like {NAME.pattern}"
         if self.step < 0:
             return "the step number is negative"
         return None
--- a/src/pistachionotch/samples/ledger_format.py
+++ b/src/pistachionotch/samples/ledger_format.py
@@ -68,8 +68,8 @@
         return Failure(CorruptLedger(f"format {fields[0]} is not {FORMAT}"))
     _, plan_fields, (cursor, attempt, assigned), writer, names, slots = fields
     plan = StepPlan(*plan_fields)
-    numbers = [cursor, attempt, *assigned, *attrs.astuple(plan)[3:], plan.step]
-    texts = [plan.trainer, plan.model, *names]
+    numbers = [cursor, attempt, *assigned, *attrs.astuple(plan)[3:-1], plan.step]
+    texts = [plan.trainer, plan.model, plan.request_digest, *names]
     if not _all_are(int, numbers) or min(numbers) < 0:
         return Failure(CorruptLedger("a number is not a count"))
     if not _all_are(str, texts) or not isinstance(writer, bytes):
--- a/src/pistachionotch/samples/ledger_store.py
+++ b/src/pistachionotch/samples/ledger_store.py
@@ -136,6 +136,7 @@
         if isinstance(decoded, Failure):
             return decoded
         ledger = decoded.unwrap()
-        if ledger.plan != plan:
+        # A repeated request names the same deadline by a later clock reading.
+        if attrs.evolve(plan, deadline_unix_ms=ledger.plan.deadline_unix_ms) != ledger.plan:
             return Failure(PlanDiffers(ledger.plan))
         return Success(ledger)
--- /dev/null
+++ b/src/pistachionotch/samples/request.py
@@ -0,0 +1,125 @@
+"""Prompts of a step, stored so that another entry can regenerate samples after a takeover.
+
+They are too large for the ledger and never change. Each part is stored under the digest of the
+whole, so a repeated write is harmless and a part of another request cannot be taken for it.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from typing import Any
+
+import attrs
+import cbor2
+from returns.result import Failure, Result, Success
+
+from ..objects.api import ObjectStore, VersionConflict, WriteAmbiguous
+from .ledger import StepPlan
+
+FORMAT = 1
+# A stored value has at most 1 MB.
+PART_BYTES = 900_000
+MAX_REQUEST_BYTES = 16_000_000
+DIGEST_BYTES = 16
+
+
+@attrs.frozen
+class RequestFault:
+    """Say why the prompts cannot be used; ``lost`` means that no repetition will help."""
+
+    reason: str
+    lost: bool = False
+
+
+@attrs.frozen
+class StepRequest:
+    """Hold one prompt for each group and the sampling parameters of the completions."""
+
+    prompts: tuple[str, ...]
+    sampling: dict[str, Any] = attrs.field(factory=dict)
+
+    def to_bytes(self) -> bytes:
+        """Return the stored form; equal requests give equal bytes."""
+        sampling = json.dumps(self.sampling, sort_keys=True)
+        return cbor2.dumps([FORMAT, list(self.prompts), sampling])
+
+    @classmethod
+    def from_bytes(cls, data: bytes) -> StepRequest:
+        """Read the stored form; the digest has been checked before."""
+        _, prompts, sampling = cbor2.loads(data)
+        return cls(tuple(prompts), json.loads(sampling))
+
+
+def plan_with(plan: StepPlan, request: StepRequest) -> Result[StepPlan, RequestFault]:
+    """Return the plan that names this request."""
+    if len(request.prompts) != plan.groups:
+        reason = f"{len(request.prompts)} prompts for {plan.groups} groups"
+        return Failure(RequestFault(reason, lost=True))
+    data = request.to_bytes()
+    if len(data) > MAX_REQUEST_BYTES:
+        return Failure(RequestFault(f"the request has {len(data)} bytes", lost=True))
+    parts = -(-len(data) // PART_BYTES)
+    return Success(attrs.evolve(plan, request_parts=parts, request_digest=_digest(data)))
+
+
+def part_key(plan: StepPlan, part: int) -> str:
+    """Return the object key of one part."""
+    return f"step-requests/{plan.trainer}/{plan.step}/{plan.request_digest}/{part}"
+
+
+def store_request(
+    store: ObjectStore, plan: StepPlan, request: StepRequest
+) -> Result[None, RequestFault]:
+    """Write all parts; call it before the ledger is created."""
+    data = request.to_bytes()
+    if _digest(data) != plan.request_digest:
+        return Failure(RequestFault("the plan names another request", lost=True))
+    for part in range(plan.request_parts):
+        value = data[part * PART_BYTES : (part + 1) * PART_BYTES]
+        key = part_key(plan, part)
+        put = store.put(key, value, None)
+        if isinstance(put, Success):
+            continue
+        error = put.failure()
+        if not isinstance(error, WriteAmbiguous | VersionConflict):
+            return Failure(RequestFault(str(error)))
+        read = store.get(key)
+        if isinstance(read, Failure):
+            return Failure(RequestFault(read.failure().reason))
+        stored = read.unwrap()
+        if stored is None or stored.value != value:
+            return Failure(RequestFault(f"part {part} is not stored yet"))
+    return Success(None)
+
+
+def load_request(store: ObjectStore, plan: StepPlan) -> Result[StepRequest, RequestFault]:
+    """Read all parts back, as an entry does that takes over the step."""
+    parts: list[bytes] = []
+    for part in range(plan.request_parts):
+        read = store.get(part_key(plan, part))
+        if isinstance(read, Failure):
+            return Failure(RequestFault(read.failure().reason))
+        stored = read.unwrap()
+        if stored is None:
+            return Failure(RequestFault(f"part {part} does not exist", lost=True))
+        parts.append(stored.value)
+    data = b"".join(parts)
+    if _digest(data) != plan.request_digest:
+        return Failure(RequestFault("the parts do not match the plan", lost=True))
+    return Success(StepRequest.from_bytes(data))
+
+
+def delete_request(store: ObjectStore, plan: StepPlan) -> None:
+    """Delete the parts of a complete step; what a failure leaves behind does no harm."""
+    for part in range(plan.request_parts):
+        read = store.get(part_key(plan, part))
+        if isinstance(read, Failure):
+            return
+        stored = read.unwrap()
+        if stored is not None:
+            store.delete(stored.key, stored.version)
+
+
+def _digest(data: bytes) -> str:
+    return hashlib.blake2b(data, digest_size=DIGEST_BYTES).hexdigest()
