--- a/src/pistachionotch/weights/rollout.py
+++ b/src/pistachionotch/weights/rollout.py
@@ -22,7 +22,6 @@
     # Swaps to the desired version that failed, as read back; a newer version starts at zero.
     failures: int = 0
     last_failed_ms: int | None = None
-    ordered_ms: int | None = None
 
 
 @attrs.frozen
@@ -46,6 +45,10 @@
     # Zones that this holder may order; None means all.
     zones: frozenset[str] | None = None
 
+    def rate_window_ms(self) -> int:
+        """Return the time over which fetches are counted; it has room for at least one."""
+        return max(MS_PER_SECOND, math.ceil(MS_PER_SECOND / self.fetches_per_s))
+
 
 @attrs.frozen
 class WaveOrder:
@@ -95,13 +98,16 @@
     in_progress: Sequence[SwapInProgress],
     limits: RolloutLimits,
     now_ms: int,
+    starts_ms: Sequence[int] = (),
 ) -> Wave:
     """Return the orders that are due now for the agents of one model.
 
+    ``starts_ms`` are the times of earlier orders, also of ended ones, for the fetch rate.
+
     A swap to an older version is left to end, because an agent runs one order at a time; its agent
     is ordered again afterwards.
     """
-    planner = _Planner(agents, desired_version, in_progress, limits, now_ms)
+    planner = _Planner(agents, desired_version, in_progress, limits, now_ms, starts_ms)
     orders = planner.choose()
     pending = [agent for agent in planner.mine if not planner.is_done(agent)]
     failed = tuple(
@@ -124,6 +130,7 @@
     in_progress: Sequence[SwapInProgress]
     limits: RolloutLimits
     now_ms: int
+    starts_ms: Sequence[int]
     mine: list[AgentWeights] = attrs.field(factory=list)
     swapping: set[str] = attrs.field(factory=set)
     zones: dict[str, _Zone] = attrs.field(factory=dict)
@@ -190,12 +197,9 @@
             self.reason = "no agent could load this version yet; one is tried at a time"
             return 0 if self.swapping else 1
         rate = self.limits.fetches_per_s
-        window_ms = max(MS_PER_SECOND, math.ceil(MS_PER_SECOND / rate))
+        window_ms = self.limits.rate_window_ms()
         allowed = int(rate * window_ms / MS_PER_SECOND)
-        recent = sum(
-            agent.ordered_ms is not None and self.now_ms - agent.ordered_ms < window_ms
-            for agent in self.mine
-        )
+        recent = sum(self.now_ms - start_ms < window_ms for start_ms in self.starts_ms)
         if recent >= allowed:
             self.reason = "the fetch rate is at its limit"
         return max(0, allowed - recent)
--- a/tests/unit/samples/delivery_machine.py
+++ b/tests/unit/samples/delivery_machine.py
@@ -14,7 +14,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 from returns.result import Failure, Success
-from step_world import FakeStore
+from step_world import WRITE_FAULTS, HookedStore
 
 from pistachionotch.samples import delivery as d
 from pistachionotch.samples.ledger import StepPlan
@@ -33,26 +33,13 @@
     report_multiple_bugs=False,
     phases=[Phase.generate],
 )
-EVENTS = [
-    "publish",
-    "agent_dies",
-    "copies_lost",
-    "both_lost",
-    "body_lost",
-    "execute",
-    "pull",
-    "pull",
-    "pull",
-    "respond",
-    "record",
-    "late_write",
-    "crash",
-]
+EVENTS = ["publish", "agent_dies", "copies_lost", "both_lost", "body_lost", "late_write", "crash"]
+EVENTS += ["execute", "pull", "pull", "pull", "respond", "record"]
 EVENT = st.tuples(st.sampled_from(EVENTS), st.integers(0, 99))
 EVENTS_MEANWHILE = st.lists(EVENT, max_size=3)
 AGES = st.lists(st.sampled_from([0, 0, 0, 1, 2, None]), min_size=1, max_size=3)
 AHEAD = st.sampled_from([None, 0, 1])
-FAULTS = st.lists(st.sampled_from(["none", "lost", "refused", "late"]), max_size=2)
+FAULTS = st.lists(st.sampled_from(WRITE_FAULTS), max_size=2)
 CALLS = st.integers(0, 6)
 PICK = st.integers(0, 99)
 
@@ -75,8 +62,8 @@
     def __init__(self):
         super().__init__()
         self.rng = random.Random(7)
-        self.store = FakeStore()
-        self.published = 1
+        self.store = HookedStore()
+        self.published = 3
         self.truth = {}  # body -> (slot, spans that the engine used, None when unlabelled)
         self.agent_bodies, self.copies = {}, {}
         self.pending, self.requests, self.responses = [], [], []
@@ -153,7 +140,7 @@
             self.delivery.record([self.pending[pick % len(self.pending)]])
 
     def event_late_write(self, _pick):
-        self.store.apply_late()
+        self.store.deliver_delayed()
 
     def event_crash(self, _pick):
         self.copies.clear()
@@ -220,10 +207,10 @@
 
     # Rules
 
-    @initialize(count=st.integers(0, 4))
-    def start(self, count):
-        for slot in self.ledger().open_slots()[:count]:
-            self.delivery.record([self.produce_now(slot, [self.published])])
+    @initialize(ages_by_slot=st.lists(AGES, max_size=4))
+    def start(self, ages_by_slot):
+        for number, ages in enumerate(ages_by_slot):
+            self.produce(number, ages, False)
 
     @rule(number=st.integers(0, 3), ages=AGES, damaged=st.booleans())
     def produce(self, number, ages, damaged):
@@ -263,9 +250,9 @@
             self.requests.append(d.Pull(self.cursor, self.attempt, limit=1 + pick % 4))
             pick = 0
         self.interrupt = (calls, events)
-        self.store.faults = faults
+        self.store.planned = faults
         self.execute_now(self.requests[-1 - pick % len(self.requests)])
-        self.store.faults = []
+        self.store.planned = []
         if pull:
             self.event_respond(0)
 
@@ -280,8 +267,8 @@
 
     def teardown(self):
         """Without further faults the step must end with every slot used once."""
-        self.store.faults.clear()
-        self.store.apply_late()
+        self.store.planned.clear()
+        self.store.deliver_delayed()
         for _ in range(30):
             for slot in self.ledger().open_slots():
                 self.delivery.record([self.produce_now(slot, [self.published])])
--- a/tests/unit/samples/test_answers.py
+++ b/tests/unit/samples/test_answers.py
@@ -1,16 +1,18 @@
 """Guards the HTTP form that trainers use, and what a takeover and a clean-up read back."""
 
 import json
+import random
 
 import attrs
 import pytest
 from returns.result import Failure
-from step_world import FakeStore, ledgers
+from step_world import HookedStore
 
 from pistachionotch.objects.memory import MemoryStore
 from pistachionotch.samples import answers, delivery, request, retention
 from pistachionotch.samples.ledger_store import LedgerStore, StepUnknown
 from pistachionotch.samples.sample import Slot
+from pistachionotch.samples.steps import StepRegistry
 
 BODY = {
     "trainer": "t",
@@ -71,13 +73,20 @@
 
 
 def test_repeated_step_request_is_the_same_step_and_other_prompts_are_not():
-    store = FakeStore()
-    plan = request.plan_with(*parse().unwrap()).unwrap()
-    later = request.plan_with(*parse(now_unix_ms=2_000).unwrap()).unwrap()
-    other = request.plan_with(*parse(prompts=["a", "c"]).unwrap()).unwrap()
-    assert ledgers(store).create(plan).unwrap().plan == plan
-    assert ledgers(store).create(later).unwrap().plan == plan
-    assert isinstance(ledgers(store).create(other), Failure)
+    registry = StepRegistry(HookedStore(), random.Random(1))
+    body = json.dumps(BODY).encode()
+    opened = registry.open(body, 1_000).unwrap()
+    assert opened == registry.open(body, 2_000).unwrap() == registry.take_over("t", 1).unwrap()
+    assert opened.prompt(Slot(1, 0)) == "b" and opened.remaining_ms(2_000) == 479_000
+    other = json.dumps({**BODY, "prompts": ["a", "c"]}).encode()
+    assert registry.open(other, 1_000).failure().status == 409
+    assert registry.open(b"{", 1_000).failure().status == 400
+    assert registry.open(json.dumps({**BODY, "prompts": []}).encode(), 0).failure().status == 400
+    assert registry.take_over("t", 2).failure().status == 404
+    assert registry.cut("t", 1, opened.open_slots).unwrap() == 2
+    assert registry.take_over("t", 1).unwrap().open_slots == ()
+    registry.store.set_outage(True)
+    assert registry.open(body, 1_000).failure().status == 503
 
 
 def test_prompts_survive_lost_answers_and_missing_parts_are_reported():
@@ -93,7 +102,7 @@
 
 
 def test_old_complete_steps_are_deleted_and_never_created_again():
-    store, rng = MemoryStore(), ledgers(FakeStore()).rng
+    store, rng = MemoryStore(), random.Random(1)
     for step in range(1, 8):
         plan, asked = parse(step=step).unwrap()
         plan = request.plan_with(plan, asked).unwrap()
@@ -105,4 +114,6 @@
     assert retention.prune_steps(store, "t").unwrap() == (1, 3)
     assert request.load_request(store, attrs.evolve(plan, step=1)).failure().lost
     assert retention.check_creatable(store, "t", 3).failure() == retention.StepGone(7)
+    delayed = json.dumps({**BODY, "step": 3}).encode()
+    assert StepRegistry(store, rng).open(delayed, 0).failure().status == 410
     retention.check_creatable(store, "t", 4).unwrap()
--- a/tests/unit/samples/test_coordinator.py
+++ b/tests/unit/samples/test_coordinator.py
@@ -90,10 +90,7 @@
 
 def test_tight_deadline_gets_capacity_before_steps_without_one():
     shares = share_capacity(
-        [
-            StepDemand("relaxed", 100, 10_000),
-            StepDemand("tight", 100, 10_000, remaining_ms=20_000),
-        ],
+        [StepDemand("relaxed", 100, 10_000), StepDemand("tight", 100, 10_000, remaining_ms=20_000)],
         60,
     )
     assert shares == {"relaxed": 5, "tight": 55}
--- a/tests/unit/samples/test_delivery.py
+++ b/tests/unit/samples/test_delivery.py
@@ -4,9 +4,10 @@
 
 import pytest
 from returns.result import Success
-from step_world import FakeStore, ledgers, make_sample
+from step_world import WRITE_FAULTS, HookedStore, ledgers, make_sample
 
 from pistachionotch.samples import delivery as d
+from pistachionotch.samples.bodies import BodyCache, first_found
 from pistachionotch.samples.ledger import Accepted, StepPlan
 from pistachionotch.samples.ledger_store import PlanDiffers, StepUnknown
 from pistachionotch.samples.sample import Slot
@@ -16,7 +17,7 @@
 
 class World:
     def __init__(self, held=True):
-        self.store, self.rng, self.newest, self.held = FakeStore(), random.Random(3), 1, held
+        self.store, self.rng, self.newest, self.held = HookedStore(), random.Random(3), 1, held
         self.step = ledgers(self.store)
         self.delivery = d.StepDelivery(self.step, self.body, lambda: Success(self.newest))
         self.step.create(PLAN)
@@ -87,17 +88,30 @@
 def test_nothing_is_handed_over_while_the_store_is_down():
     world = World()
     world.record((0, 0))
-    world.store.down = True
+    world.store.set_outage(True)
     assert isinstance(world.delivery.pull(d.Pull(0)), d.TryLater)
 
 
-@pytest.mark.parametrize("fault", ["lost", "refused", "late", "none"])
+@pytest.mark.parametrize("fault", WRITE_FAULTS)
 def test_step_creation_is_settled_and_refuses_another_plan(fault):
     world = World()
     world.store.objects.clear()
-    world.store.faults = [fault]
+    world.store.planned = [fault]
     assert world.step.create(PLAN).unwrap().plan == PLAN
-    world.store.apply_late()
+    world.store.deliver_delayed()
     assert world.step.create(PLAN).unwrap().plan == PLAN
     other = StepPlan("t", 1, "m", 1, 1, 1)
     assert world.step.create(other).failure() == PlanDiffers(PLAN)
+
+
+def test_body_cache_refuses_what_does_not_fit_and_drops_what_the_ledger_does_not_name():
+    rng = random.Random(4)
+    first, second = (make_sample(rng, Slot(0, index)) for index in range(2))
+    cache = BodyCache(limit_bytes=6)
+    assert cache.keep("s", first, b"body") and cache.keep("s", first, b"body")
+    assert not cache.keep("s", second, b"body") and not cache.keep("s", second, b"bod")
+    source = first_found(lambda _sample: b"damaged", cache.find)
+    assert source(first) == b"body" and source(second) is None
+    assert cache.release_unneeded("s", {first.slot: first}) == ()
+    assert cache.release_unneeded("s", {first.slot: second}) == (first.sample_id,)
+    assert cache.held_bytes == 0 and cache.find(first) is None
--- a/tests/unit/samples/test_delivery_machine.py
+++ b/tests/unit/samples/test_delivery_machine.py
@@ -100,20 +100,20 @@
         super().add(self.spans[0].version if self.spans else version, tokens)
 
 
-DELIVERIES = [
-    RepeatReplacesLostSamples,
-    NewAttemptIsNotWritten,
-    OldAttemptIsAnswered,
-    NoAgeCheckAfterWrite,
-    MissingBodyIsLeftOut,
-    NoDigestCheck,
-    AssignedCountsAsUsed,
+MUTANTS = [
+    ("delivery_class", RepeatReplacesLostSamples),
+    ("delivery_class", NewAttemptIsNotWritten),
+    ("delivery_class", OldAttemptIsAnswered),
+    ("delivery_class", NoAgeCheckAfterWrite),
+    ("delivery_class", MissingBodyIsLeftOut),
+    ("delivery_class", NoDigestCheck),
+    ("delivery_class", AssignedCountsAsUsed),
+    ("ledgers_class", UnconditionalWrite),
+    ("ledgers_class", ConflictCountsAsWritten),
+    ("ledgers_class", AmbiguousCountsAsWritten),
+    ("recorder_class", MissingVersionTakesThePrevious),
+    ("recorder_class", SwapInMidStreamIsIgnored),
 ]
-LEDGERS = [UnconditionalWrite, ConflictCountsAsWritten, AmbiguousCountsAsWritten]
-RECORDERS = [MissingVersionTakesThePrevious, SwapInMidStreamIsIgnored]
-MUTANTS = [("delivery_class", mutant) for mutant in DELIVERIES]
-MUTANTS += [("ledgers_class", mutant) for mutant in LEDGERS]
-MUTANTS += [("recorder_class", mutant) for mutant in RECORDERS]
 
 
 @pytest.mark.parametrize(("part", "mutant"), MUTANTS, ids=[m.__name__ for _, m in MUTANTS])
--- a/tests/unit/samples/test_ledger.py
+++ b/tests/unit/samples/test_ledger.py
@@ -37,7 +37,7 @@
 
 def test_largest_step_stays_under_one_megabyte():
     """Every field at its limit: 2,048 slots, all names distinct, all spans present."""
-    plan = StepPlan("t" * 64, MAX_COUNT, "m" * 64, 256, 8, 2, 2**42)
+    plan = StepPlan("t" * 64, MAX_COUNT, "m" * 64, 256, 8, 2, 2**42, 18, "f" * 32)
     spans = tuple(VersionSpan(MAX_COUNT - i % 2, MAX_COUNT) for i in range(MAX_SPANS))
     ledger = full_ledger(plan, spans, lambda number: f"{number:064}")
     ledger.attempt = 1
--- a/tests/unit/weights/test_gate_machine.py
+++ b/tests/unit/weights/test_gate_machine.py
@@ -3,12 +3,7 @@
 import pytest
 from hypothesis import Phase, settings
 from hypothesis import strategies as st
-from hypothesis.stateful import (
-    RuleBasedStateMachine,
-    precondition,
-    rule,
-    run_state_machine_as_test,
-)
+from hypothesis.stateful import RuleBasedStateMachine, precondition, rule, run_state_machine_as_test
 
 from pistachionotch.weights.gate import (
     LOAD_VERSION,
--- a/tests/unit/weights/test_publish.py
+++ b/tests/unit/weights/test_publish.py
@@ -5,72 +5,56 @@
 import pytest
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
-from returns.result import Failure, Success
 
 from pistachionotch.objects.api import StoredObject, VersionConflict, WriteAmbiguous
+from pistachionotch.objects.memory import Faults, MemoryStore
 from pistachionotch.weights import publish as p
 
 SETTINGS = settings(
     max_examples=300, derandomize=True, deadline=None, database=None, phases=[Phase.generate]
 )
-FAULTS = st.lists(st.sampled_from(["none", "lost", "refused", "late"]), max_size=6)
-
-
-class Store:
-    def __init__(self, faults=(), conditional=True):
-        self.faults, self.conditional, self.object, self.history = (
-            list(faults),
-            conditional,
-            None,
-            [],
-        )
-        self.late, self.meanwhile = [], []
-
-    def get(self, _key):
-        read = self.object
-        if self.meanwhile:
+VERSIONS = st.builds(p.DesiredVersion, st.just("m"), st.integers(1, 4), st.sampled_from("xy"))
+COUNTS = st.integers(0, 2)
+
+
+class InterruptedStore(MemoryStore):
+    """Lets a rival publish between a read and the write that depends on it."""
+
+    meanwhile, conditional = (), True
+
+    def get(self, key):
+        read = super().get(key)
+        while self.meanwhile:
             self.meanwhile.pop()()
-        return Success(read)
-
-    def put(self, key, value, expected):
-        fault = self.faults.pop() if self.faults else "none"
-        if fault == "late":
-            self.late.append((key, value, expected))
-        if fault in ("late", "refused"):
-            return Failure(WriteAmbiguous(fault))
-        result = self.apply(key, value, expected)
-        return Failure(WriteAmbiguous(fault)) if fault == "lost" else result
-
-    def apply(self, key, value, expected):
-        current = self.object.version if self.object else None
-        if self.conditional and expected != current:
-            return Failure(VersionConflict(self.object))
-        self.object = StoredObject(key, (current or 0) + 1, value)
-        self.history.append(p.read_desired(self, "m").unwrap())
-        return Success(self.object)
+        return read
+
+    def put(self, key, value, expected_version):
+        if not self.conditional:
+            current = self.objects.get(key)
+            expected_version = current.version if current else None
+        return super().put(key, value, expected_version)
 
 
 def race(data, conditional):
-    store, rng, outcomes = Store(data.draw(FAULTS), conditional), random.Random(1), []
+    store, rng, outcomes = InterruptedStore(), random.Random(1), []
+    store.conditional = conditional
+    store.faults = data.draw(st.builds(Faults, st.just(False), COUNTS, COUNTS, COUNTS))
 
     def run(desired):
         outcomes.append(p.publish(store, desired, rng))
 
-    def desired():
-        return p.DesiredVersion("m", data.draw(st.integers(1, 4)), data.draw(st.sampled_from("xy")))
-
     for _ in range(data.draw(st.integers(1, 4))):
-        rival = desired()
-        if data.draw(st.booleans()):
-            store.meanwhile.append(lambda rival=rival: run(rival))
-        run(desired())
-    while store.late:
-        store.apply(*store.late.pop())
-    versions = [item.version for item in store.history]
+        rivals = data.draw(st.lists(VERSIONS, max_size=1))
+        store.meanwhile = [lambda rival=rival: run(rival) for rival in rivals]
+        run(data.draw(VERSIONS))
+    store.deliver_delayed()
+    stored = [StoredObject(c.key, c.version, c.value) for c in store.history]
+    history = [p._unpack(item).unwrap() for item in stored]
+    versions = [item.version for item in history]
     assert versions == sorted(set(versions)), "the desired version went back or changed its weights"
     for outcome in outcomes:
         if isinstance(outcome, p.Published):
-            assert outcome.desired in store.history, "reported but not published"
+            assert outcome.desired in history, "reported but not published"
 
 
 @SETTINGS
--- a/tests/unit/weights/test_rollout.py
+++ b/tests/unit/weights/test_rollout.py
@@ -23,12 +23,14 @@
     for ticks in data.draw(st.lists(st.integers(0, 20), max_size=2)):
         for _ in range(ticks):
             fleet.tick()
-        fleet.publish()
+        fleet.tracker.desire(fleet.tracker.desired_version + 1)
     fleet.run()
     failed = {report.agent for report in fleet.reported}
     for agent in fleet.agents.values():
-        assert (agent.version == fleet.desired) != (agent.agent in failed), "lost sight of an agent"
-        assert agent.failures <= fleet.limits.max_attempts, "retried without limit"
+        loaded = agent.version == fleet.tracker.desired_version
+        assert loaded != (agent.agent in failed), "lost sight of an agent"
+    for attempts in fleet.tracker.attempts.values():
+        assert attempts.failures <= fleet.limits.max_attempts, "retried without limit"
 
 
 def test_roll_outs_keep_their_limits_and_end():
@@ -54,7 +56,7 @@
 def test_1100_servers_in_nine_zones_take_less_than_28_s():
     """The assumptions are those of docs/weights.md; the estimate must not be optimistic."""
     fleet = make_fleet(9, 123, 5_000, fetches_per_s=63.0)
-    agents = list(fleet.agents.values())
+    agents = [r.AgentWeights(name, agent.zone, 1) for name, agent in fleet.agents.items()]
     estimate = r.estimate_rollout(agents, 2, fleet.limits, [4_500] * 95 + [5_000] * 6)
     fleet.run()
     assert fleet.now_ms <= estimate.total_ms + 1_000 <= 28_000, (fleet.now_ms, estimate)
@@ -70,7 +72,7 @@
     fleet.fails = {(name, attempt) for name in fleet.agents for attempt in range(1, 9)}
     for _ in range(12):
         fleet.tick()
-    assert max(len(fleet.tick().orders) + len(fleet.swaps) - 1 for _ in range(40)) <= 1
+    assert max(len(fleet.tick().orders) + len(fleet.running) - 1 for _ in range(40)) <= 1
     fleet.run()
     assert len(fleet.reported) == 16
 
