--- /dev/null
+++ b/tests/unit/samples/test_answers.py
@@ -0,0 +1,119 @@
+"""Guards the HTTP form that trainers use, and what a takeover and a clean-up read back."""
+
+import json
+import random
+
+import attrs
+import pytest
+from returns.result import Failure
+from step_world import HookedStore
+
+from pistachionotch.objects.memory import MemoryStore
+from pistachionotch.samples import answers, delivery, request, retention
+from pistachionotch.samples.ledger_store import LedgerStore, StepUnknown
+from pistachionotch.samples.sample import Slot
+from pistachionotch.samples.steps import StepRegistry
+
+BODY = {
+    "trainer": "t",
+    "step": 1,
+    "model": "m",
+    "groups": 2,
+    "samples_per_group": 1,
+    "staleness_bound": 1,
+    "deadline_ms": 480_000,
+    "prompts": ["a", "b"],
+    "sampling": {"max_tokens": 9},
+}
+
+
+def parse(now_unix_ms=1_000, **changes):
+    body = json.dumps({**BODY, **changes}).encode()
+    return answers.parse_step(body, now_unix_ms)
+
+
+def test_pull_query_is_read_strictly():
+    query = {"cursor": "3", "attempt": "2", "version": "7"}
+    assert answers.parse_pull(query).unwrap() == delivery.Pull(3, 2, trainer_version=7)
+    for wrong in ({}, {"cursor": "-1"}, {"cursor": "1", "x": "1"}, {"cursor": "0", "limit": "0"}):
+        assert isinstance(answers.parse_pull(wrong), Failure), wrong
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"groups": 0},
+        {"groups": True},
+        {"step": "1"},
+        {"trainer": "a/b"},
+        {"prompts": None},
+        {"prompts": [1, 2]},
+        {"sampling": []},
+    ],
+)
+def test_wrong_step_requests_are_refused(changes):
+    assert isinstance(parse(**changes), Failure)
+
+
+def test_every_outcome_of_a_pull_has_an_answer():
+    outcomes = [
+        (delivery.Delivered(0, 1, (), 5, 0), 200),
+        (delivery.NothingReady(0, 4), 200),
+        (delivery.StepComplete(2, (Slot(0, 0),)), 200),
+        (delivery.AttemptNeeded(0, 2, "stale"), 409),
+        (delivery.WrongCursor(1, "already acknowledged"), 410),
+        (delivery.WrongCursor(1, "not yet reached", ahead=True), 409),
+        (delivery.TryLater("down"), 503),
+        (delivery.Rejected("limit"), 400),
+        (StepUnknown(), 404),
+    ]
+    for outcome, status in outcomes:
+        answer = answers.answer(outcome)
+        assert answer.status == status and json.loads(answer.body()) == answer.fields
+
+
+def test_repeated_step_request_is_the_same_step_and_other_prompts_are_not():
+    registry = StepRegistry(HookedStore(), random.Random(1))
+    body = json.dumps(BODY).encode()
+    opened = registry.open(body, 1_000).unwrap()
+    assert opened == registry.open(body, 2_000).unwrap() == registry.take_over("t", 1).unwrap()
+    assert opened.prompt(Slot(1, 0)) == "b" and opened.remaining_ms(2_000) == 479_000
+    other = json.dumps({**BODY, "prompts": ["a", "c"]}).encode()
+    assert registry.open(other, 1_000).failure().status == 409
+    assert registry.open(b"{", 1_000).failure().status == 400
+    assert registry.open(json.dumps({**BODY, "prompts": []}).encode(), 0).failure().status == 400
+    assert registry.take_over("t", 2).failure().status == 404
+    assert registry.cut("t", 1, opened.open_slots).unwrap() == 2
+    assert registry.take_over("t", 1).unwrap().open_slots == ()
+    registry.store.set_outage(True)
+    assert registry.open(body, 1_000).failure().status == 503
+
+
+def test_prompts_survive_lost_answers_and_missing_parts_are_reported():
+    store = MemoryStore()
+    plan, asked = parse(prompts=["x" * 1_500_000, "y"]).unwrap()
+    plan = request.plan_with(plan, asked).unwrap()
+    store.faults.lose_answers = 1
+    request.store_request(store, plan, asked).unwrap()
+    request.store_request(store, plan, asked).unwrap()
+    assert plan.request_parts == 2 and request.load_request(store, plan).unwrap() == asked
+    store.delete(request.part_key(plan, 1), store.get(request.part_key(plan, 1)).unwrap().version)
+    assert request.load_request(store, plan).failure().lost
+
+
+def test_old_complete_steps_are_deleted_and_never_created_again():
+    store, rng = MemoryStore(), random.Random(1)
+    for step in range(1, 8):
+        plan, asked = parse(step=step).unwrap()
+        plan = request.plan_with(plan, asked).unwrap()
+        request.store_request(store, plan, asked).unwrap()
+        step_ledger = LedgerStore(store, f"steps/t/{step}", rng)
+        step_ledger.create(plan).unwrap()
+        if step != 2:
+            step_ledger.update(lambda ledger: [ledger.cut(s) for s in ledger.open_slots()])
+    assert retention.prune_steps(store, "t").unwrap() == (1, 3)
+    assert request.load_request(store, attrs.evolve(plan, step=1)).failure().lost
+    assert retention.check_creatable(store, "t", 3).failure() == retention.StepGone(7)
+    delayed = json.dumps({**BODY, "step": 3}).encode()
+    assert StepRegistry(store, rng).open(delayed, 0).failure().status == 410
+    retention.check_creatable(store, "t", 4).unwrap()
