--- a/src/pistachionotch/admission/shares.py
+++ b/src/pistachionotch/admission/shares.py
@@ -17,7 +17,7 @@
 class ClassShares:
     """Divide the slots: some are for short work only, and long work has its own ceiling."""
 
-    short_reserved: float = 0.2
+    short_reserved: float = 0.125
     long_ceiling: float = 0.5
     # A class with startable work waits for at most this many starts of other classes.
     passes_before_turn: int = 16
