Learn speeds from the progress of open streams

A slowdown was known only after a slowed run had finished. Agents and entries now measure tokens per second over windows of half a second or more.

--- a/src/pistachionotch/admission/load.py
+++ b/src/pistachionotch/admission/load.py
@@ -10,6 +10,8 @@
 # Past this age an observed speed says little: slowdowns by neighbours last seconds to a minute.
 FACT_TRUST_MS = 10_000
 AVERAGE_WEIGHT = 0.2
+# Long enough to hold several tokens of a slowed stream, short against a slowdown.
+PROGRESS_WINDOW_MS = 500
 
 
 @attrs.frozen
@@ -81,6 +83,27 @@
         return self.seen_ms is not None and self.age_ms(now_ms) < FACT_TRUST_MS
 
 
+@attrs.define
+class StreamProgress:
+    """Turn the token count of one open stream into speeds over short windows."""
+
+    tokens: int = 0
+    since_ms: int | None = None
+    measured: bool = False
+
+    def advance(self, tokens: int, now_ms: int) -> float | None:
+        """Return the tokens per second since the last window, none until a window is over."""
+        if self.since_ms is None:
+            self.tokens, self.since_ms = tokens, now_ms
+            return None
+        elapsed_ms = now_ms - self.since_ms
+        if elapsed_ms < PROGRESS_WINDOW_MS:
+            return None
+        speed = (tokens - self.tokens) * MS_PER_SECOND / elapsed_ms
+        self.tokens, self.since_ms, self.measured = tokens, now_ms, True
+        return speed
+
+
 @attrs.define
 class SpeedEstimate:
     """Estimate how long one request runs at this upstream."""
@@ -88,17 +111,22 @@
     first_token_ms: MovingAverage = attrs.field(factory=MovingAverage)
     tokens_per_second: MovingAverage = attrs.field(factory=MovingAverage)
 
-    def observe(self, facts: RunFacts, now_ms: int) -> None:
-        """Learn from one finished run."""
+    def observe(self, facts: RunFacts, now_ms: int, progress_seen: bool = False) -> None:
+        """Learn from one finished run; its whole stream counts only if no progress was seen."""
         if not facts.succeeded:
             return
         first_ms = facts.time_to_first_token_ms
         if first_ms is not None:
             self.first_token_ms.observe(first_ms, now_ms)
         stream_ms = facts.duration_ms - (first_ms or 0)
-        if facts.tokens > 0 and stream_ms > 0:
+        if facts.tokens > 0 and stream_ms > 0 and not progress_seen:
             self.tokens_per_second.observe(facts.tokens * MS_PER_SECOND / stream_ms, now_ms)
 
+    def observe_progress(self, speed: float, now_ms: int) -> None:
+        """Learn from a window of one open stream; a stalled stream counts as one token."""
+        floor = MS_PER_SECOND / FACT_TRUST_MS
+        self.tokens_per_second.observe(max(floor, speed), now_ms)
+
     def ms_per_token(self) -> float:
         """Return the expected time of one token; zero while nothing was observed."""
         speed = self.tokens_per_second.value
--- a/src/pistachionotch/admission/queue.py
+++ b/src/pistachionotch/admission/queue.py
@@ -10,7 +10,7 @@
 from ..clock import Clock, Deadline
 from ..outcomes import Execution, RequestClass
 from .limit import ConcurrencyLimit
-from .load import LoadFacts, RunFacts, SpeedEstimate
+from .load import LoadFacts, RunFacts, SpeedEstimate, StreamProgress
 from .shares import SHORT_CLASSES, ClassShares
 from .wait import estimate_wait_ms
 
@@ -84,6 +84,7 @@
 class _Running:
     work: QueuedWork
     started_ms: int
+    progress: StreamProgress = attrs.field(factory=StreamProgress)
 
 
 def _deadline_order(work: QueuedWork) -> tuple[int, int, str]:
@@ -149,10 +150,20 @@
         if run is None:
             return
         self.limit.observe(facts, len(self.running))
-        self.speed.observe(facts, self.clock.now_ms())
+        self.speed.observe(facts, self.clock.now_ms(), run.progress.measured)
         self._charge(run.work.tenant, facts.tokens - run.work.expected_tokens)
         self._release(run)
 
+    def progress(self, attempt: str, tokens: int) -> None:
+        """Learn the present speed from the tokens that an open stream has produced so far."""
+        run = self.running.get(attempt)
+        if run is None:
+            return
+        now_ms = self.clock.now_ms()
+        speed = run.progress.advance(tokens, now_ms)
+        if speed is not None:
+            self.speed.observe_progress(speed, now_ms)
+
     def cancel(self, attempt: str) -> CancelledWork:
         """Remove queued work; for running work, ``finish`` is still due once it has stopped."""
         work = self.queued_attempts.get(attempt)
--- a/src/pistachionotch/bench/agents.py
+++ b/src/pistachionotch/bench/agents.py
@@ -21,13 +21,16 @@
 from ..admission.shares import ClassShares
 from ..clock import Deadline, ManualClock
 from ..outcomes import RequestClass
+from .deployments import ENGINE_POOL
 from .events import EventLoop
-from .upstreams import FakeUpstream
+from .upstreams import TOKENS_PER_SECOND, FakeUpstream
 from .versions import Versions
 from .workload import SERVICE, Job
 
 EXPIRY_TICK_MS = 100
 HEARTBEAT_MS = 2_000
+# Pieces arrive all the time; the fakes sum them up to keep the number of events low.
+PROGRESS_MS = 1_000
 
 
 class Queue(Protocol):
@@ -97,6 +100,9 @@
     def first_token(self, attempt: Attempt) -> None:
         """Handle the first piece."""
 
+    def progress(self, attempt: Attempt, tokens: int) -> None:
+        """Handle the pieces so far."""
+
     def finished(self, attempt: Attempt) -> None:
         """Handle the complete response."""
 
@@ -113,6 +119,8 @@
     number: int = 1
     version: int = 0
     started_ms: int = 0
+    streaming: bool = False
+    streamed_ms: float = 0.0
     cancelled: bool = False
 
 
@@ -189,14 +197,29 @@
     def start_heartbeats(self, offset_ms: int) -> None:
         """Send a report now and then every heartbeat interval."""
         self.loop.after(offset_ms, self._heartbeat)
+        if self.observer is not None and self.upstream.pool == ENGINE_POOL:
+            self.loop.after(PROGRESS_MS, self._progress, self.observer)
 
     def _heartbeat(self) -> None:
         self.report = self.queue.load()
         self.reported_ms = self.loop.clock.now_ms()
         self.loop.after(HEARTBEAT_MS, self._heartbeat)
 
+    def _progress(self, observer: AdmissionQueue) -> None:
+        now_ms = self.loop.clock.now_ms()
+        window_ms = self.upstream.work_ms(now_ms - PROGRESS_MS, now_ms)
+        for attempt in self.attempts.values():
+            if not attempt.streaming:
+                continue
+            attempt.streamed_ms += window_ms
+            tokens = round(attempt.streamed_ms * TOKENS_PER_SECOND / 1_000)
+            observer.progress(attempt.name, tokens)
+            self.loop.after(attempt.hop_ms, attempt.caller.progress, attempt, tokens)
+        self.loop.after(PROGRESS_MS, self._progress, observer)
+
     def _first_token(self, attempt: Attempt) -> None:
         if not attempt.cancelled:
+            attempt.streaming = attempt.job.kind is not SERVICE
             self.loop.after(attempt.hop_ms, attempt.caller.first_token, attempt)
 
     def _done(self, attempt: Attempt, first_token_ms: int) -> None:
--- a/src/pistachionotch/bench/baselines.py
+++ b/src/pistachionotch/bench/baselines.py
@@ -40,6 +40,9 @@
     def first_token(self, attempt: Attempt) -> None:
         """Ignore first tokens."""
 
+    def progress(self, attempt: Attempt, tokens: int) -> None:
+        """Ignore progress."""
+
     def finished(self, attempt: Attempt) -> None:
         """Complete the job."""
         self.open_here[(attempt.job.entry, attempt.agent)] -= 1
--- a/src/pistachionotch/bench/central.py
+++ b/src/pistachionotch/bench/central.py
@@ -43,6 +43,9 @@
     def first_token(self, attempt: Attempt) -> None:
         """Ignore first tokens."""
 
+    def progress(self, attempt: Attempt, tokens: int) -> None:
+        """Ignore progress."""
+
     def finished(self, attempt: Attempt) -> None:
         """Complete the job."""
         self.world.complete(attempt.job, attempt)
--- a/src/pistachionotch/bench/own.py
+++ b/src/pistachionotch/bench/own.py
@@ -119,6 +119,12 @@
         for loser in state.race.first_token(attempt.name).cancel:
             self._cancel(state, state.attempts[loser])
 
+    def progress(self, attempt: Attempt, tokens: int) -> None:
+        """Learn the speed of the agent's streams."""
+        if attempt.name in self.states:
+            seen = self.entries[attempt.job.entry].observations[attempt.agent]
+            seen.progress(attempt.name, tokens, self.world.loop.clock.now_ms())
+
     def finished(self, attempt: Attempt) -> None:
         """Complete the job."""
         state = self.states.pop(attempt.name, None)
--- a/src/pistachionotch/bench/upstreams.py
+++ b/src/pistachionotch/bench/upstreams.py
@@ -63,6 +63,15 @@
             now_ms = item.end_ms
         return round(now_ms + work_ms)
 
+    def work_ms(self, start_ms: int, end_ms: int) -> float:
+        """Return the full-speed milliseconds of work done between two times."""
+        done_ms = float(end_ms - start_ms)
+        for item in self.episodes:
+            overlap_ms = min(end_ms, item.end_ms) - max(start_ms, item.start_ms)
+            if overlap_ms > 0:
+                done_ms -= overlap_ms * (1 - 1 / item.factor)
+        return done_ms
+
     def prefill_ms(self, prompt_tokens: int, prefix: str) -> float:
         """Return the prefill time at full speed and keep the prefix in the cache."""
         prefill_ms = prompt_tokens / PREFILL_TOKENS_PER_MS
--- a/src/pistachionotch/routing/facts.py
+++ b/src/pistachionotch/routing/facts.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from ..admission.load import FACT_TRUST_MS, LoadFacts, MovingAverage
+from ..admission.load import FACT_TRUST_MS, LoadFacts, MovingAverage, StreamProgress
 from ..clock import MS_PER_SECOND, Deadline
 from ..outcomes import RequestClass
 
@@ -71,6 +71,7 @@
     request_class: RequestClass
     sent_ms: int
     first_token_ms: int | None = None
+    progress: StreamProgress = attrs.field(factory=StreamProgress)
 
 
 @attrs.define
@@ -98,10 +99,20 @@
         average = self.first_token_ms.setdefault(seen.request_class, MovingAverage())
         average.observe(now_ms - seen.sent_ms, now_ms)
 
+    def progress(self, attempt: str, tokens: int, now_ms: int) -> None:
+        """Record the tokens that an open stream has delivered so far."""
+        seen = self.attempts.get(attempt)
+        if seen is None:
+            return
+        speed = seen.progress.advance(tokens, now_ms)
+        if speed is not None:
+            floor = MS_PER_SECOND / FACT_TRUST_MS
+            self.tokens_per_second.observe(max(floor, speed), now_ms)
+
     def finished(self, attempt: str, tokens: int, now_ms: int) -> None:
         """Record the complete response of an attempt."""
         seen = self.attempts.pop(attempt, None)
-        if seen is None or seen.first_token_ms is None:
+        if seen is None or seen.first_token_ms is None or seen.progress.measured:
             return
         stream_ms = now_ms - seen.first_token_ms
         if tokens > 0 and stream_ms > 0:
--- a/tests/unit/admission/test_load.py
+++ b/tests/unit/admission/test_load.py
@@ -1,6 +1,12 @@
 """Guards against estimates from stale or failed runs, and facts without their age."""
 
-from pistachionotch.admission.load import FACT_TRUST_MS, MovingAverage, RunFacts, SpeedEstimate
+from pistachionotch.admission.load import (
+    FACT_TRUST_MS,
+    MovingAverage,
+    RunFacts,
+    SpeedEstimate,
+    StreamProgress,
+)
 from pistachionotch.admission.wait import estimate_wait_ms
 
 
@@ -38,3 +44,23 @@
     assert estimate_wait_ms(0, [500, 300], 2, []) == 300
     assert estimate_wait_ms(0, [500, 300], 2, [1_000]) == 500
     assert estimate_wait_ms(1, [500], 2, [100, 100]) == 200
+
+
+def test_progress_of_an_open_stream_shows_a_slowdown_before_the_stream_ends():
+    """Guards against a speed that is known only after a slowed run of a minute has finished."""
+    speed = SpeedEstimate()
+    speed.observe(RunFacts(200, 100, 2_700), 0)
+    progress = StreamProgress()
+    assert progress.advance(40, 1_000) is None
+    assert progress.advance(41, 1_100) is None, "one token is too short a window"
+    assert progress.advance(50, 2_000) == 10.0
+    speed.observe_progress(10.0, 2_000)
+    assert speed.tokens_per_second.value < 40.0
+
+
+def test_stalled_stream_gives_a_finite_estimate():
+    """Guards against a division by zero when an open stream makes no progress at all."""
+    speed = SpeedEstimate()
+    for now_ms in range(0, 60_000, 1_000):
+        speed.observe_progress(0.0, now_ms)
+    assert speed.service_ms(100) > 10_000
--- a/tests/unit/admission/test_queue.py
+++ b/tests/unit/admission/test_queue.py
@@ -251,3 +251,16 @@
     answers = [queue.offer(make_work(clock, f"w{number}")) for number in range(4)]
     assert isinstance(answers[-1], RefusedWork)
     assert len(queue.queued_attempts) == 3
+
+
+def test_progress_of_running_work_changes_the_reported_speed():
+    """Guards against load facts that show a slowdown only after the slowed run has ended."""
+    clock, queue = make_queue()
+    teach_speed(clock, queue)
+    queue.offer(make_work(clock, "stream"))
+    queue.next()
+    for tokens in (10, 15, 20):
+        queue.progress("stream", tokens)
+        clock.advance(1_000)
+    assert queue.load().tokens_per_second < 35.0
+    queue.progress("unknown", 10)
