Move queued training and long work to agents that start it earlier

A step is sent in one burst and was bound to its agents before they slowed down or filled up. Once a second an entry may withdraw the last waiting attempt it sent to each agent; the agent answers "not run" before the work is placed again, so nothing runs twice.

--- a/src/pistachionotch/bench/agents.py
+++ b/src/pistachionotch/bench/agents.py
@@ -97,6 +97,9 @@
     def refused(self, attempt: Attempt, reason: str, retry_after_ms: int) -> None:
         """Handle a refusal; the attempt was not run."""
 
+    def withdrawn(self, attempt: Attempt) -> None:
+        """Handle an attempt given back before it started."""
+
     def first_token(self, attempt: Attempt) -> None:
         """Handle the first piece."""
 
@@ -168,6 +171,12 @@
             self.queue.finish(attempt.name, RunFacts(None, 0, 0, succeeded=False))
             self.pump()
 
+    def withdraw(self, attempt: Attempt) -> None:
+        """Give back an attempt that has not started; one that has started goes on."""
+        if attempt.name in self.attempts and self.queue.cancel(attempt.name).was_queued:
+            del self.attempts[attempt.name]
+            self.loop.after(attempt.hop_ms, attempt.caller.withdrawn, attempt)
+
     def pump(self) -> None:
         """Start all work that has a slot and answer expired work."""
         while True:
--- a/src/pistachionotch/bench/central.py
+++ b/src/pistachionotch/bench/central.py
@@ -43,6 +43,9 @@
     def first_token(self, attempt: Attempt) -> None:
         """Ignore first tokens."""
 
+    def withdrawn(self, attempt: Attempt) -> None:
+        """Ignore withdrawals; nothing is withdrawn."""
+
     def progress(self, attempt: Attempt, tokens: int) -> None:
         """Ignore progress."""
 
--- a/src/pistachionotch/bench/measures.py
+++ b/src/pistachionotch/bench/measures.py
@@ -84,7 +84,7 @@
     for name in ("goodput_tokens", "region_bytes", "control_messages", "control_bytes"):
         rates = [run.counts[name] / seconds for run in runs]
         summary[f"{name}_per_s"] = attrs.asdict(Spread.of(rates))
-    for name in ("stale_delivered", "stale_regenerated", "hedges", "retries", "steps"):
+    for name in ("stale_delivered", "stale_regenerated", "hedges", "retries", "moves", "steps"):
         summary[name] = sum(run.counts[name] for run in runs)
     return summary
 
--- a/src/pistachionotch/bench/own.py
+++ b/src/pistachionotch/bench/own.py
@@ -10,14 +10,17 @@
 from ..outcomes import Execution
 from ..routing.facts import AgentObservations, CandidateFacts, Location, RoutedRequest
 from ..routing.hedge import HedgeFacts, HedgeRace, LatencyTail, decide_hedge
+from ..routing.move import decide_move
 from ..routing.place import Placement, RoutingCosts, place
 from ..routing.retry import FailedAttempt, RetryBudget, decide_retry
 from .agents import HEARTBEAT_MS, Attempt, FakeAgent
 from .upstreams import CACHED_PREFIXES
-from .workload import Job
+from .workload import LONG, TRAINING, Job
 from .world import World
 
 CANCEL_BYTES = 60
+MOVE_CHECK_MS = 1_000
+MOVED_KINDS = (TRAINING, LONG)
 
 
 @attrs.define(eq=False)
@@ -67,6 +70,8 @@
         ]
         for number, agent in enumerate(world.agents.values()):
             agent.start_heartbeats(number * HEARTBEAT_MS // len(world.agents))
+        for number in range(len(self.entries)):
+            world.loop.after(MOVE_CHECK_MS, self._move_waiting, number)
 
     def start(self, job: Job) -> None:
         """Place a new job, or refuse it at once."""
@@ -119,6 +124,18 @@
         for loser in state.race.first_token(attempt.name).cancel:
             self._cancel(state, state.attempts[loser])
 
+    def withdrawn(self, attempt: Attempt) -> None:
+        """Place an attempt again that was given back before it started."""
+        state = self.states.pop(attempt.name, None)
+        if state is None:
+            return
+        self._drop(state, attempt)
+        if state.job.done or not state.race.failed(attempt.name):
+            return
+        state.tried = frozenset()
+        self.world.measures.counts["moves"] += 1
+        self._retry(state)
+
     def progress(self, attempt: Attempt, tokens: int) -> None:
         """Learn the speed of the agent's streams."""
         if attempt.name in self.states:
@@ -158,9 +175,48 @@
             first_hand=seen.summary(job.request_class, now_ms),
         )
 
+    def _move_waiting(self, number: int) -> None:
+        """Withdraw the last work sent to each agent that would start much earlier elsewhere."""
+        last: dict[tuple[str, str], _Open] = {}
+        for state in self.states.values():
+            if state.job.entry != number or state.race.winner is not None:
+                continue
+            if state.job.kind in MOVED_KINDS and len(state.race.open_attempts) == 1:
+                agent = state.attempts[state.race.open_attempts[0]].agent
+                last[(state.job.kind.name, agent)] = state
+        for (_, agent), state in last.items():
+            self._move(state, agent)
+        self.world.loop.after(MOVE_CHECK_MS, self._move_waiting, number)
+
+    def _move(self, state: _Open, agent_name: str) -> None:
+        job = state.job
+        here = self.entries[job.entry].here
+        now_ms = self.world.loop.clock.now_ms()
+        request = attrs.evolve(self._request(state), excluded=frozenset())
+        candidates = self.candidates(job)
+        decision = decide_move(request, agent_name, candidates, here, now_ms, self.costs)
+        if decision.agent is None:
+            return
+        attempt = state.attempts[state.race.open_attempts[0]]
+        self._count_cancel(2)
+        self.world.loop.after(attempt.hop_ms, self.world.agents[agent_name].withdraw, attempt)
+
+    def _count_cancel(self, messages: int) -> None:
+        self.world.count_control(messages, messages * CANCEL_BYTES)
+
     def _place(self, state: _Open) -> Placement:
+        return place(
+            self._request(state),
+            self.candidates(state.job),
+            self.entries[state.job.entry].here,
+            self.world.loop.clock.now_ms(),
+            self.world.rng,
+            self.costs,
+        )
+
+    def _request(self, state: _Open) -> RoutedRequest:
         job = state.job
-        request = RoutedRequest(
+        return RoutedRequest(
             request_id=job.name,
             request_class=job.request_class,
             deadline=Deadline(job.deadline_ms),
@@ -170,14 +226,6 @@
             idempotent=job.idempotent,
             excluded=state.tried,
         )
-        return place(
-            request,
-            self.candidates(job),
-            self.entries[job.entry].here,
-            self.world.loop.clock.now_ms(),
-            self.world.rng,
-            self.costs,
-        )
 
     def _send(self, state: _Open, agent_name: str) -> None:
         state.sent += 1
@@ -205,7 +253,7 @@
     def _cancel(self, state: _Open, attempt: Attempt) -> None:
         self.states.pop(attempt.name, None)
         self._drop(state, attempt)
-        self.world.count_control(1, CANCEL_BYTES)
+        self._count_cancel(1)
         agent = self.world.agents[attempt.agent]
         self.world.loop.after(attempt.hop_ms, agent.cancel, attempt)
 
--- a/src/pistachionotch/bench/report.py
+++ b/src/pistachionotch/bench/report.py
@@ -28,6 +28,7 @@
     "region kB/s",
     "hedges",
     "retries",
+    "moves",
     "stale",
 )
 
@@ -93,6 +94,7 @@
         f"{summary['region_bytes_per_s']['median'] / 1000:.0f}",
         str(summary["hedges"]),
         str(summary["retries"]),
+        str(summary["moves"]),
         f"{summary['stale_regenerated']}",
     )
 
--- /dev/null
+++ b/src/pistachionotch/routing/move.py
@@ -0,0 +1,42 @@
+"""Move of queued work to an agent that would start it much earlier."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import attrs
+
+from .facts import CandidateFacts, Location, RoutedRequest
+from .place import RoutingCosts, estimate_all
+
+# Reports are up to 2 s old; smaller gains would move work back and forth.
+MIN_GAIN_MS = 2_000
+
+
+@attrs.frozen
+class MoveDecision:
+    """Name the agent to move to; the move starts only after the old agent said "not run"."""
+
+    agent: str | None
+    reason: str
+    gain_ms: int = 0
+
+
+def decide_move(
+    request: RoutedRequest,
+    current: str,
+    candidates: Sequence[CandidateFacts],
+    here: Location,
+    now_ms: int,
+    costs: RoutingCosts,
+) -> MoveDecision:
+    """Decide whether work that still waits at ``current`` should wait elsewhere."""
+    estimates = estimate_all(request, candidates, here, now_ms, costs)
+    at_current = [item for item in estimates if item.agent == current]
+    if not at_current:
+        return MoveDecision(None, f"nothing is known of {current}")
+    best = estimates[0]
+    gain_ms = at_current[0].total_ms - best.total_ms
+    if best.agent == current or gain_ms < MIN_GAIN_MS:
+        return MoveDecision(None, f"no agent is better by {MIN_GAIN_MS} ms")
+    return MoveDecision(best.agent, f"ends {gain_ms} ms earlier at {best.agent}", gain_ms)
--- a/src/pistachionotch/routing/place.py
+++ b/src/pistachionotch/routing/place.py
@@ -86,14 +86,9 @@
     costs: RoutingCosts,
 ) -> Placement:
     """Choose the agent with the earliest expected completion."""
-    usable = [candidate for candidate in candidates if _usable(request, candidate)]
-    if not usable:
+    estimates = estimate_all(request, candidates, here, now_ms, costs)
+    if not estimates:
         return Placement(None, "no agent serves this request", retry_after_ms=NO_AGENT_RETRY_MS)
-    recent = [item for item in usable if now_ms - item.observed_ms <= costs.suspect_after_ms]
-    usable = recent or usable
-    typical = _typical(usable, costs)
-    estimates = [estimate(request, item, here, now_ms, costs, typical) for item in usable]
-    estimates.sort(key=lambda item: (item.total_ms, item.agent))
     remaining_ms = request.deadline.at_ms - now_ms
     if estimates[0].total_ms > remaining_ms and _certain(estimates, costs):
         return _refuse(estimates, remaining_ms)
@@ -107,6 +102,23 @@
     )
 
 
+def estimate_all(
+    request: RoutedRequest,
+    candidates: Sequence[CandidateFacts],
+    here: Location,
+    now_ms: int,
+    costs: RoutingCosts,
+) -> list[Estimate]:
+    """Estimate all usable candidates, the best first; suspect ones only if all are suspect."""
+    usable = [candidate for candidate in candidates if _usable(request, candidate)]
+    recent = [item for item in usable if now_ms - item.observed_ms <= costs.suspect_after_ms]
+    usable = recent or usable
+    typical = _typical(usable, costs)
+    estimates = [estimate(request, item, here, now_ms, costs, typical) for item in usable]
+    estimates.sort(key=lambda item: (item.total_ms, item.agent))
+    return estimates
+
+
 def estimate(
     request: RoutedRequest,
     candidate: CandidateFacts,
