Hedge streams that a slowdown overtakes after their first token

Hedges were decided by the first token only, while most of the short tail started before or early in a slowdown and then streamed slowly. A stream whose projected total is above the 95th percentile of recent totals is now hedged when a new attempt ends clearly earlier; completion decides.

--- a/src/pistachionotch/bench/own.py
+++ b/src/pistachionotch/bench/own.py
@@ -9,18 +9,27 @@
 from ..clock import Deadline
 from ..outcomes import Execution
 from ..routing.facts import AgentObservations, CandidateFacts, Location, RoutedRequest
-from ..routing.hedge import HedgeFacts, HedgeRace, LatencyTail, decide_hedge
+from ..routing.hedge import (
+    NO_ALTERNATIVE,
+    HedgeDecision,
+    HedgeFacts,
+    HedgeRace,
+    LatencyTail,
+    decide_hedge,
+)
 from ..routing.move import decide_move
 from ..routing.place import Placement, RoutingCosts, place
 from ..routing.retry import FailedAttempt, RetryBudget, decide_retry
 from .agents import HEARTBEAT_MS, Attempt, FakeAgent
 from .upstreams import CACHED_PREFIXES
-from .workload import LONG, TRAINING, Job
+from .workload import ASSISTANT, LONG, TRAINING, Job
 from .world import World
 
 CANCEL_BYTES = 60
 MOVE_CHECK_MS = 1_000
 MOVED_KINDS = (TRAINING, LONG)
+HEDGED_STREAMS = (ASSISTANT, TRAINING)
+OVERRUN_SHARE = 0.25
 
 
 @attrs.define(eq=False)
@@ -44,6 +53,7 @@
         self.prefixes: dict[str, OrderedDict[str, None]] = {n: OrderedDict() for n in agents}
         self.budget = RetryBudget()
         self.tails: dict[str, LatencyTail] = {}
+        self.totals: dict[str, LatencyTail] = {}
 
     def remember_prefix(self, agent: str, prefix: str) -> None:
         """Expect the prefix in the agent's cache from now on."""
@@ -138,17 +148,25 @@
 
     def progress(self, attempt: Attempt, tokens: int) -> None:
         """Learn the speed of the agent's streams."""
-        if attempt.name in self.states:
-            seen = self.entries[attempt.job.entry].observations[attempt.agent]
-            seen.progress(attempt.name, tokens, self.world.loop.clock.now_ms())
+        state = self.states.get(attempt.name)
+        if state is None:
+            return
+        seen = self.entries[attempt.job.entry].observations[attempt.agent]
+        seen.progress(attempt.name, tokens, self.world.loop.clock.now_ms())
+        if attempt.job.kind in HEDGED_STREAMS and state.race.winner == attempt.name:
+            self._check_slow_stream(state, tokens, seen.tokens_per_second.value)
 
     def finished(self, attempt: Attempt) -> None:
         """Complete the job."""
         state = self.states.pop(attempt.name, None)
         if state is None:
             return
-        entry = self.entries[state.job.entry]
+        job = state.job
+        entry = self.entries[job.entry]
         now_ms = self.world.loop.clock.now_ms()
+        for loser in state.race.finished(attempt.name).cancel:
+            self._cancel(state, state.attempts[loser])
+        entry.totals.setdefault(job.kind.name, LatencyTail()).observe(now_ms - job.arrived_ms)
         entry.observations[attempt.agent].finished(attempt.name, attempt.job.tokens, now_ms)
         entry.budget.record_success(now_ms)
         self.world.complete(state.job, attempt)
@@ -204,9 +222,9 @@
     def _count_cancel(self, messages: int) -> None:
         self.world.count_control(messages, messages * CANCEL_BYTES)
 
-    def _place(self, state: _Open) -> Placement:
+    def _place(self, state: _Open, tokens: int | None = None) -> Placement:
         return place(
-            self._request(state),
+            self._request(state, tokens),
             self.candidates(state.job),
             self.entries[state.job.entry].here,
             self.world.loop.clock.now_ms(),
@@ -214,13 +232,13 @@
             self.costs,
         )
 
-    def _request(self, state: _Open) -> RoutedRequest:
+    def _request(self, state: _Open, tokens: int | None = None) -> RoutedRequest:
         job = state.job
         return RoutedRequest(
             request_id=job.name,
             request_class=job.request_class,
             deadline=Deadline(job.deadline_ms),
-            expected_tokens=job.kind.mean_tokens,
+            expected_tokens=job.kind.mean_tokens if tokens is None else tokens,
             prompt_tokens=job.kind.prompt_tokens,
             transfer_bytes=job.transfer_bytes,
             idempotent=job.idempotent,
@@ -265,25 +283,46 @@
         job = state.job
         if job.done or state.race.winner is not None:
             return
-        entry = self.entries[job.entry]
+        tail = self.entries[job.entry].tails.setdefault(job.kind.name, LatencyTail())
+        facts = self._hedge_facts(state)
+        checked = self._hedge(state, facts, tail, job.kind.mean_tokens)
+        if checked.check_again_ms is not None:
+            self.world.loop.after(checked.check_again_ms, self._check_hedge, state)
+
+    def _check_slow_stream(self, state: _Open, tokens: int, speed: float) -> None:
+        if speed <= 0:
+            return
+        kind = state.job.kind
+        # The true length is not known; a stream beyond the declared length goes on for a while.
+        left = max(kind.mean_tokens - tokens, tokens * OVERRUN_SHARE)
+        facts = self._hedge_facts(state)
+        projected_ms = round(facts.elapsed_ms + left * 1_000 / speed)
+        tail = self.entries[state.job.entry].totals.setdefault(kind.name, LatencyTail())
+        facts = attrs.evolve(facts, projected_ms=projected_ms)
+        self._hedge(state, facts, tail, round(tokens + left))
+
+    def _hedge_facts(self, state: _Open) -> HedgeFacts:
+        job = state.job
         now_ms = self.world.loop.clock.now_ms()
-        tail = entry.tails.setdefault(job.kind.name, LatencyTail())
-        facts = HedgeFacts(
+        return HedgeFacts(
             idempotent=job.idempotent,
             elapsed_ms=now_ms - job.arrived_ms,
             remaining_ms=job.deadline_ms - now_ms,
-            first_token_seen=False,
             attempts_open=len(state.race.open_attempts),
             alternative=None,
             alternative_ms=0,
         )
-        first = decide_hedge(facts, tail, entry.budget, now_ms)
-        if first.check_again_ms is not None:
-            self.world.loop.after(first.check_again_ms, self._check_hedge, state)
-            return
-        if facts.attempts_open != 1 or tail.quantile_ms(0.5) is None:
-            return
-        placement = self._place(state)
+
+    def _hedge(
+        self, state: _Open, facts: HedgeFacts, tail: LatencyTail, tokens: int
+    ) -> HedgeDecision:
+        entry = self.entries[state.job.entry]
+        now_ms = self.world.loop.clock.now_ms()
+        decision = decide_hedge(facts, tail, entry.budget, now_ms)
+        if decision.reason != NO_ALTERNATIVE:
+            return decision
+        # Placement costs time, so that the cheap conditions come first.
+        placement = self._place(state, tokens)
         facts = attrs.evolve(
             facts, alternative=placement.agent, alternative_ms=placement.estimate_ms
         )
@@ -291,3 +330,4 @@
         if decision.agent is not None:
             self.world.measures.counts["hedges"] += 1
             self._send(state, decision.agent)
+        return decision
--- a/src/pistachionotch/routing/hedge.py
+++ b/src/pistachionotch/routing/hedge.py
@@ -10,6 +10,7 @@
 
 TAIL_SAMPLES = 256
 MIN_TAIL_SAMPLES = 20
+NO_ALTERNATIVE = "late, but no other agent"
 
 
 @attrs.define
@@ -36,15 +37,20 @@
 
 @attrs.frozen
 class HedgeFacts:
-    """Describe a request whose only attempt has not produced its first token."""
+    """Describe a request with its attempts; ``projected_ms`` is its expected total time.
+
+    ``projected_ms`` is none before the first token. ``delivered`` says that the caller has already
+    received a part, which no other attempt can replace.
+    """
 
     idempotent: bool
     elapsed_ms: int
     remaining_ms: int
-    first_token_seen: bool
     attempts_open: int
     alternative: str | None
     alternative_ms: int
+    projected_ms: int | None = None
+    delivered: bool = False
 
 
 @attrs.frozen
@@ -56,33 +62,54 @@
     check_again_ms: int | None = None
 
 
-# Above this quantile of recent times to first token an attempt counts as late.
+# Above this quantile of recent times an attempt counts as late.
 HEDGE_QUANTILE = 0.95
+# A second attempt at a slow stream repeats its work, so it must end clearly earlier.
+MAX_SHARE_OF_PROJECTED = 0.8
 
 
 def decide_hedge(
     facts: HedgeFacts, tail: LatencyTail, budget: RetryBudget, now_ms: int
 ) -> HedgeDecision:
-    """Decide on a second attempt and take it from the budget."""
-    if not facts.idempotent:
-        return HedgeDecision(None, "not idempotent")
-    if facts.first_token_seen:
-        return HedgeDecision(None, "the first token has arrived")
-    if facts.attempts_open != 1:
-        return HedgeDecision(None, f"{facts.attempts_open} attempts are open")
+    """Decide on a second attempt and take it from the budget.
+
+    ``tail`` holds times to first token before the first token, and total times after it.
+    """
+    barred = _barred(facts)
+    if barred is not None:
+        return HedgeDecision(None, barred)
     tail_ms = tail.quantile_ms(HEDGE_QUANTILE)
     if tail_ms is None:
         return HedgeDecision(None, "too few observations to know the tail")
-    if facts.elapsed_ms <= tail_ms:
-        return HedgeDecision(None, "not in the tail yet", tail_ms - facts.elapsed_ms + 1)
+    late_ms = facts.elapsed_ms if facts.projected_ms is None else facts.projected_ms
+    if late_ms <= tail_ms:
+        return HedgeDecision(None, "not in the tail yet", tail_ms - late_ms + 1)
     if facts.alternative is None:
-        return HedgeDecision(None, "no other agent")
+        return HedgeDecision(None, NO_ALTERNATIVE)
     if facts.alternative_ms >= facts.remaining_ms:
         return HedgeDecision(None, f"{facts.alternative} would miss the deadline as well")
+    if not _faster(facts):
+        return HedgeDecision(None, f"{facts.alternative} would not end clearly earlier")
     if not budget.spend(now_ms):
         return HedgeDecision(None, "retry budget is spent")
-    reason = f"no first token after {facts.elapsed_ms} ms, above {tail_ms} ms"
-    return HedgeDecision(facts.alternative, reason)
+    what = "no first token after" if facts.projected_ms is None else "slow stream, expected to take"
+    return HedgeDecision(facts.alternative, f"{what} {late_ms} ms, above {tail_ms} ms")
+
+
+def _barred(facts: HedgeFacts) -> str | None:
+    if not facts.idempotent:
+        return "not idempotent"
+    if facts.delivered:
+        return "the caller has received a part"
+    if facts.attempts_open != 1:
+        return f"{facts.attempts_open} attempts are open"
+    return None
+
+
+def _faster(facts: HedgeFacts) -> bool:
+    if facts.projected_ms is None:
+        return True
+    return facts.elapsed_ms + facts.alternative_ms < MAX_SHARE_OF_PROJECTED * facts.projected_ms
 
 
 @attrs.frozen
@@ -96,24 +123,44 @@
 
 @attrs.define
 class HedgeRace:
-    """Keep the attempts of one request; the first to produce a token wins."""
+    """Keep the attempts of one request and decide which one is used.
+
+    The first token decides between attempts that all waited for it. An attempt that is started
+    against a slow stream makes completion decide instead.
+    """
 
     open_attempts: list[str] = attrs.field(factory=list)
     winner: str | None = None
+    by_completion: bool = False
 
     def start(self, attempt: str) -> None:
         """Add an attempt."""
+        if self.winner is not None:
+            self.winner = None
+            self.by_completion = True
         self.open_attempts.append(attempt)
 
     def first_token(self, attempt: str) -> RaceResult:
-        """Settle the race by the first token; the losers are to be cancelled."""
-        if self.winner is not None:
-            return RaceResult(attempt == self.winner, (), f"{self.winner} has won")
-        self.winner = attempt
-        losers = tuple(other for other in self.open_attempts if other != attempt)
-        return RaceResult(True, losers, f"{attempt} was first")
+        """Settle the race by the first token unless completion decides."""
+        if self.by_completion:
+            return RaceResult(False, (), "completion decides")
+        return self._settle(attempt)
+
+    def finished(self, attempt: str) -> RaceResult:
+        """Settle the race by completion."""
+        return self._settle(attempt)
 
     def failed(self, attempt: str) -> bool:
         """Remove a failed attempt and return whether none is left."""
         self.open_attempts.remove(attempt)
+        if self.winner == attempt:
+            self.winner = None
         return not self.open_attempts
+
+    def _settle(self, attempt: str) -> RaceResult:
+        if self.winner is not None:
+            return RaceResult(attempt == self.winner, (), f"{self.winner} has won")
+        self.winner = attempt
+        losers = tuple(other for other in self.open_attempts if other != attempt)
+        self.open_attempts = [attempt]
+        return RaceResult(True, losers, f"{attempt} was first")
--- a/tests/unit/routing/test_hedge.py
+++ b/tests/unit/routing/test_hedge.py
@@ -18,7 +18,6 @@
         "idempotent": True,
         "elapsed_ms": 500,
         "remaining_ms": 5_000,
-        "first_token_seen": False,
         "attempts_open": 1,
         "alternative": "other",
         "alternative_ms": 300,
@@ -36,7 +35,9 @@
     [
         {"idempotent": False},
         {"elapsed_ms": 190},
-        {"first_token_seen": True},
+        {"delivered": True},
+        {"projected_ms": 190},
+        {"projected_ms": 900},
         {"attempts_open": 2},
         {"alternative": None},
         {"alternative_ms": 5_000},
@@ -54,6 +55,13 @@
     assert decide(elapsed_ms=150 + decision.check_again_ms).agent == "other"
 
 
+def test_slow_stream_is_hedged_when_a_new_attempt_ends_clearly_earlier():
+    """Guards against short work that is stuck behind a slowdown after its first token."""
+    decision = decide(projected_ms=3_000)
+    assert decision.agent == "other"
+    assert "slow stream" in decision.reason
+
+
 def test_hedges_share_the_retry_budget():
     """Guards against doubled load when every upstream is slow."""
     budget = RetryBudget()
@@ -70,6 +78,27 @@
     assert late.cancel == ()
 
 
+def test_attempt_against_a_slow_stream_is_decided_by_completion():
+    """Guards against a slow stream that is cancelled before its replacement is complete."""
+    race = HedgeRace()
+    race.start("slow")
+    race.first_token("slow")
+    race.start("fresh")
+    assert race.first_token("fresh").cancel == ()
+    assert race.finished("fresh").cancel == ("slow",)
+    assert not race.finished("slow").won
+
+
+def test_failed_winner_leaves_the_race_open():
+    """Guards against a request that is lost because its winning attempt failed."""
+    race = HedgeRace()
+    race.start("slow")
+    race.first_token("slow")
+    race.start("fresh")
+    assert not race.failed("slow")
+    assert race.finished("fresh").won
+
+
 def test_failed_attempt_leaves_the_other_in_the_race():
     race = HedgeRace()
     race.start("first")
