--- a/src/pistachionotch/admission/limit.py
+++ b/src/pistachionotch/admission/limit.py
@@ -1,4 +1,4 @@
-"""Concurrency limit of one upstream, adapted to its time to first token."""
+"""Concurrency limit of one upstream, adapted to the upstream's own signs of overload."""
 
 from __future__ import annotations
 
@@ -6,21 +6,22 @@
 
 from .load import RunFacts
 
-# Batching raises the time to first token somewhat; beyond twice the floor, requests queue inside.
-CONGESTED_RATIO = 2.0
-DECREASE = 0.9
-# The floor creeps up so that a changed model or machine is not judged by an old best value.
-FLOOR_GROWTH = 1.002
+DECREASE = 0.8
+# Upstreams report their load with a lag; an older report describes another load.
+MAX_REPORT_AGE_MS = 5_000
 
 
 @attrs.define
 class ConcurrencyLimit:
-    """Allow ``value`` concurrent runs, between ``minimum`` and ``maximum``."""
+    """Allow ``value`` concurrent runs, between ``minimum`` and ``maximum``.
+
+    Response times are no sign of overload: they vary with prompts, cached prefixes and slowdowns
+    by neighbours, during which fewer runs only lose capacity.
+    """
 
     minimum: int
     maximum: int
     exact: float
-    floor_ms: float = 0.0
     runs_to_ignore: int = 0
 
     @classmethod
@@ -40,20 +41,21 @@
 
     def observe(self, facts: RunFacts, running: int) -> None:
         """Adapt to one finished run; ``running`` counts the runs in progress as it finished."""
-        first_ms = facts.time_to_first_token_ms
-        if first_ms is None or not facts.succeeded:
-            return
         self.runs_to_ignore = max(0, self.runs_to_ignore - 1)
-        if not self.floor_ms or first_ms < self.floor_ms:
-            self.floor_ms = max(1.0, first_ms)
-        self.floor_ms *= FLOOR_GROWTH
-        if first_ms > CONGESTED_RATIO * self.floor_ms:
+        if facts.overloaded:
             self._decrease(running)
-        elif running >= self.value:
-            self.exact = min(self.maximum, self.exact + 1 / self.exact)
+        elif facts.succeeded and running >= self.value:
+            # One more slot for each round of runs that used all slots without trouble.
+            self.exact = min(self.maximum, self.exact + 1 / max(1.0, self.exact))
+
+    def observe_report(self, running: int, waiting: int, measured_ms_ago: int) -> None:
+        """Adapt to an engine's report: what waits inside it is beyond its batch."""
+        if waiting <= 0 or running <= 0 or measured_ms_ago > MAX_REPORT_AGE_MS:
+            return
+        self.exact = float(max(self.minimum, min(self.value, running)))
 
     def _decrease(self, running: int) -> None:
-        # One decrease per round of runs: those in progress now saw the same congestion.
+        # One decrease per round of runs: those in progress now meet the same overload.
         if self.runs_to_ignore:
             return
         self.runs_to_ignore = running
--- a/src/pistachionotch/admission/load.py
+++ b/src/pistachionotch/admission/load.py
@@ -18,13 +18,15 @@
 class RunFacts:
     """Describe one finished run as the agent saw it; a failed run teaches no speed.
 
-    For a plain service the first token is the response and ``tokens`` is zero.
+    For a plain service the first token is the response and ``tokens`` is zero. ``overloaded`` means
+    that the upstream rejected the run with 429 or 503.
     """
 
     time_to_first_token_ms: int | None
     tokens: int
     duration_ms: int
     succeeded: bool = True
+    overloaded: bool = False
 
 
 @attrs.frozen
