--- a/src/pistachionotch/routing/place.py
+++ b/src/pistachionotch/routing/place.py
@@ -66,6 +66,7 @@
     agent: str | None
     reason: str
     estimate_ms: int = 0
+    wait_ms: int = 0
     fact_age_ms: int = 0
     alternatives: tuple[str, ...] = ()
     retry_after_ms: int = 0
@@ -97,6 +98,7 @@
         agent=chosen.agent,
         reason=_reason(chosen, len(estimates)),
         estimate_ms=chosen.total_ms,
+        wait_ms=chosen.wait_ms,
         fact_age_ms=chosen.fact_age_ms,
         alternatives=tuple(item.agent for item in estimates if item is not chosen),
     )
@@ -179,6 +181,7 @@
         agent=None,
         reason=reason,
         estimate_ms=best.total_ms,
+        wait_ms=best.wait_ms,
         fact_age_ms=best.fact_age_ms,
         retry_after_ms=max(MIN_RETRY_AFTER_MS, retry_ms),
     )
