--- a/src/pistachionotch/bench/agents.py
+++ b/src/pistachionotch/bench/agents.py
@@ -97,9 +97,6 @@
     def refused(self, attempt: Attempt, reason: str, retry_after_ms: int) -> None:
         """Handle a refusal; the attempt was not run."""
 
-    def granted(self, attempt: Attempt) -> None:
-        """Handle a slot that is held for a reservation."""
-
     def withdrawn(self, attempt: Attempt) -> None:
         """Handle an attempt given back before it started."""
 
@@ -122,7 +119,7 @@
     agent: str
     caller: Caller
     hop_ms: int
-    reserved: bool = False
+    number: int = 1
     version: int = 0
     started_ms: int = 0
     streaming: bool = False
@@ -189,18 +186,9 @@
                 self._refuse(attempt, late.reason, late.retry_after_ms)
             if work is None:
                 break
-            attempt = self.attempts[work.attempt]
-            if attempt.reserved:
-                self.loop.after(attempt.hop_ms, attempt.caller.granted, attempt)
-                continue
-            self.run(attempt)
+            self.run(self.attempts[work.attempt])
         self._tick_while_queued()
 
-    def start_granted(self, attempt: Attempt) -> None:
-        """Start an attempt whose slot was held since the grant."""
-        if not attempt.cancelled:
-            self.run(attempt)
-
     def run(self, attempt: Attempt) -> None:
         """Start an attempt on the upstream."""
         now_ms = self.loop.clock.now_ms()
--- a/src/pistachionotch/bench/central.py
+++ b/src/pistachionotch/bench/central.py
@@ -43,9 +43,6 @@
     def first_token(self, attempt: Attempt) -> None:
         """Ignore first tokens."""
 
-    def granted(self, attempt: Attempt) -> None:
-        """Ignore grants; nothing is reserved."""
-
     def withdrawn(self, attempt: Attempt) -> None:
         """Ignore withdrawals; nothing is withdrawn."""
 
--- a/src/pistachionotch/bench/own.py
+++ b/src/pistachionotch/bench/own.py
@@ -33,7 +33,7 @@
 
 
 @attrs.define(eq=False)
-class OpenJob:
+class _Open:
     """Follow one job at its entry."""
 
     job: Job
@@ -73,7 +73,7 @@
         self.costs = costs or RoutingCosts(
             zone_ms=world.deployment.zone_ms, region_ms=world.deployment.region_ms
         )
-        self.states: dict[str, OpenJob] = {}
+        self.states: dict[str, _Open] = {}
         names = list(world.agents)
         self.entries = [
             Entry(Location(f"entry-{site.zone}", site.zone, site.region), names) for site in sites
@@ -85,7 +85,7 @@
 
     def start(self, job: Job) -> None:
         """Place a new job, or refuse it at once."""
-        state = OpenJob(job)
+        state = _Open(job)
         placement = self._place(state)
         if placement.agent is None:
             self.world.give_up(job, placement.retry_after_ms)
@@ -134,9 +134,6 @@
         for loser in state.race.first_token(attempt.name).cancel:
             self._cancel(state, state.attempts[loser])
 
-    def granted(self, attempt: Attempt) -> None:
-        """Ignore grants; nothing is reserved."""
-
     def withdrawn(self, attempt: Attempt) -> None:
         """Place an attempt again that was given back before it started."""
         state = self.states.pop(attempt.name, None)
@@ -198,7 +195,7 @@
 
     def _move_waiting(self, number: int) -> None:
         """Withdraw the last work sent to each agent that would start much earlier elsewhere."""
-        last: dict[tuple[str, str], OpenJob] = {}
+        last: dict[tuple[str, str], _Open] = {}
         for state in self.states.values():
             if state.job.entry != number or state.race.winner is not None:
                 continue
@@ -209,7 +206,7 @@
             self._move(state, agent)
         self.world.loop.after(MOVE_CHECK_MS, self._move_waiting, number)
 
-    def _move(self, state: OpenJob, agent_name: str) -> None:
+    def _move(self, state: _Open, agent_name: str) -> None:
         job = state.job
         here = self.entries[job.entry].here
         now_ms = self.world.loop.clock.now_ms()
@@ -225,7 +222,7 @@
     def _count_cancel(self, messages: int) -> None:
         self.world.count_control(messages, messages * CANCEL_BYTES)
 
-    def _place(self, state: OpenJob, tokens: int | None = None) -> Placement:
+    def _place(self, state: _Open, tokens: int | None = None) -> Placement:
         return place(
             self._request(state, tokens),
             self.candidates(state.job),
@@ -235,7 +232,7 @@
             self.costs,
         )
 
-    def _request(self, state: OpenJob, tokens: int | None = None) -> RoutedRequest:
+    def _request(self, state: _Open, tokens: int | None = None) -> RoutedRequest:
         job = state.job
         return RoutedRequest(
             request_id=job.name,
@@ -248,13 +245,7 @@
             excluded=state.tried,
         )
 
-    def _send(self, state: OpenJob, agent_name: str) -> None:
-        attempt = self._new_attempt(state, agent_name)
-        if state.job.prefix:
-            self.entries[state.job.entry].remember_prefix(agent_name, state.job.prefix)
-        self.world.send(attempt)
-
-    def _new_attempt(self, state: OpenJob, agent_name: str) -> Attempt:
+    def _send(self, state: _Open, agent_name: str) -> None:
         state.sent += 1
         state.tried |= {agent_name}
         job = state.job
@@ -266,27 +257,29 @@
         self.states[name] = state
         entry = self.entries[job.entry]
         entry.observations[agent_name].sent(name, job.request_class, self.world.loop.clock.now_ms())
-        return attempt
+        if job.prefix:
+            entry.remember_prefix(agent_name, job.prefix)
+        self.world.send(attempt)
 
-    def _retry(self, state: OpenJob) -> None:
+    def _retry(self, state: _Open) -> None:
         placement = self._place(state)
         if placement.agent is None:
             self.world.give_up(state.job, placement.retry_after_ms)
             return
         self._send(state, placement.agent)
 
-    def _cancel(self, state: OpenJob, attempt: Attempt) -> None:
+    def _cancel(self, state: _Open, attempt: Attempt) -> None:
         self.states.pop(attempt.name, None)
         self._drop(state, attempt)
         self._count_cancel(1)
         agent = self.world.agents[attempt.agent]
         self.world.loop.after(attempt.hop_ms, agent.cancel, attempt)
 
-    def _drop(self, state: OpenJob, attempt: Attempt) -> None:
+    def _drop(self, state: _Open, attempt: Attempt) -> None:
         entry = self.entries[state.job.entry]
         entry.observations[attempt.agent].dropped(attempt.name)
 
-    def _check_hedge(self, state: OpenJob) -> None:
+    def _check_hedge(self, state: _Open) -> None:
         job = state.job
         if job.done or state.race.winner is not None:
             return
@@ -296,7 +289,7 @@
         if checked.check_again_ms is not None:
             self.world.loop.after(checked.check_again_ms, self._check_hedge, state)
 
-    def _check_slow_stream(self, state: OpenJob, tokens: int, speed: float) -> None:
+    def _check_slow_stream(self, state: _Open, tokens: int, speed: float) -> None:
         if speed <= 0:
             return
         kind = state.job.kind
@@ -308,7 +301,7 @@
         facts = attrs.evolve(facts, projected_ms=projected_ms)
         self._hedge(state, facts, tail, round(tokens + left))
 
-    def _hedge_facts(self, state: OpenJob) -> HedgeFacts:
+    def _hedge_facts(self, state: _Open) -> HedgeFacts:
         job = state.job
         now_ms = self.world.loop.clock.now_ms()
         return HedgeFacts(
@@ -321,7 +314,7 @@
         )
 
     def _hedge(
-        self, state: OpenJob, facts: HedgeFacts, tail: LatencyTail, tokens: int
+        self, state: _Open, facts: HedgeFacts, tail: LatencyTail, tokens: int
     ) -> HedgeDecision:
         entry = self.entries[state.job.entry]
         now_ms = self.world.loop.clock.now_ms()
--- a/src/pistachionotch/bench/policies.py
+++ b/src/pistachionotch/bench/policies.py
@@ -16,7 +16,6 @@
 )
 from .central import CentralDispatcher
 from .own import OwnDispatcher
-from .reserve import ReservingDispatcher
 from .world import DispatcherFactory, QueueFactory
 
 OWN = "own"
@@ -37,6 +36,5 @@
     "least-outstanding": Policy(make_fifo, partial(BaselineDispatcher, choose=least_outstanding)),
     "two-choices": Policy(make_fifo, partial(BaselineDispatcher, choose=two_choices)),
     OWN: Policy(make_queue, OwnDispatcher),
-    "two-reservations": Policy(make_queue, ReservingDispatcher),
     BOUND: Policy(make_fifo, CentralDispatcher),
 }
--- a/src/pistachionotch/bench/world.py
+++ b/src/pistachionotch/bench/world.py
@@ -103,14 +103,9 @@
         """Submit an attempt; the bytes of work in another region count."""
         agent = self.agents[attempt.agent]
         self.count_control(1, SUBMIT_BYTES)
-        self.count_transfer(attempt)
-        self.loop.after(attempt.hop_ms, agent.submit, attempt)
-
-    def count_transfer(self, attempt: Attempt) -> None:
-        """Count the bodies of work that runs in another region."""
-        region = self.deployment.sites[attempt.job.entry].region
-        if self.agents[attempt.agent].upstream.region != region:
+        if agent.upstream.region != self.deployment.sites[attempt.job.entry].region:
             self.measures.counts["region_bytes"] += attempt.job.transfer_bytes
+        self.loop.after(attempt.hop_ms, agent.submit, attempt)
 
     def count_control(self, messages: int, size: int) -> None:
         """Count messages that carry no bodies, and their bytes in total."""
