--- a/src/pistachionotch/routing/place.py
+++ b/src/pistachionotch/routing/place.py
@@ -19,8 +19,9 @@
 
     zone_ms: int = 1
     region_ms: int = 12
-    # Link time plus what the billed volume is worth: 225 Mbit/s carry 28 bytes in a microsecond.
-    region_ms_per_mb: int = 100
+    # What the billed volume is worth; a megabyte takes 36 ms of link time at 225 Mbit/s. Costs of
+    # 0.1 to 20 s for a megabyte differed in the benchmark beyond the spread only in bytes.
+    region_ms_per_mb: int = 10_000
     # Facts lose half their weight in this time; slowdowns last tens of seconds.
     half_life_ms: int = 5_000
     # Beyond three heartbeats of 2 s the agent or its connection may be gone.
