--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -11,6 +11,6 @@
 # Parallel test workers use threads that do not survive gevent's patching of the standard library.
 patched="tests/unit/agent tests/unit/wire"
 python -m pytest --numprocesses 6 --ignore tests/unit/agent --ignore tests/unit/wire
-python -m pytest $patched
+python -m gevent.monkey --module pytest $patched
 python -m behave --no-capture --format progress3 tests/features
 python -m pistachionotch demo
--- a/src/pistachionotch/agent/attempts.py
+++ b/src/pistachionotch/agent/attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from functools import singledispatchmethod
 
 import attrs
@@ -38,6 +39,18 @@
     facts: RunFacts
 
 
+@attrs.frozen
+class AttemptProgress:
+    """Tell the agent's core how many tokens an open stream has produced."""
+
+    attempt: str
+    tokens: int
+
+
+# Bounds the messages to the core; speeds are learned over longer times than this.
+PROGRESS_INTERVAL_MS = 250
+
+
 @attrs.define
 class AttemptRunner:
     """Own one attempt from admission to its final message."""
@@ -48,10 +61,12 @@
     book: ClaimBook
     clock: Clock
     deadline: Deadline
+    on_progress: Callable[[AttemptProgress], None]
     counter: PieceCounter = attrs.field(factory=PieceCounter)
     spans: SpanRecorder = attrs.field(factory=SpanRecorder)
     body: bytearray = attrs.field(factory=bytearray)
     started_ms: int = 0
+    progress_ms: int = 0
     first_piece_ms: int | None = None
     succeeded: bool = False
     permission: int | None = None
@@ -71,7 +86,7 @@
         first_ms = self.first_piece_ms
         facts = RunFacts(
             None if first_ms is None else first_ms - self.started_ms,
-            sum(span.tokens for span in self.spans.spans),
+            self._tokens(),
             now_ms - self.started_ms,
             self.succeeded,
         )
@@ -114,6 +129,7 @@
         if self.first_piece_ms is None:
             self.first_piece_ms = self.clock.now_ms()
         self.spans.add(None if piece.version == NO_VERSION else piece.version, piece.tokens)
+        self._report_progress()
         keep = self.submit.retain or not self.submit.idempotent
         if keep and len(self.body) <= MAX_STORED_RESULT_BYTES:
             self.body += piece.data
@@ -123,6 +139,16 @@
         if not delivered and self.submit.idempotent:
             raise ConnectionError("entry is gone")
 
+    def _report_progress(self) -> None:
+        now_ms = self.clock.now_ms()
+        if now_ms - self.progress_ms < PROGRESS_INTERVAL_MS:
+            return
+        self.progress_ms = now_ms
+        self.on_progress(AttemptProgress(self.submit.attempt, self._tokens()))
+
+    def _tokens(self) -> int:
+        return sum(span.tokens for span in self.spans.spans)
+
     def _finish(self, outcome: UpstreamEnd | UpstreamBroken) -> bool:
         if isinstance(outcome, UpstreamBroken):
             return self._finish_broken(outcome)
--- a/src/pistachionotch/agent/core.py
+++ b/src/pistachionotch/agent/core.py
@@ -16,11 +16,11 @@
 from ..config.revisions import Revisions
 from ..idempotency.book import ClaimBook
 from ..outcomes import Execution
-from ..samples.bodies import BodyStore
+from ..samples.retained import RetainedBodies
 from ..wire import messages
 from ..wire.assembly import PieceCounter
 from ..wire.session import Session, SessionClosed
-from .attempts import AttemptEnded, AttemptRunner, finished_message
+from .attempts import AttemptEnded, AttemptProgress, AttemptRunner, finished_message
 from .upstream import Upstream
 
 TICK_MS = 50
@@ -63,7 +63,7 @@
     heartbeat_ms: int
     on_order: Callable[[Session, messages.Order], None]
     inbox: Queue = attrs.field(factory=Queue)
-    retained: BodyStore = attrs.field(factory=lambda: BodyStore(MAX_RETAINED_BYTES))
+    retained: RetainedBodies = attrs.field(factory=lambda: RetainedBodies(MAX_RETAINED_BYTES))
     sessions: dict[Session, int] = attrs.field(factory=dict)
     waiting: dict[str, AttemptRunner] = attrs.field(factory=dict)
     running: dict[str, tuple[AttemptRunner, gevent.Greenlet]] = attrs.field(factory=dict)
@@ -171,6 +171,7 @@
             self.book,
             self.clock,
             Deadline.after(self.clock, message.remaining_ms),
+            lambda progress: self.inbox.put((None, progress)),
         )
         refusal = self._refusal(message)
         if refusal is not None:
@@ -258,6 +259,18 @@
         if entry is not None and entry[0].submit.idempotent:
             entry[1].kill(block=False)
 
+    @handle.register
+    def _(self, message: messages.Withdraw, _session: Session) -> None:
+        runner = self.waiting.get(message.attempt)
+        if runner is None:
+            return
+        self._withdraw(message.attempt)
+        self._refuse(runner, "withdrawn", 0, "withdrawn")
+
+    @handle.register
+    def _(self, message: AttemptProgress, _session: None) -> None:
+        self.queue.progress(message.attempt, message.tokens)
+
     @handle.register
     def _(self, message: AttemptEnded, _session: None) -> None:
         runner, _greenlet = self.running.pop(message.attempt)
--- a/src/pistachionotch/demo/scenario.py
+++ b/src/pistachionotch/demo/scenario.py
@@ -13,6 +13,7 @@
 
 RESPONSE_TIMEOUT_S = 30.0
 READY_TIMEOUT_S = 15.0
+STEP_DEADLINE_MS = 60_000
 
 
 @attrs.frozen
@@ -99,9 +100,12 @@
             "trainer": trainer,
             "step": step,
             "model": "fitting",
-            "prompts": prompts,
+            "groups": len(prompts),
             "samples_per_group": samples_per_group,
-            "max_tokens": 12,
+            "staleness_bound": 0,
+            "deadline_ms": STEP_DEADLINE_MS,
+            "prompts": prompts,
+            "sampling": {"max_tokens": 12},
         }
         created = self.send("POST", "/v1/steps", wanted)
         if created.status != 201:
@@ -115,8 +119,8 @@
         while True:
             path = f"/v1/steps/{trainer}/{step}/samples?cursor={cursor}&attempt={attempt}"
             answer = self.send("GET", path)
-            if answer.status == 409 and "x-next-attempt" in answer.headers:
-                attempt = int(answer.headers["x-next-attempt"])
+            if answer.status == 409:
+                attempt = answer.json()["next_attempt"]
                 continue
             if answer.status != 200:
                 time.sleep(0.2)
--- a/src/pistachionotch/demo/summary.py
+++ b/src/pistachionotch/demo/summary.py
@@ -107,7 +107,7 @@
     samples = caller.run_step("trainer-1", 1, PROMPTS, SAMPLES_PER_GROUP)
     wanted = len(PROMPTS) * SAMPLES_PER_GROUP
     slots = {(sample["group"], sample["index"]) for sample in samples}
-    versions = sorted({span["version"] for sample in samples for span in sample["weight_versions"]})
+    versions = sorted({span["version"] for sample in samples for span in sample["spans"]})
     report.facts["samples of a trainer's step"] = f"{len(samples)} of {wanted}"
     report.facts["weight versions of the samples"] = versions
     report.expect(
--- a/src/pistachionotch/entry/bodies.py
+++ b/src/pistachionotch/entry/bodies.py
@@ -7,7 +7,6 @@
 import attrs
 from gevent.queue import Empty, Queue
 
-from ..samples.bodies import BodyStore
 from ..samples.sample import Sample
 from ..wire.assembly import Assembler
 from ..wire.messages import FetchBody, Finished, Piece
@@ -17,20 +16,13 @@
 
 
 @attrs.define
-class BodyFinder:
-    """Find the body of a sample here or at the agent that produced it."""
+class BodyFetcher:
+    """Fetch the body of a sample from the agent that produced it."""
 
-    held: BodyStore
     table: LinkTable
 
     def __call__(self, sample: Sample) -> bytes | None:
-        """Return the body, or none if neither VM has it."""
-        body = self.held.get(sample.sample_id)
-        if body is not None:
-            return body
-        return self._fetch(sample)
-
-    def _fetch(self, sample: Sample) -> bytes | None:
+        """Return the body, or none if the agent does not have it."""
         link = self.table.links.get(sample.agent)
         if link is None:
             return None
--- a/src/pistachionotch/entry/calls.py
+++ b/src/pistachionotch/entry/calls.py
@@ -34,6 +34,9 @@
     expected_tokens: int = 0
     tenant: str = ""
     retain: str = ""
+    avoid: frozenset[str] = frozenset()
+    # Parts are handed to the caller as they arrive; otherwise a faster attempt may replace them.
+    streamed: bool = False
 
     def routed(self, excluded: frozenset[str]) -> RoutedRequest:
         """Return what placement needs to know."""
@@ -46,7 +49,7 @@
             prompt_tokens=len(self.body) // PROMPT_BYTES_PER_TOKEN,
             transfer_bytes=len(self.body),
             idempotent=self.idempotent,
-            excluded=excluded,
+            excluded=excluded | self.avoid,
         )
 
     def submit(self, attempt: str, remaining_ms: int) -> Submit:
@@ -107,7 +110,16 @@
     problem: Problem
 
 
-RouteEvent = Delivered | CallDone | CallFailed
+@attrs.frozen
+class Progress:
+    """Report tokens of a response that is kept back until it is complete."""
+
+    version: int
+    tokens: int
+    agent: str
+
+
+RouteEvent = Delivered | Progress | CallDone | CallFailed
 
 _GRAVITY = (Execution.NOT_RUN, Execution.FAILED, Execution.UNKNOWN)
 
--- a/src/pistachionotch/entry/daemon.py
+++ b/src/pistachionotch/entry/daemon.py
@@ -21,9 +21,10 @@
 from ..objects.vms import HttpVmList, VmList
 from ..probes import ProbeApp
 from ..routing.facts import Location
-from ..samples.bodies import BodyStore
+from ..samples.bodies import BodyCache, first_found
+from ..samples.steps import StepRegistry
 from ..wire.session import Identity
-from .bodies import BodyFinder
+from .bodies import BodyFetcher
 from .calls import Call, RouteEvent
 from .control import ControlWatch
 from .decisions import DecisionLog
@@ -32,11 +33,13 @@
 from .http import HttpInterface
 from .keys import KeyIssuer
 from .links import AgentLink
+from .moves import MoveTask
 from .once import OnceCall
 from .policy import PolicyView
 from .publishing import VersionPublisher
 from .rollouts import RolloutDuties
-from .router import RoutedCall, RoutingState
+from .router import RoutedCall
+from .routing_state import RoutingState
 from .steps import StepContext, StepService
 from .table import LinkTable
 
@@ -45,6 +48,7 @@
 BALANCER_NOTICE_S = 1.0
 DUTY_LEASE_MS = 6000
 ZONE_CHECK_MS = 500
+MAX_BODY_CACHE_BYTES = 64_000_000
 
 
 @attrs.define
@@ -96,18 +100,23 @@
         )
 
     def _make_steps(self) -> StepService:
-        held = BodyStore()
+        cache = BodyCache(MAX_BODY_CACHE_BYTES)
         context = StepContext(
             self.store,
             self.clock,
             self.settings.node,
             self.route,
-            held,
-            BodyFinder(held, self.table),
+            cache,
+            first_found(cache.find, BodyFetcher(self.table)),
+            StepRegistry(self.store, self.rng),
             self.rng,
             logger("steps"),
         )
-        return StepService(context)
+        return StepService(context, self.policy.staleness_bounds, self._slots)
+
+    def _slots(self, model: str) -> int:
+        """Return the slots of the agents of a model that this entry is connected to."""
+        return sum(link.load.limit for link in self.table.serving(model) if link.load)
 
     def _make_link(self, member: Member) -> AgentLink:
         settings = self.settings
@@ -147,6 +156,7 @@
         gevent.spawn(self.control.run)
         gevent.spawn(self._run_duties)
         gevent.spawn(self.rollouts.run)
+        gevent.spawn(MoveTask(self.routing).run)
         listen = settings.listen.http
         assert listen is not None
         self.server = WSGIServer((listen.host, listen.port), self._interface(), log=None)
@@ -160,7 +170,6 @@
             KeyIssuer(self.table, self.rng),
             VersionPublisher(self.store, self.rng),
             self.routing.decisions,
-            self.policy.staleness_bounds,
             ProbeApp(self.settings.key, self.status, self.drain),
         )
         return HttpInterface(
--- a/src/pistachionotch/entry/decisions.py
+++ b/src/pistachionotch/entry/decisions.py
@@ -44,6 +44,10 @@
         """Record a second attempt beside a late one."""
         self._record(call, "hedged", agent=agent, reason=reason)
 
+    def moved(self, call: Call, agent: str, reason: str) -> None:
+        """Record that waiting work is asked back to be placed elsewhere."""
+        self._record(call, "moving", agent=agent, reason=reason)
+
     def retried(self, call: Call, failure: str, decision: RetryDecision) -> None:
         """Record whether a failed attempt is retried."""
         outcome = "retrying" if decision.retry else "giving up"
--- a/src/pistachionotch/entry/handlers.py
+++ b/src/pistachionotch/entry/handlers.py
@@ -2,28 +2,25 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from functools import singledispatch
+import json
+from http import HTTPStatus
 
 import attrs
-from returns.result import Failure
 
+from ..clock import MS_PER_SECOND
 from ..drain import DRAIN_PATH
 from ..outcomes import Execution, Problem
 from ..probes import ProbeApp
-from ..samples import delivery
-from ..samples.delivery import Pull, PullOutcome
-from ..samples.ledger_store import StepUnknown
+from ..samples.answers import Answer
 from .decisions import DecisionLog
 from .http import Handler, HttpResponse
 from .keys import KeyIssuer
-from .prompts import MAX_STEP_NUMBER, parse_step_request
 from .publishing import VersionPublisher
 from .requests import HttpRequest, RequestChecker
 from .steps import StepService
 
 STEPS_PREFIX = "/v1/steps"
-DEFAULT_PULL_WAIT_MS = 5000
+MAX_STEP_NUMBER = 2**53
 RETRY_AFTER_MS = 500
 
 
@@ -35,7 +32,6 @@
     issuer: KeyIssuer
     publisher: VersionPublisher
     decisions: DecisionLog
-    staleness_bounds: Callable[[], dict[str, int]]
     probes: ProbeApp
 
     def table(self) -> dict[tuple[str, str], Handler]:
@@ -55,12 +51,7 @@
 
     def create_step(self, request: HttpRequest) -> HttpResponse:
         """Create a step for a trainer."""
-        wanted = parse_step_request(request, self.staleness_bounds())
-        created = self.steps.create(wanted)
-        if isinstance(created, Failure):
-            return _unavailable(created.failure())
-        plan = created.unwrap()
-        return HttpResponse.json({"step": plan.step, "samples": plan.slot_count}, 201)
+        return _response(self.steps.create(request.body))
 
     def pull_samples(self, request: HttpRequest) -> HttpResponse:
         """Hand over the samples of one cursor."""
@@ -70,21 +61,8 @@
             return HttpResponse.of_problem(_not_found("no such resource"))
         trainer = checker.identifier("trainer", parts[0], "")
         step = checker.integer("step", parts[1], -1, 0, MAX_STEP_NUMBER)
-        query = request.query
-        version = checker.integer(
-            "trainer_version", query.get("trainer_version"), -1, 0, MAX_STEP_NUMBER
-        )
-        pull = Pull(
-            checker.integer("cursor", query.get("cursor"), 0, 0, MAX_STEP_NUMBER),
-            checker.integer("attempt", query.get("attempt"), 1, 1, delivery.MAX_ATTEMPT),
-            checker.integer(
-                "limit", query.get("limit"), delivery.DEFAULT_LIMIT, 1, delivery.MAX_LIMIT
-            ),
-            None if version < 0 else version,
-        )
-        wait_ms = checker.integer("wait_ms", query.get("wait_ms"), DEFAULT_PULL_WAIT_MS, 0, 60_000)
         checker.raise_if_any()
-        return pull_response(self.steps.pull(trainer, step, pull, wait_ms))
+        return _response(self.steps.pull(trainer, step, request.query))
 
     def issue_key(self, request: HttpRequest) -> HttpResponse:
         """Issue an idempotency key for a plain service."""
@@ -138,79 +116,17 @@
     )
 
 
-def _conflict(detail: str, **fields: int) -> HttpResponse:
-    problem = Problem(409, "conflict", detail, Execution.NOT_RUN)
-    response = HttpResponse.of_problem(problem)
-    headers = [(f"X-{name.replace('_', '-').title()}", str(n)) for name, n in fields.items()]
-    return attrs.evolve(response, headers=response.headers + headers)
-
-
-@singledispatch
-def pull_response(outcome: PullOutcome) -> HttpResponse:
-    """Return the HTTP response for the outcome of a pull."""
-    raise TypeError(type(outcome))
-
-
-@pull_response.register
-def _(outcome: delivery.Delivered) -> HttpResponse:
-    samples = []
-    for delivered in outcome.samples:
-        sample = delivered.sample
-        samples.append(
-            {
-                "sample_id": sample.sample_id,
-                "group": sample.slot.group,
-                "index": sample.slot.index,
-                "text": delivered.body.decode("utf-8", "replace"),
-                "weight_versions": [attrs.asdict(span) for span in sample.spans],
-            }
-        )
-    return HttpResponse.json(
-        {
-            "cursor": outcome.cursor,
-            "attempt": outcome.attempt,
-            "newest_version": outcome.newest_version,
-            "outstanding": outcome.outstanding,
-            "complete": False,
-            "samples": samples,
-        }
-    )
-
-
-@pull_response.register
-def _(outcome: delivery.NothingReady) -> HttpResponse:
-    fields = {"cursor": outcome.cursor, "outstanding": outcome.outstanding}
-    return HttpResponse.json({**fields, "complete": False, "samples": []})
-
-
-@pull_response.register
-def _(outcome: delivery.StepComplete) -> HttpResponse:
-    cut = [attrs.asdict(slot) for slot in outcome.cut]
-    return HttpResponse.json(
-        {"cursor": outcome.cursor, "complete": True, "samples": [], "cut": cut}
-    )
-
-
-@pull_response.register
-def _(outcome: delivery.AttemptNeeded) -> HttpResponse:
-    return _conflict(outcome.reason, cursor=outcome.cursor, next_attempt=outcome.next_attempt)
-
-
-@pull_response.register
-def _(outcome: delivery.WrongCursor) -> HttpResponse:
-    return _conflict(outcome.reason, cursor=outcome.cursor)
-
-
-@pull_response.register
-def _(outcome: delivery.TryLater) -> HttpResponse:
-    return _unavailable(outcome.reason)
-
-
-@pull_response.register
-def _(outcome: delivery.Rejected) -> HttpResponse:
-    return HttpResponse.of_problem(Problem(400, "bad request", outcome.reason, Execution.NOT_RUN))
-
-
-@pull_response.register
-def _(_outcome: StepUnknown) -> HttpResponse:
-    return HttpResponse.of_problem(_not_found("no such step"))
+def _response(answer: Answer) -> HttpResponse:
+    """Return the HTTP form of an answer about steps; errors become problems with its fields."""
+    if answer.status < HTTPStatus.BAD_REQUEST:
+        response = HttpResponse.json(answer.fields, answer.status)
+    else:
+        title = answer.status.phrase.lower()
+        problem = Problem(answer.status, title, str(answer.fields["detail"]), Execution.NOT_RUN)
+        fields = {**json.loads(problem.body()), **answer.fields}
+        body = json.dumps(fields).encode()
+        response = HttpResponse(answer.status, problem.headers(), body)
+    if answer.retry_after_ms is not None:
+        seconds = max(1, answer.retry_after_ms // MS_PER_SECOND)
+        response.headers.append(("Retry-After", str(seconds)))
+    return response
--- a/src/pistachionotch/entry/http.py
+++ b/src/pistachionotch/entry/http.py
@@ -75,8 +75,8 @@
         try:
             request = _read_request(environ)
             if (request.method, request.path) == ("POST", "/v1/completions"):
-                call, streamed = completion_call(request, self.clock, self.defaults())
-                if streamed:
+                call = completion_call(request, self.clock, self.defaults())
+                if call.streamed:
                     return self._stream(call, start_response)
                 return self._respond(self._complete(call), start_response)
             if request.path.startswith("/services/"):
@@ -102,30 +102,20 @@
 
     def _collect(self, call: Call) -> HttpResponse:
         """Return the whole response of a call, or its problem."""
-        parts: list[bytes] = []
-        for event in self.route(call):
-            if isinstance(event, Delivered):
-                parts.append(event.data)
-            elif isinstance(event, CallDone):
-                return HttpResponse(event.status, list(event.headers), b"".join(parts))
-            else:
-                return HttpResponse.of_problem(event.problem)
-        raise AssertionError("a call ended without a final event")
+        ended = _run_to_end(self.route(call), [])
+        if isinstance(ended, CallFailed):
+            return HttpResponse.of_problem(ended.problem)
+        return HttpResponse(ended.done.status, list(ended.done.headers), ended.body)
 
     def _complete(self, call: Call) -> HttpResponse:
         """Return a completion as one JSON object."""
-        parts: list[bytes] = []
-        for event in self.route(call):
-            if isinstance(event, Delivered):
-                parts.append(event.data)
-                continue
-            if isinstance(event, CallFailed):
-                return HttpResponse.of_problem(event.problem)
-            text = b"".join(parts)
-            if event.status != HTTPStatus.OK:
-                return HttpResponse(event.status, list(event.headers), text)
-            return HttpResponse.json(completion_body(call, text.decode(), event.spans))
-        raise AssertionError("a call ended without a final event")
+        ended = _run_to_end(self.route(call), [])
+        if isinstance(ended, CallFailed):
+            return HttpResponse.of_problem(ended.problem)
+        done = ended.done
+        if done.status != HTTPStatus.OK:
+            return HttpResponse(done.status, list(done.headers), ended.body)
+        return HttpResponse.json(completion_body(call, ended.body.decode(), done.spans))
 
     def _stream(self, call: Call, start_response: StartResponse) -> Body:
         events = self.route(call)
@@ -133,21 +123,35 @@
         if isinstance(first, CallFailed):
             return self._respond(HttpResponse.of_problem(first.problem), start_response)
         if isinstance(first, Delivered) and not first.tokens:
-            return self._respond(self._refused_by_engine(first, events), start_response)
+            # Only an engine's refusal comes without tokens; it has a status of its own.
+            ended = _run_to_end(events, [first.data])
+            if isinstance(ended, CallFailed):
+                return self._respond(HttpResponse.of_problem(ended.problem), start_response)
+            done = ended.done
+            response = HttpResponse(done.status, list(done.headers), ended.body)
+            return self._respond(response, start_response)
         headers = [("Content-Type", "text/event-stream"), ("X-Request-Id", call.request_id)]
         start_response("200 OK", headers)
         return _event_stream(call, first, events)
 
-    def _refused_by_engine(self, first: Delivered, events: Iterator[RouteEvent]) -> HttpResponse:
-        parts = [first.data]
-        for event in events:
-            if isinstance(event, Delivered):
-                parts.append(event.data)
-            elif isinstance(event, CallDone):
-                return HttpResponse(event.status, list(event.headers), b"".join(parts))
-            else:
-                return HttpResponse.of_problem(event.problem)
-        raise AssertionError("a call ended without a final event")
+
+@attrs.frozen
+class _Ended:
+    done: CallDone
+    body: bytes
+
+
+def _run_to_end(events: Iterator[RouteEvent], parts: list[bytes]) -> _Ended | CallFailed:
+    """Collect the parts of a response until its final event."""
+    for event in events:
+        if isinstance(event, Delivered):
+            parts.append(event.data)
+            continue
+        if isinstance(event, CallDone):
+            return _Ended(event, b"".join(parts))
+        if isinstance(event, CallFailed):
+            return event
+    raise AssertionError("a call ended without a final event")
 
 
 def completion_body(call: Call, text: str, spans: tuple[VersionSpan, ...]) -> dict[str, Any]:
@@ -182,6 +186,8 @@
         # The status line is out already; the error event keeps the part from passing as whole.
         yield b"event: error\n" + _data(event.problem.body().decode())
         return
+    if not isinstance(event, CallDone):
+        return
     final = completion_body(call, "", event.spans)
     yield _data(json.dumps(final))
     yield _data("[DONE]")
--- a/src/pistachionotch/entry/links.py
+++ b/src/pistachionotch/entry/links.py
@@ -135,6 +135,11 @@
         if self.session is not None:
             self.session.send(messages.Cancel(attempt))
 
+    def withdraw(self, attempt: str) -> None:
+        """Ask for an attempt back if it still waits; the answer goes to its channel."""
+        if self.session is not None:
+            self.session.send(messages.Withdraw(attempt))
+
     def _connect(self) -> None:
         self.inbox = Queue()
         host, port = self.member.address.rsplit(":", 1)
--- /dev/null
+++ b/src/pistachionotch/entry/moves.py
@@ -0,0 +1,53 @@
+"""Move task: brings waiting training and long work to agents that would start it earlier."""
+
+from __future__ import annotations
+
+import attrs
+
+from ..outcomes import RequestClass
+from ..routing.move import decide_move
+from .links import AgentLink
+from .router import RoutedCall
+from .routing_state import RoutingState
+
+MOVE_CHECK_MS = 1000
+MOVED_CLASSES = (RequestClass.TRAINING, RequestClass.LONG)
+
+
+@attrs.frozen
+class MoveTask:
+    """Check once a second, for each agent, the work that was sent to it last."""
+
+    state: RoutingState
+
+    def run(self) -> None:
+        """Check until the greenlet is killed."""
+        while True:
+            self.state.clock.sleep_ms(MOVE_CHECK_MS)
+            for call, link in self._last_waiting():
+                self._check(call, link)
+
+    def _last_waiting(self) -> list[tuple[RoutedCall, AgentLink]]:
+        # One move for each agent and check: the others would follow the same old reports.
+        last: dict[tuple[str, RequestClass], tuple[RoutedCall, AgentLink]] = {}
+        for call in self.state.open_calls.values():
+            link = call.waiting_at()
+            if link is None or call.call.request_class not in MOVED_CLASSES:
+                continue
+            last[link.member.node, call.call.request_class] = (call, link)
+        return list(last.values())
+
+    def _check(self, call: RoutedCall, link: AgentLink) -> None:
+        state = self.state
+        decision = decide_move(
+            call.call.routed(frozenset()),
+            link.member.node,
+            state.table.candidates(call.call.request_class),
+            state.here,
+            state.clock.now_ms(),
+            state.costs,
+        )
+        if decision.agent is None:
+            return
+        state.decisions.moved(call.call, decision.agent, decision.reason)
+        call.move()
--- a/src/pistachionotch/entry/once.py
+++ b/src/pistachionotch/entry/once.py
@@ -19,7 +19,8 @@
 from .claims import look_up_earlier_call
 from .keys import issue_at
 from .links import AgentLink, LinkLost
-from .router import FINAL_ANSWER_GRACE_MS, RoutingState
+from .router import FINAL_ANSWER_GRACE_MS
+from .routing_state import RoutingState
 
 RESUBMIT_PAUSE_MS = 100
 ASK_AGAIN_MS = 1000
--- a/src/pistachionotch/entry/requests.py
+++ b/src/pistachionotch/entry/requests.py
@@ -172,10 +172,8 @@
     return request_id, request_class, Deadline.after(clock, timeout_ms), key
 
 
-def completion_call(
-    request: HttpRequest, clock: Clock, defaults: CallDefaults
-) -> tuple[Call, bool]:
-    """Return the call for a completion request and whether to stream its response."""
+def completion_call(request: HttpRequest, clock: Clock, defaults: CallDefaults) -> Call:
+    """Return the call for a completion request."""
     checker = RequestChecker(request)
     wanted = checker.json_object()
     request_id, request_class, deadline, _key = _common(
@@ -190,7 +188,7 @@
         "max_tokens", wanted.get("max_tokens"), DEFAULT_MAX_TOKENS, 1, MAX_TOKENS
     )
     checker.raise_if_any()
-    call = Call(
+    return Call(
         request_id,
         request_class,
         deadline,
@@ -202,8 +200,8 @@
         idempotent=True,
         expected_tokens=tokens,
         tenant=checker.identifier("X-Request-Tenant", request.header("x-request-tenant"), ""),
+        streamed=bool(wanted.get("stream")),
     )
-    return call, bool(wanted.get("stream"))
 
 
 def service_call(request: HttpRequest, clock: Clock, defaults: CallDefaults) -> Call:
--- a/src/pistachionotch/entry/rollouts.py
+++ b/src/pistachionotch/entry/rollouts.py
@@ -18,7 +18,8 @@
 from ..objects.api import ObjectStore
 from ..weights.gate import LOAD_VERSION
 from ..weights.publish import read_desired
-from ..weights.rollout import AgentWeights, RolloutLimits, SwapInProgress, plan_wave
+from ..weights.rollout import RolloutLimits
+from ..weights.tracker import AgentReport, RolloutTracker
 from ..wire.messages import Order, OrderResult
 from .links import AgentLink, LinkLost
 from .policy import PolicyView
@@ -30,13 +31,12 @@
 BUSY_STEP_MS = 100
 
 
-@attrs.define
-class _AgentProgress:
-    version: int | None = None
-    read_ms: int = -1
-    failures: int = 0
-    last_failed_ms: int | None = None
-    ordered_ms: int | None = None
+@attrs.frozen
+class _ReadVersion:
+    """Hold the version that an agent read back, and when the result arrived."""
+
+    version: int
+    read_ms: int
 
 
 @attrs.define
@@ -52,10 +52,9 @@
     lease: Lease
     log: Any
     answers: Queue = attrs.field(factory=Queue)
-    progress: dict[str, _AgentProgress] = attrs.field(factory=dict)
-    in_progress: dict[str, SwapInProgress] = attrs.field(factory=dict)
+    tracker: RolloutTracker = attrs.field(factory=RolloutTracker)
+    read_back: dict[str, _ReadVersion] = attrs.field(factory=dict)
     orders: dict[str, str] = attrs.field(factory=dict)
-    desired_version: int = -1
 
     def run(self) -> None:
         """Hold the lease if possible and work while it is held."""
@@ -66,7 +65,7 @@
                 lease_due_ms = self.clock.now_ms() + STEP_MS
                 self._read_desired()
             pause_ms = STEP_MS
-            if self.lease.held() and self.desired_version >= 0:
+            if self.lease.held() and self.tracker.desired_version > 0:
                 pause_ms = self._work()
             self.clock.sleep_ms(pause_ms)
 
@@ -74,77 +73,54 @@
         if not self.lease.held():
             return
         desired = read_desired(self.store, self.model).value_or(None)
-        if desired is None or desired.version <= self.desired_version:
-            return
-        self.desired_version = desired.version
-        self.progress.clear()
+        if desired is not None and self.tracker.desire(desired.version):
+            self.log.info("rolling out", model=self.model, zone=self.zone, version=desired.version)
 
     def _work(self) -> int:
         """Take answers, plan a wave and send its orders; return the pause until the next step."""
         self._take_answers()
         members = self._members()
         self.table.require(f"{self.model}/{self.zone}", [member.node for member in members])
-        agents = [self._weights(member) for member in members]
+        reports = [self._report(member) for member in members]
         now_ms = self.clock.now_ms()
-        wave = plan_wave(
-            agents, self.desired_version, list(self.in_progress.values()), self.limits(), now_ms
-        )
+        wave = self.tracker.plan(reports, self.limits(), now_ms)
         for order in wave.orders:
-            self._order(order.agent, order.reason)
+            self._order(order.agent, order.version, order.reason)
         for agent in wave.overdue:
-            self._fail(agent, "no result in time")
-        if wave.finished and not self.in_progress:
-            return STEP_MS
-        return BUSY_STEP_MS
+            self._end(agent, None, "no result in time")
+        return STEP_MS if wave.finished else BUSY_STEP_MS
 
     def _members(self) -> list[Member]:
-        return [
-            member for member in self.table.directory.live(self.model) if member.zone == self.zone
-        ]
+        live = self.table.directory.live(self.model)
+        return [member for member in live if member.zone == self.zone]
 
-    def _weights(self, member: Member) -> AgentWeights:
+    def _report(self, member: Member) -> AgentReport:
         link = self.table.links.get(member.node)
-        progress = self.progress.setdefault(member.node, _AgentProgress())
-        serving = link is not None and link.ready()
-        self._take_report(link, progress)
-        return AgentWeights(
-            member.node,
-            member.zone,
-            progress.version,
-            serving=serving,
-            failures=progress.failures,
-            last_failed_ms=progress.last_failed_ms,
-            ordered_ms=progress.ordered_ms,
-        )
-
-    def _take_report(self, link: AgentLink | None, progress: _AgentProgress) -> None:
-        """Take the version of the agent's report, unless an order's result is more recent."""
-        if link is None or link.load is None or not link.load.serving_versions:
-            return
-        reported_ms = link.observed_ms - link.load.versions_age_ms
-        if reported_ms > progress.read_ms:
-            progress.version = link.load.serving_versions[-1]
-            progress.read_ms = reported_ms
-
-    def _order(self, agent: str, reason: str) -> None:
+        if link is None or link.load is None:
+            return AgentReport(member.node, member.zone, None, serving=False)
+        return AgentReport(member.node, member.zone, self._version(link), serving=link.ready())
+
+    def _version(self, link: AgentLink) -> int | None:
+        """Return the version of the agent's heartbeat or of an order's result if that is newer."""
+        read = self.read_back.get(link.member.node)
+        load = link.load
+        if load is None or not load.serving_versions:
+            return None if read is None else read.version
+        if read is not None and read.read_ms >= link.observed_ms - load.versions_age_ms:
+            return read.version
+        return load.serving_versions[-1]
+
+    def _order(self, agent: str, version: int, reason: str) -> None:
         link = self.table.links.get(agent)
-        # The lease may have lapsed while the wave was planned; the agent checks the fence as well.
-        if link is None or not self.lease.held():
-            return
         identifier = f"order-{secrets.token_hex(6)}"
-        order = Order(identifier, self.lease.fence, LOAD_VERSION, self.model, self.desired_version)
-        if not link.ask(identifier, order, self.answers):
+        order = Order(identifier, self.lease.fence, LOAD_VERSION, self.model, version)
+        # The lease may have lapsed while the wave was planned; the agent checks the fence as well.
+        if link is None or not self.lease.held() or not link.ask(identifier, order, self.answers):
+            self.tracker.refused(agent)
             return
-        now_ms = self.clock.now_ms()
         self.orders[identifier] = agent
-        self.in_progress[agent] = SwapInProgress(agent, self.desired_version, now_ms)
-        self.progress[agent].ordered_ms = now_ms
         self.log.info(
-            "ordered",
-            agent=agent,
-            version=self.desired_version,
-            fence=self.lease.fence,
-            reason=reason,
+            "ordered", agent=agent, version=version, fence=self.lease.fence, reason=reason
         )
 
     def _take_answers(self) -> None:
@@ -161,24 +137,22 @@
         if agent is None:
             return
         if isinstance(answer, LinkLost):
-            self._fail(agent, answer.reason)
+            self._end(agent, None, answer.reason)
             return
-        progress = self.progress.setdefault(agent, _AgentProgress())
         if answer.version >= 0:
-            progress.version = answer.version
-            progress.read_ms = self.clock.now_ms()
-        if not answer.accepted:
-            self._fail(agent, answer.reason or f"version {answer.version} read back")
+            self.read_back[agent] = _ReadVersion(answer.version, self.clock.now_ms())
+        if answer.reason and not answer.accepted:
+            self.tracker.refused(agent)
+            self.log.info("order refused", agent=agent, reason=answer.reason)
+            return
+        version = answer.version if answer.version >= 0 else None
+        self._end(agent, version, f"version {answer.version} read back")
+
+    def _end(self, agent: str, version: int | None, reason: str) -> None:
+        if self.tracker.finish(agent, version, self.clock.now_ms()):
+            self.log.info("swapped", agent=agent, version=version)
             return
-        self.in_progress.pop(agent, None)
-        self.log.info("swapped", agent=agent, version=answer.version)
-
-    def _fail(self, agent: str, reason: str) -> None:
-        self.in_progress.pop(agent, None)
-        progress = self.progress.setdefault(agent, _AgentProgress())
-        progress.failures += 1
-        progress.last_failed_ms = self.clock.now_ms()
-        self.log.warning("swap failed", agent=agent, reason=reason, failures=progress.failures)
+        self.log.warning("swap failed", agent=agent, reason=reason)
 
 
 @attrs.define
--- a/src/pistachionotch/entry/router.py
+++ b/src/pistachionotch/entry/router.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import itertools
-import random
 from collections.abc import Iterator
 from functools import singledispatchmethod
 from typing import Any
@@ -12,95 +10,71 @@
 from gevent.queue import Empty, Queue
 from returns.result import Success
 
-from ..clock import Clock
-from ..outcomes import Execution, Problem, RequestClass
-from ..routing.facts import Location
-from ..routing.hedge import HedgeFacts, LatencyTail, decide_hedge
-from ..routing.place import Placement, RoutingCosts, place
-from ..routing.retry import FailedAttempt, RetryBudget, decide_retry
+from ..outcomes import Execution, Problem
+from ..routing.hedge import NO_ALTERNATIVE, HedgeFacts, HedgeRace, LatencyTail, decide_hedge
+from ..routing.retry import FailedAttempt, decide_retry
 from ..samples.spans import VersionSpan, merge_spans
-from ..wire.assembly import Assembler
+from ..wire.assembly import Assembler, CompleteResponse
 from ..wire.messages import Finished, Piece, Refused, Started
-from .calls import Call, CallDone, CallFailed, Delivered, RouteEvent, graver
-from .decisions import DecisionLog
+from .calls import Call, CallDone, CallFailed, Delivered, Progress, RouteEvent, graver
 from .links import AgentLink, LinkLost
-from .table import LinkTable
+from .routing_state import RoutingState
 
 # The agent reports an expired attempt at its deadline; its answer is truer than the entry's guess.
 FINAL_ANSWER_GRACE_MS = 150
 HEDGE_CHECK_MS = 50
+SLOW_CHECK_MS = 250
 DEFAULT_RETRY_AFTER_MS = 1000
+# The true length is not known; a stream beyond the expected length goes on for a while.
+OVERRUN_SHARE = 0.25
 
 
 @attrs.define
-class RoutingState:
-    """Hold what the routing of all calls of one entry shares."""
-
-    table: LinkTable
-    clock: Clock
-    here: Location
-    rng: random.Random
-    decisions: DecisionLog
-    costs: RoutingCosts = attrs.field(factory=RoutingCosts)
-    budget: RetryBudget = attrs.field(factory=RetryBudget)
-    tails: dict[tuple[str, RequestClass], LatencyTail] = attrs.field(factory=dict)
-    attempt_prefix: str = ""
-    attempt_numbers: Iterator[int] = attrs.field(factory=itertools.count)
-
-    def next_attempt(self) -> str:
-        """Return an attempt id that no other attempt of this entry incarnation has."""
-        return f"{self.attempt_prefix}-{next(self.attempt_numbers)}"
-
-    def tail(self, call: Call) -> LatencyTail:
-        """Return the recent times to first token of calls like this one."""
-        return self.tails.setdefault((call.target, call.request_class), LatencyTail())
-
-    def place(self, call: Call, excluded: frozenset[str]) -> Placement:
-        """Place one attempt and log the decision."""
-        placement = place(
-            call.routed(excluded),
-            self.table.candidates(call.request_class),
-            self.here,
-            self.clock.now_ms(),
-            self.rng,
-            self.costs,
-        )
-        self.decisions.placed(call, placement)
-        return placement
-
+class Attempt:
+    """Follow one attempt of a call."""
 
-@attrs.define
-class _Attempt:
     identifier: str
     link: AgentLink
     assembler: Assembler
     started: bool = False
+    tokens: int = 0
+    spans: tuple[VersionSpan, ...] = ()
+    checked_ms: int = 0
 
+    def add_tokens(self, version: int, tokens: int) -> None:
+        """Account for the tokens of one piece."""
+        if not tokens:
+            return
+        self.tokens += tokens
+        self.spans = merge_spans((*self.spans, VersionSpan(version, tokens)))
 
-@attrs.define
+
+@attrs.define(eq=False)
 class RoutedCall:
     """Route one idempotent call until it ends."""
 
     state: RoutingState
     call: Call
     channel: Queue = attrs.field(factory=Queue)
-    attempts: dict[str, _Attempt] = attrs.field(factory=dict)
+    attempts: dict[str, Attempt] = attrs.field(factory=dict)
+    race: HedgeRace = attrs.field(factory=HedgeRace)
     tried: set[str] = attrs.field(factory=set)
     number: int = 0
     execution: Execution = Execution.NOT_RUN
     reason: str = "no attempt was made"
     retry_after_ms: int = 0
-    winner: str | None = None
-    delivered: list[bytes] = attrs.field(factory=list)
-    delivered_tokens: int = 0
-    spans: tuple[VersionSpan, ...] = ()
-    submitted_ms: int = 0
-    alternatives: tuple[str, ...] = ()
+    started_ms: int = 0
+    delivered: bool = False
+    moving: bool = False
     ended: bool = False
+    # Parts of attempts that broke off, which the present attempt continues.
+    kept: list[bytes] = attrs.field(factory=list)
+    kept_spans: tuple[VersionSpan, ...] = ()
 
     def run(self) -> Iterator[RouteEvent]:
         """Yield the parts of the response and one final event."""
-        self.submitted_ms = self.state.clock.now_ms()
+        self.started_ms = self.state.clock.now_ms()
+        self.state.open_calls[id(self)] = self
         try:
             if not self._start_attempt():
                 yield self._failed(503)
@@ -113,26 +87,32 @@
                 link, message = event
                 yield from self.on_message(message, link)
         finally:
+            del self.state.open_calls[id(self)]
             self._cancel_all()
 
+    def waiting_at(self) -> AgentLink | None:
+        """Return the agent at which the only attempt still waits in the queue."""
+        if self.moving or self.race.winner is not None or len(self.attempts) != 1:
+            return None
+        attempt = next(iter(self.attempts.values()))
+        return None if attempt.started else attempt.link
+
+    def move(self) -> None:
+        """Ask for the waiting attempt back; it is placed again once the agent has refused it."""
+        self.moving = True
+        for attempt in self.attempts.values():
+            attempt.link.withdraw(attempt.identifier)
+
     def _next_message(self) -> tuple[AgentLink, Any] | None:
         while True:
-            left_ms = self.call.deadline.remaining_ms(self.state.clock) + FINAL_ANSWER_GRACE_MS
-            if self.call.deadline.expired(self.state.clock):
-                left_ms = self._grace_left_ms()
+            late_ms = self.state.clock.now_ms() - self.call.deadline.at_ms
+            left_ms = FINAL_ANSWER_GRACE_MS - late_ms
             if left_ms <= 0:
                 return None
             try:
-                return self.channel.get(timeout=min(left_ms, self._wait_ms()) / 1000)
+                return self.channel.get(timeout=min(left_ms, HEDGE_CHECK_MS) / 1000)
             except Empty:
-                self._maybe_hedge()
-
-    def _grace_left_ms(self) -> int:
-        late_ms = self.state.clock.now_ms() - self.call.deadline.at_ms
-        return FINAL_ANSWER_GRACE_MS - late_ms
-
-    def _wait_ms(self) -> int:
-        return HEDGE_CHECK_MS if self.winner is None else FINAL_ANSWER_GRACE_MS
+                self._hedge_late_start()
 
     def _start_attempt(self) -> bool:
         """Place and submit attempts until one was written; false ends the call."""
@@ -145,8 +125,6 @@
                 self.retry_after_ms = placement.retry_after_ms
                 return False
             self.number += 1
-            self.alternatives = placement.alternatives
-            self.tried.add(placement.agent)
             if self._submit(placement.agent):
                 return True
             if not self._retry_allowed(Execution.NOT_RUN, 0):
@@ -154,6 +132,7 @@
 
     def _submit(self, agent: str) -> bool:
         state = self.state
+        self.tried.add(agent)
         link = state.table.links.get(agent)
         if link is None:
             return False
@@ -161,31 +140,64 @@
         submit = self.call.submit(identifier, self.call.deadline.remaining_ms(state.clock))
         if not link.submit(submit, self.channel):
             return False
-        self.attempts[identifier] = _Attempt(identifier, link, Assembler(identifier))
+        self.attempts[identifier] = Attempt(identifier, link, Assembler(identifier))
+        self.race.start(identifier)
         link.observations.sent(identifier, self.call.request_class, state.clock.now_ms())
         return True
 
-    def _maybe_hedge(self) -> None:
-        if self.winner is not None or not self.attempts:
+    # Hedges
+
+    def _hedge_late_start(self) -> None:
+        if self.race.winner is None and self.attempts and not self.moving:
+            facts = self._hedge_facts(None)
+            self._hedge(facts, self.state.first_token_tail(self.call), self.call)
+
+    def _hedge_slow_stream(self, attempt: Attempt) -> None:
+        """Compare the expected end of a response that is kept back with recent total times."""
+        now_ms = self.state.clock.now_ms()
+        speed = attempt.link.observations.tokens_per_second.value
+        if now_ms - attempt.checked_ms < SLOW_CHECK_MS or speed <= 0:
             return
-        state = self.state
-        untried = [agent for agent in self.alternatives if agent not in self.tried]
-        facts = HedgeFacts(
-            idempotent=self.call.idempotent,
-            elapsed_ms=state.clock.now_ms() - self.submitted_ms,
-            remaining_ms=self.call.deadline.remaining_ms(state.clock),
-            first_token_seen=False,
+        attempt.checked_ms = now_ms
+        left = max(
+            self.call.expected_tokens - attempt.tokens, round(attempt.tokens * OVERRUN_SHARE)
+        )
+        projected_ms = now_ms - self.started_ms + round(left * 1000 / speed)
+        facts = self._hedge_facts(projected_ms)
+        whole = attrs.evolve(self.call, expected_tokens=attempt.tokens + left)
+        self._hedge(facts, self.state.total_tail(self.call), whole)
+
+    def _hedge_facts(self, projected_ms: int | None) -> HedgeFacts:
+        clock = self.state.clock
+        return HedgeFacts(
+            idempotent=True,
+            elapsed_ms=clock.now_ms() - self.started_ms,
+            remaining_ms=self.call.deadline.remaining_ms(clock),
             attempts_open=len(self.attempts),
-            alternative=untried[0] if untried else None,
+            alternative=None,
             alternative_ms=0,
+            projected_ms=projected_ms,
+            delivered=self.delivered,
         )
-        decision = decide_hedge(facts, state.tail(self.call), state.budget, state.clock.now_ms())
+
+    def _hedge(self, facts: HedgeFacts, tail: LatencyTail, call: Call) -> None:
+        state = self.state
+        now_ms = state.clock.now_ms()
+        if decide_hedge(facts, tail, state.budget, now_ms).reason != NO_ALTERNATIVE:
+            return
+        # Placement costs time, so the cheap conditions come first.
+        placement = state.consider(call, frozenset(self.tried))
+        facts = attrs.evolve(
+            facts, alternative=placement.agent, alternative_ms=placement.estimate_ms
+        )
+        decision = decide_hedge(facts, tail, state.budget, now_ms)
         if decision.agent is None:
             return
         state.decisions.hedged(self.call, decision.agent, decision.reason)
-        self.tried.add(decision.agent)
         self._submit(decision.agent)
 
+    # Messages of agents
+
     @singledispatchmethod
     def on_message(self, message: object, link: AgentLink) -> Iterator[RouteEvent]:
         """Act on one message of an agent."""
@@ -196,6 +208,7 @@
         attempt = self.attempts.get(message.attempt)
         if attempt is not None:
             attempt.started = True
+            self.moving = False
         return iter(())
 
     @on_message.register
@@ -203,35 +216,29 @@
         attempt = self.attempts.get(message.attempt)
         if attempt is None:
             return
-        if self.winner is None:
-            self._win(attempt)
         added = attempt.assembler.add(message)
         if not isinstance(added, Success):
             link.cancel(message.attempt)
-            yield from self._attempt_failed(attempt, Execution.FAILED, added.failure().reason, 0)
+            reason = added.failure().reason
+            yield from self._attempt_failed(attempt, Execution.FAILED, reason, 0)
             return
-        self.delivered.append(message.data)
-        self.delivered_tokens += message.tokens
-        if message.tokens:
-            span = VersionSpan(message.version, message.tokens)
-            self.spans = merge_spans((*self.spans, span))
-        yield Delivered(message.data, message.version, message.tokens)
-
-    def _win(self, attempt: _Attempt) -> None:
-        state = self.state
-        self.winner = attempt.identifier
-        now_ms = state.clock.now_ms()
-        state.tail(self.call).observe(now_ms - self.submitted_ms)
-        attempt.link.observations.first_token(attempt.identifier, now_ms)
-        for identifier, other in list(self.attempts.items()):
-            if identifier == attempt.identifier:
-                continue
-            self._drop(other)
-
-    def _drop(self, attempt: _Attempt) -> None:
-        del self.attempts[attempt.identifier]
-        attempt.link.cancel(attempt.identifier)
-        attempt.link.observations.dropped(attempt.identifier)
+        self._note_piece(attempt, message)
+        if self.call.streamed:
+            self.delivered = True
+            yield Delivered(message.data, message.version, message.tokens)
+            return
+        yield Progress(message.version, message.tokens, link.member.node)
+        if self.race.winner == attempt.identifier:
+            self._hedge_slow_stream(attempt)
+
+    def _note_piece(self, attempt: Attempt, message: Piece) -> None:
+        state, now_ms = self.state, self.state.clock.now_ms()
+        if attempt.assembler.counter.pieces == 1:
+            state.first_token_tail(self.call).observe(now_ms - self.started_ms)
+            attempt.link.observations.first_token(attempt.identifier, now_ms)
+            self._drop_losers(self.race.first_token(attempt.identifier).cancel)
+        attempt.add_tokens(message.version, message.tokens)
+        attempt.link.observations.progress(attempt.identifier, attempt.tokens, now_ms)
 
     @on_message.register
     def _(self, message: Finished, link: AgentLink) -> Iterator[RouteEvent]:
@@ -246,31 +253,50 @@
             reason = complete.failure().reason
             yield from self._attempt_failed(attempt, Execution.FAILED, reason, 0)
             return
-        state = self.state
-        if self.winner is None:
-            self._win(attempt)
+        yield from self._done(attempt, complete.unwrap())
+
+    def _done(self, attempt: Attempt, complete: CompleteResponse) -> Iterator[RouteEvent]:
+        state, now_ms = self.state, self.state.clock.now_ms()
+        self._drop_losers(self.race.finished(attempt.identifier).cancel)
         del self.attempts[attempt.identifier]
-        tokens = sum(span.tokens for span in message.spans)
-        link.observations.finished(attempt.identifier, tokens, state.clock.now_ms())
-        state.budget.record_success(state.clock.now_ms())
-        state.decisions.done(self.call, link.member.node)
+        attempt.link.observations.finished(attempt.identifier, attempt.tokens, now_ms)
+        state.total_tail(self.call).observe(now_ms - self.started_ms)
+        state.budget.record_success(now_ms)
+        agent = attempt.link.member.node
+        state.decisions.done(self.call, agent)
         self.ended = True
-        yield CallDone(message.status, message.headers, self._labels(), link.member.node)
-
-    def _labels(self) -> tuple[VersionSpan, ...]:
-        if any(span.version < 0 for span in self.spans):
+        if not self.call.streamed:
+            yield Delivered(b"".join((*self.kept, complete.body)), -1, 0)
+        finished = complete.finished
+        yield CallDone(finished.status, finished.headers, self._labels(attempt), agent)
+
+    def _labels(self, attempt: Attempt) -> tuple[VersionSpan, ...]:
+        spans = merge_spans((*self.kept_spans, *attempt.spans))
+        if any(span.version < 0 for span in spans):
             return ()
-        return self.spans
+        return spans
 
     @on_message.register
     def _(self, message: Refused, link: AgentLink) -> Iterator[RouteEvent]:
         attempt = self.attempts.get(message.attempt)
         if attempt is None:
             return
+        if self.moving and message.execution is Execution.NOT_RUN:
+            yield from self._place_again(attempt)
+            return
         yield from self._attempt_failed(
             attempt, message.execution, message.reason, message.retry_after_ms
         )
 
+    def _place_again(self, attempt: Attempt) -> Iterator[RouteEvent]:
+        """Place a withdrawn attempt anew; it does not count as a failed one."""
+        self.moving = False
+        self._forget(attempt)
+        self.tried.clear()
+        self.number -= 1
+        if not self.attempts and not self._start_attempt():
+            yield self._failed(503)
+
     @on_message.register
     def _(self, message: LinkLost, link: AgentLink) -> Iterator[RouteEvent]:
         attempt = self.attempts.get(message.attempt)
@@ -280,41 +306,39 @@
             attempt, Execution.UNKNOWN, message.reason, 0, agent_lost=True
         )
 
+    # Failures
+
     def _attempt_failed(
         self,
-        attempt: _Attempt,
+        attempt: Attempt,
         execution: Execution,
         reason: str,
         retry_after_ms: int,
         agent_lost: bool = False,
     ) -> Iterator[RouteEvent]:
-        self.attempts.pop(attempt.identifier, None)
-        attempt.link.observations.dropped(attempt.identifier)
+        self._forget(attempt)
+        self.moving = False
         self.execution = graver(self.execution, execution)
         self.reason = reason
         self.retry_after_ms = retry_after_ms
         if self.attempts:
             return
-        if not self._retry_allowed(execution, retry_after_ms, agent_lost):
-            yield self._failed(503 if self.execution is Execution.NOT_RUN else 502)
-            return
-        if not self._resume():
-            yield self._failed(502)
+        allowed = self._retry_allowed(execution, retry_after_ms, agent_lost)
+        if allowed and self._continue_after(attempt) and self._start_attempt():
             return
-        if not self._start_attempt():
-            yield self._failed(503 if self.execution is Execution.NOT_RUN else 502)
+        yield self._failed(503 if self.execution is Execution.NOT_RUN else 502)
 
     def _retry_allowed(
         self, execution: Execution, retry_after_ms: int, agent_lost: bool = False
     ) -> bool:
         state = self.state
-        untried = [link for link in state.table.ready() if link.member.node not in self.tried]
-        serving = [link for link in untried if self.call.target in link.member.models]
+        serving = state.table.serving(self.call.target)
+        untried = [link for link in serving if link.member.node not in self.tried]
         decision = decide_retry(
             FailedAttempt(self.number, execution, self.call.idempotent, retry_after_ms, agent_lost),
             self.call.deadline.remaining_ms(state.clock),
             0,
-            len(serving),
+            len(untried),
             state.budget,
             state.clock.now_ms(),
             state.rng,
@@ -324,18 +348,18 @@
             state.clock.sleep_ms(decision.wait_ms)
         return decision.retry
 
-    def _resume(self) -> bool:
-        """Prepare the call to go on after what was already delivered."""
-        self.winner = None
-        if not self.delivered:
-            return True
-        resumed = self.call.resumed(b"".join(self.delivered), self.delivered_tokens)
+    def _continue_after(self, attempt: Attempt) -> bool:
+        """Make the call go on after the tokens of an attempt that broke off."""
+        if not attempt.tokens:
+            return not self.delivered or bool(self.kept)
+        text = b"".join(attempt.assembler.parts)
+        resumed = self.call.resumed(text, attempt.tokens)
         if resumed is None:
             self.reason = "the response broke off and cannot be resumed"
-            return False
+            return not self.delivered
         self.call = resumed
-        self.delivered = []
-        self.delivered_tokens = 0
+        self.kept.append(text)
+        self.kept_spans = merge_spans((*self.kept_spans, *attempt.spans))
         return True
 
     def _failed(self, status: int) -> CallFailed:
@@ -344,18 +368,31 @@
         if status == 504 and self.attempts:
             execution = Execution.UNKNOWN
             self.reason = "deadline passed"
-        retry_after_ms = self.retry_after_ms or DEFAULT_RETRY_AFTER_MS
         problem = Problem(
             status,
             "request not completed",
             self.reason,
             execution,
             self.call.request_id,
-            retry_after_ms,
+            self.retry_after_ms or DEFAULT_RETRY_AFTER_MS,
         )
         self.state.decisions.failed(self.call, problem)
         return CallFailed(problem)
 
+    def _forget(self, attempt: Attempt) -> None:
+        if self.attempts.pop(attempt.identifier, None) is None:
+            return
+        self.race.failed(attempt.identifier)
+        attempt.link.forget(attempt.identifier)
+        attempt.link.observations.dropped(attempt.identifier)
+
+    def _drop_losers(self, losers: tuple[str, ...]) -> None:
+        for identifier in losers:
+            attempt = self.attempts.pop(identifier, None)
+            if attempt is None:
+                continue
+            attempt.link.cancel(identifier)
+            attempt.link.observations.dropped(identifier)
+
     def _cancel_all(self) -> None:
-        for attempt in list(self.attempts.values()):
-            self._drop(attempt)
+        self._drop_losers(tuple(self.attempts))
--- /dev/null
+++ b/src/pistachionotch/entry/routing_state.py
@@ -0,0 +1,74 @@
+"""What the routing of all calls of one entry shares."""
+
+from __future__ import annotations
+
+import itertools
+import random
+from collections.abc import Iterator
+from typing import Any
+
+import attrs
+
+from ..clock import Clock
+from ..outcomes import RequestClass
+from ..routing.facts import Location
+from ..routing.hedge import LatencyTail
+from ..routing.place import Placement, RoutingCosts, place
+from ..routing.retry import RetryBudget
+from .calls import Call
+from .decisions import DecisionLog
+from .table import LinkTable
+
+Tails = dict[tuple[str, RequestClass], LatencyTail]
+
+
+@attrs.define
+class RoutingState:
+    """Hold links, budgets and recent latencies."""
+
+    table: LinkTable
+    clock: Clock
+    here: Location
+    rng: random.Random
+    decisions: DecisionLog
+    costs: RoutingCosts = attrs.field(factory=RoutingCosts)
+    budget: RetryBudget = attrs.field(factory=RetryBudget)
+    first_token_tails: Tails = attrs.field(factory=dict)
+    total_tails: Tails = attrs.field(factory=dict)
+    attempt_prefix: str = ""
+    attempt_numbers: Iterator[int] = attrs.field(factory=itertools.count)
+    # Calls that could be moved while they wait, in the order of their start.
+    open_calls: dict[int, Any] = attrs.field(factory=dict)
+
+    def next_attempt(self) -> str:
+        """Return an attempt id that no other attempt of this entry incarnation has."""
+        return f"{self.attempt_prefix}-{next(self.attempt_numbers)}"
+
+    def first_token_tail(self, call: Call) -> LatencyTail:
+        """Return the recent times to first token of calls like this one."""
+        return self.first_token_tails.setdefault(_kind(call), LatencyTail())
+
+    def total_tail(self, call: Call) -> LatencyTail:
+        """Return the recent total times of calls like this one."""
+        return self.total_tails.setdefault(_kind(call), LatencyTail())
+
+    def consider(self, call: Call, excluded: frozenset[str]) -> Placement:
+        """Return where an attempt would go, without deciding it."""
+        return place(
+            call.routed(excluded),
+            self.table.candidates(call.request_class),
+            self.here,
+            self.clock.now_ms(),
+            self.rng,
+            self.costs,
+        )
+
+    def place(self, call: Call, excluded: frozenset[str]) -> Placement:
+        """Place one attempt and log the decision."""
+        placement = self.consider(call, excluded)
+        self.decisions.placed(call, placement)
+        return placement
+
+
+def _kind(call: Call) -> tuple[str, RequestClass]:
+    return (call.target, call.request_class)
--- a/src/pistachionotch/entry/table.py
+++ b/src/pistachionotch/entry/table.py
@@ -57,6 +57,10 @@
         """Return the links that can be given work."""
         return [link for link in self.links.values() if link.ready()]
 
+    def serving(self, target: str) -> list[AgentLink]:
+        """Return the links that can be given work for a target."""
+        return [link for link in self.ready() if target in link.member.models]
+
     def require(self, duty: str, nodes: list[str]) -> None:
         """Keep links to the agents that a leased duty has to reach, beside the chosen ones."""
         wanted = frozenset(nodes)
--- a/src/pistachionotch/samples/retained.py
+++ b/src/pistachionotch/samples/retained.py
@@ -1,4 +1,4 @@
-"""Sample bodies held in memory within a byte limit."""
+"""Bodies that an agent retains for entries other than the coordinating one."""
 
 from __future__ import annotations
 
@@ -6,14 +6,12 @@
 
 import attrs
 
-MAX_HELD_BYTES = 64 * 1024 * 1024
-
 
 @attrs.define
-class BodyStore:
+class RetainedBodies:
     """Hold bodies by sample id within a byte limit; the oldest go first."""
 
-    max_bytes: int = MAX_HELD_BYTES
+    max_bytes: int
     held_bytes: int = 0
     bodies: OrderedDict[str, bytes] = attrs.field(factory=OrderedDict)
 
--- a/src/pistachionotch/wire/codec.py
+++ b/src/pistachionotch/wire/codec.py
@@ -34,6 +34,7 @@
     messages.Order: 18,
     messages.OrderResult: 19,
     messages.FetchBody: 20,
+    messages.Withdraw: 21,
 }
 _TYPES = {number: kind for kind, number in _TYPE_NUMBERS.items()}
 
--- a/src/pistachionotch/wire/messages.py
+++ b/src/pistachionotch/wire/messages.py
@@ -119,6 +119,13 @@
     attempt: str
 
 
+@attrs.frozen
+class Withdraw:
+    """Ask for an attempt back that still waits; it is refused as not run, or else goes on."""
+
+    attempt: str
+
+
 @attrs.frozen
 class IssueKey:
     """Ask the agent for an idempotency key that only this incarnation may run."""
@@ -214,4 +221,5 @@
     | Order
     | OrderResult
     | FetchBody
+    | Withdraw
 )
--- a/tests/features/steps/trainer_steps.py
+++ b/tests/features/steps/trainer_steps.py
@@ -11,9 +11,12 @@
         "trainer": trainer,
         "step": step,
         "model": "fitting",
-        "prompts": [f"prompt {group}" for group in range(prompts)],
+        "groups": prompts,
         "samples_per_group": samples,
-        "max_tokens": 12,
+        "staleness_bound": 1,
+        "deadline_ms": 60_000,
+        "prompts": [f"prompt {group}" for group in range(prompts)],
+        "sampling": {"max_tokens": 12},
     }
     answer = context.deployment.caller(entry).send("POST", "/v1/steps", request)
     assert answer.status == 201, answer
@@ -29,8 +32,8 @@
         f"?cursor={context.cursor}&attempt={context.attempt}&limit={limit}"
     )
     answer = context.deployment.caller(entry).send("GET", path)
-    if answer.status == 409 and "x-next-attempt" in answer.headers:
-        context.attempt = int(answer.headers["x-next-attempt"])
+    if answer.status == 409:
+        context.attempt = answer.json()["next_attempt"]
         return 0
     if answer.status != 200:
         time.sleep(0.2)
@@ -79,7 +82,7 @@
 def check_slots(context):
     slots = sorted((sample["group"], sample["index"]) for sample in context.samples)
     assert slots == sorted(context.wanted), slots
-    identifiers = {sample["sample_id"] for sample in context.samples}
+    identifiers = {sample["id"] for sample in context.samples}
     assert len(identifiers) == len(context.samples)
 
 
@@ -95,5 +98,5 @@
             if run["finished"]:
                 produced.setdefault(run["request"].rsplit("-", 1)[1], []).append(run["spans"])
     for sample in context.samples:
-        spans = [[span["version"], span["tokens"]] for span in sample["weight_versions"]]
-        assert spans in produced[sample["sample_id"][:6]], (sample, produced)
+        spans = [[span["version"], span["tokens"]] for span in sample["spans"]]
+        assert spans in produced[sample["id"][:6]], (sample, produced)
