Make the state machines find every mutant with a wide margin

OldAttemptIsAnswered and MissingBodyIsLeftOut were found in some orders of generated values and not in others, since Hypothesis combines rare events seldom. Ruled out: a fault in delivery; the promises held.

--- a/tests/unit/samples/delivery_machine.py
+++ b/tests/unit/samples/delivery_machine.py
@@ -23,10 +23,10 @@
 from pistachionotch.samples.sample import Sample, body_digest, new_sample_id
 from pistachionotch.samples.spans import SpanRecorder, VersionSpan, merge_spans
 
-PLAN = StepPlan("t", 1, "m", groups=2, samples_per_group=2, staleness_bound=1)
+PLAN = StepPlan("t", 1, "m", groups=4, samples_per_group=2, staleness_bound=1)
 SETTINGS = settings(
-    max_examples=300,
-    stateful_step_count=30,
+    max_examples=400,
+    stateful_step_count=20,
     derandomize=True,
     deadline=None,
     database=None,
@@ -34,7 +34,7 @@
     phases=[Phase.generate],
 )
 EVENTS = ["publish", "agent_dies", "copies_lost", "both_lost", "body_lost", "late_write", "crash"]
-EVENTS += ["execute", "pull", "pull", "pull", "respond", "record"]
+EVENTS += ["execute", "repeat", "pull", "next_attempt"] * 2 + ["respond", "record"]
 EVENT = st.tuples(st.sampled_from(EVENTS), st.integers(0, 99))
 EVENTS_MEANWHILE = st.lists(EVENT, max_size=3)
 AGES = st.lists(st.sampled_from([0, 0, 0, 1, 2, None]), min_size=1, max_size=3)
@@ -124,10 +124,19 @@
 
     def event_execute(self, pick):
         if self.requests:
-            self.execute_now(self.requests[-1 - pick % len(self.requests)])
+            self.execute_now(self.requests[-1 - pick % min(4, len(self.requests))])
 
-    def event_pull(self, _pick):
-        self.requests.append(d.Pull(self.cursor, self.attempt))
+    def event_repeat(self, _pick):
+        for request in self.requests[-1:]:
+            self.execute_now(request)
+
+    def event_next_attempt(self, pick):
+        self.attempt += 1
+        self.requests.append(d.Pull(self.cursor, self.attempt, limit=1 + pick % 3))
+        self.execute_now(self.requests[-1])
+
+    def event_pull(self, pick):
+        self.requests.append(d.Pull(self.cursor, self.attempt, limit=1 + pick % 3))
         self.execute_now(self.requests[-1])
         self.event_respond(0)
 
@@ -207,12 +216,12 @@
 
     # Rules
 
-    @initialize(ages_by_slot=st.lists(AGES, max_size=4))
+    @initialize(ages_by_slot=st.lists(AGES, min_size=1, max_size=8))
     def start(self, ages_by_slot):
         for number, ages in enumerate(ages_by_slot):
             self.produce(number, ages, False)
 
-    @rule(number=st.integers(0, 3), ages=AGES, damaged=st.booleans())
+    @rule(number=st.integers(0, 7), ages=AGES, damaged=st.booleans())
     def produce(self, number, ages, damaged):
         versions = [None if age is None else max(0, self.published - age) for age in ages]
         sample = self.produce_now(self.ledger().slot(number), versions, damaged)
@@ -229,12 +238,30 @@
                 self.delivery.record([self.pending[-1]])
             self.interrupt = None
 
-    @rule(event=EVENT, repeats=st.integers(0, 2))
-    def something_happens(self, event, repeats):
+    @rule(event=EVENT)
+    def something_happens(self, event):
         with contextlib.suppress(EntryDied):
             self.happen(*event)
-        for request in self.requests[-repeats:] if repeats else ():
-            self.execute_now(request)
+
+    @rule(seed=st.integers(0, 2**32 - 1))
+    def many_things_happen(self, seed):
+        """Draw evenly, because Hypothesis alone combines rare events too seldom."""
+        rng = random.Random(seed)
+        for _ in range(25):
+            events = [(rng.choice(EVENTS), rng.randrange(99)) for _ in range(rng.randrange(4))]
+            faults = rng.choices(WRITE_FAULTS, k=rng.randrange(3))
+            ages = rng.choices([0, 0, 0, 1, 2, None], k=rng.randrange(1, 4))
+            action = rng.randrange(4)
+            if action == 0:
+                self.produce(rng.randrange(8), ages, rng.random() < 0.1)
+            elif action == 1:
+                self.paused_holder_records(rng.randrange(4), events)
+            elif action == 2:
+                self.execute_and_respond(
+                    rng.random() < 0.6, rng.randrange(9), rng.randrange(7), events, faults
+                )
+            else:
+                self.something_happens((rng.choice(EVENTS), rng.randrange(99)))
 
     @rule(next_attempt=st.booleans(), limit=st.integers(1, 4), ahead=AHEAD, now=st.booleans())
     def send_pull(self, next_attempt, limit, ahead, now):
@@ -251,7 +278,7 @@
             pick = 0
         self.interrupt = (calls, events)
         self.store.planned = faults
-        self.execute_now(self.requests[-1 - pick % len(self.requests)])
+        self.execute_now(self.requests[-1 - pick % min(6, len(self.requests))])
         self.store.planned = []
         if pull:
             self.event_respond(0)
@@ -269,7 +296,7 @@
         """Without further faults the step must end with every slot used once."""
         self.store.planned.clear()
         self.store.deliver_delayed()
-        for _ in range(30):
+        for _ in range(60):
             for slot in self.ledger().open_slots():
                 self.delivery.record([self.produce_now(slot, [self.published])])
             pull = d.Pull(self.cursor, self.attempt, limit=4)
--- a/tests/unit/weights/test_gate_machine.py
+++ b/tests/unit/weights/test_gate_machine.py
@@ -17,7 +17,7 @@
 )
 
 SETTINGS = settings(
-    max_examples=300,
+    max_examples=500,
     stateful_step_count=30,
     derandomize=True,
     deadline=None,
@@ -63,12 +63,13 @@
         self.desired += 1
         self.held.append((self.lease_fence, self.desired))
 
-    @rule(age=st.integers(0, 2), effect=EFFECT)
-    def present_or_former_holder_orders(self, age, effect):
-        fence, version = self.held[-1 - age % len(self.held)]
-        self.offer(EngineOrder(fence, LOAD_VERSION, "m", version))
-        if effect != "running" and self.running is not None:
-            self.order_ends(effect)
+    @rule(orders=st.lists(st.tuples(st.integers(0, 2), EFFECT), min_size=1, max_size=4))
+    def present_and_former_holders_order(self, orders):
+        for age, effect in orders:
+            fence, version = self.held[-1 - age % len(self.held)]
+            self.offer(EngineOrder(fence, LOAD_VERSION, "m", version))
+            if effect != "running" and self.running is not None:
+                self.order_ends(effect)
 
     @precondition(lambda self: self.running)
     @rule(effect=EFFECT)
