--- a/src/pistachionotch/lease/lease.py
+++ b/src/pistachionotch/lease/lease.py
@@ -93,7 +93,8 @@
         if self.clock.now_ms() < self.next_call_ms:
             return self.state
         if self.state is LeaseState.HELD and not self.unsettled:
-            self._renew()
+            # A lost or replaced version makes this write conflict.
+            self._write(self.fence, self.seen.version if self.seen is not None else None)
         else:
             self._read()
         return self.state
@@ -138,12 +139,6 @@
             return
         self._write(record.fence + 1, self.seen.version)
 
-    def _renew(self) -> None:
-        record = self._seen_record()
-        if self.seen is None or record is None:
-            raise AssertionError("a held lease was seen")
-        self._write(record.fence, self.seen.version)
-
     def _write(self, fence: int, expected: int | None) -> None:
         if self.state is LeaseState.RELEASED:
             return
