Keep time-outs and failures of one read from other greenlets

A failed read closed the shared connection pool, which raised RuntimeError in the greenlets waiting for a connection of it, and catching gevent.Timeout swallowed a time-out set by the caller. The old pool is now left to its users, and the client's own limit is a type of its own.

--- a/src/pistachionotch/objects/client.py
+++ b/src/pistachionotch/objects/client.py
@@ -45,6 +45,13 @@
     """Stop the HTTP library from sending a request twice."""
 
 
+class ResponseTimeoutError(Exception):
+    """Report that the whole response did not arrive in time.
+
+    It is a type of its own, because catching ``gevent.Timeout`` would swallow a caller's time-out.
+    """
+
+
 class OneConnectionPool(ConnectionPool):  # type: ignore[misc, unused-ignore]
     """Hand out one new connection and no other; ``connected`` tells whether it was made."""
 
@@ -96,7 +103,7 @@
 
 
 # Everything that can go wrong between the request and a complete, well-formed response.
-_TRANSPORT_ERRORS = (OSError, HTTPParseError, SecondAttemptError, gevent.Timeout)
+_TRANSPORT_ERRORS = (OSError, HTTPParseError, SecondAttemptError, ResponseTimeoutError)
 
 
 class HttpObjectStore:
@@ -211,13 +218,15 @@
 
     def _read(self, path: str) -> Reply | _NoReply:
         limit_ms = self.connect_timeout_ms + self.response_timeout_ms
+        reader = self.reader
         try:
-            with gevent.Timeout(limit_ms / MS_PER_SECOND):
-                return _complete(self.reader.request("GET", path))
+            with gevent.Timeout(limit_ms / MS_PER_SECOND, ResponseTimeoutError):
+                return _complete(reader.request("GET", path))
         except _TRANSPORT_ERRORS as error:
-            # The other kept connections may be silent as well, so none of them is used again.
-            self.reader.close()
-            self.reader = self._new_reader()
+            # The other kept connections may be silent as well, so none of them is used again. The
+            # old reader is not closed, because that fails the greenlets that wait for it.
+            if self.reader is reader:
+                self.reader = self._new_reader()
             return _NoReply(repr(error), connected=True)
 
     def _send_once(
@@ -232,7 +241,7 @@
         )
         limit_ms = self.connect_timeout_ms + response_ms
         try:
-            with gevent.Timeout(limit_ms / MS_PER_SECOND):
+            with gevent.Timeout(limit_ms / MS_PER_SECOND, ResponseTimeoutError):
                 return _complete(client.request(method, path, body, dict(headers)))
         except _TRANSPORT_ERRORS as error:
             return _NoReply(repr(error), connected=client.pool.connected)
--- a/tests/unit/standins/test_object_store.py
+++ b/tests/unit/standins/test_object_store.py
@@ -1,5 +1,7 @@
 """Guards against a client that mislabels what happened to a write over real connections."""
 
+import time
+
 import gevent
 import pytest
 from gevent import socket
@@ -15,7 +17,7 @@
     WatchExpired,
     WriteAmbiguous,
 )
-from pistachionotch.objects.client import HttpObjectStore
+from pistachionotch.objects.client import READ_CONNECTIONS, HttpObjectStore
 from pistachionotch.objects.memory import MemoryStore
 from pistachionotch.objects.settle import put_settled
 from pistachionotch.standins.object_store import ObjectStoreApp, serve
@@ -136,7 +138,29 @@
 def test_silent_connection_times_out_for_reads_and_writes(broken):
     broken.behave = lambda connection: gevent.sleep(2)
     assert isinstance(broken.client.put("a", b"1", None).failure(), WriteAmbiguous)
+    reads = [gevent.spawn(broken.client.get, "a") for _ in range(2 * READ_CONNECTIONS)]
+    for read in reads:
+        assert isinstance(read.get(timeout=3).failure(), StoreUnavailable)
+
+
+def test_time_out_of_the_caller_is_not_taken_for_one_of_the_store(broken):
+    broken.behave = lambda connection: gevent.sleep(2)
+    for call in (lambda: broken.client.get("a"), lambda: broken.client.put("a", b"", None)):
+        with pytest.raises(gevent.Timeout), gevent.Timeout(0.05):
+            call()
+
+
+def test_trickling_answer_ends_at_the_time_limit(broken):
+    def behave(connection):
+        connection.sendall(b"HTTP/1.1 200 OK\r\nX-Filler: ")
+        for _ in range(30):
+            connection.sendall(b"x")
+            gevent.sleep(0.1)
+
+    broken.behave = behave
+    started = time.monotonic()
     assert isinstance(broken.client.get("a").failure(), StoreUnavailable)
+    assert 0.4 < time.monotonic() - started < 2
 
 
 @pytest.mark.parametrize(
