--- a/tests/unit/standins/test_object_store.py
+++ b/tests/unit/standins/test_object_store.py
@@ -143,6 +143,16 @@
         assert isinstance(read.get(timeout=3).failure(), StoreUnavailable)
 
 
+def test_reads_on_a_kept_connection_do_not_wait_for_delayed_acknowledgements(client):
+    client.put("a", b"1", None).unwrap()
+    durations = []
+    for _ in range(11):
+        started = time.monotonic()
+        client.get("a").unwrap()
+        durations.append(time.monotonic() - started)
+    assert sorted(durations)[5] < 0.03
+
+
 def test_time_out_of_the_caller_is_not_taken_for_one_of_the_store(broken):
     broken.behave = lambda connection: gevent.sleep(2)
     for call in (lambda: broken.client.get("a"), lambda: broken.client.put("a", b"", None)):
