--- a/src/pistachionotch/bench/agents.py
+++ b/src/pistachionotch/bench/agents.py
@@ -30,7 +30,7 @@
 EXPIRY_TICK_MS = 100
 HEARTBEAT_MS = 2_000
 # Pieces arrive all the time; the fakes sum them up to keep the number of events low.
-PROGRESS_MS = 1_000
+PROGRESS_MS = 500
 
 
 class Queue(Protocol):
