Add a bound that does not order samples by their length

No policy can know the length of a sample in advance; the variant separates that knowledge from the rest of the bound. It is not in the default run.

--- a/src/pistachionotch/bench/central.py
+++ b/src/pistachionotch/bench/central.py
@@ -22,8 +22,9 @@
     knows the present and future slowdowns and the true run times, and pays only the network delay.
     """
 
-    def __init__(self, world: World) -> None:
+    def __init__(self, world: World, longest_first: bool = True) -> None:
         self.world = world
+        self.longest_first = longest_first
         self.waiting: dict[str, list[tuple[tuple[int, float], int, Job]]] = {}
         self.busy_until: dict[str, dict[str, int]] = {name: {} for name in world.agents}
         self.serial = 0
@@ -58,6 +59,8 @@
             return (0, job.deadline_ms)
         if job.kind is TRAINING:
             step = int(job.name.split("-")[1])
+            if not self.longest_first:
+                return (1, float(step))
             return (1, step - 1.0 / (1.0 + 1.0 / job.stream_ms))
         return (1, 0.0)
 
--- a/src/pistachionotch/bench/policies.py
+++ b/src/pistachionotch/bench/policies.py
@@ -37,4 +37,6 @@
     "two-choices": Policy(make_fifo, partial(BaselineDispatcher, choose=two_choices)),
     OWN: Policy(make_queue, OwnDispatcher),
     BOUND: Policy(make_fifo, CentralDispatcher),
+    # Not in the default run: shows what the bound gains by knowing the lengths of samples.
+    "bound-arrival-order": Policy(make_fifo, partial(CentralDispatcher, longest_first=False)),
 }
