Let stand-ins keep verifiable texts and ledgers that outlive a kill

The text of a completion now follows from its seed and all text so far, so a resumed stream can be compared with what one uninterrupted run would have said. Runs are appended to a file of the deployment, because a killed stand-in loses the ledger in its memory.

--- a/src/pistachionotch/standins/engine.py
+++ b/src/pistachionotch/standins/engine.py
@@ -4,7 +4,8 @@
 
 import errno
 import json
-import random
+import secrets
+import zlib
 from collections.abc import Iterator
 from typing import Any
 
@@ -14,10 +15,24 @@
 
 from ..clock import Clock, SystemClock
 from .http import Environ, StartResponse, read_body, respond_json
+from .ledger import Record, keep_nothing
 
 _WORDS = ("saddle", "tyre", "jersey", "hub", "spoke", "crank", "ferret", "class", "judge", "show")
 
 
+def draw_words(seed: int, prompt: str) -> Iterator[str]:
+    """Draw words that depend on the seed and on all text so far.
+
+    A prompt that ends with earlier words goes on exactly as the first completion would have, so
+    the text of a resumed stream can be computed from its first prompt.
+    """
+    state = zlib.crc32(f"{seed}:{prompt}".encode("utf-8", "surrogatepass"))
+    while True:
+        word = _WORDS[(state >> 8) % len(_WORDS)] + " "
+        state = zlib.crc32(word.encode(), state)
+        yield word
+
+
 @attrs.define
 class EngineFaults:
     """Switch faults on and off while the engine runs."""
@@ -37,6 +52,7 @@
     spans: list[list[int]]
     finished: bool = False
     cancelled: bool = False
+    identifier: str = attrs.field(factory=lambda: secrets.token_hex(6))
 
 
 @attrs.define
@@ -56,6 +72,7 @@
     orders: list[dict[str, Any]] = attrs.field(factory=list)
     running: int = 0
     waiting: int = 0
+    record: Record = keep_nothing
     _slots: BoundedSemaphore = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -88,6 +105,14 @@
             return respond_json(start_response, 404, {"error": "no such model"})
         run = EngineRun(environ.get("HTTP_X_REQUEST_ID", ""), [])
         self.runs.append(run)
+        fields = ("prompt", "seed", "max_tokens")
+        self.record(
+            {
+                "run": run.identifier,
+                "request": run.request,
+                **{name: wanted.get(name) for name in fields},
+            }
+        )
         start_response("200 OK", [("Content-Type", "text/event-stream")])
         return self._stream(run, wanted)
 
@@ -108,7 +133,7 @@
             self._slots.release()
 
     def _tokens(self, run: EngineRun, wanted: dict[str, Any]) -> Iterator[bytes]:
-        words = random.Random(f"{wanted.get('seed', 0)}:{wanted['prompt']}")
+        words = draw_words(wanted.get("seed", 0), wanted["prompt"])
         count = int(wanted.get("max_tokens", 16))
         for position in range(count):
             if position == self.faults.break_after_tokens:
@@ -120,7 +145,8 @@
             else:
                 run.spans.append([version, 1])
             reason = "length" if position == count - 1 else None
-            yield self._chunk(words.choice(_WORDS) + " ", reason, version)
+            self.record({"run": run.identifier, "version": version})
+            yield self._chunk(next(words), reason, version)
         run.finished = True
         yield b"data: [DONE]\n\n"
 
--- a/src/pistachionotch/standins/plain_service.py
+++ b/src/pistachionotch/standins/plain_service.py
@@ -10,6 +10,7 @@
 import gevent
 
 from .http import Environ, StartResponse, read_body, respond_json
+from .ledger import Record, keep_nothing
 
 
 @attrs.define
@@ -27,6 +28,7 @@
     name: str
     faults: ServiceFaults = attrs.field(factory=ServiceFaults)
     calls: list[dict[str, str]] = attrs.field(factory=list)
+    record: Record = keep_nothing
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Any:
         """Dispatch one HTTP request."""
@@ -49,6 +51,7 @@
             "body": body.decode("utf-8", "replace"),
         }
         self.calls.append(call)
+        self.record(dict(call))
         number = len(self.calls)
         gevent.sleep(self.faults.delay_ms / 1000)
         if self.faults.lose_next_answers > 0:
--- a/tests/support/deployment.py
+++ b/tests/support/deployment.py
@@ -89,7 +89,8 @@
     def start_standin(self, name, kind, model=""):
         port = self.ports.setdefault(name, free_port())
         module = "tests.support.standin_process"
-        self.spawn(name, [sys.executable, "-m", module, kind, str(port), model])
+        ledger = str(self.ledger_file(name))
+        self.spawn(name, [sys.executable, "-m", module, kind, str(port), model, ledger])
         wait_for_port(port)
 
     def start_platform(self):
@@ -187,6 +188,10 @@
         answer = store.send("PUT", path, value, {"If-Match": found.headers["etag"]})
         assert answer.status == 200, answer
 
+    def ledger_file(self, name):
+        """Return the file in which a stand-in keeps its runs across a kill."""
+        return self.folder / f"{name}.ledger"
+
     def ledger(self, name):
         return self.standin(name, "GET", "/ledger")
 
--- a/tests/support/standin_process.py
+++ b/tests/support/standin_process.py
@@ -1,4 +1,4 @@
-"""Runs one stand-in as a process: ``python -m tests.support.standin_process KIND PORT [NAME]``."""
+"""Runs one stand-in as a process: ``... standin_process KIND PORT NAME LEDGER_FILE``."""
 
 from gevent import monkey
 
@@ -10,26 +10,28 @@
 from gevent.pywsgi import WSGIServer  # noqa: E402
 
 from pistachionotch.standins.engine import EngineStandIn  # noqa: E402
+from pistachionotch.standins.ledger import append_to  # noqa: E402
 from pistachionotch.standins.object_store import ObjectStoreApp  # noqa: E402
 from pistachionotch.standins.plain_service import PlainServiceStandIn  # noqa: E402
 from pistachionotch.standins.vm_list import VmListStandIn  # noqa: E402
 
 
-def make_app(kind, name):
+def make_app(kind, name, ledger):
     if kind == "object-store":
         return ObjectStoreApp()
     if kind == "engine":
-        return EngineStandIn(name, token_ms=2, checks_fences=False)
+        return EngineStandIn(name, token_ms=2, checks_fences=False, record=append_to(ledger))
     if kind == "plain-service":
-        return PlainServiceStandIn(name)
+        return PlainServiceStandIn(name, record=append_to(ledger))
     if kind == "vm-list":
         return VmListStandIn()
     raise ValueError(kind)
 
 
 def main():
-    kind, port, name = sys.argv[1], int(sys.argv[2]), (sys.argv[3:] or [""])[0]
-    server = WSGIServer(("127.0.0.1", port), make_app(kind, name), log=None, error_log=None)
+    kind, port, name, ledger = sys.argv[1:]
+    app = make_app(kind, name, ledger)
+    server = WSGIServer(("127.0.0.1", int(port)), app, log=None, error_log=None)
     server.start()
     gevent.wait()
 
