Close websockets only after their reader stopped watching them

Cause: the library closes the socket while its reader has it in a selector or is about to select again, for example when a session that missed its heartbeats is closed with unread messages. The event loop below gevent aborts the process on a closed descriptor.

The connection is now shut down in both directions first; the reader sees the end and closes it. The new test aborts the process before the change and passes after it.

--- /dev/null
+++ b/src/pistachionotch/wire/connections.py
@@ -0,0 +1,40 @@
+"""Websocket connections that close their sockets in an order that gevent allows."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+
+from websockets.sync.client import ClientConnection
+from websockets.sync.connection import Connection
+from websockets.sync.server import ServerConnection
+
+
+class OrderlyClose(Connection):
+    """Close the socket only after the reader has stopped watching it.
+
+    The library closes the socket while its reader still has it in a selector, or is about to select
+    again. The event loop below gevent then finds a closed descriptor and aborts the process.
+    """
+
+    def recv_events(self) -> None:
+        """Read until the end, then close the socket."""
+        try:
+            super().recv_events()
+        finally:
+            super().close_socket()
+
+    def close_socket(self) -> None:
+        """End the connection in both directions, which makes the reader stop and close it."""
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_RDWR)
+        # A reader that waits for its messages to be taken would never see the end.
+        self.recv_messages.close()
+
+
+class OrderlyClientConnection(OrderlyClose, ClientConnection):
+    """Connect in the order that gevent allows."""
+
+
+class OrderlyServerConnection(OrderlyClose, ServerConnection):
+    """Accept in the order that gevent allows."""
--- a/src/pistachionotch/wire/session.py
+++ b/src/pistachionotch/wire/session.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import hashlib
 import hmac
 import secrets
@@ -22,6 +21,7 @@
 
 from ..clock import Clock
 from . import codec
+from .connections import OrderlyClientConnection, OrderlyServerConnection
 from .messages import PROTOCOL_VERSION, Hello, Message, Proof
 
 OUTBOX_MESSAGES = 1024
@@ -190,8 +190,7 @@
         with gevent.Timeout(CLOSE_TIMEOUT_S, False):
             self.connection.close(reason=reason[:100])
         # A silent peer never answers the closing handshake, so the socket is closed regardless.
-        with contextlib.suppress(OSError):
-            self.connection.socket.close()
+        self.connection.close_socket()
         self._writer.kill(block=False)
 
     def _write(self) -> None:
@@ -215,6 +214,7 @@
             close_timeout=CLOSE_TIMEOUT_S,
             ping_interval=None,
             max_size=codec.MAX_UNPROVED_BYTES,
+            create_connection=OrderlyClientConnection,
             legacy=True,  # returns the connection itself instead of a context manager
         )
     except (WebSocketException, TimeoutError, EOFError) as error:
@@ -265,4 +265,5 @@
         close_timeout=CLOSE_TIMEOUT_S,
         ping_interval=None,
         max_size=codec.MAX_UNPROVED_BYTES,
+        create_connection=OrderlyServerConnection,
     )
--- a/tests/unit/wire/test_session.py
+++ b/tests/unit/wire/test_session.py
@@ -10,11 +10,12 @@
 from pistachionotch.clock import SystemClock
 from pistachionotch.logs import logger
 from pistachionotch.wire import codec
-from pistachionotch.wire.messages import Hello, Leaving, Proof
+from pistachionotch.wire.messages import Hello, Leaving, Piece, Proof
 from pistachionotch.wire.session import (
     HandshakeError,
     Identity,
     SessionClosed,
+    handshake,
     make_server,
     open_session,
 )
@@ -112,3 +113,21 @@
     with gevent.Timeout(6), pytest.raises(HandshakeError):
         _open(server.server_port, Queue())
     server.stop(timeout=0)
+
+
+@pytest.mark.parametrize(("received", "sent"), [(100, 0), (0, 100), (100, 100)])
+def test_a_session_closed_with_unread_messages_does_no_harm(agent, received, sent):
+    """Closing a descriptor that gevent still watches, or will watch, aborts the whole process."""
+    port, agent_inbox = agent
+    connection = connect(f"ws://{HOST}:{port}/", compression=None, legacy=True)
+    handshake(connection, _identity("entry"), "client")
+    connection.send(codec.encode(Leaving("x")))
+    session, _message = agent_inbox.get(timeout=2)
+    for _ in range(sent):
+        session.send(Piece("attempt", 0, bytes(512 * 1024), -1, 0))
+    for _ in range(received):
+        connection.send(codec.encode(Leaving("x")))
+    session.close("no heartbeat")
+    gevent.sleep(1.5)
+    assert session.connection.socket.fileno() < 0
+    assert not session.connection.recv_events_thread.is_alive()
