Keep the connections of other tasks open after a failed read of the object API

Cause: a failed read closed the shared connection pool. A read of another task that the HTTP library was repeating then ended with RuntimeError, which nothing catches. The failed read now only replaces the pool.

--- a/src/pistachionotch/objects/client.py
+++ b/src/pistachionotch/objects/client.py
@@ -211,13 +211,15 @@
 
     def _read(self, path: str) -> Reply | _NoReply:
         limit_ms = self.connect_timeout_ms + self.response_timeout_ms
+        reader = self.reader
         try:
             with gevent.Timeout(limit_ms / MS_PER_SECOND):
-                return _complete(self.reader.request("GET", path))
+                return _complete(reader.request("GET", path))
         except _TRANSPORT_ERRORS as error:
-            # The other kept connections may be silent as well, so none of them is used again.
-            self.reader.close()
-            self.reader = self._new_reader()
+            # The other kept connections may be silent as well, so none of them is used again. They
+            # are not closed here: other tasks may be using them, or waiting for one of them.
+            if self.reader is reader:
+                self.reader = self._new_reader()
             return _NoReply(repr(error), connected=True)
 
     def _send_once(
--- a/tests/unit/standins/test_object_store.py
+++ b/tests/unit/standins/test_object_store.py
@@ -155,3 +155,23 @@
     broken.behave = behave
     assert isinstance(broken.client.get("a").failure(), StoreUnavailable)
     assert isinstance(broken.client.put("a", b"1", None).failure(), WriteAmbiguous)
+
+
+def test_a_failed_read_does_not_disturb_reads_of_other_tasks():
+    """A read that the library repeats must not find the connections closed by another task."""
+    accepted = []
+
+    def serve_connection(connection, _address):
+        accepted.append(connection)
+        if len(accepted) == 2:
+            gevent.sleep(0.25)
+            return
+        gevent.sleep(5)
+
+    server = StreamServer((HOST, 0), serve_connection)
+    server.start()
+    client = HttpObjectStore(HOST, server.server_port, 300, 300)
+    reads = [gevent.spawn_later(delay_s, client.get, "k") for delay_s in (0, 0.1)]
+    gevent.joinall(reads, timeout=5)
+    server.stop(timeout=0)
+    assert [type(read.get().failure()) for read in reads] == [StoreUnavailable] * 2
