Maintain the claim book in the agent and recognise claims of dead incarnations

Cause: nothing called ClaimBook.maintain, so results never reached the object API, abandoned claims were never released and no record was evicted; and every claimant counted as live. With two agents of a service, the second answered 409 for a finished or lost order for ever.

An agent now maintains its book four times a second and before it stops. A claim whose agent's registration is gone or names another incarnation is answered unknown, as the design says.

--- a/src/pistachionotch/agent/daemon.py
+++ b/src/pistachionotch/agent/daemon.py
@@ -27,11 +27,14 @@
 from ..wire.session import Identity, Session, make_server
 from .core import AgentCore, Drain, VersionObserved
 from .orders import OrderTask
+from .upkeep import BookUpkeep, ClaimantLiveness
 from .upstream import EngineUpstream, ServiceUpstream, Upstream
 
 HEARTBEAT_MS = 2000
 CLAIM_RETENTION_MS = 24 * 3600 * 1000
 DRAIN_POLL_S = 0.05
+# Results that are not saved when an agent stops are answered as unknown by the other agents.
+SAVE_CLAIMS_MS = 3000
 
 
 def target_of(settings: Settings) -> str:
@@ -62,6 +65,7 @@
     incarnation: str = attrs.field(factory=lambda: secrets.token_hex(6))
     core: AgentCore = attrs.field(init=False)
     registration: Registration = attrs.field(init=False)
+    upkeep: BookUpkeep = attrs.field(init=False)
     orders: OrderTask | None = attrs.field(init=False, default=None)
     server: Any = attrs.field(init=False, default=None)
     probes: WSGIServer | None = attrs.field(init=False, default=None)
@@ -81,7 +85,9 @@
             settings.key,
             CLAIM_RETENTION_MS,
             rng,
+            ClaimantLiveness(store),
         )
+        self.upkeep = BookUpkeep(book, self.clock)
         assert settings.upstream is not None
         limit = ConcurrencyLimit.fixed(settings.upstream.concurrency_limit)
         queue = AdmissionQueue(self.clock, limit, ClassShares())
@@ -149,6 +155,7 @@
         )
         gevent.spawn(self.server.serve_forever)
         gevent.spawn(self.core.run)
+        gevent.spawn(self.upkeep.run)
         if self.orders is not None:
             gevent.spawn(self.orders.run)
         gevent.spawn(self.registration.run)
@@ -188,6 +195,7 @@
         gevent.spawn(self.registration.withdraw)
         while not (self.core.queue.draining and self.core.idle()):
             gevent.sleep(DRAIN_POLL_S)
+        self.upkeep.finish(SAVE_CLAIMS_MS)
         for session in list(self.core.sessions):
             session.flush(1.0)
             session.close("agent stopped")
--- /dev/null
+++ b/src/pistachionotch/agent/upkeep.py
@@ -0,0 +1,51 @@
+"""Upkeep of the claim book: saves results, releases abandoned claims, tells dead claimants."""
+
+from __future__ import annotations
+
+import attrs
+from returns.result import Success
+
+from ..clock import Clock
+from ..idempotency.book import ClaimBook
+from ..membership.registration import MEMBERS_PREFIX, decode_registration
+from ..objects.api import ObjectStore
+
+PERIOD_MS = 250
+
+
+@attrs.frozen
+class ClaimantLiveness:
+    """Judge by its registration whether the agent incarnation that made a claim may still run."""
+
+    store: ObjectStore
+
+    def __call__(self, agent: str, incarnation: str) -> bool:
+        """Return false only if the registration is gone or names another incarnation."""
+        read = self.store.get(MEMBERS_PREFIX + agent)
+        stored = read.value_or(None)
+        if stored is None:
+            # An unreadable registration proves nothing, a removed one tells of a shutdown.
+            return not isinstance(read, Success)
+        member = decode_registration(stored.value)
+        return member is None or member.incarnation == incarnation
+
+
+@attrs.frozen
+class BookUpkeep:
+    """Run the upkeep of one claim book a few times a second."""
+
+    book: ClaimBook
+    clock: Clock
+
+    def run(self) -> None:
+        """Work until the greenlet is killed."""
+        while True:
+            self.book.maintain()
+            self.clock.sleep_ms(PERIOD_MS)
+
+    def finish(self, limit_ms: int) -> None:
+        """Save what is left before the agent stops, for ``limit_ms`` at most."""
+        deadline_ms = self.clock.now_ms() + limit_ms
+        while self.book.unsettled and self.clock.now_ms() < deadline_ms:
+            self.book.maintain()
+            self.clock.sleep_ms(PERIOD_MS // 10)
--- /dev/null
+++ b/tests/unit/agent/test_upkeep.py
@@ -0,0 +1,64 @@
+"""Guards against orders that stay in progress because their agent died or saved nothing."""
+
+import random
+
+import pytest
+
+from pistachionotch.agent.upkeep import BookUpkeep, ClaimantLiveness
+from pistachionotch.clock import ManualClock
+from pistachionotch.idempotency.book import ClaimBook
+from pistachionotch.idempotency.claim import InProgress, Replay, Run, StoredResult, Unknown
+from pistachionotch.membership.directory import Member
+from pistachionotch.membership.registration import encode_registration
+from pistachionotch.objects.memory import MemoryStore
+
+RESULT = StoredResult(201, (), b"done")
+SCOPE, KEY = "services/storefront", "key-1"
+
+
+@pytest.fixture
+def store():
+    return MemoryStore(ManualClock())
+
+
+def _book(store, agent):
+    liveness = ClaimantLiveness(store)
+    rng = random.Random(1)
+    return ClaimBook(store, store.clock, agent, "i1", b"k" * 16, 3_600_000, rng, liveness)
+
+
+def _register(store, agent, incarnation):
+    member = Member(agent, "127.0.0.1:1", "cebu", "visayas", incarnation, (SCOPE,))
+    current = store.get(f"members/{agent}").unwrap()
+    value = encode_registration(member, "token")
+    store.put(f"members/{agent}", value, current.version if current else None).unwrap()
+
+
+def _send_at(store, agent):
+    book = _book(store, agent)
+    assert isinstance(book.begin(SCOPE, KEY), Run)
+    book.sending(SCOPE, KEY)
+    return book
+
+
+def test_a_saved_result_is_replayed_by_the_other_agents(store):
+    _register(store, "agent-3", "i1")
+    book = _send_at(store, "agent-3")
+    book.finish(SCOPE, KEY, RESULT)
+    BookUpkeep(book, store.clock).finish(1000)
+    assert _book(store, "agent-4").begin(SCOPE, KEY) == Replay(RESULT)
+
+
+@pytest.mark.parametrize(
+    ("incarnation", "decision"), [("i1", InProgress), ("i2", Unknown), (None, Unknown)]
+)
+def test_a_claim_is_in_progress_only_while_its_agent_may_live(store, incarnation, decision):
+    _send_at(store, "agent-3")
+    if incarnation is not None:
+        _register(store, "agent-3", incarnation)
+    assert isinstance(_book(store, "agent-4").begin(SCOPE, KEY), decision)
+
+
+def test_an_unreadable_registration_proves_no_death(store):
+    store.set_outage(True)
+    assert ClaimantLiveness(store)("agent-3", "i1")
