--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -3,14 +3,21 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 . scripts/bootstrap.sh
+if ! command -v spin > /dev/null; then
+  echo "installing spin from the distribution's packages"
+  apt-get update -qq
+  apt-get install -y -qq spin
+fi
 export PYTHONPATH="$PWD/src:$PWD"
 export PYTHONHASHSEED=0
 black --check --quiet src tests
 ruff check --quiet src tests
 mypy
+scripts/model_check.sh
 # Parallel test workers use threads that do not survive gevent's patching of the standard library.
 patched="tests/unit/agent tests/unit/wire"
-python -m pytest --numprocesses 6 --ignore tests/unit/agent --ignore tests/unit/wire
 python -m gevent.monkey --module pytest $patched
 python -m behave --no-capture --format progress3 tests/features
-python -m pistachionotch demo
+scripts/build.sh
+python dist/pistachionotch demo
+python -m pytest --numprocesses 6 --ignore tests/unit/agent --ignore tests/unit/wire
