Take over shares, budgets, costs and intervals from the configuration

The configuration was distributed but mapped onto nothing except timeouts and routes. Heartbeats announce their interval now: with a fixed interval on the receiving side, raising it above three times the old one would have looked like a silent connection on every link.

After: a scenario raises the interval from 2 s to 7 s and sees no connection lost.

--- a/src/pistachionotch/agent/core.py
+++ b/src/pistachionotch/agent/core.py
@@ -62,6 +62,7 @@
     log: Any
     heartbeat_ms: int
     on_order: Callable[[Session, messages.Order], None]
+    on_config: Callable[[], None] = attrs.field(default=lambda: None)
     inbox: Queue = attrs.field(factory=Queue)
     retained: RetainedBodies = attrs.field(factory=lambda: RetainedBodies(MAX_RETAINED_BYTES))
     sessions: dict[Session, int] = attrs.field(factory=dict)
@@ -107,7 +108,7 @@
 
     def _send_heartbeat(self, session: Session) -> None:
         revision = self.revisions.revision
-        session.send(messages.Heartbeat(0, revision, self.load()))
+        session.send(messages.Heartbeat(0, revision, self.load(), self.heartbeat_ms))
         self.sessions[session] = self.clock.now_ms()
 
     @handle.register
@@ -123,6 +124,7 @@
 
     @handle.register
     def _(self, message: messages.Heartbeat, session: Session) -> None:
+        session.expect_interval(message.interval_ms)
         if session not in self.sessions:
             self.sessions[session] = 0
             self._send_heartbeat(session)
@@ -148,6 +150,7 @@
         if self.revisions.revision == before:
             return
         self.log.info("configuration in force", revision=self.revisions.revision)
+        self.on_config()
         for session in self.sessions:
             self._send_heartbeat(session)
 
--- a/src/pistachionotch/agent/daemon.py
+++ b/src/pistachionotch/agent/daemon.py
@@ -16,6 +16,7 @@
 from ..clock import SystemClock
 from ..config.revisions import Revisions
 from ..config.settings import Settings, UpstreamKind
+from ..http_server import PromptServer
 from ..idempotency.book import ClaimBook
 from ..logs import logger
 from ..membership.directory import Member
@@ -27,6 +28,7 @@
 from ..wire.session import Identity, Session, make_server
 from .core import AgentCore, Drain, VersionObserved
 from .orders import OrderTask
+from .policy import AgentPolicy
 from .upkeep import BookUpkeep, ClaimantLiveness
 from .upstream import EngineUpstream, ServiceUpstream, Upstream
 
@@ -104,6 +106,7 @@
             self.heartbeat_ms,
             self._take_order,
         )
+        self.core.on_config = AgentPolicy(self.core).apply
         if self.orders is not None:
             self.orders.on_observed = self._version_observed
         member = Member(
@@ -162,7 +165,7 @@
         if settings.listen.http is not None:
             app = ProbeApp(settings.key, self.status, self.drain)
             address = (settings.listen.http.host, settings.listen.http.port)
-            self.probes = WSGIServer(address, app, log=None)
+            self.probes = PromptServer(address, app, log=None)
             self.probes.start()
         self.state = "serving"
         self.core.log.info("serving", node=settings.node, upstream=target_of(settings))
--- a/src/pistachionotch/entry/daemon.py
+++ b/src/pistachionotch/entry/daemon.py
@@ -14,6 +14,7 @@
 from ..clock import SystemClock
 from ..config.revisions import Revisions
 from ..config.settings import Settings
+from ..http_server import PromptServer
 from ..lease.lease import Lease
 from ..logs import logger
 from ..membership.directory import Directory, Member
@@ -132,7 +133,7 @@
             member,
             identity,
             self.clock,
-            self.policy.heartbeat_ms(),
+            self.policy.heartbeat_ms,
             self.revisions,
             logger("link"),
             self._config_changed,
@@ -141,6 +142,7 @@
     def _config_changed(self) -> None:
         logger("config").info("configuration in force", revision=self.revisions.revision)
         self.policy.refresh()
+        self.routing.costs = self.policy.routing_costs(self.settings.region)
         self.table.announce_config()
         self.table.refresh()
 
@@ -159,7 +161,7 @@
         gevent.spawn(MoveTask(self.routing).run)
         listen = settings.listen.http
         assert listen is not None
-        self.server = WSGIServer((listen.host, listen.port), self._interface(), log=None)
+        self.server = PromptServer((listen.host, listen.port), self._interface(), log=None)
         self.server.start()
         self.state = "serving"
         logger("entry").info("serving", node=settings.node, zone=settings.zone)
--- a/src/pistachionotch/entry/links.py
+++ b/src/pistachionotch/entry/links.py
@@ -51,7 +51,7 @@
     member: Member
     identity: Identity
     clock: Clock
-    heartbeat_ms: int
+    heartbeat_ms: Callable[[], int]
     revisions: Revisions
     log: Any
     on_config: Callable[[], None]
@@ -149,7 +149,7 @@
             self.identity,
             self.clock,
             self.inbox,
-            self.heartbeat_ms,
+            self.heartbeat_ms(),
         )
         if session.peer.node != self.member.node:
             session.close("other node")
@@ -176,22 +176,25 @@
     def _beat(self, session: Session) -> None:
         sent_ms = self.clock.now_ms()
         while not session.closed:
-            self.clock.sleep_ms(min(CHECK_MS, self.heartbeat_ms))
+            self.clock.sleep_ms(CHECK_MS)
             if session.silent():
                 session.close("no heartbeat")
                 return
-            if self.clock.now_ms() - sent_ms >= self.heartbeat_ms:
+            if self.clock.now_ms() - sent_ms >= self.heartbeat_ms():
                 sent_ms = self.clock.now_ms()
                 self._send_heartbeat(session)
 
     def _send_heartbeat(self, session: Session) -> None:
         self.heartbeat_sequence += 1
-        session.send(messages.Heartbeat(self.heartbeat_sequence, self.revisions.revision))
+        interval_ms = self.heartbeat_ms()
+        revision = self.revisions.revision
+        session.send(messages.Heartbeat(self.heartbeat_sequence, revision, None, interval_ms))
 
     def announce_config(self) -> None:
-        """Offer the configuration in force to the agent."""
+        """Offer the configuration in force to the agent, and announce a changed interval."""
         if self.session is not None:
             self.session.send(messages.ConfigOffer(self.revisions.revision))
+            self._send_heartbeat(self.session)
 
     def _lose(self, reason: str) -> None:
         self.log.info("agent connection lost", agent=self.member.node, reason=reason)
@@ -210,6 +213,7 @@
 
     @handle.register
     def _(self, message: messages.Heartbeat, session: Session) -> None:
+        session.expect_interval(message.interval_ms)
         self.load = message.load
         self.observed_ms = self.clock.now_ms()
         if message.load is not None and message.load.draining:
--- a/src/pistachionotch/entry/once.py
+++ b/src/pistachionotch/entry/once.py
@@ -124,7 +124,7 @@
             self.call.deadline.remaining_ms(state.clock),
             0,
             0 if self._home_of_key() else len(others),
-            state.budget,
+            state.budget(self.call),
             state.clock.now_ms(),
             state.rng,
         )
@@ -181,7 +181,7 @@
         state = self.state
         link.observations.first_token(self.attempt, state.clock.now_ms())
         link.observations.finished(self.attempt, 0, state.clock.now_ms())
-        state.budget.record_success(state.clock.now_ms())
+        state.record_success(self.call)
         yield from self._done(
             complete.unwrap().body, message.status, message.headers, link.member.node
         )
--- a/src/pistachionotch/entry/policy.py
+++ b/src/pistachionotch/entry/policy.py
@@ -2,19 +2,24 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 
-from ..config.check import check
+from ..config.check import read_configuration
 from ..config.revisions import Revisions
-from ..config.schema import Configuration
+from ..config.schema import Configuration, Hedging
 from ..logs import logger
 from ..outcomes import RequestClass
+from ..routing.place import RoutingCosts
 from ..weights.rollout import RolloutLimits
 from .requests import CallDefaults, RouteRule
 
 DEFAULT_HEARTBEAT_MS = 2000
 DEFAULT_SUBSET = 80
 DEFAULT_FETCHES_PER_S = 4.0
+DEFAULT_RETRY_SHARE = 0.1
+DEFAULT_HEDGING = Hedging(after_percentile=95, budget=0.1)
 DEFAULT_TIMEOUTS_MS = {
     RequestClass.STOREFRONT: 5_000,
     RequestClass.CONFIRMATION: 5_000,
@@ -32,7 +37,7 @@
 
     def refresh(self) -> None:
         """Parse the revision in force; one that does not parse leaves the former view."""
-        parsed = check(self.revisions.body.decode("utf-8", "replace"), "control/config")
+        parsed = read_configuration(self.revisions.body, "control/config")
         configuration = parsed.value_or(None)
         if configuration is None:
             findings = [str(finding) for finding in parsed.failure()]
@@ -80,9 +85,51 @@
         for request_class, settings in self.configuration.classes.items():
             timeouts[request_class] = settings.default_deadline_ms
         routes = tuple(
-            RouteRule(name, method, route.path, route.idempotent)
+            RouteRule(
+                name,
+                method,
+                route.path,
+                route.idempotent,
+                route.request_class,
+                route.deadline_ms,
+            )
             for name, service in self.configuration.services.items()
             for route in service.routes
             for method in route.methods
         )
-        return CallDefaults(timeouts, routes)
+        return CallDefaults(timeouts, routes, self._default_classes())
+
+    def _default_classes(self) -> dict[str, RequestClass]:
+        if self.configuration is None:
+            return {}
+        classes = {name: m.default_class for name, m in self.configuration.models.items()}
+        for name, service in self.configuration.services.items():
+            classes[f"services/{name}"] = service.default_class
+        return classes
+
+    def retry_share(self, target: str) -> float:
+        """Return the retry budget of a target as a share of its successes."""
+        if self.configuration is None:
+            return DEFAULT_RETRY_SHARE
+        kind, _slash, name = target.rpartition("/")
+        rules = self.configuration.services if kind else self.configuration.models
+        return rules[name].retry_budget if name in rules else DEFAULT_RETRY_SHARE
+
+    def hedging(self, request_class: RequestClass) -> Hedging | None:
+        """Return when requests of a class are hedged, or none if they are not."""
+        if self.configuration is None:
+            return DEFAULT_HEDGING
+        settings = self.configuration.classes.get(request_class)
+        return settings.hedging if settings is not None else None
+
+    def routing_costs(self, region: str) -> RoutingCosts:
+        """Return the costs of distance; the slowest link counts for all other regions."""
+        if self.configuration is None:
+            return RoutingCosts()
+        network = self.configuration.network
+        links = [link for link in network.links if region in link.between]
+        zone_ms = math.ceil(network.between_zones_latency_ms)
+        if not links:
+            return RoutingCosts(zone_ms=zone_ms)
+        region_ms = math.ceil(max(link.one_way_latency_ms for link in links))
+        return RoutingCosts(zone_ms=zone_ms, region_ms=region_ms)
--- a/src/pistachionotch/entry/requests.py
+++ b/src/pistachionotch/entry/requests.py
@@ -113,6 +113,8 @@
     method: str
     path: str
     idempotent: bool
+    request_class: RequestClass | None = None
+    timeout_ms: int | None = None
 
     def covers(self, service: str, method: str, path: str) -> bool:
         """Return whether the rule applies to a call."""
@@ -128,17 +130,23 @@
 
     timeouts_ms: Mapping[RequestClass, int]
     routes: tuple[RouteRule, ...] = ()
+    # By model, or by ``services/<name>``.
+    classes: Mapping[str, RequestClass] = attrs.field(factory=dict)
 
     def timeout_ms(self, request_class: RequestClass) -> int:
         """Return the timeout of a class."""
         return self.timeouts_ms[request_class]
 
-    def idempotent(self, service: str, method: str, path: str) -> bool:
-        """Return whether a call may be repeated, by its longest rule, else by RFC 9110."""
+    def request_class(self, target: str) -> RequestClass:
+        """Return the class of calls to a target that do not name one."""
+        return self.classes.get(target, RequestClass.STOREFRONT)
+
+    def rule(self, service: str, method: str, path: str) -> RouteRule:
+        """Return the longest rule that covers a call; without one, RFC 9110 decides."""
         rules = [rule for rule in self.routes if rule.covers(service, method, path)]
-        if rules:
-            return max(rules, key=lambda rule: len(rule.path)).idempotent
-        return method in _IDEMPOTENT_METHODS
+        if not rules:
+            return RouteRule(service, method, path, method in _IDEMPOTENT_METHODS)
+        return max(rules, key=lambda rule: len(rule.path))
 
 
 def _forwarded_headers(request: HttpRequest) -> tuple[tuple[str, str], ...]:
@@ -150,7 +158,11 @@
 
 
 def _common(
-    checker: RequestChecker, clock: Clock, defaults: CallDefaults, default_class: RequestClass
+    checker: RequestChecker,
+    clock: Clock,
+    defaults: CallDefaults,
+    default_class: RequestClass,
+    default_timeout_ms: int | None = None,
 ) -> tuple[str, RequestClass, Deadline, str]:
     request = checker.request
     request_id = checker.identifier(
@@ -160,7 +172,7 @@
     timeout_ms = checker.integer(
         "X-Request-Timeout-Ms",
         request.header("x-request-timeout-ms"),
-        defaults.timeout_ms(request_class),
+        default_timeout_ms or defaults.timeout_ms(request_class),
         1,
         MAX_TIMEOUT_MS,
     )
@@ -176,10 +188,10 @@
     """Return the call for a completion request."""
     checker = RequestChecker(request)
     wanted = checker.json_object()
+    model = checker.identifier("model", wanted.get("model"), "")
     request_id, request_class, deadline, _key = _common(
-        checker, clock, defaults, RequestClass.STOREFRONT
+        checker, clock, defaults, defaults.request_class(model)
     )
-    model = checker.identifier("model", wanted.get("model"), "")
     if not model:
         checker.fault("model", "is missing")
     if not isinstance(wanted.get("prompt"), str):
@@ -209,12 +221,13 @@
     checker = RequestChecker(request)
     _empty, _services, service, *rest = request.path.split("/", 3)
     path = "/" + (rest[0] if rest else "")
+    checker.identifier("service", service, "")
+    rule = defaults.rule(service, request.method, path)
+    default_class = rule.request_class or defaults.request_class(f"services/{service}")
     request_id, request_class, deadline, key = _common(
-        checker, clock, defaults, RequestClass.STOREFRONT
+        checker, clock, defaults, default_class, rule.timeout_ms
     )
-    checker.identifier("service", service, "")
     checker.raise_if_any()
-    idempotent = defaults.idempotent(service, request.method, path)
     return Call(
         request_id,
         request_class,
@@ -224,7 +237,7 @@
         path,
         _forwarded_headers(request),
         request.body,
-        idempotent=idempotent,
+        idempotent=rule.idempotent,
         key=key,
     )
 
--- a/src/pistachionotch/entry/router.py
+++ b/src/pistachionotch/entry/router.py
@@ -182,15 +182,20 @@
 
     def _hedge(self, facts: HedgeFacts, tail: LatencyTail, call: Call) -> None:
         state = self.state
+        hedging = state.table.policy.hedging(self.call.request_class)
+        if hedging is None:
+            return
+        quantile = hedging.after_percentile / 100
+        budget = state.hedge_budget(self.call, hedging)
         now_ms = state.clock.now_ms()
-        if decide_hedge(facts, tail, state.budget, now_ms).reason != NO_ALTERNATIVE:
+        if decide_hedge(facts, tail, budget, now_ms, quantile).reason != NO_ALTERNATIVE:
             return
         # Placement costs time, so the cheap conditions come first.
         placement = state.consider(call, frozenset(self.tried))
         facts = attrs.evolve(
             facts, alternative=placement.agent, alternative_ms=placement.estimate_ms
         )
-        decision = decide_hedge(facts, tail, state.budget, now_ms)
+        decision = decide_hedge(facts, tail, budget, now_ms, quantile)
         if decision.agent is None:
             return
         state.decisions.hedged(self.call, decision.agent, decision.reason)
@@ -261,7 +266,7 @@
         del self.attempts[attempt.identifier]
         attempt.link.observations.finished(attempt.identifier, attempt.tokens, now_ms)
         state.total_tail(self.call).observe(now_ms - self.started_ms)
-        state.budget.record_success(now_ms)
+        state.record_success(self.call)
         agent = attempt.link.member.node
         state.decisions.done(self.call, agent)
         self.ended = True
@@ -339,7 +344,7 @@
             self.call.deadline.remaining_ms(state.clock),
             0,
             len(untried),
-            state.budget,
+            state.budget(self.call),
             state.clock.now_ms(),
             state.rng,
         )
--- a/src/pistachionotch/entry/routing_state.py
+++ b/src/pistachionotch/entry/routing_state.py
@@ -10,6 +10,7 @@
 import attrs
 
 from ..clock import Clock
+from ..config.schema import Hedging
 from ..outcomes import RequestClass
 from ..routing.facts import Location
 from ..routing.hedge import LatencyTail
@@ -32,7 +33,8 @@
     rng: random.Random
     decisions: DecisionLog
     costs: RoutingCosts = attrs.field(factory=RoutingCosts)
-    budget: RetryBudget = attrs.field(factory=RetryBudget)
+    retry_budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
+    hedge_budgets: dict[RequestClass, RetryBudget] = attrs.field(factory=dict)
     first_token_tails: Tails = attrs.field(factory=dict)
     total_tails: Tails = attrs.field(factory=dict)
     attempt_prefix: str = ""
@@ -44,6 +46,26 @@
         """Return an attempt id that no other attempt of this entry incarnation has."""
         return f"{self.attempt_prefix}-{next(self.attempt_numbers)}"
 
+    def budget(self, call: Call) -> RetryBudget:
+        """Return the retry budget of the call's target."""
+        budget = self.retry_budgets.setdefault(call.target, RetryBudget())
+        budget.share = self.table.policy.retry_share(call.target)
+        return budget
+
+    def hedge_budget(self, call: Call, hedging: Hedging) -> RetryBudget:
+        """Return the budget for second attempts of the call's class."""
+        budget = self.hedge_budgets.setdefault(call.request_class, RetryBudget())
+        budget.share = hedging.budget
+        return budget
+
+    def record_success(self, call: Call) -> None:
+        """Count a complete response towards the budgets."""
+        now_ms = self.clock.now_ms()
+        self.budget(call).record_success(now_ms)
+        hedging = self.table.policy.hedging(call.request_class)
+        if hedging is not None:
+            self.hedge_budget(call, hedging).record_success(now_ms)
+
     def first_token_tail(self, call: Call) -> LatencyTail:
         """Return the recent times to first token of calls like this one."""
         return self.first_token_tails.setdefault(_kind(call), LatencyTail())
--- a/src/pistachionotch/entry/steps.py
+++ b/src/pistachionotch/entry/steps.py
@@ -85,6 +85,7 @@
     limits: policy.StragglerLimits = attrs.field(factory=policy.StragglerLimits)
     deadline: Deadline = attrs.field(init=False)
     complete: bool = False
+    reported_late: bool = False
 
     def __attrs_post_init__(self) -> None:
         now_unix_ms = int(time.time() * MS_PER_SECOND)
@@ -185,6 +186,9 @@
 
     @act.register
     def _(self, action: policy.DeadlineMissed) -> None:
+        if self.reported_late:
+            return
+        self.reported_late = True
         self.context.log.warning(
             "deadline missed", step=self.name, late_slots=action.late_slots, reason=action.reason
         )
--- a/src/pistachionotch/routing/hedge.py
+++ b/src/pistachionotch/routing/hedge.py
@@ -69,16 +69,21 @@
 
 
 def decide_hedge(
-    facts: HedgeFacts, tail: LatencyTail, budget: RetryBudget, now_ms: int
+    facts: HedgeFacts,
+    tail: LatencyTail,
+    budget: RetryBudget,
+    now_ms: int,
+    quantile: float = HEDGE_QUANTILE,
 ) -> HedgeDecision:
     """Decide on a second attempt and take it from the budget.
 
-    ``tail`` holds times to first token before the first token, and total times after it.
+    ``tail`` holds times to first token before the first token, and total times after it. An attempt
+    is late above the ``quantile`` of these.
     """
     barred = _barred(facts)
     if barred is not None:
         return HedgeDecision(None, barred)
-    tail_ms = tail.quantile_ms(HEDGE_QUANTILE)
+    tail_ms = tail.quantile_ms(quantile)
     if tail_ms is None:
         return HedgeDecision(None, "too few observations to know the tail")
     late_ms = facts.elapsed_ms if facts.projected_ms is None else facts.projected_ms
--- a/src/pistachionotch/standins/http.py
+++ b/src/pistachionotch/standins/http.py
@@ -9,6 +9,8 @@
 
 from gevent.pywsgi import WSGIServer
 
+from ..http_server import PromptServer
+
 Environ = dict[str, Any]
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 Application = Callable[[Environ, StartResponse], Iterable[bytes]]
@@ -29,6 +31,6 @@
 
 def start_server(application: Application, host: str, port: int) -> WSGIServer:
     """Start serving in the background; port 0 takes a free port."""
-    server = WSGIServer((host, port), application, log=None, error_log=None)
+    server = PromptServer((host, port), application, log=None, error_log=None)
     server.start()
     return server
--- a/src/pistachionotch/standins/object_store.py
+++ b/src/pistachionotch/standins/object_store.py
@@ -10,7 +10,6 @@
 import base64
 import errno
 import json
-import socket
 from collections.abc import Callable, Iterable
 from functools import singledispatch
 from http import HTTPStatus
@@ -23,6 +22,7 @@
 from returns.result import Result, Success
 
 from ..clock import MS_PER_SECOND
+from ..http_server import PromptServer
 from ..objects.api import (
     MAX_VALUE_BYTES,
     Change,
@@ -215,19 +215,6 @@
     return int(match.strip('"'))
 
 
-class PromptServer(WSGIServer):  # type: ignore[misc, unused-ignore]
-    """Send each part of a response at once.
-
-    gevent sends headers and body separately; on a kept connection Nagle's algorithm then holds the
-    body back until the client's delayed acknowledgement, which made a read take 44 ms.
-    """
-
-    def handle(self, sock: Any, address: Any) -> None:
-        """Serve one connection."""
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        super().handle(sock, address)
-
-
 def serve(app: ObjectStoreApp, host: str = "127.0.0.1", port: int = 0) -> WSGIServer:
     """Start serving in the background; the server's ``server_port`` tells the port."""
     server = PromptServer((host, port), app, log=None)
--- a/src/pistachionotch/wire/messages.py
+++ b/src/pistachionotch/wire/messages.py
@@ -43,6 +43,8 @@
     sequence: int
     config_revision: int
     load: LoadFacts | None = None
+    # When the next heartbeat is due at the latest; the receiver judges silence by it.
+    interval_ms: int = 2000
 
 
 @attrs.frozen
--- a/src/pistachionotch/wire/session.py
+++ b/src/pistachionotch/wire/session.py
@@ -28,6 +28,8 @@
 HANDSHAKE_TIMEOUT_S = 3.0
 CLOSE_TIMEOUT_S = 1.0
 MISSED_HEARTBEATS = 3
+MIN_INTERVAL_MS = 100
+MAX_INTERVAL_MS = 60_000
 
 
 class HandshakeError(Exception):
@@ -125,7 +127,7 @@
         self.peer = peer
         self.clock = clock
         self.inbox = inbox
-        self.heartbeat_ms = heartbeat_ms
+        self.peer_interval_ms = heartbeat_ms
         self.last_received_ms = clock.now_ms()
         self.closed = False
         self._outbox: Queue = Queue(OUTBOX_MESSAGES)
@@ -156,7 +158,11 @@
     def silent(self) -> bool:
         """Return whether the peer missed its heartbeat deadline."""
         silence_ms = self.clock.now_ms() - self.last_received_ms
-        return silence_ms > MISSED_HEARTBEATS * self.heartbeat_ms
+        return silence_ms > MISSED_HEARTBEATS * self.peer_interval_ms
+
+    def expect_interval(self, interval_ms: int) -> None:
+        """Judge the peer's silence by the interval that it announced."""
+        self.peer_interval_ms = max(MIN_INTERVAL_MS, min(interval_ms, MAX_INTERVAL_MS))
 
     def run(self) -> None:
         """Read until the connection ends; then deliver ``SessionClosed`` to the inbox."""
--- a/tests/features/steps/operator_steps.py
+++ b/tests/features/steps/operator_steps.py
@@ -3,6 +3,7 @@
 import json
 import subprocess
 import sys
+import time
 
 from behave import then, when
 
@@ -22,11 +23,23 @@
     return all(context.deployment.status(name)["config_revision"] == revision for name in names)
 
 
+@when("the example configuration is applied with a heartbeat interval of {interval_ms:d} ms")
+def apply_example_with_interval(context, interval_ms):
+    apply_example(context, interval_ms)
+
+
+@then("{name:Name} has lost no connection after {seconds:d} seconds")
+def check_connections(context, name, seconds):
+    time.sleep(seconds)
+    assert "connection lost" not in context.deployment.log(name)
+
+
 @when("the example configuration is applied")
-def apply_example(context):
+def apply_example(context, interval_ms=2000):
     context.file = context.deployment.folder / "configuration.jsonc"
     assert _command(context, "fetch", str(context.file)).returncode == 0
-    context.file.write_text(EXAMPLE.read_text())
+    interval = f'"heartbeat_ms": {interval_ms}'
+    context.file.write_text(EXAMPLE.read_text().replace('"heartbeat_ms": 2000', interval))
     done = _command(context, "apply", str(context.file))
     assert done.returncode == 0, done
     context.revision = json.loads(done.stdout)["revision"]
--- a/tests/features/whole_path.feature
+++ b/tests/features/whole_path.feature
@@ -22,6 +22,12 @@
     When trainer "t1" runs step 1 with 2 prompts of 2 samples
     Then every sample names only versions that its engine ran
 
+  Scenario: A longer heartbeat interval is taken over without losing a connection
+    Given a deployment of two entries and three agents
+    When the example configuration is applied with a heartbeat interval of 7000 ms
+    Then its revision is in force on every process within 12 seconds
+    And entry-1 has lost no connection after 15 seconds
+
   Scenario: An accepted configuration is in force on every process and a lost race is told
     Given a deployment of two entries and three agents
     When the example configuration is applied
