--- a/src/pistachionotch/admission/queue.py
+++ b/src/pistachionotch/admission/queue.py
@@ -17,8 +17,9 @@
 MIN_RETRY_AFTER_MS = 100
 # Bounds the agent's memory; deadlines bound the queue long before in ordinary operation.
 MAX_QUEUED = 2_000
-# Runs may outlast their estimate; such a run counts with at least this much left.
 MIN_RESIDUAL_MS = 50
+# A run that outlasts its estimate is a straggler: it counts with this share of its work so far.
+OVERRUN_SHARE = 0.6
 
 
 @attrs.frozen
@@ -347,9 +348,18 @@
         for run in self.running.values():
             if run.work.request_class not in competing:
                 continue
-            left_ms = self.speed.service_ms(run.work.expected_tokens) - (now_ms - run.started_ms)
-            residuals.append(max(MIN_RESIDUAL_MS, left_ms))
+            residuals.append(self._residual_ms(run, now_ms))
         return residuals
 
+    def _residual_ms(self, run: _Running, now_ms: int) -> int:
+        expected = run.work.expected_tokens
+        if run.progress.measured:
+            tokens = run.progress.tokens
+            left_tokens = max(expected - tokens, OVERRUN_SHARE * tokens)
+            return max(MIN_RESIDUAL_MS, round(left_tokens * self.speed.ms_per_token()))
+        elapsed_ms = now_ms - run.started_ms
+        left_ms = max(self.speed.service_ms(expected) - elapsed_ms, OVERRUN_SHARE * elapsed_ms)
+        return max(MIN_RESIDUAL_MS, round(left_ms))
+
     def _queued_count(self, request_class: RequestClass) -> int:
         return sum(len(works) for works in self.queued[request_class].values())
--- a/src/pistachionotch/bench/__main__.py
+++ b/src/pistachionotch/bench/__main__.py
@@ -14,11 +14,13 @@
     loads: Sequence[int] = DEFAULT_LOADS,
     seeds: Sequence[int] = DEFAULT_SEEDS,
     seconds: int = DEFAULT_SECONDS,
-    policies: Sequence[str] = DEFAULT_POLICIES,
+    policies: str | Sequence[str] = DEFAULT_POLICIES,
     json_path: str = "",
     plot_path: str = "",
 ) -> None:
     """Print the tables; progress goes to standard error."""
+    if isinstance(policies, str):
+        policies = [name for name in policies.split(",") if name]
     report = run_bench(
         loads,
         seeds,
--- a/tests/unit/admission/test_queue.py
+++ b/tests/unit/admission/test_queue.py
@@ -264,3 +264,13 @@
         clock.advance(1_000)
     assert queue.load().tokens_per_second < 35.0
     queue.progress("unknown", 10)
+
+
+def test_straggler_does_not_count_as_nearly_done():
+    """Guards against an agent that looks free soon because its runs outlast their estimate."""
+    clock, queue = make_queue(limit=1)
+    teach_speed(clock, queue)
+    queue.offer(make_work(clock, "straggler"))
+    queue.next()
+    clock.advance(20_000)
+    assert queue.load().expected_wait_ms[RequestClass.TRAINING] > 5_000
