--- a/src/pistachionotch/cli/commands.py
+++ b/src/pistachionotch/cli/commands.py
@@ -32,6 +32,7 @@
     "check": Command(".configuration", "check", "report every finding of a configuration"),
     "fetch": Command(".apply", "fetch", "save the configuration in effect"),
     "apply": Command(".apply", "apply", "put a configuration into effect everywhere"),
+    "bench": Command(".bench", "bench", "measure the placement and admission policy"),
     "status": Command(".status", "status", "show processes, members, queues and revisions"),
     "explain": Command(".status", "explain", "show the decisions for one request"),
     "drain": Command(".status", "drain", "tell a process to finish its work and stop"),
--- a/src/pistachionotch/entry/daemon.py
+++ b/src/pistachionotch/entry/daemon.py
@@ -15,6 +15,7 @@
 from ..config.revisions import Revisions
 from ..config.settings import Settings
 from ..http_server import PromptServer
+from ..idempotency.cleanup import ClaimCleaner
 from ..lease.lease import Lease
 from ..logs import logger
 from ..membership.directory import Directory, Member
@@ -29,7 +30,7 @@
 from .calls import Call, RouteEvent
 from .control import ControlWatch
 from .decisions import DecisionLog
-from .duties import DirectoryDuty
+from .duties import ClaimCleanup, DirectoryDuty
 from .handlers import Handlers
 from .http import HttpInterface
 from .keys import KeyIssuer
@@ -48,6 +49,7 @@
 # The balancer needs a moment to see the failed readiness probe.
 BALANCER_NOTICE_S = 1.0
 DUTY_LEASE_MS = 6000
+DEFAULT_CLAIM_RETENTION_MS = 24 * 3600 * 1000
 ZONE_CHECK_MS = 500
 # The directory is read well within this time unless the object API is out.
 SEED_AFTER_S = 1.0
@@ -163,6 +165,7 @@
         gevent.spawn_later(SEED_AFTER_S, self.table.refresh)
         gevent.spawn(self._run_duties)
         gevent.spawn(self.rollouts.run)
+        gevent.spawn(self._claim_cleanup().run)
         gevent.spawn(MoveTask(self.routing).run)
         listen = settings.listen.http
         assert listen is not None
@@ -196,16 +199,21 @@
                 gevent.spawn(self.directories[zone].run)
             self.clock.sleep_ms(ZONE_CHECK_MS)
 
-    def _directory_duty(self, zone: str) -> DirectoryDuty:
-        lease = Lease(
-            self.store,
+    def _claim_cleanup(self) -> ClaimCleanup:
+        return ClaimCleanup(
+            ClaimCleaner(self.store, self.clock, DEFAULT_CLAIM_RETENTION_MS, self.rng),
+            self._lease("claims", "all"),
             self.clock,
-            "directory",
-            zone,
-            self.settings.node,
-            DUTY_LEASE_MS,
-            self.rng,
+            logger("claims"),
+            self.policy.claim_retention_ms,
         )
+
+    def _lease(self, duty: str, shard: str) -> Lease:
+        node = self.settings.node
+        return Lease(self.store, self.clock, duty, shard, node, DUTY_LEASE_MS, self.rng)
+
+    def _directory_duty(self, zone: str) -> DirectoryDuty:
+        lease = self._lease("directory", zone)
         return DirectoryDuty(zone, self.store, self.vms, lease, self.clock, logger("directory"))
 
     def status(self) -> dict[str, Any]:
--- a/src/pistachionotch/entry/duties.py
+++ b/src/pistachionotch/entry/duties.py
@@ -1,13 +1,15 @@
-"""Leased duty of publishing the directory of one availability zone."""
+"""Leased duties of entries: the directory of one availability zone, and old claims."""
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import attrs
 from returns.result import Failure
 
 from ..clock import Clock
+from ..idempotency.cleanup import ClaimCleaner
 from ..lease.lease import Lease
 from ..membership.directory import Member, MemberState, encode_members
 from ..membership.registration import MEMBERS_PREFIX, decode_registration
@@ -20,6 +22,30 @@
 ABSENT_MS = 120_000
 
 
+@attrs.frozen
+class ClaimCleanup:
+    """Delete claims whose retention has passed; one entry of the deployment does it."""
+
+    cleaner: ClaimCleaner
+    lease: Lease
+    clock: Clock
+    log: Any
+    retention_ms: Callable[[], int | None]
+
+    def run(self) -> None:
+        """Hold the lease if possible and clean while it is held."""
+        while True:
+            self.lease.step()
+            retention_ms = self.retention_ms()
+            # Without a configuration nobody has agreed on a retention, so nothing is deleted.
+            if self.lease.held() and retention_ms is not None:
+                self.cleaner.retention_ms = retention_ms
+                deleted = self.cleaner.step()
+                if deleted:
+                    self.log.info("claims deleted", count=deleted)
+            self.clock.sleep_ms(STEP_MS)
+
+
 @attrs.define
 class DirectoryDuty:
     """Merge registrations and the VM list into the directory object of one zone."""
--- a/src/pistachionotch/entry/policy.py
+++ b/src/pistachionotch/entry/policy.py
@@ -62,6 +62,10 @@
         regions = self.configuration.regions.values()
         return {zone for region in regions for zone in region.zones}
 
+    def claim_retention_ms(self) -> int | None:
+        """Return how long claims are kept, or none without a configuration."""
+        return self.configuration.claims.retention_ms if self.configuration else None
+
     def staleness_bounds(self) -> dict[str, int]:
         """Return the staleness bound of each model, in versions."""
         if self.configuration is None:
