Throw no exception into tasks that wait for a websocket's reader

Cause: a Timeout or a kill that interrupts Thread.join makes Python 3.11 take the thread for ended, and the library then fails its assertion that the connection is closed. The handshake now runs in a task of its own that is waited for, and the writer ends by a mark in its queue.

--- a/src/pistachionotch/wire/connections.py
+++ b/src/pistachionotch/wire/connections.py
@@ -5,6 +5,7 @@
 import contextlib
 import socket
 
+from websockets.protocol import Event
 from websockets.sync.client import ClientConnection
 from websockets.sync.connection import Connection
 from websockets.sync.server import ServerConnection
@@ -24,6 +25,11 @@
         finally:
             super().close_socket()
 
+    def process_event(self, event: Event) -> None:
+        """Hand a message over, or drop it if it arrives after the close."""
+        with contextlib.suppress(EOFError):
+            super().process_event(event)
+
     def close_socket(self) -> None:
         """End the connection in both directions, which makes the reader stop and close it."""
         with contextlib.suppress(OSError):
--- a/src/pistachionotch/wire/session.py
+++ b/src/pistachionotch/wire/session.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import hashlib
 import hmac
 import secrets
@@ -129,7 +130,7 @@
         self.last_received_ms = clock.now_ms()
         self.closed = False
         self._outbox: Queue = Queue(OUTBOX_MESSAGES)
-        self._writer = gevent.spawn(self._write)
+        gevent.spawn(self._write)
 
     def send(self, message: Message) -> bool:
         """Queue a message; return false if the session is closed or its peer too slow."""
@@ -187,11 +188,15 @@
             gevent.sleep(0.005)
 
     def _close_connection(self, reason: str) -> None:
-        with gevent.Timeout(CLOSE_TIMEOUT_S, False):
-            self.connection.close(reason=reason[:100])
+        # No exception is thrown into these greenlets: one that interrupts ``Thread.join`` makes the
+        # thread count as ended, and the library then takes its connection for closed.
+        handshake = gevent.spawn(self.connection.close, reason=reason[:100])
+        handshake.join(CLOSE_TIMEOUT_S)
         # A silent peer never answers the closing handshake, so the socket is closed regardless.
         self.connection.close_socket()
-        self._writer.kill(block=False)
+        # With a full outbox the writer is sending, and its send fails now.
+        with contextlib.suppress(Full):
+            self._outbox.put_nowait(StopIteration)
 
     def _write(self) -> None:
         try:
--- a/tests/unit/wire/test_session.py
+++ b/tests/unit/wire/test_session.py
@@ -131,3 +131,6 @@
     gevent.sleep(1.5)
     assert session.connection.socket.fileno() < 0
     assert not session.connection.recv_events_thread.is_alive()
+    with pytest.raises(ConnectionClosed):
+        while True:
+            session.connection.recv()
