--- /dev/null
+++ b/tests/features/chaos.feature
@@ -0,0 +1,10 @@
+Feature: Guarantees that hold under random failures, alone and two at once
+
+  Scenario Outline: A seeded chaos run breaks no guarantee
+    When a chaos run with seed <seed> lasts <seconds> seconds
+    Then the oracle finds no broken guarantee
+
+    Examples:
+      | seed | seconds |
+      | 1    | 26      |
+      | 3    | 26      |
--- a/tests/support/forwarder.py
+++ b/tests/support/forwarder.py
@@ -30,7 +30,10 @@
         self.accepted += 1
         name = self.accepted
         self.open.add(name)
-        far = socket.create_connection((HOST, self.target_port))
+        try:
+            far = socket.create_connection((HOST, self.target_port))
+        except OSError:
+            return
         jobs = [
             gevent.spawn(self._pump, name, near, far),
             gevent.spawn(self._pump, name, far, near),
--- /dev/null
+++ b/tests/support/load.py
@@ -0,0 +1,256 @@
+"""Load of a chaos run: callers and a trainer that follow docs/callers.md and keep what they saw."""
+
+import json
+import time
+
+import attrs
+import gevent
+
+from pistachionotch.objects.client import SingleAttemptClient
+from tests.support.deployment import HOST
+from tests.support.oracle import OrderAnswer, Response
+
+ATTEMPT_S = 20.0
+ORDERS_PATH = "/services/storefront/orders"
+MAX_OPEN_ORDERS = 40
+# An `unknown` that outlasts every fault this often is the final answer of its order.
+FINAL_UNKNOWNS = 3
+TRAINER = "t1"
+GROUPS, SAMPLES, SAMPLE_TOKENS = 3, 4, 12
+
+
+@attrs.define
+class Reply:
+    status: int = 0
+    headers: dict = attrs.field(factory=dict)
+    body: bytes = b""
+
+    def json(self):
+        try:
+            return json.loads(self.body)
+        except ValueError:
+            return {}
+
+
+def exchange(port, method, path, value=None, headers=()):
+    """Send one request once; status 0 means that no whole answer came."""
+    body = value if isinstance(value, bytes) else json.dumps(value).encode()
+    body = b"" if value is None else body
+    client = SingleAttemptClient(HOST, port, 2.0, ATTEMPT_S)
+    reply = Reply()
+    try:
+        with gevent.Timeout(ATTEMPT_S):
+            response = client.request(method, path, body, dict(headers))
+            while data := bytes(response.read(65536)):
+                reply.body += data
+            reply.headers = {str(name).lower(): str(text) for name, text in response.items()}
+            reply.status = response.status_code
+    except (Exception, gevent.Timeout):
+        reply.status = 0
+    finally:
+        client.close()
+    return reply
+
+
+@attrs.define
+class Load:
+    """Run callers until ``stopping``, then wait for final answers until ``give_up_s``."""
+
+    ports: list
+    rng: object
+    answers: list = attrs.field(factory=list)
+    responses: list = attrs.field(factory=list)
+    pulled: list = attrs.field(factory=list)
+    wanted: dict = attrs.field(factory=dict)
+    unsettled: list = attrs.field(factory=list)
+    published: int = 1
+    stopping: bool = False
+    give_up_s: float = float("inf")
+    open_orders: int = 0
+    jobs: list = attrs.field(factory=list)
+
+    def start(self):
+        loops = [self.orders, self.train, self.publish]
+        loops += [lambda: self.complete(False)] * 4 + [lambda: self.complete(True)] * 4
+        self.jobs = [gevent.spawn(loop) for loop in loops]
+
+    def finish(self, limit_s):
+        self.give_up_s = time.monotonic() + limit_s
+        self.stopping = True
+        gevent.joinall(list(self.jobs), raise_error=True)
+        gevent.joinall(list(self.jobs), raise_error=True)
+
+    def send(self, method, path, value=None, headers=()):
+        return exchange(self.rng.choice(self.ports), method, path, value, headers)
+
+    def over(self):
+        return time.monotonic() > self.give_up_s
+
+    # Orders
+
+    def orders(self):
+        number = 0
+        while not self.stopping:
+            gevent.sleep(self.rng.uniform(0.02, 0.2))
+            if self.open_orders >= MAX_OPEN_ORDERS:
+                continue
+            number += 1
+            kind = self.rng.choice(("own", "own", "issued", "keyless"))
+            self.jobs.append(gevent.spawn(self.order, f"{kind}-{number}", kind))
+
+    def order(self, order, kind):
+        self.open_orders += 1
+        try:
+            headers = {"X-Request-Timeout-Ms": "6000"}
+            if kind == "own":
+                headers["Idempotency-Key"] = f"key-of-{order}"
+            elif kind == "issued":
+                issued = self.send("POST", "/v1/keys", {"service": "storefront"})
+                if issued.status != 201:
+                    return
+                headers["Idempotency-Key"] = issued.json()["key"]
+            self.order_until_final(order, headers, once=kind == "keyless")
+        finally:
+            self.open_orders -= 1
+
+    def order_until_final(self, order, headers, once):
+        number = unknowns = 0
+        while True:
+            number += 1
+            answer = self.attempt(order, {**headers, "X-Request-Id": f"{order}-{number}"})
+            if once or 200 <= answer.status < 300:
+                return
+            final = self.stopping and answer.status == 502 and answer.execution == "unknown"
+            unknowns = unknowns + 1 if final else 0
+            if unknowns == FINAL_UNKNOWNS:
+                return
+            if self.over():
+                self.unsettled.append(f"order {order} has no final answer, the last is {answer}")
+                return
+            gevent.sleep(self.rng.uniform(0.3, 1.0))
+
+    def attempt(self, order, headers):
+        sent_s = time.monotonic()
+        reply = self.send("POST", ORDERS_PATH, {"order": order}, headers)
+        fields = reply.json()
+        received = ""
+        if 200 <= reply.status < 300:
+            received = json.loads(fields.get("received", "{}")).get("order", "")
+        execution = fields.get("execution", "") if reply.status >= 400 else ""
+        answer = OrderAnswer(
+            order,
+            headers["X-Request-Id"],
+            sent_s,
+            time.monotonic(),
+            reply.status,
+            execution,
+            received,
+        )
+        self.answers.append(answer)
+        return answer
+
+    # Completions
+
+    def complete(self, streamed):
+        while not self.stopping:
+            number = self.rng.getrandbits(31)
+            wanted = {"model": "fitting", "prompt": f"which saddle {number} ", "seed": number}
+            wanted["max_tokens"] = self.rng.randrange(5, 60)
+            headers = {"X-Request-Id": f"c-{number}", "X-Request-Timeout-Ms": "12000"}
+            reply = self.send("POST", "/v1/completions", {**wanted, "stream": streamed}, headers)
+            read = read_stream if streamed else read_whole
+            text, complete, spans, execution = read(reply)
+            self.responses.append(
+                Response(
+                    f"c-{number}",
+                    wanted["prompt"],
+                    number,
+                    wanted["max_tokens"],
+                    text,
+                    complete,
+                    spans,
+                    execution,
+                )
+            )
+            gevent.sleep(0.05)
+
+    # Trainer
+
+    def publish(self):
+        version = 1
+        while not self.stopping:
+            gevent.sleep(self.rng.uniform(2, 5))
+            version += 1
+            while not self.stopping:
+                reply = self.send("POST", "/v1/weights", {"model": "fitting", "version": version})
+                if reply.status == 200:
+                    self.published = version
+                if reply.status in (200, 409):
+                    break
+                gevent.sleep(0.5)
+
+    def train(self):
+        step = 0
+        while not self.stopping:
+            step += 1
+            request = {
+                "trainer": TRAINER,
+                "step": step,
+                "model": "fitting",
+                "prompts": [prompt_of(step, group) for group in range(GROUPS)],
+                "samples_per_group": SAMPLES,
+                "max_tokens": SAMPLE_TOKENS,
+            }
+            while self.send("POST", "/v1/steps", request).status != 201:
+                if self.over():
+                    self.unsettled.append(f"step {step} could not be created")
+                    return
+                gevent.sleep(0.3)
+            self.wanted[step] = {(group, n) for group in range(GROUPS) for n in range(SAMPLES)}
+            self.pull_step(step)
+
+    def pull_step(self, step):
+        cursor, attempt = 0, 1
+        while not self.over():
+            newest = self.published
+            path = f"/v1/steps/{TRAINER}/{step}/samples"
+            query = f"?cursor={cursor}&attempt={attempt}&limit=5&wait_ms=1000"
+            reply = self.send("GET", path + query)
+            if reply.status == 409 and "x-next-attempt" in reply.headers:
+                attempt = int(reply.headers["x-next-attempt"])
+                continue
+            if reply.status != 200:
+                gevent.sleep(0.2)
+                continue
+            batch = reply.json()
+            self.pulled += [(step, newest, sample) for sample in batch["samples"]]
+            if batch["complete"]:
+                return
+            if batch["samples"]:
+                cursor, attempt = cursor + 1, 1
+
+
+def prompt_of(step, group):
+    return f"prompt {group} of step {step} "
+
+
+def read_spans(fields):
+    return tuple((span["version"], span["tokens"]) for span in fields.get("weight_versions", ()))
+
+
+def read_whole(reply):
+    fields = reply.json()
+    if reply.status != 200:
+        return "", False, (), fields.get("execution", "")
+    return fields["choices"][0]["text"], True, read_spans(fields), ""
+
+
+def read_stream(reply):
+    """Return the text so far; only ``[DONE]`` marks a stream as complete."""
+    if not reply.body.startswith(b"data: "):
+        return "", False, (), reply.json().get("execution", "")
+    blocks = reply.body.decode().split("\n\n")[:-1]
+    complete = blocks[-1] == "data: [DONE]"
+    chunks = [json.loads(block[6:]) for block in blocks if block.startswith("data: {")]
+    text = "".join(chunk["choices"][0]["text"] for chunk in chunks)
+    return text, complete, read_spans(chunks[-1]) if complete else (), ""
