--- a/tests/support/chaos.py
+++ b/tests/support/chaos.py
@@ -6,6 +6,7 @@
     monkey.patch_all()
 
 import argparse
+import base64
 import json
 import random
 import sys
@@ -18,7 +19,15 @@
 from pistachionotch.standins.ledger import read_records
 from tests.support.deployment import ROOT, Deployment
 from tests.support.forwarder import Forwarder
-from tests.support.load import SAMPLE_TOKENS, TRAINER, Load, exchange, prompt_of, read_spans
+from tests.support.load import (
+    SAMPLE_TOKENS,
+    STALENESS_BOUND,
+    TRAINER,
+    Load,
+    exchange,
+    prompt_of,
+    read_spans,
+)
 from tests.support.oracle import (
     Delivery,
     EngineRun,
@@ -30,7 +39,6 @@
 )
 
 CONFIGURATION = ROOT / "examples" / "bituin" / "configuration.jsonc"
-STALENESS_BOUND = 2  # of the model in that file
 # Leases last 6 s, so this is longer than every lease.
 BEYOND_LEASES_S = (7.5, 9.0)
 SHORT_S = (0.3, 2.0)
@@ -231,7 +239,7 @@
 
     def delivery(self, engine_runs, step, newest, sample):
         slot = (sample["group"], sample["index"])
-        name = sample["sample_id"]
+        name = sample["id"]
         request = f"{TRAINER}-{step}-{slot[0]}-{slot[1]}-{name[:6]}"
         # The entry draws the seed, so it is taken from the engine's ledger.
         seed = next((run.seed for run in engine_runs if run.request == request), -1)
@@ -240,7 +248,7 @@
             prompt_of(step, slot[0]),
             seed,
             SAMPLE_TOKENS,
-            sample["text"],
+            base64.b64decode(sample["body"]).decode(),
             True,
             read_spans(sample),
         )
--- a/tests/support/load.py
+++ b/tests/support/load.py
@@ -17,6 +17,7 @@
 FINAL_UNKNOWNS = 3
 TRAINER = "t1"
 GROUPS, SAMPLES, SAMPLE_TOKENS = 3, 4, 12
+STALENESS_BOUND = 2  # of the model in the example configuration
 
 
 @attrs.define
@@ -197,9 +198,12 @@
                 "trainer": TRAINER,
                 "step": step,
                 "model": "fitting",
-                "prompts": [prompt_of(step, group) for group in range(GROUPS)],
+                "groups": GROUPS,
                 "samples_per_group": SAMPLES,
-                "max_tokens": SAMPLE_TOKENS,
+                "staleness_bound": STALENESS_BOUND,
+                "deadline_ms": 60_000,
+                "prompts": [prompt_of(step, group) for group in range(GROUPS)],
+                "sampling": {"max_tokens": SAMPLE_TOKENS},
             }
             while self.send("POST", "/v1/steps", request).status != 201:
                 if self.over():
@@ -214,10 +218,10 @@
         while not self.over():
             newest = self.published
             path = f"/v1/steps/{TRAINER}/{step}/samples"
-            query = f"?cursor={cursor}&attempt={attempt}&limit=5&wait_ms=1000"
+            query = f"?cursor={cursor}&attempt={attempt}&limit=5"
             reply = self.send("GET", path + query)
-            if reply.status == 409 and "x-next-attempt" in reply.headers:
-                attempt = int(reply.headers["x-next-attempt"])
+            if reply.status == 409 and "next_attempt" in reply.json():
+                attempt = reply.json()["next_attempt"]
                 continue
             if reply.status != 200:
                 gevent.sleep(0.2)
@@ -235,7 +239,8 @@
 
 
 def read_spans(fields):
-    return tuple((span["version"], span["tokens"]) for span in fields.get("weight_versions", ()))
+    spans = fields.get("weight_versions", fields.get("spans", ()))
+    return tuple((span["version"], span["tokens"]) for span in spans)
 
 
 def read_whole(reply):
