--- a/src/pistachionotch/samples/bodies.py
+++ b/src/pistachionotch/samples/bodies.py
@@ -1,37 +1,79 @@
-"""Sample bodies held in memory within a byte limit."""
+"""Bodies of produced samples in memory, at the producing agent and at the coordinating entry."""
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections.abc import Iterable, Mapping
 
 import attrs
 
-MAX_HELD_BYTES = 64 * 1024 * 1024
+from .delivery import BodySource
+from .sample import Sample, Slot
+
+DEFAULT_LIMIT_BYTES = 8_000_000
 
 
 @attrs.define
-class BodyStore:
-    """Hold bodies by sample id within a byte limit; the oldest go first."""
+class BodyCache:
+    """Hold bodies up to a limit; a body that does not fit is refused, and none is evicted.
+
+    Evicting a body whose sample is assigned would force the trainer into another attempt, while a
+    refused one only leaves the sample with a single holder or its slot open.
+    """
 
-    max_bytes: int = MAX_HELD_BYTES
+    limit_bytes: int = DEFAULT_LIMIT_BYTES
     held_bytes: int = 0
-    bodies: OrderedDict[str, bytes] = attrs.field(factory=OrderedDict)
+    bodies: dict[str, bytes] = attrs.field(factory=dict)
+    slots: dict[str, tuple[str, Slot]] = attrs.field(factory=dict)
 
-    def put(self, sample_id: str, body: bytes) -> None:
-        """Keep one body."""
-        self.drop(sample_id)
-        self.bodies[sample_id] = body
+    def keep(self, step: str, sample: Sample, body: bytes) -> bool:
+        """Hold a complete body; return whether it is held now."""
+        if sample.sample_id in self.bodies:
+            return True
+        if not sample.matches(body) or self.held_bytes + len(body) > self.limit_bytes:
+            return False
+        self.bodies[sample.sample_id] = body
+        self.slots[sample.sample_id] = (step, sample.slot)
         self.held_bytes += len(body)
-        while self.held_bytes > self.max_bytes:
-            _oldest, dropped = self.bodies.popitem(last=False)
-            self.held_bytes -= len(dropped)
-
-    def get(self, sample_id: str) -> bytes | None:
-        """Return a body if it is still held."""
-        return self.bodies.get(sample_id)
-
-    def drop(self, sample_id: str) -> None:
-        """Forget a body."""
-        body = self.bodies.pop(sample_id, None)
-        if body is not None:
-            self.held_bytes -= len(body)
+        return True
+
+    def find(self, sample: Sample) -> bytes | None:
+        """Return the body, or None if it is not held here."""
+        return self.bodies.get(sample.sample_id)
+
+    def release(self, sample_ids: Iterable[str]) -> None:
+        """Drop bodies that no pull can ask for any more."""
+        for sample_id in sample_ids:
+            body = self.bodies.pop(sample_id, None)
+            self.slots.pop(sample_id, None)
+            self.held_bytes -= len(body or b"")
+
+    def release_unneeded(self, step: str, needed: Mapping[Slot, Sample]) -> tuple[str, ...]:
+        """Drop the bodies of a step that its ledger does not name; return their sample ids.
+
+        ``needed`` comes from a ledger that was read after the bodies were recorded.
+        """
+        unneeded = []
+        for sample_id, (held_step, slot) in self.slots.items():
+            if held_step != step:
+                continue
+            sample = needed.get(slot)
+            if sample is None or sample.sample_id != sample_id:
+                unneeded.append(sample_id)
+        self.release(unneeded)
+        return tuple(unneeded)
+
+
+def first_found(*sources: BodySource) -> BodySource:
+    """Return a source that asks the given ones in turn, the nearest first.
+
+    A damaged body at one holder is passed over, because the other may have a complete one.
+    """
+
+    def find(sample: Sample) -> bytes | None:
+        for source in sources:
+            body = source(sample)
+            if body is not None and sample.matches(body):
+                return body
+        return None
+
+    return find
--- a/src/pistachionotch/weights/rollout.py
+++ b/src/pistachionotch/weights/rollout.py
@@ -22,7 +22,6 @@
     # Swaps to the desired version that failed, as read back; a newer version starts at zero.
     failures: int = 0
     last_failed_ms: int | None = None
-    ordered_ms: int | None = None
 
 
 @attrs.frozen
@@ -103,9 +102,7 @@
 ) -> Wave:
     """Return the orders that are due now for the agents of one model.
 
-    ``starts_ms`` are the times of earlier orders, also of ended ones, for the fetch rate. Without
-    them only the last order of each agent counts, so an agent that is ordered twice within a second
-    lets one fetch too many start.
+    ``starts_ms`` are the times of earlier orders, also of ended ones, for the fetch rate.
 
     A swap to an older version is left to end, because an agent runs one order at a time; its agent
     is ordered again afterwards.
@@ -202,10 +199,7 @@
         rate = self.limits.fetches_per_s
         window_ms = self.limits.rate_window_ms()
         allowed = int(rate * window_ms / MS_PER_SECOND)
-        starts_ms = self.starts_ms or [
-            agent.ordered_ms for agent in self.mine if agent.ordered_ms is not None
-        ]
-        recent = sum(self.now_ms - start_ms < window_ms for start_ms in starts_ms)
+        recent = sum(self.now_ms - start_ms < window_ms for start_ms in self.starts_ms)
         if recent >= allowed:
             self.reason = "the fetch rate is at its limit"
         return max(0, allowed - recent)
--- a/tests/unit/samples/test_delivery.py
+++ b/tests/unit/samples/test_delivery.py
@@ -7,7 +7,7 @@
 from step_world import WRITE_FAULTS, HookedStore, ledgers, make_sample
 
 from pistachionotch.samples import delivery as d
-from pistachionotch.samples.body_cache import BodyCache, first_found
+from pistachionotch.samples.bodies import BodyCache, first_found
 from pistachionotch.samples.ledger import Accepted, StepPlan
 from pistachionotch.samples.ledger_store import PlanDiffers, StepUnknown
 from pistachionotch.samples.sample import Slot
--- a/tests/unit/weights/test_rollout.py
+++ b/tests/unit/weights/test_rollout.py
@@ -84,13 +84,6 @@
     assert [order.agent for order in wave.orders] == ["a0"] and wave.waiting == 1
 
 
-def test_fetch_rate_counts_last_orders_if_no_start_times_are_given():
-    agents = [r.AgentWeights(f"{n}", "z", 1, ordered_ms=n * 100) for n in range(4)]
-    limits = r.RolloutLimits(2.0, max_out_share=1.0)
-    assert r.plan_wave(agents, 2, [], limits, 1_150).orders == ()
-    assert len(r.plan_wave(agents, 2, [], limits, 1_200).orders) == 1
-
-
 def test_newer_version_supersedes_and_a_running_swap_is_left_to_end():
     agents = [attrs.evolve(r.AgentWeights("a", "z", 1), failures=0), r.AgentWeights("b", "z", 2)]
     swaps = [r.SwapInProgress("a", 2, 0)]
