--- a/tests/unit/samples/test_answers.py
+++ b/tests/unit/samples/test_answers.py
@@ -14,17 +14,11 @@
 from pistachionotch.samples.sample import Slot
 from pistachionotch.samples.steps import StepRegistry
 
-BODY = {
-    "trainer": "t",
-    "step": 1,
-    "model": "m",
-    "groups": 2,
-    "samples_per_group": 1,
-    "staleness_bound": 1,
-    "deadline_ms": 480_000,
-    "prompts": ["a", "b"],
-    "sampling": {"max_tokens": 9},
-}
+SHAPE = {"step": 1, "groups": 2, "samples_per_group": 1, "staleness_bound": 1}
+BODY = {"trainer": "t", "model": "m", "deadline_ms": 480_000, "prompts": ["a", "b"], **SHAPE}
+BODY["sampling"] = {"max_tokens": 9}
+WRONG = [{"groups": 0}, {"groups": True}, {"step": "1"}, {"trainer": "a/b"}, {"prompts": None}]
+WRONG += [{"prompts": [1, 2]}, {"sampling": []}]
 
 
 def parse(now_unix_ms=1_000, **changes):
@@ -39,18 +33,7 @@
         assert isinstance(answers.parse_pull(wrong), Failure), wrong
 
 
-@pytest.mark.parametrize(
-    "changes",
-    [
-        {"groups": 0},
-        {"groups": True},
-        {"step": "1"},
-        {"trainer": "a/b"},
-        {"prompts": None},
-        {"prompts": [1, 2]},
-        {"sampling": []},
-    ],
-)
+@pytest.mark.parametrize("changes", WRONG)
 def test_wrong_step_requests_are_refused(changes):
     assert isinstance(parse(**changes), Failure)
 
--- a/tests/unit/samples/test_ledger.py
+++ b/tests/unit/samples/test_ledger.py
@@ -93,18 +93,14 @@
         ledger.assign([Slot(0, 0)], 9)
 
 
-@pytest.mark.parametrize(
-    "plan",
-    [
-        attrs.evolve(PLAN, groups=0),
-        attrs.evolve(PLAN, groups=2049, samples_per_group=1),
-        attrs.evolve(PLAN, staleness_bound=-1),
-        attrs.evolve(PLAN, step=-1),
-    ],
-)
-def test_impossible_plans_are_refused(plan):
+IMPOSSIBLE = [{"groups": 0}, {"groups": 2049, "samples_per_group": 1}, {"staleness_bound": -1}]
+IMPOSSIBLE += [{"step": -1}, {"trainer": "a/b"}, {"model": ""}]
+
+
+@pytest.mark.parametrize("changes", IMPOSSIBLE)
+def test_impossible_plans_are_refused(changes):
     with pytest.raises(ValueError):
-        StepLedger.create(plan)
+        StepLedger.create(attrs.evolve(PLAN, **changes))
 
 
 @settings(derandomize=True, database=None, max_examples=300, deadline=None)
