Run the real entry and agent code on virtual time in tests

gevent takes the timers of queues, events, timeouts and sleeps from its event loop, so the tests replace the loop's timers and advance time once no greenlet can run. The product needs no change for that. Connections, upstreams and the object store are fakes in memory with fault switches; sessions, links, claims and attempts are the product's own.

--- /dev/null
+++ b/tests/unit/calls/upstreams.py
@@ -0,0 +1,87 @@
+"""A fake upstream with a ledger of what was really run, and a slow object store."""
+
+import json
+
+import attrs
+import gevent
+
+from pistachionotch.agent.upstream import NO_VERSION, UpstreamBroken, UpstreamEnd, UpstreamPiece
+from pistachionotch.entry.calls import COMPLETIONS_PATH
+from pistachionotch.objects.memory import MemoryStore
+
+SERVICE_MS = 20
+TOKEN_MS = 10
+SLOW_MS = 6000
+
+
+@attrs.define
+class Ran:
+    """Record one run; ``body`` is set once the upstream has answered it."""
+
+    request: str
+    key: str
+    idempotent: bool
+    at_ms: int
+    body: bytes | None = None
+
+
+def completion_text(name, tokens, first=0):
+    return "".join(f"{name}.{number};" for number in range(first, first + tokens))
+
+
+@attrs.define
+class Upstreams:
+    """Run the calls of all agents; ``faults`` maps an agent to the faults of its next calls."""
+
+    clock: object
+    ledger: list = attrs.field(factory=list)
+    faults: dict = attrs.field(factory=dict)
+
+    def call(self, agent, submit, clock, emit):
+        queue = self.faults.get(agent)
+        fault = queue.pop(0) if queue else ""
+        if fault == "refuse":
+            return UpstreamBroken("connection refused", sent=False)
+        ran = Ran(submit.request, submit.key, submit.idempotent, self.clock.now_ms())
+        self.ledger.append(ran)
+        gevent.sleep((SLOW_MS if fault == "slow" else SERVICE_MS) / 1000)
+        if fault == "break":
+            return UpstreamBroken("connection reset", sent=True)
+        pieces = self._pieces(submit, len(self.ledger))
+        ran.body = b"".join(piece.data for piece in pieces)
+        for number, piece in enumerate(pieces):
+            if fault == "break later" and number == len(pieces) - 1:
+                return UpstreamBroken("stream broke off", sent=True)
+            emit(piece)
+            gevent.sleep(TOKEN_MS / 1000)
+        return UpstreamEnd(200, (("Content-Type", "text/plain"),))
+
+    def _pieces(self, submit, run):
+        if submit.path != COMPLETIONS_PATH:
+            parts = [f"run {run} of {submit.request};".encode(), b"middle;", b"end"]
+            return [UpstreamPiece(part, NO_VERSION, 0) for part in parts]
+        wanted = json.loads(submit.body)
+        name, _separator, before = wanted["prompt"].partition("|")
+        first = before.count(";")
+        tokens = range(first, first + wanted["max_tokens"])
+        return [UpstreamPiece(f"{name}.{number};".encode(), 1, 1) for number in tokens]
+
+
+@attrs.define
+class SlowStore(MemoryStore):
+    """Answer late: each write takes effect at once, and its answer waits ``slow_ms``."""
+
+    slow_ms: int = 0
+
+    def get(self, key):
+        self._wait()
+        return super().get(key)
+
+    def put(self, key, value, expected_version):
+        answer = super().put(key, value, expected_version)
+        self._wait()
+        return answer
+
+    def _wait(self):
+        if self.slow_ms:
+            gevent.sleep(self.slow_ms / 1000)
