Save the results of claims while an agent runs

Cause: nothing called ClaimBook.maintain, so a claim stayed 'claimed' in the object API after its call had ended, and its record was never evicted. Another agent or entry then answered a repeated key with 'in progress' for good, and an agent refused calls once its table of records was full. Ruled out: a failed write; the store was reachable. Before: claim 'claimed' 1 s after the response. After: 'done' with the result. The agent maintains its claims every 250 ms, and waits up to 3 s for that when it is drained. The wait on drain has no test of its own.

--- a/src/pistachionotch/agent/core.py
+++ b/src/pistachionotch/agent/core.py
@@ -24,6 +24,7 @@
 from .upstream import Upstream
 
 TICK_MS = 50
+CLAIM_MAINTENANCE_MS = 250
 DRAIN_RETRY_MS = 1000
 MAX_ATTEMPTS = 4096
 # At 9 trainers with 2,048 samples a step and 1,100 agents, a step leaves about 17 bodies here.
@@ -71,6 +72,7 @@
     def run(self) -> None:
         """Serve the inbox until the greenlet is killed."""
         gevent.spawn(self._tick)
+        gevent.spawn(self._maintain_claims)
         for session, message in self.inbox:
             self.handle(message, session)
             self._start_runnable()
@@ -88,6 +90,12 @@
             self.clock.sleep_ms(TICK_MS)
             self.inbox.put((None, Tick()))
 
+    def _maintain_claims(self) -> None:
+        # A task of its own, because the store may be slow and the core has to go on meanwhile.
+        while True:
+            self.clock.sleep_ms(CLAIM_MAINTENANCE_MS)
+            self.book.maintain()
+
     @singledispatchmethod
     def handle(self, message: object, session: Session) -> None:
         """Act on one message."""
--- a/src/pistachionotch/agent/daemon.py
+++ b/src/pistachionotch/agent/daemon.py
@@ -13,7 +13,7 @@
 from ..admission.limit import ConcurrencyLimit
 from ..admission.queue import AdmissionQueue
 from ..admission.shares import ClassShares
-from ..clock import SystemClock
+from ..clock import Deadline, SystemClock
 from ..config.revisions import Revisions
 from ..config.settings import Settings, UpstreamKind
 from ..idempotency.book import ClaimBook
@@ -32,6 +32,8 @@
 HEARTBEAT_MS = 2000
 CLAIM_RETENTION_MS = 24 * 3600 * 1000
 DRAIN_POLL_S = 0.05
+# An object API outage must not keep a drained agent alive; its open claims then give ``unknown``.
+CLAIMS_SAVED_WITHIN_MS = 3000
 
 
 def target_of(settings: Settings) -> str:
@@ -188,6 +190,9 @@
         gevent.spawn(self.registration.withdraw)
         while not (self.core.queue.draining and self.core.idle()):
             gevent.sleep(DRAIN_POLL_S)
+        deadline = Deadline.after(self.clock, CLAIMS_SAVED_WITHIN_MS)
+        while self.core.book.unsettled and not deadline.expired(self.clock):
+            gevent.sleep(DRAIN_POLL_S)
         for session in list(self.core.sessions):
             session.flush(1.0)
             session.close("agent stopped")
--- /dev/null
+++ b/tests/unit/calls/test_calls.py
@@ -0,0 +1,36 @@
+"""Single faults of calls that the state machine found, each as one short run."""
+
+import pytest
+from call_world import SERVICE, World
+
+from pistachionotch.entry.calls import Call, CallDone
+from pistachionotch.idempotency.claim import ClaimPhase, parse_claim
+from pistachionotch.outcomes import Execution, RequestClass
+
+
+@pytest.fixture
+def world():
+    made = World()
+    yield made
+    made.close()
+
+
+def _order(world, entry="e0", key="k", timeout_ms=400, name="r0"):
+    deadline = world.deadline(timeout_ms)
+    storefront = RequestClass.STOREFRONT
+    call = Call(name, storefront, deadline, SERVICE, "POST", "/o", (), b"{}", False, key)
+    return world.send(entry, call)
+
+
+def _keep_one_agent(world):
+    world.crash_agent("a1")
+    world.loop.advance(20)
+
+
+def test_results_of_calls_are_saved_in_the_store(world):
+    """Guards against claims that stay open because nothing saves their results."""
+    order = _order(world)
+    world.loop.advance(1000)
+    assert isinstance(order.answers[0], CallDone)
+    (stored,) = world.store.objects.values()
+    assert parse_claim(stored.value).phase is ClaimPhase.DONE
