Stop observing an attempt whose connection was lost

Cause: a non-idempotent call that was sent again after a lost connection left its first attempt among the open ones of the link, so placement took the agent for silent for ever. Ruled out: calls that are idempotent; they drop the attempt. Before: one attempt left after the call.

--- a/src/pistachionotch/entry/once.py
+++ b/src/pistachionotch/entry/once.py
@@ -236,6 +236,7 @@
     def _submit_again(self, link: AgentLink, reason: str) -> Iterator[RouteEvent]:
         """Send the same key to the same agent, whose claim turns a second run into a replay."""
         state = self.state
+        link.observations.dropped(self.attempt)
         left_ms = self.call.deadline.remaining_ms(state.clock)
         state.decisions.resubmitted(self.call, link.member.node, reason)
         if not left_ms or not link.up.wait(left_ms / 1000):
--- a/tests/unit/calls/test_calls.py
+++ b/tests/unit/calls/test_calls.py
@@ -34,3 +34,13 @@
     assert isinstance(order.answers[0], CallDone)
     (stored,) = world.store.objects.values()
     assert parse_claim(stored.value).phase is ClaimPhase.DONE
+
+
+def test_an_attempt_that_is_sent_again_is_no_longer_observed(world):
+    """Guards against placement that takes an agent for silent after a lost connection."""
+    world.network.armed.append(("Submit", "cut"))
+    order = _order(world, timeout_ms=2000)
+    world.loop.advance(5000)
+    assert isinstance(order.answers[0], CallDone)
+    links = world.entries["e0"].table.links.values()
+    assert [dict(link.observations.attempts) for link in links] == [{}, {}]
