Answer non-idempotent calls by their deadline

Cause: two steps of a call waited without regard to its deadline. Ruled out: the wait for the agent's answer, which is bounded.

--- a/src/pistachionotch/entry/keys.py
+++ b/src/pistachionotch/entry/keys.py
@@ -15,14 +15,14 @@
 ISSUE_TIMEOUT_S = 2.0
 
 
-def issue_at(link: AgentLink, scope: str) -> str | None:
+def issue_at(link: AgentLink, scope: str, timeout_s: float = ISSUE_TIMEOUT_S) -> str | None:
     """Ask one agent for a key; none if it does not answer in time."""
     identifier = f"key-{secrets.token_hex(6)}"
     channel: Queue = Queue()
     if not link.ask(identifier, IssueKey(identifier, scope), channel):
         return None
     try:
-        _link, answer = channel.get(timeout=ISSUE_TIMEOUT_S)
+        _link, answer = channel.get(timeout=timeout_s)
     except Empty:
         return None
     finally:
--- a/src/pistachionotch/entry/once.py
+++ b/src/pistachionotch/entry/once.py
@@ -6,6 +6,7 @@
 from functools import singledispatchmethod
 
 import attrs
+import gevent
 from gevent.queue import Empty, Queue
 from returns.result import Success
 
@@ -16,8 +17,8 @@
 from ..wire.assembly import Assembler
 from ..wire.messages import Finished, Piece, Refused, Started
 from .calls import Call, CallDone, CallFailed, Delivered, RouteEvent
-from .claims import look_up_earlier_call
-from .keys import issue_at
+from .claims import EarlierCall, look_up_earlier_call
+from .keys import ISSUE_TIMEOUT_S, issue_at
 from .links import AgentLink, LinkLost
 from .router import FINAL_ANSWER_GRACE_MS, RoutingState
 
@@ -104,7 +105,8 @@
         """Give a call without a key one that only this agent incarnation may run."""
         if self.call.key:
             return True
-        key = issue_at(link, self.call.target)
+        left_s = self.call.deadline.remaining_ms(self.state.clock) / 1000
+        key = issue_at(link, self.call.target, min(ISSUE_TIMEOUT_S, left_s))
         if key is None:
             return False
         self.call = attrs.evolve(self.call, key=key)
@@ -142,13 +144,23 @@
         if self.proved_not_run or not self.key_from_caller:
             yield self._failed(503, Execution.NOT_RUN, reason, retry_after_ms)
             return
-        earlier = look_up_earlier_call(self.store, self.call.target, self.call.key)
+        earlier = self._look_up()
         if earlier.result is not None:
             result = earlier.result
             yield from self._done(result.body, result.status, result.headers, "")
             return
         yield self._failed(503, earlier.execution, reason, retry_after_ms)
 
+    def _look_up(self) -> EarlierCall:
+        """Read the claim of the key; a store that is too slow proves nothing."""
+        left_ms = self.call.deadline.at_ms - self.state.clock.now_ms() + FINAL_ANSWER_GRACE_MS
+        # The read ends in a task of its own, so that its connection is not left in mid-response.
+        reading = gevent.spawn(look_up_earlier_call, self.store, self.call.target, self.call.key)
+        reading.join(max(0, left_ms) / 1000)
+        if not reading.successful():
+            return EarlierCall(Execution.UNKNOWN)
+        return reading.value
+
     @singledispatchmethod
     def on_message(self, message: object, link: AgentLink) -> Iterator[RouteEvent]:
         """Act on one message of the agent."""
--- a/tests/unit/calls/test_calls.py
+++ b/tests/unit/calls/test_calls.py
@@ -44,3 +44,23 @@
     assert isinstance(order.answers[0], CallDone)
     links = world.entries["e0"].table.links.values()
     assert [dict(link.observations.attempts) for link in links] == [{}, {}]
+
+
+def test_the_issue_of_a_key_does_not_outlast_the_deadline(world):
+    """Guards against an answer 1.6 s late when a silent agent is asked for a key."""
+    for wire in world.network.wires:
+        wire.silent = True
+    order = _order(world, key="")
+    world.loop.advance(600)
+    assert order.answers[0].problem.execution is Execution.NOT_RUN
+
+
+def test_a_slow_store_does_not_delay_a_refusal_past_the_deadline(world):
+    """Guards against an answer that waits for the look-up of the claim."""
+    for agent in ("a0", "a1"):
+        world.crash_agent(agent)
+    world.loop.advance(20)
+    world.store.slow_ms = 10_000
+    order = _order(world)
+    world.loop.advance(600)
+    assert order.answers[0].problem.execution is Execution.UNKNOWN
