Ignore a submit whose attempt is queued or running

Ruled out: the claim book, which was never asked. After: the copy is logged and dropped, and the attempt's own answer follows.

--- a/src/pistachionotch/agent/core.py
+++ b/src/pistachionotch/agent/core.py
@@ -172,6 +172,10 @@
 
     @handle.register
     def _(self, message: messages.Submit, session: Session) -> None:
+        if message.attempt in self.waiting or message.attempt in self.running:
+            # Its answer is still due; a refusal now would say that it did not run.
+            self.log.warning("attempt submitted twice", attempt=message.attempt)
+            return
         runner = AttemptRunner(
             message,
             session,
--- a/tests/unit/calls/test_calls.py
+++ b/tests/unit/calls/test_calls.py
@@ -64,3 +64,11 @@
     order = _order(world)
     world.loop.advance(600)
     assert order.answers[0].problem.execution is Execution.UNKNOWN
+
+
+def test_a_submit_that_arrives_twice_is_not_refused_as_not_run(world):
+    """Guards against ``not-run`` for an attempt that runs at that moment."""
+    world.network.armed.append(("Submit", "double"))
+    order = _order(world)
+    world.loop.advance(600)
+    assert isinstance(order.answers[0], CallDone)
