Prove that a key never ran only while no call with it waits

Cause: an agent that refused a repeated key did not look at its own queue, so it proved 'never run' while the earlier call with the key could still start. An entry also kept such a proof over its next attempt, although another request with the key may run in between. Both were found by reading the code. Before: 'not-run'. After: 'unknown'. The second change has no test of its own.

--- a/src/pistachionotch/agent/core.py
+++ b/src/pistachionotch/agent/core.py
@@ -253,10 +253,17 @@
     ) -> None:
         """Answer an attempt that was not handed to the upstream."""
         submit = runner.submit
-        proved = submit.idempotent or self.book.never_run(submit.scope, submit.key)
+        proved = submit.idempotent or self._never_run(submit)
         runner.refuse(reason, Execution.NOT_RUN, retry_after_ms, proved=proved)
         self._log_admission(submit, decision, reason)
 
+    def _never_run(self, submit: messages.Submit) -> bool:
+        """Return whether no call with the key was sent, and none that waits here may still be."""
+        for runner in self.waiting.values():
+            if (runner.submit.scope, runner.submit.key) == (submit.scope, submit.key):
+                return False
+        return self.book.never_run(submit.scope, submit.key)
+
     def _withdraw(self, attempt: str) -> None:
         self.waiting.pop(attempt, None)
         self.queue.cancel(attempt)
--- a/src/pistachionotch/entry/once.py
+++ b/src/pistachionotch/entry/once.py
@@ -134,6 +134,8 @@
             yield from self._refuse(reason, retry_after_ms)
             return
         state.clock.sleep_ms(decision.wait_ms)
+        # Another request with the key may run from now on.
+        self.proved_not_run = False
         if others and not self._home_of_key():
             self.excluded.add(agent)
         self.number += 1
--- a/tests/unit/calls/test_calls.py
+++ b/tests/unit/calls/test_calls.py
@@ -72,3 +72,20 @@
     order = _order(world)
     world.loop.advance(600)
     assert isinstance(order.answers[0], CallDone)
+
+
+def test_a_key_that_waits_in_the_queue_is_not_proved_unrun(world):
+    """Guards against ``not-run`` for a key whose earlier call starts soon after."""
+    _keep_one_agent(world)
+    world.issue_key("e0")
+    world.loop.advance(20)
+    world.upstreams.faults["a0"] = ["slow", "slow"]
+    for number in range(2):
+        _order(world, key=f"busy{number}", timeout_ms=9000, name=f"busy{number}")
+    world.loop.advance(10)
+    _order(world, key=world.issued[0], timeout_ms=9000)
+    world.loop.advance(10)
+    world.drain_agent("a0")
+    repeated = _order(world, "e1", world.issued[0], name="r1")
+    world.loop.advance(600)
+    assert repeated.answers[0].problem.execution is Execution.UNKNOWN
