Forward the path and the query of a service call as they were sent

Cause: WSGI undoes the percent-encoding of a path, and the entry sent it on undone, so that '%0D%0A' in a path would end the request line towards the upstream. The query was dropped. Ruled out: header values, which WSGI checks. Before: '/o\r\nX: 1/\xe4'. After: '/o%0D%0AX:%201/%E4?a=1&a=2'.

--- a/src/pistachionotch/entry/requests.py
+++ b/src/pistachionotch/entry/requests.py
@@ -7,6 +7,7 @@
 import secrets
 from collections.abc import Mapping
 from typing import Any
+from urllib.parse import quote
 
 import attrs
 
@@ -22,6 +23,8 @@
 MAX_KEY_CHARACTERS = 200
 _IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE"})
 _IDENTIFIER = re.compile(r"[A-Za-z0-9._:-]{1,100}")
+# RFC 3986 allows these in a path beside letters, digits and ``-._~``.
+_PATH_CHARACTERS = "/:@!$&'()*+,;="
 _PRIVATE_HEADERS = frozenset(
     {"host", "connection", "content-length", "transfer-encoding", "te", "upgrade", "expect"}
 )
@@ -36,6 +39,7 @@
     query: Mapping[str, str]
     headers: Mapping[str, str]
     body: bytes
+    query_string: str = ""
 
     def header(self, name: str, default: str = "") -> str:
         """Return a header by its lower-case name."""
@@ -172,6 +176,12 @@
     return request_id, request_class, Deadline.after(clock, timeout_ms), key
 
 
+def _encoded(path: str, query: str) -> str:
+    """Return the request target; WSGI hands over a path with its percent-encoding undone."""
+    target = quote(path, safe=_PATH_CHARACTERS, encoding="latin-1")
+    return f"{target}?{query}" if query else target
+
+
 def completion_call(
     request: HttpRequest, clock: Clock, defaults: CallDefaults
 ) -> tuple[Call, bool]:
@@ -223,7 +233,7 @@
         deadline,
         f"services/{service}",
         request.method,
-        path,
+        _encoded(path, request.query_string),
         _forwarded_headers(request),
         request.body,
         idempotent=idempotent,
