Report every malformed number and name of a request as a finding

Cause: the check of whole numbers let Infinity raise OverflowError, rounded 1.5 and took true for 1; an empty or null max_tokens passed the check and would fail only when a broken stream was resumed, because that read the body again. A malformed tenant was dropped after the findings had been raised, and a service without a name was accepted.

--- a/src/pistachionotch/entry/calls.py
+++ b/src/pistachionotch/entry/calls.py
@@ -73,7 +73,7 @@
         if self.path != COMPLETIONS_PATH or not self.idempotent:
             return None
         wanted = json.loads(self.body)
-        remaining = int(wanted.get("max_tokens", DEFAULT_MAX_TOKENS)) - tokens
+        remaining = self.expected_tokens - tokens
         if remaining <= 0:
             return None
         wanted["prompt"] = wanted["prompt"] + text.decode()
--- a/src/pistachionotch/entry/requests.py
+++ b/src/pistachionotch/entry/requests.py
@@ -59,11 +59,11 @@
 
     def integer(self, name: str, text: Any, default: int, low: int, high: int) -> int:
         """Return a whole number within bounds."""
-        if text in ("", None):
+        if text is None:
             return default
         try:
-            value = int(text)
-        except (TypeError, ValueError):
+            value = self._whole(text)
+        except ValueError:
             self.fault(name, "is not a whole number")
             return default
         if not low <= value <= high:
@@ -71,6 +71,13 @@
             return default
         return value
 
+    @staticmethod
+    def _whole(value: Any) -> int:
+        # JSON also gives true, 1.5 and Infinity, which ``int`` would round or overflow on.
+        if type(value) not in (int, str):
+            raise ValueError(f"{type(value).__name__} is not a whole number")
+        return int(value)
+
     def identifier(self, name: str, text: Any, default: str) -> str:
         """Return a short name of letters, digits and ``._:-``."""
         if text in ("", None):
@@ -163,7 +170,7 @@
     request_class = checker.request_class(default_class)
     timeout_ms = checker.integer(
         "X-Request-Timeout-Ms",
-        request.header("x-request-timeout-ms"),
+        request.header("x-request-timeout-ms") or None,
         defaults.timeout_ms(request_class),
         1,
         MAX_TIMEOUT_MS,
@@ -199,6 +206,7 @@
     tokens = checker.integer(
         "max_tokens", wanted.get("max_tokens"), DEFAULT_MAX_TOKENS, 1, MAX_TOKENS
     )
+    tenant = checker.identifier("X-Request-Tenant", request.header("x-request-tenant"), "")
     checker.raise_if_any()
     call = Call(
         request_id,
@@ -211,7 +219,7 @@
         request.body,
         idempotent=True,
         expected_tokens=tokens,
-        tenant=checker.identifier("X-Request-Tenant", request.header("x-request-tenant"), ""),
+        tenant=tenant,
     )
     return call, bool(wanted.get("stream"))
 
@@ -224,7 +232,8 @@
     request_id, request_class, deadline, key = _common(
         checker, clock, defaults, RequestClass.STOREFRONT
     )
-    checker.identifier("service", service, "")
+    if not checker.identifier("service", service, ""):
+        checker.fault("service", "is missing")
     checker.raise_if_any()
     idempotent = defaults.idempotent(service, request.method, path)
     return Call(
