--- a/src/pistachionotch/agent/core.py
+++ b/src/pistachionotch/agent/core.py
@@ -21,6 +21,7 @@
 from ..wire.assembly import PieceCounter
 from ..wire.session import Session, SessionClosed
 from .attempts import AttemptEnded, AttemptProgress, AttemptRunner, finished_message
+from .upkeep import BookUpkeep
 from .upstream import Upstream
 
 TICK_MS = 50
@@ -72,6 +73,8 @@
     def run(self) -> None:
         """Serve the inbox until the greenlet is killed."""
         gevent.spawn(self._tick)
+        # A task of its own, because the store may be slow and the core has to go on meanwhile.
+        gevent.spawn(BookUpkeep(self.book, self.clock).run)
         for session, message in self.inbox:
             self.handle(message, session)
             self._start_runnable()
@@ -167,6 +170,10 @@
 
     @handle.register
     def _(self, message: messages.Submit, session: Session) -> None:
+        if message.attempt in self.waiting or message.attempt in self.running:
+            # Its answer is still due; a refusal now would say that it did not run.
+            self.log.warning("attempt submitted twice", attempt=message.attempt)
+            return
         runner = AttemptRunner(
             message,
             session,
@@ -245,10 +252,17 @@
     ) -> None:
         """Answer an attempt that was not handed to the upstream."""
         submit = runner.submit
-        proved = submit.idempotent or self.book.never_run(submit.scope, submit.key)
+        proved = submit.idempotent or self._never_run(submit)
         runner.refuse(reason, Execution.NOT_RUN, retry_after_ms, proved=proved)
         self._log_admission(submit, decision, reason)
 
+    def _never_run(self, submit: messages.Submit) -> bool:
+        """Return whether no call with the key was sent, and none that waits here may still be."""
+        for runner in self.waiting.values():
+            if (runner.submit.scope, runner.submit.key) == (submit.scope, submit.key):
+                return False
+        return self.book.never_run(submit.scope, submit.key)
+
     def _withdraw(self, attempt: str) -> None:
         self.waiting.pop(attempt, None)
         self.queue.cancel(attempt)
--- a/src/pistachionotch/agent/daemon.py
+++ b/src/pistachionotch/agent/daemon.py
@@ -158,7 +158,6 @@
         )
         gevent.spawn(self.server.serve_forever)
         gevent.spawn(self.core.run)
-        gevent.spawn(self.upkeep.run)
         if self.orders is not None:
             gevent.spawn(self.orders.run)
         gevent.spawn(self.registration.run)
--- a/src/pistachionotch/entry/requests.py
+++ b/src/pistachionotch/entry/requests.py
@@ -7,6 +7,7 @@
 import secrets
 from collections.abc import Mapping
 from typing import Any
+from urllib.parse import quote
 
 import attrs
 
@@ -22,6 +23,7 @@
 MAX_KEY_CHARACTERS = 200
 _IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE"})
 _IDENTIFIER = re.compile(r"[A-Za-z0-9._:-]{1,100}")
+_QUERY = re.compile(r"[A-Za-z0-9._~:/?@!$&'()*+,;=%-]*")
 _PRIVATE_HEADERS = frozenset(
     {"host", "connection", "content-length", "transfer-encoding", "te", "upgrade", "expect"}
 )
@@ -36,6 +38,7 @@
     query: Mapping[str, str]
     headers: Mapping[str, str]
     body: bytes
+    query_text: str = ""
 
     def header(self, name: str, default: str = "") -> str:
         """Return a header by its lower-case name."""
@@ -55,11 +58,11 @@
 
     def integer(self, name: str, text: Any, default: int, low: int, high: int) -> int:
         """Return a whole number within bounds."""
-        if text in ("", None):
+        if text is None:
             return default
         try:
-            value = int(text)
-        except (TypeError, ValueError):
+            value = self._whole(text)
+        except ValueError:
             self.fault(name, "is not a whole number")
             return default
         if not low <= value <= high:
@@ -67,6 +70,13 @@
             return default
         return value
 
+    @staticmethod
+    def _whole(value: Any) -> int:
+        # JSON also gives true, 1.5 and Infinity, which ``int`` would round or overflow on.
+        if type(value) not in (int, str):
+            raise ValueError(f"{type(value).__name__} is not a whole number")
+        return int(value)
+
     def identifier(self, name: str, text: Any, default: str) -> str:
         """Return a short name of letters, digits and ``._:-``."""
         if text in ("", None):
@@ -171,7 +181,7 @@
     request_class = checker.request_class(default_class)
     timeout_ms = checker.integer(
         "X-Request-Timeout-Ms",
-        request.header("x-request-timeout-ms"),
+        request.header("x-request-timeout-ms") or None,
         default_timeout_ms or defaults.timeout_ms(request_class),
         1,
         MAX_TIMEOUT_MS,
@@ -184,6 +194,17 @@
     return request_id, request_class, Deadline.after(clock, timeout_ms), key
 
 
+def _forwarded_target(checker: RequestChecker, path: str) -> str:
+    """Return path and query as they go to the service; the server has decoded the path."""
+    target = quote(path.encode("latin-1"), safe="/:@!$&'()*+,;=~")
+    query = checker.request.query_text
+    if not query:
+        return target
+    if not _QUERY.fullmatch(query):
+        checker.fault("query", "has characters that a URI may not have")
+    return f"{target}?{query}"
+
+
 def completion_call(request: HttpRequest, clock: Clock, defaults: CallDefaults) -> Call:
     """Return the call for a completion request."""
     checker = RequestChecker(request)
@@ -199,6 +220,7 @@
     tokens = checker.integer(
         "max_tokens", wanted.get("max_tokens"), DEFAULT_MAX_TOKENS, 1, MAX_TOKENS
     )
+    tenant = checker.identifier("X-Request-Tenant", request.header("x-request-tenant"), "")
     checker.raise_if_any()
     return Call(
         request_id,
@@ -211,7 +233,7 @@
         request.body,
         idempotent=True,
         expected_tokens=tokens,
-        tenant=checker.identifier("X-Request-Tenant", request.header("x-request-tenant"), ""),
+        tenant=tenant,
         streamed=bool(wanted.get("stream")),
     )
 
@@ -221,7 +243,9 @@
     checker = RequestChecker(request)
     _empty, _services, service, *rest = request.path.split("/", 3)
     path = "/" + (rest[0] if rest else "")
-    checker.identifier("service", service, "")
+    if not checker.identifier("service", service, ""):
+        checker.fault("service", "is missing")
+    target = _forwarded_target(checker, path)
     rule = defaults.rule(service, request.method, path)
     default_class = rule.request_class or defaults.request_class(f"services/{service}")
     request_id, request_class, deadline, key = _common(
@@ -234,7 +258,7 @@
         deadline,
         f"services/{service}",
         request.method,
-        path,
+        target,
         _forwarded_headers(request),
         request.body,
         idempotent=rule.idempotent,
--- /dev/null
+++ b/tests/unit/calls/test_calls.py
@@ -0,0 +1,91 @@
+"""Single faults of calls that the state machine found, each as one short run."""
+
+import pytest
+from call_world import SERVICE, World
+
+from pistachionotch.entry.calls import Call, CallDone
+from pistachionotch.idempotency.claim import ClaimPhase, parse_claim
+from pistachionotch.outcomes import Execution, RequestClass
+
+
+@pytest.fixture
+def world():
+    made = World()
+    yield made
+    made.close()
+
+
+def _order(world, entry="e0", key="k", timeout_ms=400, name="r0"):
+    deadline = world.deadline(timeout_ms)
+    storefront = RequestClass.STOREFRONT
+    call = Call(name, storefront, deadline, SERVICE, "POST", "/o", (), b"{}", False, key)
+    return world.send(entry, call)
+
+
+def _keep_one_agent(world):
+    world.crash_agent("a1")
+    world.loop.advance(20)
+
+
+def test_results_of_calls_are_saved_in_the_store(world):
+    """Guards against claims that stay open because nothing saves their results."""
+    order = _order(world)
+    world.loop.advance(1000)
+    assert isinstance(order.answers[0], CallDone)
+    (stored,) = world.store.objects.values()
+    assert parse_claim(stored.value).phase is ClaimPhase.DONE
+
+
+def test_an_attempt_that_is_sent_again_is_no_longer_observed(world):
+    """Guards against placement that takes an agent for silent after a lost connection."""
+    world.network.armed.append(("Submit", "cut"))
+    order = _order(world, timeout_ms=2000)
+    world.loop.advance(5000)
+    assert isinstance(order.answers[0], CallDone)
+    links = world.entries["e0"].table.links.values()
+    assert [dict(link.observations.attempts) for link in links] == [{}, {}]
+
+
+def test_the_issue_of_a_key_does_not_outlast_the_deadline(world):
+    """Guards against an answer 1.6 s late when a silent agent is asked for a key."""
+    for wire in world.network.wires:
+        wire.silent = True
+    order = _order(world, key="")
+    world.loop.advance(600)
+    assert order.answers[0].problem.execution is Execution.NOT_RUN
+
+
+def test_a_slow_store_does_not_delay_a_refusal_past_the_deadline(world):
+    """Guards against an answer that waits for the look-up of the claim."""
+    for agent in ("a0", "a1"):
+        world.crash_agent(agent)
+    world.loop.advance(20)
+    world.store.slow_ms = 10_000
+    order = _order(world)
+    world.loop.advance(600)
+    assert order.answers[0].problem.execution is Execution.UNKNOWN
+
+
+def test_a_submit_that_arrives_twice_is_not_refused_as_not_run(world):
+    """Guards against ``not-run`` for an attempt that runs at that moment."""
+    world.network.armed.append(("Submit", "double"))
+    order = _order(world)
+    world.loop.advance(600)
+    assert isinstance(order.answers[0], CallDone)
+
+
+def test_a_key_that_waits_in_the_queue_is_not_proved_unrun(world):
+    """Guards against ``not-run`` for a key whose earlier call starts soon after."""
+    _keep_one_agent(world)
+    world.issue_key("e0")
+    world.loop.advance(20)
+    world.upstreams.faults["a0"] = ["slow", "slow"]
+    for number in range(2):
+        _order(world, key=f"busy{number}", timeout_ms=9000, name=f"busy{number}")
+    world.loop.advance(10)
+    _order(world, key=world.issued[0], timeout_ms=9000)
+    world.loop.advance(10)
+    world.drain_agent("a0")
+    repeated = _order(world, "e1", world.issued[0], name="r1")
+    world.loop.advance(600)
+    assert repeated.answers[0].problem.execution is Execution.UNKNOWN
