Bound what slow and silent clients hold of the HTTP servers

Before, a client that sent nothing or trickled a request kept its connection for ever, and one that never read a stream kept its request open and so the drain of the entry.

--- a/src/pistachionotch/agent/daemon.py
+++ b/src/pistachionotch/agent/daemon.py
@@ -23,8 +23,10 @@
 from ..objects.api import ObjectStore
 from ..objects.client import HttpObjectStore
 from ..probes import ProbeApp
+from ..server import make_server
 from ..wire.messages import Order, OrderResult
-from ..wire.session import Identity, Session, make_server
+from ..wire.session import Identity, Session
+from ..wire.session import make_server as make_wire_server
 from .core import AgentCore, Drain, VersionObserved
 from .orders import OrderTask
 from .upkeep import BookUpkeep, ClaimantLiveness
@@ -144,7 +146,7 @@
         )
         wire = settings.listen.wire
         assert wire is not None
-        self.server = make_server(
+        self.server = make_wire_server(
             wire.host,
             wire.port,
             identity,
@@ -161,8 +163,7 @@
         gevent.spawn(self.registration.run)
         if settings.listen.http is not None:
             app = ProbeApp(settings.key, self.status, self.drain)
-            address = (settings.listen.http.host, settings.listen.http.port)
-            self.probes = WSGIServer(address, app, log=None)
+            self.probes = make_server(settings.listen.http.host, settings.listen.http.port, app)
             self.probes.start()
         self.state = "serving"
         self.core.log.info("serving", node=settings.node, upstream=target_of(settings))
--- a/src/pistachionotch/entry/daemon.py
+++ b/src/pistachionotch/entry/daemon.py
@@ -22,6 +22,7 @@
 from ..probes import ProbeApp
 from ..routing.facts import Location
 from ..samples.bodies import BodyStore
+from ..server import make_server
 from ..wire.session import Identity
 from .bodies import BodyFinder
 from .calls import Call, RouteEvent
@@ -149,7 +150,7 @@
         gevent.spawn(self.rollouts.run)
         listen = settings.listen.http
         assert listen is not None
-        self.server = WSGIServer((listen.host, listen.port), self._interface(), log=None)
+        self.server = make_server(listen.host, listen.port, self._interface())
         self.server.start()
         self.state = "serving"
         logger("entry").info("serving", node=settings.node, zone=settings.zone)
--- a/src/pistachionotch/entry/http.py
+++ b/src/pistachionotch/entry/http.py
@@ -15,6 +15,7 @@
 from ..findings import InvalidInputError
 from ..outcomes import Execution, Problem
 from ..samples.spans import VersionSpan
+from ..server import BODY_TIMEOUT_S, time_limit
 from .calls import Call, CallDone, CallFailed, Delivered, RouteEvent
 from .requests import (
     MAX_BODY_BYTES,
@@ -26,6 +27,16 @@
 )
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+
+class IncompleteRequestError(Exception):
+    """The client did not send the whole body in time."""
+
+
+class OversizedRequestError(Exception):
+    """The body is longer than one message to an agent may be."""
+
+
 Body = Iterable[bytes]
 
 
@@ -86,6 +97,13 @@
         except InvalidInputError as error:
             problem = _bad_request(findings_text(error))
             return self._respond(HttpResponse.of_problem(problem), start_response)
+        except IncompleteRequestError as error:
+            return self._respond(
+                _refused_unread(408, "request timeout", str(error)), start_response
+            )
+        except OversizedRequestError:
+            detail = f"the body is longer than {MAX_BODY_BYTES} bytes"
+            return self._respond(_refused_unread(413, "too large", detail), start_response)
 
     def _handle(self, request: HttpRequest) -> HttpResponse:
         for (method, prefix), handler in self.handlers.items():
@@ -191,6 +209,13 @@
     return f"data: {text}\n\n".encode()
 
 
+def _refused_unread(status: int, title: str, detail: str) -> HttpResponse:
+    """Refuse a request whose body was not read to its end, so the connection must end too."""
+    problem = Problem(status, title, detail, Execution.NOT_RUN, secrets.token_hex(8))
+    response = HttpResponse.of_problem(problem)
+    return attrs.evolve(response, headers=[*response.headers, ("Connection", "close")])
+
+
 def _bad_request(detail: str) -> Problem:
     return Problem(400, "bad request", detail, Execution.NOT_RUN, secrets.token_hex(8))
 
@@ -210,8 +235,19 @@
     }
     if environ.get("CONTENT_TYPE"):
         headers["content-type"] = environ["CONTENT_TYPE"]
-    body = environ["wsgi.input"].read(MAX_BODY_BYTES + 1)
+    body = _read_body(environ["wsgi.input"])
     query_text = environ.get("QUERY_STRING", "")
     query = dict(parse_qsl(query_text))
     method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
     return HttpRequest(method, path, query, headers, body, query_text)
+
+
+def _read_body(source: Any) -> bytes:
+    try:
+        with time_limit(BODY_TIMEOUT_S):
+            body: bytes = source.read(MAX_BODY_BYTES + 1)
+    except OSError as error:
+        raise IncompleteRequestError(str(error)) from error
+    if len(body) > MAX_BODY_BYTES:
+        raise OversizedRequestError
+    return body
