--- a/tests/support/chaos.py
+++ b/tests/support/chaos.py
@@ -16,7 +16,7 @@
 import gevent
 
 from pistachionotch.standins.ledger import read_records
-from tests.support.deployment import ROOT, Deployment
+from tests.support.deployment import ROOT, Deployment, wait_for_port
 from tests.support.forwarder import Forwarder
 from tests.support.load import SAMPLE_TOKENS, TRAINER, Load, exchange, prompt_of, read_spans
 from tests.support.oracle import (
@@ -162,6 +162,8 @@
             deployment.kill(fault.target)
             gevent.sleep(fault.lasts_s)
             deployment.restart(fault.target)
+            # The next fault may be a switch of this process.
+            wait_for_port(deployment.ports[fault.target])
             return
         if fault.kind == "freeze":
             deployment.freeze(fault.target)
--- a/tests/support/deployment.py
+++ b/tests/support/deployment.py
@@ -3,6 +3,7 @@
 import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -21,9 +22,12 @@
 
 
 def free_port():
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    """Return a port below the ephemeral ones, which no client takes while a process is down."""
+    while True:
+        port = random.SystemRandom().randrange(12_000, 32_000)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            return port
 
 
 class Deployment:
--- a/tests/support/load.py
+++ b/tests/support/load.py
@@ -180,7 +180,8 @@
         version = 1
         while not self.stopping:
             gevent.sleep(self.rng.uniform(2, 5))
-            version += 1
+            # A jump beyond the staleness bound makes samples in production stale.
+            version += self.rng.choice((1, 1, 3))
             while not self.stopping:
                 reply = self.send("POST", "/v1/weights", {"model": "fitting", "version": version})
                 if reply.status == 200:
