--- a/src/pistachionotch/entry/daemon.py
+++ b/src/pistachionotch/entry/daemon.py
@@ -14,7 +14,6 @@
 from ..clock import SystemClock
 from ..config.revisions import Revisions
 from ..config.settings import Settings
-from ..http_server import PromptServer
 from ..idempotency.cleanup import ClaimCleaner
 from ..lease.lease import Lease
 from ..logs import logger
@@ -25,6 +24,7 @@
 from ..routing.facts import Location
 from ..samples.bodies import BodyCache, first_found
 from ..samples.steps import StepRegistry
+from ..server import make_server
 from ..wire.session import Identity
 from .bodies import BodyFetcher
 from .calls import Call, RouteEvent
@@ -169,7 +169,7 @@
         gevent.spawn(MoveTask(self.routing).run)
         listen = settings.listen.http
         assert listen is not None
-        self.server = PromptServer((listen.host, listen.port), self._interface(), log=None)
+        self.server = make_server(listen.host, listen.port, self._interface())
         self.server.start()
         self.state = "serving"
         logger("entry").info("serving", node=settings.node, zone=settings.zone)
--- a/src/pistachionotch/entry/requests.py
+++ b/src/pistachionotch/entry/requests.py
@@ -159,6 +159,17 @@
         return max(rules, key=lambda rule: len(rule.path))
 
 
+def _forwarded_target(checker: RequestChecker, path: str) -> str:
+    """Return path and query as they go to the service; the server has decoded the path."""
+    target = quote(path.encode("latin-1"), safe="/:@!$&'()*+,;=~")
+    query = checker.request.query_text
+    if not query:
+        return target
+    if not _QUERY.fullmatch(query):
+        checker.fault("query", "has characters that a URI may not have")
+    return f"{target}?{query}"
+
+
 def _forwarded_headers(request: HttpRequest) -> tuple[tuple[str, str], ...]:
     return tuple(
         (name, value)
@@ -194,17 +205,6 @@
     return request_id, request_class, Deadline.after(clock, timeout_ms), key
 
 
-def _forwarded_target(checker: RequestChecker, path: str) -> str:
-    """Return path and query as they go to the service; the server has decoded the path."""
-    target = quote(path.encode("latin-1"), safe="/:@!$&'()*+,;=~")
-    query = checker.request.query_text
-    if not query:
-        return target
-    if not _QUERY.fullmatch(query):
-        checker.fault("query", "has characters that a URI may not have")
-    return f"{target}?{query}"
-
-
 def completion_call(request: HttpRequest, clock: Clock, defaults: CallDefaults) -> Call:
     """Return the call for a completion request."""
     checker = RequestChecker(request)
