--- /dev/null
+++ b/scripts/process_slopes.py
@@ -0,0 +1,388 @@
+"""Measure entry and agent processes: ``python scripts/process_slopes.py NAME [FOLDER]``.
+
+NAME is ``idle``, ``connections``, ``requests``, ``bytes``, ``handshakes`` or ``configuration``. Processor time and
+resident memory are those of the measured process in /proc; peers and stand-ins run in this one.
+"""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import sys  # noqa: E402
+import time  # noqa: E402
+from pathlib import Path  # noqa: E402
+
+import gevent  # noqa: E402
+from gevent.pywsgi import WSGIServer  # noqa: E402
+from gevent.queue import Queue  # noqa: E402
+
+from pistachionotch.admission.load import LoadFacts  # noqa: E402
+from pistachionotch.bench.slopes.fit import Slope, save  # noqa: E402
+from pistachionotch.bench.slopes.proc import cpu_ms, resident_kb, socket_counts  # noqa: E402
+from pistachionotch.clock import SystemClock  # noqa: E402
+from pistachionotch.config.apply import CONFIGURATION_KEY  # noqa: E402
+from pistachionotch.logs import configure_logs, logger  # noqa: E402
+from pistachionotch.membership.directory import Member  # noqa: E402
+from pistachionotch.membership.registration import Registration  # noqa: E402
+from pistachionotch.objects.client import HttpObjectStore  # noqa: E402
+from pistachionotch.outcomes import RequestClass  # noqa: E402
+from pistachionotch.standins.engine import EngineStandIn  # noqa: E402
+from pistachionotch.wire import messages  # noqa: E402
+from pistachionotch.wire.session import (  # noqa: E402
+    Identity,
+    SessionClosed,
+    make_server,
+    open_session,
+)
+from tests.support.deployment import (  # noqa: E402
+    HOST,
+    KEY,
+    ROOT,
+    Deployment,
+    free_port,
+    wait_until,
+)
+
+HEARTBEAT_MS = 2000
+WINDOW_S = 12.0
+SETTLE_S = 4.0
+CONNECTIONS = (0, 20, 40, 80)
+ENTRY_CONNECTIONS = (0, 8, 16, 24, 48)
+# One token per piece, as with engines whose streams are slower than the time for joining tokens.
+TOKEN_MS = 25
+CLASSES = (RequestClass.TRAINING, RequestClass.STOREFRONT)
+LOAD = LoadFacts(
+    dict.fromkeys(CLASSES, 3), dict.fromkeys(CLASSES, 4), dict.fromkeys(CLASSES, 1500), 8, 301.5
+)
+
+
+class AgentPeer:
+    """Stand for an agent: prove itself, send heartbeats and take configurations."""
+
+    def __init__(self, number, zone="cebu"):
+        self.clock = SystemClock()
+        self.node = f"peer-{number:04d}"
+        self.inbox = Queue()
+        self.sessions = set()
+        self.revision = 0
+        self.revision_at = 0.0
+        identity = Identity(
+            "bituin", self.node, "agent", zone, f"{number:012x}", KEY.encode(), "fitting"
+        )
+        port = free_port()
+        log = logger("peer")
+        self.server = make_server(HOST, port, identity, self.clock, self.inbox, HEARTBEAT_MS, log)
+        self.member = Member(
+            self.node, f"{HOST}:{port}", zone, "visayas", f"{number:012x}", ("fitting",)
+        )
+        self.tasks = [
+            gevent.spawn(self.server.serve_forever),
+            gevent.spawn(self.run),
+            gevent.spawn(self.beat),
+        ]
+
+    def beat(self):
+        while True:
+            for session in list(self.sessions):
+                session.send(messages.Heartbeat(0, self.revision, LOAD))
+            gevent.sleep(HEARTBEAT_MS / 1000)
+
+    def run(self):
+        for session, message in self.inbox:
+            if isinstance(message, SessionClosed):
+                self.sessions.discard(session)
+                continue
+            if session not in self.sessions:
+                self.sessions.add(session)
+                session.send(messages.Heartbeat(0, self.revision, LOAD))
+            if isinstance(message, messages.ConfigOffer) and message.revision > self.revision:
+                session.send(messages.ConfigFetch(message.revision))
+            if isinstance(message, messages.ConfigBody) and message.revision > self.revision:
+                self.revision = message.revision
+                self.revision_at = time.monotonic()
+
+    def register(self, store):
+        Registration(store, self.member, self.clock, logger("peer")).run()
+
+    def counts(self):
+        return [socket_counts(session.connection.socket) for session in self.sessions]
+
+
+class EntryPeer:
+    """Stand for an entry: connect to an agent and send heartbeats."""
+
+    def __init__(self, number, port):
+        identity = Identity(
+            "bituin", f"peer-{number:04d}", "entry", "cebu", f"{number:012x}", KEY.encode()
+        )
+        self.inbox = Queue()
+        clock = SystemClock()
+        self.session = open_session(HOST, port, identity, clock, self.inbox, HEARTBEAT_MS)
+        gevent.spawn(self.session.run)
+        gevent.spawn(self.drop)
+        gevent.spawn(self.beat)
+
+    def drop(self):
+        for _message in self.inbox:
+            continue
+
+    def beat(self):
+        while not self.session.closed:
+            self.session.send(messages.Heartbeat(0, 0))
+            gevent.sleep(HEARTBEAT_MS / 1000)
+
+    def counts(self):
+        return [socket_counts(self.session.connection.socket)]
+
+
+class Meter:
+    """Measure a process and the sockets of its peers over a window."""
+
+    def __init__(self, role):
+        name = f"{role} connections"
+        self.memory = Slope(f"{name}, resident memory", "connection", "kB")
+        self.cpu = Slope(f"{name}, processor", "connection", "ms of CPU per second")
+        self.payload = Slope(f"{name}, payload both ways", "connection", "bytes/s")
+        self.segments = Slope(f"{name}, TCP segments both ways", "connection", "segments/s")
+
+    def take(self, pid, connections, peers):
+        gevent.sleep(SETTLE_S)
+        self.memory.add(connections, resident_kb(pid))
+        payload, segments = totals(peers)
+        used, started = cpu_ms(pid), time.monotonic()
+        gevent.sleep(WINDOW_S)
+        elapsed = time.monotonic() - started
+        self.cpu.add(connections, (cpu_ms(pid) - used) / elapsed)
+        later_payload, later_segments = totals(peers)
+        self.payload.add(connections, (later_payload - payload) / elapsed)
+        self.segments.add(connections, (later_segments - segments) / elapsed)
+
+    def slopes(self):
+        return [self.memory, self.cpu, self.payload, self.segments]
+
+
+def totals(peers):
+    counts = [count for peer in peers for count in peer.counts()]
+    return sum(each.payload() for each in counts), sum(each.segments() for each in counts)
+
+
+def store_of(deployment):
+    return HttpObjectStore(HOST, deployment.ports["object-store"])
+
+
+def start_engine(deployment, slots=64):
+    engine = EngineStandIn("fitting", slots=slots, token_ms=TOKEN_MS)
+    server = WSGIServer((HOST, 0), engine, log=None, error_log=None)
+    server.start()
+    deployment.ports["engine"] = server.server_port
+    return engine
+
+
+def pid_of(deployment, name):
+    return deployment.processes[name].pid
+
+
+def start_pair(deployment):
+    deployment.start_platform()
+    start_engine(deployment)
+    deployment.start_agent("agent", "cebu", "engine", "engine", "fitting", 64)
+    deployment.start_entry("entry", "cebu")
+
+
+def measure_idle(deployment):
+    """Print the resident memory of an entry and an agent that nothing uses."""
+    start_pair(deployment)
+    for name in ("agent", "entry"):
+        wait_until(lambda name=name: deployment.status(name), 20, f"{name} answers")
+    gevent.sleep(SETTLE_S)
+    for name in ("entry", "agent"):
+        print(f"idle {name}: {resident_kb(pid_of(deployment, name))} kB resident")
+    return []
+
+
+def measure_connections(deployment):
+    """Measure memory, processor and traffic by the number of idle connections."""
+    start_pair(deployment)
+    # The agent under measurement is not one that the measured entry connects to.
+    wait_until(lambda: deployment.status("agent"), 20, "agent answers")
+    jobs = [
+        gevent.spawn(entry_connections, deployment),
+        gevent.spawn(agent_connections, deployment),
+    ]
+    gevent.joinall(jobs, raise_error=True)
+    return [slope for job in jobs for slope in job.value]
+
+
+def entry_connections(deployment):
+    meter, peers, store = Meter("entry"), [], store_of(deployment)
+    for count in CONNECTIONS:
+        while len(peers) < count:
+            peers.append(AgentPeer(len(peers)))
+            peers[-1].register(store)
+        if count:
+            deployment.wait_agents("entry", count)
+        meter.take(pid_of(deployment, "entry"), count, peers)
+    return meter.slopes()
+
+
+def agent_connections(deployment):
+    meter, peers = Meter("agent"), []
+    for count in ENTRY_CONNECTIONS:
+        while len(peers) < count:
+            peers.append(EntryPeer(len(peers), deployment.ports["agent"]))
+        meter.take(pid_of(deployment, "agent"), count, peers)
+    return meter.slopes()
+
+
+def completions(deployment, requests, tokens, workers=8):
+    """Stream ``requests`` completions of ``tokens`` tokens over several callers."""
+    caller = deployment.caller("entry")
+    todo = list(range(requests))
+
+    def work():
+        while todo:
+            number = todo.pop()
+            answer, _events = caller.stream(f"prompt {number}", tokens)
+            assert answer.status == 200, answer
+
+    gevent.joinall([gevent.spawn(work) for _ in range(workers)], raise_error=True)
+
+
+def used_by(deployment, action):
+    pids = [pid_of(deployment, name) for name in ("entry", "agent")]
+    before = [cpu_ms(pid) for pid in pids]
+    started = time.monotonic()
+    action()
+    elapsed = time.monotonic() - started
+    return [cpu_ms(pid) - used for pid, used in zip(pids, before, strict=True)], elapsed
+
+
+def measure_requests(deployment):
+    """Measure processor time by requests and by streamed tokens."""
+    start_pair(deployment)
+    deployment.wait_agents("entry", 1)
+    completions(deployment, 20, 2)
+    (idle_entry, idle_agent), window = used_by(deployment, lambda: gevent.sleep(10))
+    idle = (idle_entry / window, idle_agent / window)
+    slopes = []
+    for title, x, points in (
+        ("requests of 1 token", "request", [(n, n, 1) for n in (50, 100, 200, 400)]),
+        ("tokens of 40 requests", "token", [(40 * n, 40, n) for n in (10, 40, 80, 160)]),
+    ):
+        pair = [Slope(f"{role}, {title}", x, "ms of CPU") for role in ("entry", "agent")]
+        for count, requests, tokens in points:
+            used, elapsed = used_by(
+                deployment, lambda r=requests, t=tokens: completions(deployment, r, t)
+            )
+            for slope, spent, base in zip(pair, used, idle, strict=True):
+                slope.add(count, spent - base * elapsed)
+        slopes.extend(pair)
+    return slopes
+
+
+def measure_bytes(deployment):
+    """Measure processor time by the bytes of a plain service's responses."""
+    deployment.start_platform()
+    body = bytes(4 * 1024 * 1024)
+
+    def service(environ, start_response):
+        size = int(environ["PATH_INFO"].rsplit("/", 1)[1])
+        headers = [("Content-Type", "application/octet-stream"), ("Content-Length", str(size))]
+        start_response("200 OK", headers)
+        return [body[:size]]
+
+    server = WSGIServer((HOST, 0), service, log=None, error_log=None)
+    server.start()
+    deployment.ports["service"] = server.server_port
+    deployment.start_agent("agent", "cebu", "service", "plain-service", "storefront", 32)
+    deployment.start_entry("entry", "cebu")
+    deployment.wait_agents("entry", 1)
+    pair = [Slope(f"{r}, response bytes of 20", "MB", "ms of CPU") for r in ("entry", "agent")]
+    for size in (1_000, 100_000, 400_000, 1_000_000):
+
+        def fetch(size=size):
+            for _ in range(20):
+                answer = deployment.caller("entry").send("GET", f"/services/storefront/{size}")
+                assert len(answer.body) == size, answer.status
+
+        used, _elapsed = used_by(deployment, fetch)
+        for slope, spent in zip(pair, used, strict=True):
+            slope.add(20 * size / 1e6, spent)
+    return pair
+
+
+def measure_configuration(deployment):
+    """Measure how long a configuration takes to reach all agents of an entry, and its bytes."""
+    deployment.start_platform()
+    text = (ROOT / "examples/bituin/configuration.jsonc").read_text()
+    store, peers = store_of(deployment), []
+    version = store.put(CONFIGURATION_KEY, text.encode(), None).unwrap().version
+    deployment.start_entry("entry", "cebu")
+    wait_until(lambda: deployment.status("entry"), 20, "entry answers")
+    pid = pid_of(deployment, "entry")
+    delay = Slope("configuration fan-out", "connection", "ms until the last agent has it")
+    spent = Slope("configuration fan-out, entry", "connection", "ms of CPU")
+    payload = Slope("configuration fan-out, payload", "connection", "bytes")
+    for count in (10, 20, 40, 80):
+        while len(peers) < count:
+            peers.append(AgentPeer(len(peers)))
+            peers[-1].register(store)
+        deployment.wait_agents("entry", count)
+        gevent.sleep(SETTLE_S)
+        (used, sent), started = (cpu_ms(pid), totals(peers)[0]), time.monotonic()
+        changed = f"// change {count}\n{text}".encode()
+        version = store.put(CONFIGURATION_KEY, changed, version).unwrap().version
+        wait_until(lambda v=version: all(p.revision == v for p in peers), 20, "all have it")
+        delay.add(count, 1000 * (max(peer.revision_at for peer in peers) - started))
+        gevent.sleep(0.1)
+        spent.add(count, cpu_ms(pid) - used)
+        payload.add(count, totals(peers)[0] - sent)
+    print(f"configuration of {len(text)} bytes")
+    return [delay, spent, payload]
+
+
+def measure_handshakes(deployment):
+    """Measure the agent's processor time by connections that are opened, proved and closed."""
+    start_pair(deployment)
+    wait_until(lambda: deployment.status("agent"), 20, "agent answers")
+    pid, port = pid_of(deployment, "agent"), deployment.ports["agent"]
+    identity = Identity("bituin", "peer", "entry", "cebu", "1" * 12, KEY.encode())
+    spent = Slope("handshakes, agent", "connection opened and closed", "ms of CPU")
+    own = Slope("handshakes, connecting side", "connection opened and closed", "ms of CPU")
+    for count in (20, 40, 80, 160):
+        used, own_used = cpu_ms(pid), time.process_time()
+        for _ in range(count):
+            session = open_session(HOST, port, identity, SystemClock(), Queue(), HEARTBEAT_MS)
+            session.close("measured")
+        gevent.sleep(0.5)
+        spent.add(count, cpu_ms(pid) - used)
+        own.add(count, 1000 * (time.process_time() - own_used))
+    return [spent, own]
+
+
+MEASURES = {
+    "handshakes": measure_handshakes,
+    "idle": measure_idle,
+    "connections": measure_connections,
+    "requests": measure_requests,
+    "bytes": measure_bytes,
+    "configuration": measure_configuration,
+}
+
+
+def main():
+    name = sys.argv[1]
+    configure_logs(open("/dev/null", "w"))  # noqa: SIM115
+    deployment = Deployment()
+    try:
+        measured = MEASURES[name](deployment)
+    finally:
+        deployment.stop()
+    for slope in measured:
+        print(slope.text())
+    if measured and len(sys.argv) > 2:
+        save(Path(sys.argv[2]) / f"{name}.json", measured)
+
+
+if __name__ == "__main__":
+    main()
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -14,3 +14,4 @@
 python -m pytest $patched
 python -m behave --no-capture --format progress3 tests/features
 python -m pistachionotch demo
+python scripts/process_slopes.py idle
--- a/src/pistachionotch/cli/commands.py
+++ b/src/pistachionotch/cli/commands.py
@@ -34,6 +34,7 @@
     "apply": Command(".apply", "apply", "put a configuration into effect everywhere"),
     "status": Command(".status", "status", "show processes, members, queues and revisions"),
     "explain": Command(".status", "explain", "show the decisions for one request"),
+    "slopes": Command(".slopes", "slopes", "measure what duties and stored objects cost"),
     "drain": Command(".status", "drain", "tell a process to finish its work and stop"),
 }
 
