Start daemons without loading fire

Cause: fire is imported to bind the one argument of a daemon, and stays in memory. Ruled out: removing fire from the other commands; only required texts are passed on without it, as it would pass them on unchanged.

--- a/src/pistachionotch/cli/invocation.py
+++ b/src/pistachionotch/cli/invocation.py
@@ -29,6 +29,8 @@
     if any(argument in ("-h", "--help") for argument in arguments):
         print(help_text(name, command))
         return ExitCode.DONE
+    if _only_required_texts(command, arguments):
+        return int(command(*arguments))
     import fire
     from fire.core import FireExit
 
@@ -48,6 +50,19 @@
     return ExitCode.USAGE
 
 
+def _only_required_texts(command: Callable[..., int], arguments: Sequence[str]) -> bool:
+    """Return whether the arguments are just the texts that the command requires.
+
+    Fire would pass them on unchanged, but costs 0.9 MB of memory that a daemon would keep.
+    """
+    parameters = inspect.signature(command, eval_str=True).parameters.values()
+    required = [item for item in parameters if item.default is inspect.Parameter.empty]
+    if any(item.annotation is not str for item in required) or len(required) != len(arguments):
+        return False
+    # An option starts with a dash, and a lone dash separates commands.
+    return not any(argument.startswith("-") for argument in arguments)
+
+
 def help_text(name: str, command: Callable[..., int]) -> str:
     """Return the usage line and the documentation of a command.
 
--- a/tests/unit/cli/test_cli.py
+++ b/tests/unit/cli/test_cli.py
@@ -32,6 +32,14 @@
     assert calls == [("12", 3, True)]
 
 
+@pytest.mark.parametrize("text", ["12", "True", "None", "a b", ""])
+def test_required_texts_stay_texts_without_the_parser(calls, monkeypatch, text):
+    # A daemon is started this way and would keep the parser's memory.
+    monkeypatch.setitem(sys.modules, "fire", None)
+    assert execute(["record", text]) == ExitCode.CONFLICT
+    assert calls == [(text, None, False)]
+
+
 @pytest.mark.parametrize(
     "arguments",
     [
