Take medians in routing without the module statistics

Cause: statistics loads decimal and fractions, which nothing else in an entry needs. Ruled out: importing it lazily, since the first routed request would load it.

--- a/src/pistachionotch/routing/place.py
+++ b/src/pistachionotch/routing/place.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import statistics
 from collections.abc import Sequence
 
 import attrs
@@ -153,11 +152,20 @@
     known_first_ms = [value for value in first_ms if value > 0]
     known_speeds = [value for value in speeds if value > 0]
     return Typical(
-        first_token_ms=statistics.median(known_first_ms or [costs.default_first_token_ms]),
-        tokens_per_second=statistics.median(known_speeds or [costs.default_tokens_per_second]),
+        first_token_ms=_median(known_first_ms or [costs.default_first_token_ms]),
+        tokens_per_second=_median(known_speeds or [costs.default_tokens_per_second]),
     )
 
 
+def _median(values: Sequence[float]) -> float:
+    # The module ``statistics`` loads decimals and fractions, 1 MB of memory in every entry.
+    ordered = sorted(values)
+    middle = len(ordered) // 2
+    if len(ordered) % 2:
+        return ordered[middle]
+    return (ordered[middle - 1] + ordered[middle]) / 2
+
+
 def _refuse(estimates: Sequence[Estimate], remaining_ms: int) -> Placement:
     best = estimates[0]
     reason = f"needs {best.total_ms} ms at {best.agent} but has {max(0, remaining_ms)} ms left"
