Return unused memory after a daemon has started

Cause: loading the modules leaves free memory in the C library's heap. Ruled out on a scratch copy: MALLOC_ARENA_MAX=1 with a lower trim threshold and PYTHONMALLOC=malloc, which gain nothing; PYTHONOPTIMIZE=2 saves 0.9 MB but removes the assertions of all libraries.

--- a/src/pistachionotch/cli/daemons.py
+++ b/src/pistachionotch/cli/daemons.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import ctypes
+import gc
 import signal
 from typing import Protocol
 
@@ -56,11 +58,23 @@
     gevent.signal_handler(signal.SIGTERM, stopping.set)
     gevent.signal_handler(signal.SIGINT, stopping.set)
     daemon.start()
+    _return_unused_memory()
     _wait(daemon, stopping)
     daemon.drain("signal")
     return ExitCode.DONE
 
 
+def _return_unused_memory() -> None:
+    """Give back what loading the modules left over, 0.5 to 1.3 MB."""
+    gc.collect()
+    # Modules and classes live as long as the process, so later collections need not visit them.
+    gc.freeze()
+    libc = ctypes.CDLL(None)
+    # Only the GNU C library has this function.
+    if hasattr(libc, "malloc_trim"):
+        libc.malloc_trim(0)
+
+
 def _wait(daemon: Daemon, stopping: Event) -> None:
     """Wait for a signal, or for a drain that an operator asked for over HTTP."""
     while not stopping.wait(0.5):
