Wake a link's heartbeat task only when something is due

Cause: each link of an entry woke every 100 ms, 800 times a second at 80 links. Ruled out: looking for silence only at heartbeats, which would find it up to 2 s later; the task wakes at the moment at which the peer has missed its deadline.

--- a/src/pistachionotch/entry/links.py
+++ b/src/pistachionotch/entry/links.py
@@ -22,7 +22,6 @@
 
 RECONNECT_MIN_MS = 100
 RECONNECT_MAX_MS = 5000
-CHECK_MS = 100
 
 
 @attrs.frozen
@@ -169,14 +168,16 @@
             heartbeats.kill(block=False)
 
     def _beat(self, session: Session) -> None:
-        sent_ms = self.clock.now_ms()
+        due_ms = self.clock.now_ms() + self.heartbeat_ms
         while not session.closed:
-            self.clock.sleep_ms(min(CHECK_MS, self.heartbeat_ms))
+            now_ms = self.clock.now_ms()
+            # An entry has 80 links, so a task wakes only when something is due.
+            self.clock.sleep_ms(max(0, min(due_ms - now_ms, session.silent_in_ms())))
             if session.silent():
                 session.close("no heartbeat")
                 return
-            if self.clock.now_ms() - sent_ms >= self.heartbeat_ms:
-                sent_ms = self.clock.now_ms()
+            if self.clock.now_ms() >= due_ms:
+                due_ms = self.clock.now_ms() + self.heartbeat_ms
                 self._send_heartbeat(session)
 
     def _send_heartbeat(self, session: Session) -> None:
--- a/src/pistachionotch/wire/session.py
+++ b/src/pistachionotch/wire/session.py
@@ -155,8 +155,12 @@
 
     def silent(self) -> bool:
         """Return whether the peer missed its heartbeat deadline."""
+        return self.silent_in_ms() <= 0
+
+    def silent_in_ms(self) -> int:
+        """Return how long the peer may still be silent before it has missed its deadline."""
         silence_ms = self.clock.now_ms() - self.last_received_ms
-        return silence_ms > MISSED_HEARTBEATS * self.heartbeat_ms
+        return MISSED_HEARTBEATS * self.heartbeat_ms + 1 - silence_ms
 
     def run(self) -> None:
         """Read until the connection ends; then deliver ``SessionClosed`` to the inbox."""
