Measure the tokens of a trainer's step and the size of registrations

Cause: the slope of streamed tokens includes the events to the caller, which samples do not have, and the size of the list of registrations was an estimate.

--- a/scripts/process_slopes.py
+++ b/scripts/process_slopes.py
@@ -1,6 +1,6 @@
 """Measure entry and agent processes: ``python scripts/process_slopes.py NAME [FOLDER]``.
 
-NAME is ``idle``, ``connections``, ``requests``, ``bytes``, ``handshakes`` or ``configuration``. Processor time and
+NAME is ``idle``, ``connections``, ``requests``, ``samples``, ``bytes``, ``handshakes`` or ``configuration``. Processor time and
 resident memory are those of the measured process in /proc; peers and stand-ins run in this one.
 """
 
@@ -280,6 +280,42 @@
     return slopes
 
 
+def measure_samples(deployment):
+    """Measure processor time by the tokens of a trainer's step, from order to acknowledgement."""
+    start_pair(deployment)
+    deployment.wait_agents("entry", 1)
+    pair = [Slope(f"{r}, step of 32 samples", "token", "ms of CPU") for r in ("entry", "agent")]
+    for step, tokens in enumerate((10, 40, 80, 160), start=1):
+        used, _elapsed = used_by(
+            deployment, lambda s=step, t=tokens: run_step(deployment.caller("entry"), s, t)
+        )
+        for slope, spent in zip(pair, used, strict=True):
+            slope.add(32 * tokens, spent)
+    return pair
+
+
+def run_step(caller, step, tokens):
+    wanted = {
+        "trainer": "tuner",
+        "step": step,
+        "model": "fitting",
+        "prompts": [f"prompt {number}" for number in range(8)],
+        "samples_per_group": 4,
+        "max_tokens": tokens,
+    }
+    answer = caller.send("POST", "/v1/steps", wanted)
+    assert answer.status in (200, 201), answer
+    cursor, found = 0, 0
+    while True:
+        pulled = caller.send("GET", f"/v1/steps/tuner/{step}/samples?cursor={cursor}").json()
+        found += len(pulled.get("samples", ()))
+        if pulled.get("complete"):
+            assert found == 32, found
+            return
+        if pulled.get("samples"):
+            cursor += 1
+
+
 def measure_bytes(deployment):
     """Measure processor time by the bytes of a plain service's responses."""
     deployment.start_platform()
@@ -365,6 +401,7 @@
     "idle": measure_idle,
     "connections": measure_connections,
     "requests": measure_requests,
+    "samples": measure_samples,
     "bytes": measure_bytes,
     "configuration": measure_configuration,
 }
--- a/src/pistachionotch/bench/slopes/store.py
+++ b/src/pistachionotch/bench/slopes/store.py
@@ -60,7 +60,8 @@
     """Run the object API stand-in and read its counters over HTTP."""
 
     def __init__(self) -> None:
-        self.server = serve(ObjectStoreApp())
+        self.app = ObjectStoreApp()
+        self.server = serve(self.app)
         self.clock = SystemClock()
         self.rng = random.Random(1)
 
@@ -77,6 +78,14 @@
         finally:
             client.close()
 
+    def answer_bytes(self, path: str) -> int:
+        """Return the size of the body that a path answers with."""
+        client = HTTPClient(HOST, self.server.server_port, concurrency=1)
+        try:
+            return len(client.get(path).read())
+        finally:
+            client.close()
+
     def calls_of(self, action: Callable[[], Any]) -> dict[str, int]:
         """Return the calls that an action makes, by kind."""
         before = self.counters()
@@ -246,6 +255,8 @@
 def measure_registrations() -> list[Slope]:
     """Measure the calls of agents that start."""
     slopes = _slopes("registration", "agent started", "calls")
+    listed = Slope("list of all registrations", "agent", "bytes")
+    watched = Slope("watch of all registrations, nothing changed", "agent", "bytes")
     for count in (5, 10, 20):
         counted = CountedStore()
         store = counted.client()
@@ -255,8 +266,11 @@
                 Registration(store, member, SystemClock(), logger("agent")).run()
 
         _add(slopes, count, counted.calls_of(register))
+        listed.add(count, counted.answer_bytes("/objects?prefix=members/"))
+        since = counted.app.store.revision
+        watched.add(count, counted.answer_bytes(f"/watch?prefix=members/&since={since}"))
         counted.stop()
-    return _used(slopes)
+    return [*_used(slopes), listed, watched]
 
 
 def measure_claims() -> list[Slope]:
