Join the tokens of a sample for a second

Cause: the entry that coordinates a step takes a message per token although nobody reads a sample before it is complete. Ruled out: one message at the end, since the entry needs the time of the first token, and a broken run would lose all its tokens. The first token and a change of version are sent at once.

--- a/src/pistachionotch/agent/upstream.py
+++ b/src/pistachionotch/agent/upstream.py
@@ -19,6 +19,8 @@
 PIECE_BYTES = 64 * 1024
 # Tokens that arrive within this time share one message, which bounds the messages of fast streams.
 COALESCE_MS = 20
+# Nobody reads a sample before it is complete, and one entry takes the tokens of a trainer's step.
+SAMPLE_COALESCE_MS = 1000
 MAX_EVENT_BYTES = 256 * 1024
 NO_VERSION = -1
 _HOP_HEADERS = frozenset(
@@ -140,7 +142,8 @@
     if response.status_code != 200:
         emit(UpstreamPiece(bytes(response.read(PIECE_BYTES)), NO_VERSION, 0))
         return UpstreamEnd(response.status_code, (("Content-Type", "application/json"),))
-    coalescer = Coalescer(clock, emit)
+    wait_ms = SAMPLE_COALESCE_MS if submit.retain else COALESCE_MS
+    coalescer = Coalescer(clock, emit, wait_ms)
     for event in _events(response):
         if event == b"[DONE]":
             coalescer.flush()
@@ -168,10 +171,11 @@
 
     clock: Clock
     emit: Emit
+    wait_ms: int = COALESCE_MS
     text: bytes = b""
     version: int = NO_VERSION
     tokens: int = 0
-    flushed_ms: int = -COALESCE_MS
+    flushed_ms: int | None = None
 
     def add(self, text: bytes, version: int) -> None:
         """Add one token, sending what has waited long enough."""
@@ -180,7 +184,8 @@
         self.version = version
         self.text += text
         self.tokens += 1
-        if self.clock.now_ms() - self.flushed_ms >= COALESCE_MS:
+        # The first token goes out at once; the entry takes the engine's speed from its time.
+        if self.flushed_ms is None or self.clock.now_ms() - self.flushed_ms >= self.wait_ms:
             self.flush()
 
     def flush(self) -> None:
--- a/tests/unit/agent/test_upstream.py
+++ b/tests/unit/agent/test_upstream.py
@@ -6,13 +6,14 @@
 from gevent.server import StreamServer
 
 from pistachionotch.agent.upstream import (
+    Coalescer,
     EngineUpstream,
     ServiceUpstream,
     UpstreamBroken,
     UpstreamEnd,
     call,
 )
-from pistachionotch.clock import SystemClock
+from pistachionotch.clock import ManualClock, SystemClock
 from pistachionotch.outcomes import RequestClass
 from pistachionotch.standins.engine import EngineStandIn
 from pistachionotch.standins.http import start_server
@@ -96,3 +97,20 @@
     outcome, _pieces = _run(EngineUpstream(HOST, server.server_port, "fitting"), _completion(9))
     server.stop(timeout=0)
     assert isinstance(outcome, UpstreamBroken)
+
+
+def test_tokens_of_a_sample_share_messages_but_never_versions():
+    """Guards against a message per token of a sample, and against tokens with a wrong label."""
+    clock, pieces = ManualClock(), []
+    coalescer = Coalescer(clock, pieces.append, wait_ms=1000)
+    for number in range(100):
+        coalescer.add(b"t", 1 if number < 60 else 2)
+        clock.advance(25)
+    coalescer.flush()
+    assert pieces[0].tokens == 1
+    assert len(pieces) <= 6
+    labelled = {
+        version: sum(p.tokens for p in pieces if p.version == version) for version in (1, 2)
+    }
+    assert labelled == {1: 60, 2: 40}
+    assert b"".join(piece.data for piece in pieces) == b"t" * 100
