Look every 500 ms for samples that a waiting pull can take

Cause: a waiting pull read the ledger and the published version every 100 ms. Ruled out: waking it at each recorded sample, since any entry may answer a pull. Before: 16.9 to 18.4 gets a second for each waiting trainer. A pull may answer up to 0.4 s later.

--- a/src/pistachionotch/entry/steps.py
+++ b/src/pistachionotch/entry/steps.py
@@ -28,7 +28,7 @@
 LEASE_TTL_MS = 6000
 STEP_MS = 250
 SLOTS_IN_FLIGHT = 64
-PULL_POLL_MS = 100
+PULL_POLL_MS = 500
 MAX_PULL_WAIT_MS = 20_000
 SAMPLE_TIMEOUT_MS = 120_000
 MAX_KNOWN_REQUESTS = 16
