Fetch a configuration from one entry at a time

Cause: all entries of an agent offer a new revision at once, and the agent fetched it from each. Ruled out: fetching only once, since the entry that was asked may have fallen silent; after 1 s the next offer or heartbeat leads to another fetch.

--- a/scripts/process_slopes.py
+++ b/scripts/process_slopes.py
@@ -1,6 +1,7 @@
 """Measure entry and agent processes: ``python scripts/process_slopes.py NAME [FOLDER]``.
 
-NAME is ``idle``, ``connections``, ``requests``, ``samples``, ``bytes``, ``handshakes`` or ``configuration``. Processor time and
+NAME is ``idle``, ``connections``, ``requests``, ``samples``, ``bytes``, ``fetches``,
+``handshakes`` or ``configuration``. Processor time and
 resident memory are those of the measured process in /proc; peers and stand-ins run in this one.
 """
 
@@ -117,14 +118,17 @@
         )
         self.inbox = Queue()
         clock = SystemClock()
+        self.fetches = 0
         self.session = open_session(HOST, port, identity, clock, self.inbox, HEARTBEAT_MS)
         gevent.spawn(self.session.run)
-        gevent.spawn(self.drop)
+        gevent.spawn(self.answer)
         gevent.spawn(self.beat)
 
-    def drop(self):
-        for _message in self.inbox:
-            continue
+    def answer(self):
+        for session, message in self.inbox:
+            if isinstance(message, messages.ConfigFetch):
+                self.fetches += 1
+                session.send(messages.ConfigBody(message.revision, b"{}"))
 
     def beat(self):
         while not self.session.closed:
@@ -377,6 +381,23 @@
     return [delay, spent, payload]
 
 
+def measure_fetches(deployment):
+    """Measure how often an agent fetches a configuration that all its entries offer at once."""
+    start_pair(deployment)
+    wait_until(lambda: deployment.status("agent"), 20, "agent answers")
+    fetches, peers = Slope("configuration fetches of an agent", "connected entry", "fetches"), []
+    for revision, count in enumerate((8, 16, 24, 48), start=1000):
+        while len(peers) < count:
+            peers.append(EntryPeer(len(peers), deployment.ports["agent"]))
+        gevent.sleep(1)
+        before = sum(peer.fetches for peer in peers)
+        for peer in peers:
+            peer.session.send(messages.ConfigOffer(revision))
+        gevent.sleep(2)
+        fetches.add(count, sum(peer.fetches for peer in peers) - before)
+    return [fetches]
+
+
 def measure_handshakes(deployment):
     """Measure the agent's processor time by connections that are opened, proved and closed."""
     start_pair(deployment)
@@ -397,6 +418,7 @@
 
 
 MEASURES = {
+    "fetches": measure_fetches,
     "handshakes": measure_handshakes,
     "idle": measure_idle,
     "connections": measure_connections,
--- a/src/pistachionotch/agent/core.py
+++ b/src/pistachionotch/agent/core.py
@@ -28,6 +28,9 @@
 # Heartbeats and silence are looked at this often; waiting work is looked at every TICK_MS.
 IDLE_TICK_MS = 200
 DRAIN_RETRY_MS = 1000
+# All 24 entries of an agent offer a new configuration at once. If the one that was asked does not
+# answer in this time, the next offer or heartbeat of any entry leads to another fetch.
+CONFIG_ANSWER_MS = 1000
 MAX_ATTEMPTS = 4096
 # At 9 trainers with 2,048 samples a step and 1,100 agents, a step leaves about 17 bodies here.
 MAX_RETAINED_BYTES = 4 * 1024 * 1024
@@ -71,6 +74,8 @@
     waiting: dict[str, AttemptRunner] = attrs.field(factory=dict)
     running: dict[str, tuple[AttemptRunner, gevent.Greenlet]] = attrs.field(factory=dict)
     work_waits: Event = attrs.field(factory=Event)
+    fetched_revision: int = 0
+    fetch_again_ms: int = 0
 
     def run(self) -> None:
         """Serve the inbox until the greenlet is killed."""
@@ -137,13 +142,22 @@
             self.log.info("entry connected", entry=session.peer.node)
             if self.queue.draining:
                 session.send(messages.Leaving("draining"))
-        if message.config_revision > self.revisions.revision:
-            session.send(messages.ConfigFetch(message.config_revision))
+        self._fetch_config(session, message.config_revision)
 
     @handle.register
     def _(self, message: messages.ConfigOffer, session: Session) -> None:
-        if message.revision > self.revisions.revision:
-            session.send(messages.ConfigFetch(message.revision))
+        self._fetch_config(session, message.revision)
+
+    def _fetch_config(self, session: Session, revision: int) -> None:
+        """Ask for a newer revision, of one entry at a time."""
+        now_ms = self.clock.now_ms()
+        if revision <= self.revisions.revision:
+            return
+        if revision <= self.fetched_revision and now_ms < self.fetch_again_ms:
+            return
+        self.fetched_revision = revision
+        self.fetch_again_ms = now_ms + CONFIG_ANSWER_MS
+        session.send(messages.ConfigFetch(revision))
 
     @handle.register
     def _(self, message: messages.ConfigFetch, session: Session) -> None:
--- a/src/pistachionotch/bench/slopes/sizes.py
+++ b/src/pistachionotch/bench/slopes/sizes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import base64
+import json
 import random
 import time
 from collections.abc import Callable
@@ -9,6 +11,7 @@
 from ...admission.load import LoadFacts
 from ...clock import MS_PER_SECOND
 from ...idempotency.claim import ClaimPhase, StoredClaim
+from ...lease.record import LeaseRecord
 from ...membership.directory import Member, encode_members
 from ...samples.ledger import StepLedger, StepPlan
 from ...samples.ledger_format import from_bytes, to_bytes
@@ -64,7 +67,22 @@
     ledger = Slope("step ledger, all slots ready", "slot", "bytes")
     for count in (128, 512, 1024, 2048):
         ledger.add(count, len(to_bytes(filled_ledger(count))))
-    return [directory, ledger, _claims(), _heartbeats()]
+    return [directory, ledger, _leases(), _claims(), _heartbeats()]
+
+
+def _leases() -> Slope:
+    """Measure the answer to a list of leases as the object API's protocol has it."""
+    listed = Slope("list of leases", "lease", "bytes")
+    session = f"entry-visayas-cebu-01/{1:016x}"
+    record = LeaseRecord("entry-visayas-cebu-01", session, f"{session}/{2:016x}", 12, 6000)
+    value = base64.b64encode(record.to_bytes()).decode()
+    for count in (1, 9, 36, 45):
+        items = [
+            {"key": f"leases/weights/fitting-zone-{number:02d}", "version": 12345, "value": value}
+            for number in range(count)
+        ]
+        listed.add(count, len(json.dumps({"revision": 12345, "objects": items})))
+    return listed
 
 
 def _claims() -> Slope:
