Answer an entry's heartbeat at once

Cause: the heartbeats of both sides were sent at different times, so each needed its own TCP acknowledgement and its own wake-up of the entry. Ruled out: longer intervals, which would break the bounds on silent connections. The stand-in of the agent in the script answers in the same way.

--- a/scripts/process_slopes.py
+++ b/scripts/process_slopes.py
@@ -1,8 +1,8 @@
 """Measure entry and agent processes: ``python scripts/process_slopes.py NAME [FOLDER]``.
 
 NAME is ``idle``, ``connections``, ``requests``, ``samples``, ``bytes``, ``fetches``,
-``handshakes`` or ``configuration``. Processor time and
-resident memory are those of the measured process in /proc; peers and stand-ins run in this one.
+``handshakes`` or ``configuration``. Processor time and resident memory are those of the measured
+process in /proc; peers and stand-ins run in this one.
 """
 
 from gevent import monkey
@@ -79,22 +79,16 @@
         self.tasks = [
             gevent.spawn(self.server.serve_forever),
             gevent.spawn(self.run),
-            gevent.spawn(self.beat),
         ]
 
-    def beat(self):
-        while True:
-            for session in list(self.sessions):
-                session.send(messages.Heartbeat(0, self.revision, LOAD))
-            gevent.sleep(HEARTBEAT_MS / 1000)
-
     def run(self):
         for session, message in self.inbox:
             if isinstance(message, SessionClosed):
                 self.sessions.discard(session)
                 continue
-            if session not in self.sessions:
-                self.sessions.add(session)
+            self.sessions.add(session)
+            if isinstance(message, messages.Heartbeat):
+                # An agent answers each heartbeat of an entry with its own.
                 session.send(messages.Heartbeat(0, self.revision, LOAD))
             if isinstance(message, messages.ConfigOffer) and message.revision > self.revision:
                 session.send(messages.ConfigFetch(message.revision))
--- a/src/pistachionotch/agent/core.py
+++ b/src/pistachionotch/agent/core.py
@@ -27,6 +27,7 @@
 TICK_MS = 50
 # Heartbeats and silence are looked at this often; waiting work is looked at every TICK_MS.
 IDLE_TICK_MS = 200
+ANSWER_SLACK_MS = 2 * IDLE_TICK_MS
 DRAIN_RETRY_MS = 1000
 # All 24 entries of an agent offer a new configuration at once. If the one that was asked does not
 # answer in this time, the next offer or heartbeat of any entry leads to another fetch.
@@ -114,7 +115,8 @@
             if session.silent():
                 session.close("no heartbeat")
                 continue
-            if now_ms - last_sent_ms < self.heartbeat_ms:
+            # Normally the entry's next heartbeat is answered before this is due.
+            if now_ms - last_sent_ms < self.heartbeat_ms + ANSWER_SLACK_MS:
                 continue
             self._send_heartbeat(session)
 
@@ -142,6 +144,9 @@
             self.log.info("entry connected", entry=session.peer.node)
             if self.queue.draining:
                 session.send(messages.Leaving("draining"))
+        elif self.clock.now_ms() - self.sessions[session] >= self.heartbeat_ms // 2:
+            # An answer sent at once also carries TCP's acknowledgement.
+            self._send_heartbeat(session)
         self._fetch_config(session, message.config_revision)
 
     @handle.register
