--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -20,4 +20,5 @@
 python -m behave --no-capture --format progress3 tests/features
 scripts/build.sh
 python dist/pistachionotch demo
+python scripts/process_slopes.py idle
 python -m pytest --numprocesses 6 --ignore tests/unit/agent --ignore tests/unit/wire
--- a/src/pistachionotch/agent/core.py
+++ b/src/pistachionotch/agent/core.py
@@ -8,11 +8,12 @@
 
 import attrs
 import gevent
+from gevent.event import Event
 from gevent.queue import Queue
 
 from ..admission.load import LoadFacts, RunFacts
 from ..admission.queue import AdmissionQueue, Admitted, ExpiredWork, QueuedWork
-from ..clock import Clock, Deadline
+from ..clock import MS_PER_SECOND, Clock, Deadline
 from ..config.revisions import Revisions
 from ..idempotency.book import ClaimBook
 from ..outcomes import Execution
@@ -25,7 +26,13 @@
 from .upstream import Upstream
 
 TICK_MS = 50
+# Heartbeats and silence are looked at this often; waiting work is looked at every TICK_MS.
+IDLE_TICK_MS = 200
+ANSWER_SLACK_MS = 2 * IDLE_TICK_MS
 DRAIN_RETRY_MS = 1000
+# All 24 entries of an agent offer a new configuration at once. If the one that was asked does not
+# answer in this time, the next offer or heartbeat of any entry leads to another fetch.
+CONFIG_ANSWER_MS = 1000
 MAX_ATTEMPTS = 4096
 # At 9 trainers with 2,048 samples a step and 1,100 agents, a step leaves about 17 bodies here.
 MAX_RETAINED_BYTES = 4 * 1024 * 1024
@@ -69,6 +76,9 @@
     sessions: dict[Session, int] = attrs.field(factory=dict)
     waiting: dict[str, AttemptRunner] = attrs.field(factory=dict)
     running: dict[str, tuple[AttemptRunner, gevent.Greenlet]] = attrs.field(factory=dict)
+    work_waits: Event = attrs.field(factory=Event)
+    fetched_revision: int = 0
+    fetch_again_ms: int = 0
 
     def run(self) -> None:
         """Serve the inbox until the greenlet is killed."""
@@ -89,7 +99,11 @@
 
     def _tick(self) -> None:
         while True:
-            self.clock.sleep_ms(TICK_MS)
+            if self.waiting:
+                self.clock.sleep_ms(TICK_MS)
+            else:
+                self.work_waits.wait(IDLE_TICK_MS / MS_PER_SECOND)
+            self.work_waits.clear()
             self.inbox.put((None, Tick()))
 
     @singledispatchmethod
@@ -105,7 +119,8 @@
             if session.silent():
                 session.close("no heartbeat")
                 continue
-            if now_ms - last_sent_ms < self.heartbeat_ms:
+            # Normally the entry's next heartbeat is answered before this is due.
+            if now_ms - last_sent_ms < self.heartbeat_ms + ANSWER_SLACK_MS:
                 continue
             self._send_heartbeat(session)
 
@@ -134,13 +149,25 @@
             self.log.info("entry connected", entry=session.peer.node)
             if self.queue.draining:
                 session.send(messages.Leaving("draining"))
-        if message.config_revision > self.revisions.revision:
-            session.send(messages.ConfigFetch(message.config_revision))
+        elif self.clock.now_ms() - self.sessions[session] >= self.heartbeat_ms // 2:
+            # An answer sent at once also carries TCP's acknowledgement.
+            self._send_heartbeat(session)
+        self._fetch_config(session, message.config_revision)
 
     @handle.register
     def _(self, message: messages.ConfigOffer, session: Session) -> None:
-        if message.revision > self.revisions.revision:
-            session.send(messages.ConfigFetch(message.revision))
+        self._fetch_config(session, message.revision)
+
+    def _fetch_config(self, session: Session, revision: int) -> None:
+        """Ask for a newer revision, of one entry at a time."""
+        now_ms = self.clock.now_ms()
+        if revision <= self.revisions.revision:
+            return
+        if revision <= self.fetched_revision and now_ms < self.fetch_again_ms:
+            return
+        self.fetched_revision = revision
+        self.fetch_again_ms = now_ms + CONFIG_ANSWER_MS
+        session.send(messages.ConfigFetch(revision))
 
     @handle.register
     def _(self, message: messages.ConfigFetch, session: Session) -> None:
@@ -202,6 +229,7 @@
             self._refuse(runner, answer.reason, retry_after_ms, "refused")
             return
         self.waiting[message.attempt] = runner
+        self.work_waits.set()
         self._log_admission(message, "queued", "")
 
     def _refusal(self, message: messages.Submit) -> tuple[str, int] | None:
--- a/src/pistachionotch/entry/daemon.py
+++ b/src/pistachionotch/entry/daemon.py
@@ -16,6 +16,7 @@
 from ..config.settings import Settings
 from ..idempotency.cleanup import ClaimCleaner
 from ..lease.lease import Lease
+from ..lease.reading import LeaseReads
 from ..logs import logger
 from ..membership.directory import Directory, Member
 from ..objects.client import HttpObjectStore
@@ -71,6 +72,7 @@
     open_requests: int = 0
     directories: dict[str, DirectoryDuty] = attrs.field(factory=dict)
     store: HttpObjectStore = attrs.field(init=False)
+    lease_reads: LeaseReads = attrs.field(init=False)
     vms: VmList = attrs.field(init=False)
     policy: PolicyView = attrs.field(init=False)
     table: LinkTable = attrs.field(init=False)
@@ -84,6 +86,7 @@
         settings = self.settings
         here = Location(settings.node, settings.zone, settings.region)
         self.store = HttpObjectStore(settings.object_api.host, settings.object_api.port)
+        self.lease_reads = LeaseReads(self.store, self.clock)
         self.vms = HttpVmList(settings.vm_list.host, settings.vm_list.port)
         self.policy = PolicyView(self.revisions)
         self.table = LinkTable(here, self.directory, self._make_link, self.policy)
@@ -102,7 +105,13 @@
         )
         self.steps = self._make_steps()
         self.rollouts = RolloutDuties(
-            self.store, self.clock, self.table, self.policy, settings.node, self.rng
+            self.store,
+            self.clock,
+            self.table,
+            self.policy,
+            settings.node,
+            self.rng,
+            self.lease_reads,
         )
 
     def _make_steps(self) -> StepService:
@@ -210,7 +219,16 @@
 
     def _lease(self, duty: str, shard: str) -> Lease:
         node = self.settings.node
-        return Lease(self.store, self.clock, duty, shard, node, DUTY_LEASE_MS, self.rng)
+        return Lease(
+            self.store,
+            self.clock,
+            duty,
+            shard,
+            node,
+            DUTY_LEASE_MS,
+            self.rng,
+            self.lease_reads,
+        )
 
     def _directory_duty(self, zone: str) -> DirectoryDuty:
         lease = self._lease("directory", zone)
--- a/src/pistachionotch/entry/links.py
+++ b/src/pistachionotch/entry/links.py
@@ -12,7 +12,7 @@
 from gevent.queue import Queue
 
 from ..admission.load import LoadFacts
-from ..clock import Clock
+from ..clock import MS_PER_SECOND, Clock
 from ..config.revisions import Revisions
 from ..membership.directory import Member
 from ..outcomes import RequestClass
@@ -22,7 +22,6 @@
 
 RECONNECT_MIN_MS = 100
 RECONNECT_MAX_MS = 5000
-CHECK_MS = 100
 
 
 @attrs.frozen
@@ -66,6 +65,7 @@
     channels: dict[str, Queue] = attrs.field(factory=dict)
     late_messages: int = 0
     up: Event = attrs.field(factory=Event)
+    interval_changed: Event = attrs.field(factory=Event)
     inbox: Queue = attrs.field(factory=Queue)
     heartbeat_sequence: int = 0
     observations: AgentObservations = attrs.field(factory=AgentObservations)
@@ -189,14 +189,18 @@
             heartbeats.kill(block=False)
 
     def _beat(self, session: Session) -> None:
-        sent_ms = self.clock.now_ms()
+        due_ms = self.clock.now_ms() + self.heartbeat_ms()
         while not session.closed:
-            self.clock.sleep_ms(CHECK_MS)
+            now_ms = self.clock.now_ms()
+            # An entry has 80 links, so a task wakes only when something is due.
+            pause_ms = max(0, min(due_ms - now_ms, session.silent_in_ms()))
+            interval_changed = self.interval_changed.wait(pause_ms / MS_PER_SECOND)
+            self.interval_changed.clear()
             if session.silent():
                 session.close("no heartbeat")
                 return
-            if self.clock.now_ms() - sent_ms >= self.heartbeat_ms():
-                sent_ms = self.clock.now_ms()
+            if interval_changed or self.clock.now_ms() >= due_ms:
+                due_ms = self.clock.now_ms() + self.heartbeat_ms()
                 self._send_heartbeat(session)
 
     def _send_heartbeat(self, session: Session) -> None:
@@ -209,7 +213,7 @@
         """Offer the configuration in force to the agent, and announce a changed interval."""
         if self.session is not None:
             self.session.send(messages.ConfigOffer(self.revisions.revision))
-            self._send_heartbeat(self.session)
+            self.interval_changed.set()
 
     def _lose(self, reason: str) -> None:
         self.log.info("agent connection lost", agent=self.member.node, reason=reason)
--- a/src/pistachionotch/entry/steps.py
+++ b/src/pistachionotch/entry/steps.py
@@ -32,7 +32,7 @@
 
 LEASE_MS = 6000
 STEP_MS = 250
-PULL_POLL_MS = 100
+PULL_POLL_MS = 500
 # A pull without samples waits this long for some, which spares the trainer a second of pause.
 PULL_WAIT_MS = 5000
 RECENT_FINISHED = 64
