Test when an agent fetches a configuration and sends heartbeats

Cause: the features do not show that one entry is asked at a time, that another one is asked when it does not answer, or that heartbeats continue when the entry's do not come. Before and after: the behaviour is the same. 35 unit tests of agent and wire pass. Conclusion: no fault found.

--- /dev/null
+++ b/tests/unit/agent/test_core.py
@@ -0,0 +1,69 @@
+"""Guards against repeated configuration fetches and against heartbeats out of step with entries."""
+
+import pytest
+import structlog
+
+from pistachionotch.admission.limit import ConcurrencyLimit
+from pistachionotch.admission.queue import AdmissionQueue
+from pistachionotch.admission.shares import ClassShares
+from pistachionotch.agent.core import CONFIG_ANSWER_MS, AgentCore, Tick
+from pistachionotch.clock import ManualClock
+from pistachionotch.config.revisions import Revisions
+from pistachionotch.wire import messages
+
+HEARTBEAT_MS = 2000
+
+
+class FakeSession:
+    def __init__(self, node):
+        self.peer = messages.Hello(1, "d", node, "entry", "cebu", "1", b"")
+        self.sent = []
+
+    def send(self, message):
+        self.sent.append(message)
+        return True
+
+    def silent(self):
+        return False
+
+    def count(self, kind):
+        return sum(isinstance(message, kind) for message in self.sent)
+
+
+@pytest.fixture
+def core():
+    clock = ManualClock(10_000)
+    queue = AdmissionQueue(clock, ConcurrencyLimit.fixed(4), ClassShares())
+    log = structlog.get_logger()
+    return AgentCore(clock, None, queue, None, Revisions(), log, HEARTBEAT_MS, None)
+
+
+def test_one_entry_at_a_time_is_asked_for_a_configuration(core):
+    sessions = [FakeSession(f"entry-{number}") for number in range(3)]
+    for session in sessions:
+        core.handle(messages.ConfigOffer(7), session)
+    assert [session.count(messages.ConfigFetch) for session in sessions] == [1, 0, 0]
+    core.handle(messages.ConfigOffer(8), sessions[1])
+    assert sessions[1].count(messages.ConfigFetch) == 1
+
+
+def test_another_entry_is_asked_when_the_first_does_not_answer(core):
+    first, second = FakeSession("entry-1"), FakeSession("entry-2")
+    core.handle(messages.ConfigOffer(7), first)
+    core.clock.advance(CONFIG_ANSWER_MS)
+    core.handle(messages.Heartbeat(1, 7), second)
+    assert second.count(messages.ConfigFetch) == 1
+
+
+def test_a_heartbeat_is_answered_at_once_and_sent_anyway_if_none_comes(core):
+    session = FakeSession("entry-1")
+    core.handle(messages.Heartbeat(1, 0), session)
+    core.clock.advance(HEARTBEAT_MS)
+    core.handle(Tick(), None)
+    assert session.count(messages.Heartbeat) == 1
+    core.handle(messages.Heartbeat(2, 0), session)
+    assert session.count(messages.Heartbeat) == 2
+    for _ in range(3):
+        core.clock.advance(HEARTBEAT_MS // 2)
+        core.handle(Tick(), None)
+    assert session.count(messages.Heartbeat) == 3
