Wait for a claim that is being given back instead of calling it in progress

Cause: since the agent maintains its book, a caller that returned right after an outage could meet the write that gives its earlier claim back and got 409 although no call was running.

--- a/src/pistachionotch/idempotency/book.py
+++ b/src/pistachionotch/idempotency/book.py
@@ -44,6 +44,8 @@
 MAX_RESULT_BYTES = 256 * 1024
 MAX_MEMORY_BYTES = 2 * 1024 * 1024
 RETRY_AFTER_MS = 1_000
+SETTLING_WAIT_MS = 1_000
+SETTLING_POLL_MS = 10
 OUTCOME_UNKNOWN = "the outcome at the upstream is not known"
 STATUS_BY_PHASE = {
     RecordPhase.READY: ClaimStatus.IN_PROGRESS,
@@ -88,6 +90,7 @@
         self.writer = ClaimWriter(store, agent, incarnation)
         # Records for which ``maintain`` has a write to make.
         self.unsettled: dict[str, Record] = {}
+        self.settling: Record | None = None
         self.issued = 0
         self.claims = 0
         self.runs = 0
@@ -183,10 +186,12 @@
             if record.busy:
                 continue
             record.busy = True
+            self.settling = record
             try:
                 settled = self._settle(record)
             finally:
                 record.busy = False
+                self.settling = None
             self.unsettled.pop(record.name, None)
             if not settled:
                 # The store has a problem, so the rest waits; another record is first next time.
@@ -234,6 +239,13 @@
             return self._claim(record)
         if record.phase in FINAL_PHASES:
             return self._decide_known(record)
+        if record is self.settling:
+            # ``maintain`` gives an earlier claim back, which is no call in progress.
+            deadline_ms = self.clock.now_ms() + SETTLING_WAIT_MS
+            while record is self.settling and self.clock.now_ms() < deadline_ms:
+                self.clock.sleep_ms(SETTLING_POLL_MS)
+            if record is not self.settling:
+                return self._begin_claim(name)
         if record.busy:
             return self._in_progress()
         if record.phase is RecordPhase.RELEASING:
--- a/tests/unit/agent/test_upkeep.py
+++ b/tests/unit/agent/test_upkeep.py
@@ -2,12 +2,13 @@
 
 import random
 
+import gevent
 import pytest
 
 from pistachionotch.agent.upkeep import BookUpkeep, ClaimantLiveness
-from pistachionotch.clock import ManualClock
+from pistachionotch.clock import ManualClock, SystemClock
 from pistachionotch.idempotency.book import ClaimBook
-from pistachionotch.idempotency.claim import InProgress, Replay, Run, StoredResult, Unknown
+from pistachionotch.idempotency.claim import InProgress, Refuse, Replay, Run, StoredResult, Unknown
 from pistachionotch.membership.directory import Member
 from pistachionotch.membership.registration import encode_registration
 from pistachionotch.objects.memory import MemoryStore
@@ -62,3 +63,24 @@
 def test_an_unreadable_registration_proves_no_death(store):
     store.set_outage(True)
     assert ClaimantLiveness(store)("agent-3", "i1")
+
+
+def test_a_claim_that_is_being_given_back_is_not_in_progress(store):
+    """A caller that returns right after an outage must not be told of a call in progress."""
+    book = _book(store, "agent-3")
+    store.faults.lose_writes = 50
+    assert isinstance(book.begin(SCOPE, KEY), Refuse)
+    store.faults.lose_writes = 0
+    release, decisions = book.writer.release, []
+
+    def release_slowly(record):
+        job = gevent.spawn(lambda: decisions.append(book.begin(SCOPE, KEY)))
+        gevent.sleep(0.05)
+        job.join(timeout=0)
+        return release(record)
+
+    book.writer.release = release_slowly
+    book.clock = SystemClock()
+    book.maintain()
+    gevent.sleep(0.1)
+    assert [type(decision) for decision in decisions] == [Run]
