Fuzz entry and agent code together against an oracle

The machine sends calls with own, issued and no keys, streams and repeatable calls while frames, connections, processes, upstreams and the object store fail, and judges every answer by what the upstreams really ran.

--- /dev/null
+++ b/tests/unit/calls/test_call_machine.py
@@ -0,0 +1,148 @@
+"""Guards at-most-once runs, truthful answers, deadlines and bounded tables under any fault.
+
+Each mutant lacks one protecting step; the machine has to find the fault that follows.
+"""
+
+import attrs
+import pytest
+from call_machine import SETTINGS, CallMachine
+from hypothesis import settings
+from hypothesis.stateful import run_state_machine_as_test
+from returns.result import Success
+
+from pistachionotch.agent.attempts import AttemptRunner
+from pistachionotch.agent.core import AgentCore
+from pistachionotch.entry import claims, once, router
+from pistachionotch.entry.links import AgentLink
+from pistachionotch.entry.once import OnceCall
+from pistachionotch.entry.router import RoutingState
+from pistachionotch.idempotency.book import ClaimBook
+from pistachionotch.idempotency.claim import Run
+from pistachionotch.outcomes import Execution
+from pistachionotch.wire.assembly import Assembler, CompleteResponse
+
+
+def test_every_guarantee_holds():
+    run_state_machine_as_test(CallMachine, settings=SETTINGS)
+
+
+def run_without_claim(self):
+    return self._call_upstream()
+
+
+def claim_after_sending(self):
+    ran = self._call_upstream()
+    if not self.submit.idempotent:
+        self.book.begin(self.submit.scope, self.submit.key)
+    return ran
+
+
+def begin_ignoring_records(self, scope, key):
+    return Run(0)
+
+
+def accept_any_piece(self, piece):
+    self.parts.append(piece.data)
+    return Success(piece.data)
+
+
+def accept_any_end(self, finished):
+    return Success(CompleteResponse(b"".join(self.parts), finished))
+
+
+def submit_again_with_a_new_key(self, link, reason):
+    if not self.key_from_caller:
+        self.call = attrs.evolve(self.call, key="")
+    yield from self._send("")
+
+
+def same_attempt(_state):
+    return "attempt"
+
+
+def refuse_with_proof(self, runner, reason, retry_after_ms, decision):
+    runner.refuse(reason, Execution.NOT_RUN, retry_after_ms, proved=True)
+
+
+def nothing(*_arguments):
+    return None
+
+
+def earlier_never_ran(*_arguments):
+    return claims.EarlierCall(Execution.NOT_RUN)
+
+
+BOOK_WITHOUT_RECORDS = [
+    (ClaimBook, "finish", nothing),
+    (ClaimBook, "fail_unknown", nothing),
+    (ClaimBook, "not_sent", nothing),
+]
+RAN_TWICE = "ran twice"
+WRONG_NOT_RUN = "answered not-run, but ran"
+WRONG_RESPONSE = "not one of"
+# Where a mutant also leaves entries in tables, ``check_quiet`` is off, so that its own fault shows.
+# The steps that are removed, and the fault that the machine has to report.
+MUTANTS = {
+    "run without a claim": (
+        [(AttemptRunner, "_run", run_without_claim), *BOOK_WITHOUT_RECORDS],
+        RAN_TWICE,
+    ),
+    "claim after sending": (
+        [
+            (AttemptRunner, "_run", claim_after_sending),
+            (CallMachine, "check_quiet", nothing),
+            *BOOK_WITHOUT_RECORDS,
+        ],
+        RAN_TWICE,
+    ),
+    "permit every run": (
+        [
+            (ClaimBook, "begin", begin_ignoring_records),
+            (ClaimBook, "sending", nothing),
+            *BOOK_WITHOUT_RECORDS,
+        ],
+        RAN_TWICE,
+    ),
+    "retry sent work with a new key": (
+        [
+            (OnceCall, "_submit_again", submit_again_with_a_new_key),
+            (CallMachine, "check_quiet", nothing),
+        ],
+        # A retry that is refused is then answered not-run, which is the same fault.
+        f"{RAN_TWICE}|{WRONG_NOT_RUN}",
+    ),
+    "skip the look-up of earlier claims": (
+        [(once, "look_up_earlier_call", earlier_never_ran)],
+        WRONG_NOT_RUN,
+    ),
+    "state proof without having it": ([(AgentCore, "_refuse", refuse_with_proof)], WRONG_NOT_RUN),
+    "no sequence check": (
+        [(Assembler, "add", accept_any_piece), (Assembler, "finish", accept_any_end)],
+        WRONG_RESPONSE,
+    ),
+    "attempts are not told apart": ([(RoutingState, "next_attempt", same_attempt)], WRONG_RESPONSE),
+    "wait long past the deadline": (
+        [(once, "FINAL_ANSWER_GRACE_MS", 5000), (router, "FINAL_ANSWER_GRACE_MS", 5000)],
+        "no answer",
+    ),
+    "no retry time": (
+        [(once, "ASK_AGAIN_MS", 0), (router, "DEFAULT_RETRY_AFTER_MS", 0)],
+        "no retry time",
+    ),
+    "answers stay awaited": ([(AgentLink, "forget", nothing)], "channels are left"),
+    "claims are not maintained": (
+        [(AgentCore, "_maintain_claims", nothing)],
+        "claims are not settled",
+    ),
+}
+MUTANT_SETTINGS = settings(SETTINGS, max_examples=200)
+
+
+@pytest.mark.parametrize("name", MUTANTS)
+def test_machine_finds_the_fault_of(name):
+    replacements, fault = MUTANTS[name]
+    with pytest.MonkeyPatch.context() as patch:
+        for owner, attribute, replacement in replacements:
+            patch.setattr(owner, attribute, replacement)
+        with pytest.raises(AssertionError, match=fault):
+            run_state_machine_as_test(CallMachine, settings=MUTANT_SETTINGS)
