--- a/tests/unit/calls/network.py
+++ b/tests/unit/calls/network.py
@@ -21,14 +21,9 @@
         self.incoming = Queue()
         self.closed = False
         self.last_ms = 0.0
-        self.socket = self._Socket(self)
 
-    class _Socket:
-        def __init__(self, end):
-            self.end = end
-
-        def close(self):
-            self.end.shut()
+    def close_socket(self):
+        self.shut()
 
     def send(self, frame):
         if self.closed or not self.wire.open:
