Forget a non-idempotent attempt when its caller goes away

Found by reading: the generator could be closed before its last lines, which left the attempt's channel in the link's table. Not covered by a test of its own.

--- a/src/pistachionotch/entry/once.py
+++ b/src/pistachionotch/entry/once.py
@@ -51,6 +51,14 @@
 
     def run(self) -> Iterator[RouteEvent]:
         """Yield the response and one final event."""
+        try:
+            yield from self._run()
+        finally:
+            if self.link is not None:
+                self.link.forget(self.attempt)
+                self.link.observations.dropped(self.attempt)
+
+    def _run(self) -> Iterator[RouteEvent]:
         yield from self._send("")
         while not self.ended:
             left_ms = self.call.deadline.at_ms - self.state.clock.now_ms() + FINAL_ANSWER_GRACE_MS
@@ -60,9 +68,6 @@
                 yield self._failed(504, Execution.UNKNOWN, "deadline passed", ASK_AGAIN_MS)
                 break
             yield from self.on_message(message, link)
-        if self.link is not None:
-            self.link.forget(self.attempt)
-            self.link.observations.dropped(self.attempt)
 
     def _send(self, home: str) -> Iterator[RouteEvent]:
         """Submit to ``home`` if given, else to the key's home or to a placed agent."""
