--- a/tests/unit/entry/test_bad_input.py
+++ b/tests/unit/entry/test_bad_input.py
@@ -12,6 +12,7 @@
 from websockets.exceptions import ConnectionClosed
 from websockets.sync.client import connect
 
+from pistachionotch.wire.connections import OrderlyClientConnection
 from pistachionotch.wire.session import Identity, handshake
 from tests.support.deployment import HOST, KEY, Deployment
 
@@ -142,7 +143,14 @@
 
 def _connect_as_entry(deployment):
     address = f"ws://{HOST}:{deployment.ports['agent-3']}/"
-    connection = connect(address, compression=None, max_size=2**21, proxy=None, legacy=True)
+    connection = connect(
+        address,
+        compression=None,
+        max_size=2**21,
+        proxy=None,
+        create_connection=OrderlyClientConnection,
+        legacy=True,
+    )
     identity = Identity("bituin", "entry-9", "entry", "cebu", "i1", KEY.encode())
     return connection, identity
 
