--- a/tests/unit/agent/test_core.py
+++ b/tests/unit/agent/test_core.py
@@ -26,6 +26,9 @@
     def silent(self):
         return False
 
+    def expect_interval(self, interval_ms):
+        self.interval_ms = interval_ms
+
     def count(self, kind):
         return sum(isinstance(message, kind) for message in self.sent)
 
