Report the engine's finish reason instead of a fixed one

Cause: the entry wrote finish_reason 'length' into every completion, since the reason was lost between agent and entry. A completion that the engine stopped early was labelled wrongly. After: the reason travels with the final message; unit test and scenario check it.

--- a/src/pistachionotch/agent/upstream.py
+++ b/src/pistachionotch/agent/upstream.py
@@ -11,7 +11,7 @@
 
 from ..clock import Clock
 from ..objects.client import SingleAttemptClient
-from ..wire.messages import Submit
+from ..wire.messages import FINISH_REASON_HEADER, Submit
 
 CONNECT_TIMEOUT_S = 2.0
 # Upper bound on silence within one response; the attempt's own deadline is usually sooner.
@@ -143,13 +143,16 @@
         emit(UpstreamPiece(bytes(response.read(PIECE_BYTES)), NO_VERSION, 0))
         return UpstreamEnd(response.status_code, (("Content-Type", "application/json"),))
     wait_ms = SAMPLE_COALESCE_MS if submit.retain else COALESCE_MS
+    finish_reason = ""
     coalescer = Coalescer(clock, emit, wait_ms)
     for event in _events(response):
         if event == b"[DONE]":
             coalescer.flush()
-            return UpstreamEnd(200, (("Content-Type", "text/event-stream"),))
+            return UpstreamEnd(200, ((FINISH_REASON_HEADER, finish_reason),))
         chunk = json.loads(event)
-        text = chunk["choices"][0]["text"].encode()
+        choice = chunk["choices"][0]
+        finish_reason = choice.get("finish_reason") or finish_reason
+        text = choice["text"].encode()
         coalescer.add(text, int(chunk.get("weight_version", NO_VERSION)))
     return UpstreamBroken("stream ended without [DONE]", sent=True)
 
--- a/src/pistachionotch/entry/http.py
+++ b/src/pistachionotch/entry/http.py
@@ -14,8 +14,8 @@
 from ..clock import Clock
 from ..findings import InvalidInputError
 from ..outcomes import Execution, Problem
-from ..samples.spans import VersionSpan
 from ..server import BODY_TIMEOUT_S, time_limit
+from ..wire.messages import FINISH_REASON_HEADER
 from .calls import Call, CallDone, CallFailed, Delivered, RouteEvent
 from .requests import (
     MAX_BODY_BYTES,
@@ -133,7 +133,7 @@
         done = ended.done
         if done.status != HTTPStatus.OK:
             return HttpResponse(done.status, list(done.headers), ended.body)
-        return HttpResponse.json(completion_body(call, ended.body.decode(), done.spans))
+        return HttpResponse.json(completion_body(call, ended.body.decode(), done))
 
     def _stream(self, call: Call, start_response: StartResponse) -> Body:
         events = self.route(call)
@@ -172,14 +172,15 @@
     raise AssertionError("a call ended without a final event")
 
 
-def completion_body(call: Call, text: str, spans: tuple[VersionSpan, ...]) -> dict[str, Any]:
+def completion_body(call: Call, text: str, done: CallDone) -> dict[str, Any]:
     """Return the completion object with the weight versions that produced it."""
+    finish_reason = dict(done.headers).get(FINISH_REASON_HEADER) or None
     return {
         "id": call.request_id,
         "object": "text_completion",
         "model": call.target,
-        "choices": [{"index": 0, "text": text, "finish_reason": "length"}],
-        "weight_versions": [attrs.asdict(span) for span in spans],
+        "choices": [{"index": 0, "text": text, "finish_reason": finish_reason}],
+        "weight_versions": [attrs.asdict(span) for span in done.spans],
     }
 
 
@@ -206,7 +207,7 @@
         return
     if not isinstance(event, CallDone):
         return
-    final = completion_body(call, "", event.spans)
+    final = completion_body(call, "", event)
     yield _data(json.dumps(final))
     yield _data("[DONE]")
 
--- a/src/pistachionotch/entry/router.py
+++ b/src/pistachionotch/entry/router.py
@@ -16,6 +16,7 @@
 from ..samples.spans import VersionSpan, merge_spans
 from ..wire.assembly import Assembler, CompleteResponse
 from ..wire.messages import Finished, Piece, Refused, Started
+from .attempt import Attempt
 from .calls import Call, CallDone, CallFailed, Delivered, Progress, RouteEvent, graver
 from .links import AgentLink, LinkLost
 from .routing_state import RoutingState
@@ -29,26 +30,6 @@
 OVERRUN_SHARE = 0.25
 
 
-@attrs.define
-class Attempt:
-    """Follow one attempt of a call."""
-
-    identifier: str
-    link: AgentLink
-    assembler: Assembler
-    started: bool = False
-    tokens: int = 0
-    spans: tuple[VersionSpan, ...] = ()
-    checked_ms: int = 0
-
-    def add_tokens(self, version: int, tokens: int) -> None:
-        """Account for the tokens of one piece."""
-        if not tokens:
-            return
-        self.tokens += tokens
-        self.spans = merge_spans((*self.spans, VersionSpan(version, tokens)))
-
-
 @attrs.define(eq=False)
 class RoutedCall:
     """Route one idempotent call until it ends."""
--- a/src/pistachionotch/wire/messages.py
+++ b/src/pistachionotch/wire/messages.py
@@ -13,6 +13,8 @@
 from ..samples.spans import VersionSpan
 
 PROTOCOL_VERSION = 1
+# Header of a completion's final message: why the engine ended it.
+FINISH_REASON_HEADER = "X-Finish-Reason"
 
 
 @attrs.frozen
--- a/tests/features/steps/caller_steps.py
+++ b/tests/features/steps/caller_steps.py
@@ -42,6 +42,7 @@
     assert context.answer.status == 200, context.answer
     body = context.answer.json()
     assert len(body["choices"][0]["text"].split()) == count, body
+    assert body["choices"][0]["finish_reason"] == "length", body
     assert body["weight_versions"] == [{"version": 1, "tokens": count}], body
 
 
--- a/tests/unit/agent/test_upstream.py
+++ b/tests/unit/agent/test_upstream.py
@@ -85,7 +85,7 @@
     server = start_server(engine, HOST, 0)
     outcome, pieces = _run(EngineUpstream(HOST, server.server_port, "fitting"), _completion(9))
     server.stop(timeout=0)
-    assert isinstance(outcome, UpstreamEnd)
+    assert outcome == UpstreamEnd(200, (("X-Finish-Reason", "length"),))
     assert {piece.version for piece in pieces} == {7}
     assert sum(piece.tokens for piece in pieces) == 9
 
