--- a/src/pistachionotch/entry/rollouts.py
+++ b/src/pistachionotch/entry/rollouts.py
@@ -75,7 +75,19 @@
             return
         desired = read_desired(self.store, self.model).value_or(None)
         if desired is not None and self.tracker.desire(desired.version):
-            self.log.info("rolling out", model=self.model, zone=self.zone, version=desired.version)
+            self._log_start()
+
+    def _log_start(self) -> None:
+        reports = [self._report(member) for member in self._members()]
+        estimate = self.tracker.estimate(reports, self.limits())
+        self.log.info(
+            "rolling out",
+            model=self.model,
+            zone=self.zone,
+            version=self.tracker.desired_version,
+            estimate_ms=None if estimate is None else estimate.total_ms,
+            bound=None if estimate is None else estimate.bound,
+        )
 
     def _work(self) -> int:
         """Take answers, plan a wave and send its orders; return the pause until the next step."""
--- a/src/pistachionotch/weights/tracker.py
+++ b/src/pistachionotch/weights/tracker.py
@@ -9,7 +9,15 @@
 
 import attrs
 
-from .rollout import AgentWeights, RolloutLimits, SwapInProgress, Wave, plan_wave
+from .rollout import (
+    AgentWeights,
+    RolloutEstimate,
+    RolloutLimits,
+    SwapInProgress,
+    Wave,
+    estimate_rollout,
+    plan_wave,
+)
 
 # The estimate uses recent swaps only, since the size of the weights may change.
 KEPT_SWAP_TIMES = 200
@@ -65,6 +73,13 @@
             self.starts_ms.append(now_ms)
         return wave
 
+    def estimate(
+        self, reports: Iterable[AgentReport], limits: RolloutLimits
+    ) -> RolloutEstimate | None:
+        """Estimate the time of the whole roll-out from earlier swaps; none before the first one."""
+        agents = [self._facts(report) for report in reports]
+        return estimate_rollout(agents, self.desired_version, limits, self.swap_times_ms)
+
     def finish(self, agent: str, read_back: int | None, now_ms: int) -> bool:
         """End the order of an agent; return whether it serves the ordered version.
 
