Answer a repeated key with the whole response or none

Cause: a response above 256 KiB was stored with an empty body, so a repeated key got status 201 and nothing, marked as complete. Found by reading. Ruled out: the claim book, which drops results that are too large and then answers 'unknown'; it was given the empty body instead. Before: the new test got Finished with 0 bytes. After: 'unknown' with the reason. Retained samples above the limit are not kept in part either, and the count of other agents before a retry takes only those of the call's target.

--- a/src/pistachionotch/agent/attempts.py
+++ b/src/pistachionotch/agent/attempts.py
@@ -11,7 +11,7 @@
 from ..admission.load import RunFacts
 from ..clock import Clock, Deadline
 from ..idempotency import claim as claims
-from ..idempotency.book import ClaimBook
+from ..idempotency.book import MAX_RESULT_BYTES, ClaimBook
 from ..outcomes import Execution
 from ..samples.spans import SpanRecorder, VersionSpan
 from ..wire.assembly import PieceCounter
@@ -28,7 +28,6 @@
 
 # An entry that reads nothing for this long is treated as gone.
 SEND_TIMEOUT_S = 5.0
-MAX_STORED_RESULT_BYTES = 256 * 1024
 
 
 @attrs.frozen
@@ -131,7 +130,8 @@
         self.spans.add(None if piece.version == NO_VERSION else piece.version, piece.tokens)
         self._report_progress()
         keep = self.submit.retain or not self.submit.idempotent
-        if keep and len(self.body) <= MAX_STORED_RESULT_BYTES:
+        # One piece beyond the limit is kept, by which the claim book sees that it cannot replay.
+        if keep and len(self.body) <= MAX_RESULT_BYTES:
             self.body += piece.data
         sequence = self.counter.add(piece.data)
         message = Piece(self.submit.attempt, sequence, piece.data, piece.version, piece.tokens)
@@ -153,7 +153,7 @@
         if isinstance(outcome, UpstreamBroken):
             return self._finish_broken(outcome)
         if not self.submit.idempotent:
-            result = claims.StoredResult(outcome.status, outcome.headers, self._stored_body())
+            result = claims.StoredResult(outcome.status, outcome.headers, bytes(self.body))
             self.book.finish(self.submit.scope, self.submit.key, result, self.permission)
         self._send_finished(outcome.status, outcome.headers, Execution.DONE, "")
         return True
@@ -171,11 +171,6 @@
         self._send_finished(0, (), Execution.UNKNOWN, outcome.reason)
         return False
 
-    def _stored_body(self) -> bytes:
-        if len(self.body) > MAX_STORED_RESULT_BYTES:
-            return b""
-        return bytes(self.body)
-
     def _send_finished(
         self, status: int, headers: tuple[tuple[str, str], ...], execution: Execution, reason: str
     ) -> None:
--- a/src/pistachionotch/agent/core.py
+++ b/src/pistachionotch/agent/core.py
@@ -15,7 +15,7 @@
 from ..admission.queue import AdmissionQueue, Admitted, ExpiredWork, QueuedWork
 from ..clock import MS_PER_SECOND, Clock, Deadline
 from ..config.revisions import Revisions
-from ..idempotency.book import ClaimBook
+from ..idempotency.book import MAX_RESULT_BYTES, ClaimBook
 from ..outcomes import Execution
 from ..samples.retained import RetainedBodies
 from ..wire import messages
@@ -320,7 +320,8 @@
     def _(self, message: AttemptEnded, _session: None) -> None:
         runner, _greenlet = self.running.pop(message.attempt)
         self.queue.finish(message.attempt, message.facts)
-        if runner.submit.retain and message.facts.succeeded:
+        whole = message.facts.succeeded and len(runner.body) <= MAX_RESULT_BYTES
+        if runner.submit.retain and whole:
             self.retained.put(runner.submit.retain, bytes(runner.body))
         if runner.spans.spans:
             self.queue.observe_versions((runner.spans.spans[-1].version,))
--- a/src/pistachionotch/entry/once.py
+++ b/src/pistachionotch/entry/once.py
@@ -123,7 +123,7 @@
         state = self.state
         others = [
             link
-            for link in state.table.ready()
+            for link in state.table.serving(self.call.target)
             if link.member.node not in self.excluded and link.member.node != agent
         ]
         decision = decide_retry(
--- /dev/null
+++ b/tests/unit/agent/test_attempts.py
@@ -0,0 +1,71 @@
+"""Guards against replays that pass a part of a large response as the whole."""
+
+import random
+
+import pytest
+
+from pistachionotch.agent import attempts
+from pistachionotch.agent.attempts import AttemptRunner
+from pistachionotch.agent.upstream import ServiceUpstream, UpstreamEnd, UpstreamPiece
+from pistachionotch.clock import Deadline, ManualClock
+from pistachionotch.idempotency.book import ClaimBook
+from pistachionotch.objects.memory import MemoryStore
+from pistachionotch.outcomes import Execution, RequestClass
+from pistachionotch.wire.messages import Finished, Piece, Refused, Submit
+
+PIECE = b"x" * 64 * 1024
+
+
+class FakeSession:
+    def __init__(self):
+        self.sent = []
+
+    def send(self, message):
+        self.sent.append(message)
+        return True
+
+    def send_waiting(self, message, _timeout_s):
+        return self.send(message)
+
+
+def _answer(pieces):
+    def call(_upstream, _submit, _clock, emit):
+        for _ in range(pieces):
+            emit(UpstreamPiece(PIECE, -1, 0))
+        return UpstreamEnd(201, ())
+
+    return call
+
+
+def _run(book, clock):
+    submit = Submit(
+        "a", "r", RequestClass.STOREFRONT, 1000, False, "s", "k", "POST", "/", (), b"", 0
+    )
+    session = FakeSession()
+    runner = AttemptRunner(
+        submit,
+        session,
+        ServiceUpstream("127.0.0.1", 1, "s"),
+        book,
+        clock,
+        Deadline.after(clock, 1000),
+        lambda _progress: None,
+    )
+    runner.run()
+    return session.sent
+
+
+@pytest.mark.parametrize(("pieces", "replayed"), [(1, True), (4, True), (5, False), (20, False)])
+def test_a_repeated_key_gets_the_whole_response_or_none(monkeypatch, pieces, replayed):
+    monkeypatch.setattr(attempts, "call", _answer(pieces))
+    clock = ManualClock()
+    store = MemoryStore(clock)
+    book = ClaimBook(store, clock, "a1", "i1", b"k" * 16, 60_000, random.Random(1))
+    first = _run(book, clock)
+    assert sum(len(item.data) for item in first if isinstance(item, Piece)) == pieces * len(PIECE)
+    again = _run(book, clock)
+    if not replayed:
+        assert [(type(item), item.execution) for item in again] == [(Refused, Execution.UNKNOWN)]
+        return
+    assert isinstance(again[-1], Finished)
+    assert again[-1].size_bytes == pieces * len(PIECE)
