Close an entry's kept connections while it drains

Cause: a request that arrived on a kept connection after the last open one had ended could start and be cut off a second later. Found by reading. After: answers while draining carry 'Connection: close'; once nothing is open, a new request is refused at once. With an idempotency key the refusal says 'unknown'.

--- a/src/pistachionotch/entry/daemon.py
+++ b/src/pistachionotch/entry/daemon.py
@@ -80,6 +80,7 @@
     control: ControlWatch = attrs.field(init=False)
     steps: StepService = attrs.field(init=False)
     rollouts: RolloutDuties = attrs.field(init=False)
+    interface: HttpInterface = attrs.field(init=False)
     server: WSGIServer | None = attrs.field(init=False, default=None)
 
     def __attrs_post_init__(self) -> None:
@@ -178,7 +179,8 @@
         gevent.spawn(MoveTask(self.routing).run)
         listen = settings.listen.http
         assert listen is not None
-        self.server = make_server(listen.host, listen.port, self._interface())
+        self.interface = self._interface()
+        self.server = make_server(listen.host, listen.port, self.interface)
         self.server.start()
         self.state = "serving"
         logger("entry").info("serving", node=settings.node, zone=settings.zone)
@@ -266,12 +268,15 @@
         if self.state != "serving":
             return
         self.state = "draining"
+        self.interface.draining = True
         logger("entry").info("draining", reason=reason, open_requests=self.open_requests)
         gevent.sleep(self.balancer_notice_s)
         assert self.server is not None
         self.server.stop_accepting()
         while self.open_requests:
             gevent.sleep(DRAIN_POLL_S)
+        # A kept connection may still bring a request, which must not start only to be cut off.
+        self.interface.closed = True
         self.rollouts.stop()
         for link in list(self.table.links.values()):
             link.stop()
--- a/src/pistachionotch/entry/http.py
+++ b/src/pistachionotch/entry/http.py
@@ -73,6 +73,9 @@
     route: Route
     handlers: dict[tuple[str, str], Handler]
     on_open: Callable[[int], None]
+    # While draining, connections end with their present response; once closed, nothing starts.
+    draining: bool = False
+    closed: bool = False
 
     def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> Body:
         """Serve one WSGI request."""
@@ -83,6 +86,8 @@
             self.on_open(-1)
 
     def _serve(self, environ: dict[str, Any], start_response: StartResponse) -> Body:
+        if self.closed:
+            return self._respond(_refused_closed(environ), start_response)
         try:
             request = _read_request(environ)
             if (request.method, request.path) == ("POST", "/v1/completions"):
@@ -115,6 +120,7 @@
 
     def _respond(self, response: HttpResponse, start_response: StartResponse) -> Body:
         headers = [*response.headers, ("Content-Length", str(len(response.body)))]
+        headers += self._connection_headers()
         start_response(f"{response.status} {_phrase(response.status)}", headers)
         return [response.body]
 
@@ -123,7 +129,11 @@
         ended = _run_to_end(self.route(call), [])
         if isinstance(ended, CallFailed):
             return HttpResponse.of_problem(ended.problem)
-        return HttpResponse(ended.done.status, list(ended.done.headers), ended.body)
+        headers = [*ended.done.headers, ("X-Request-Id", call.request_id)]
+        return HttpResponse(ended.done.status, headers, ended.body)
+
+    def _connection_headers(self) -> list[tuple[str, str]]:
+        return [("Connection", "close")] if self.draining else []
 
     def _complete(self, call: Call) -> HttpResponse:
         """Return a completion as one JSON object."""
@@ -149,6 +159,7 @@
             response = HttpResponse(done.status, list(done.headers), ended.body)
             return self._respond(response, start_response)
         headers = [("Content-Type", "text/event-stream"), ("X-Request-Id", call.request_id)]
+        headers += self._connection_headers()
         start_response("200 OK", headers)
         return _event_stream(call, first, events)
 
@@ -223,6 +234,15 @@
     return attrs.evolve(response, headers=[*response.headers, ("Connection", "close")])
 
 
+def _refused_closed(environ: dict[str, Any]) -> HttpResponse:
+    # An earlier call with the same key may have run, and nothing is looked up any more.
+    keyed = "HTTP_IDEMPOTENCY_KEY" in environ
+    execution = Execution.UNKNOWN if keyed else Execution.NOT_RUN
+    detail = "the entry is shutting down"
+    problem = Problem(503, "shutting down", detail, execution, retry_after_ms=1000)
+    return HttpResponse.of_problem(problem)
+
+
 def _bad_request(detail: str) -> Problem:
     return Problem(400, "bad request", detail, Execution.NOT_RUN, secrets.token_hex(8))
 
--- /dev/null
+++ b/tests/unit/entry/test_http.py
@@ -0,0 +1,56 @@
+"""Guards against requests that a shutdown cuts off or that it refuses with a false ``not-run``."""
+
+import io
+import json
+
+import pytest
+
+from pistachionotch.clock import ManualClock
+from pistachionotch.entry.calls import CallDone, Delivered
+from pistachionotch.entry.http import HttpInterface
+from pistachionotch.entry.policy import DEFAULT_TIMEOUTS_MS
+from pistachionotch.entry.requests import CallDefaults
+
+
+class Interface:
+    def __init__(self):
+        self.routed = []
+        defaults = CallDefaults(DEFAULT_TIMEOUTS_MS)
+        self.http = HttpInterface(ManualClock(), lambda: defaults, self.route, {}, lambda _: None)
+
+    def route(self, call):
+        self.routed.append(call)
+        yield Delivered(b"done", -1, 0)
+        yield CallDone(201, (), (), "agent-1")
+
+    def order(self, **headers):
+        environ = {
+            "REQUEST_METHOD": "POST",
+            "PATH_INFO": "/services/storefront/orders",
+            "wsgi.input": io.BytesIO(b"{}"),
+            **headers,
+        }
+        answer = {}
+        body = self.http(environ, lambda status, sent: answer.update(status=status, sent=sent))
+        return b"".join(body), answer["status"], dict(answer["sent"])
+
+
+def test_answers_while_draining_end_their_connection():
+    interface = Interface()
+    assert "Connection" not in interface.order()[2]
+    interface.http.draining = True
+    body, status, sent = interface.order()
+    assert (body, status, sent["Connection"]) == (b"done", "201 Created", "close")
+
+
+@pytest.mark.parametrize(
+    ("headers", "execution"), [({}, "not-run"), ({"HTTP_IDEMPOTENCY_KEY": "k"}, "unknown")]
+)
+def test_nothing_starts_once_the_entry_is_closed(headers, execution):
+    interface = Interface()
+    interface.http.closed = True
+    body, status, sent = interface.order(**headers)
+    assert status.startswith("503")
+    assert json.loads(body)["execution"] == execution
+    assert "Retry-After" in sent
+    assert not interface.routed
--- a/tests/unit/entry/test_requests.py
+++ b/tests/unit/entry/test_requests.py
@@ -64,8 +64,8 @@
     made = _accepted(lambda: completion_call(request, ManualClock(), DEFAULTS))
     if made is None:
         return
-    call, streamed = made
-    assert isinstance(call, Call) and isinstance(streamed, bool)
+    call = made
+    assert isinstance(call, Call) and isinstance(call.streamed, bool)
     # A stream that broke off is resumed from the same body, which must not fail then.
     call.resumed(b"text", 1)
 
