--- a/src/pistachionotch/bench/report.py
+++ b/src/pistachionotch/bench/report.py
@@ -50,6 +50,9 @@
     lines = []
     for kind in ("assistant", "service"):
         key = f"{kind}_slowed_ms"
+        if not all("p99" in policies[name][key] for name in (OWN, BOUND, *BASELINES)):
+            lines.append(f"{deployment} {kind} p99: no upstream was slowed in the measured time")
+            continue
         own_ms = own[key]["p99"]
         best_ms = min(policies[name][key]["p99"] for name in BASELINES)
         lines.append(
--- a/tests/unit/bench/test_bench.py
+++ b/tests/unit/bench/test_bench.py
@@ -74,3 +74,8 @@
     summary = summarise(runs, 1.0)
     assert summary["idle_share"] == 0.3
     assert summary["idle_share_by_seed"]["high"] == 0.5
+
+
+def test_a_run_too_short_for_a_slowdown_still_has_a_report():
+    """A measured time without a slowed upstream has no tail to judge."""
+    assert "no upstream was slowed" in run_bench([80], [1], 10).text()
