Show the four measures in status and metrics

Before: status had processes, members, queues and revisions, but none of the measures. After: trainer idle time, sample age, time to first token of short work and total latency, by entry.

--- a/src/pistachionotch/cli/status.py
+++ b/src/pistachionotch/cli/status.py
@@ -95,12 +95,20 @@
                 f"queued {agent['queued']} running {agent['running']} "
                 f"serves {', '.join(agent['serves'])}"
             )
+        for name, value in state.get("measures", {}).items():
+            print(f"       {name:26} {_measure(value)}")
     for zone, revisions in _revisions(states).items():
         print(f"zone {zone}: revision {', '.join(str(number) for number in revisions)}")
     for reason in missing:
         complain(f"no answer: {reason}")
 
 
+def _measure(value: Any) -> str:
+    if not isinstance(value, dict):
+        return str(value)
+    return ", ".join(f"{name}: {number}" for name, number in value.items()) or "-"
+
+
 def explain(request_id: str, entry: str, json: bool = False) -> int:
     """Show the routing decisions that an entry made for one request.
 
--- a/src/pistachionotch/entry/daemon.py
+++ b/src/pistachionotch/entry/daemon.py
@@ -36,6 +36,7 @@
 from .http import HttpInterface
 from .keys import KeyIssuer
 from .links import AgentLink
+from .measures import measures
 from .moves import MoveTask
 from .once import OnceCall
 from .policy import PolicyView
@@ -258,6 +259,7 @@
             "incarnation": self.incarnation,
             "config_revision": self.revisions.revision,
             "open_requests": self.open_requests,
+            "measures": measures(self.steps.measures, self.routing),
             "late_messages": sum(link.late_messages for link in links),
             "agents": [
                 {
--- /dev/null
+++ b/src/pistachionotch/entry/measures.py
@@ -0,0 +1,63 @@
+"""The four measures that operators watch, as one entry sees them."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+
+from ..admission.shares import SHORT_CLASSES
+from ..samples.delivery import Delivered
+from ..samples.staleness import sample_age
+from .routing_state import RoutingState, Tails
+
+TAIL_QUANTILE = 0.99
+
+
+@attrs.define
+class TrainerMeasures:
+    """Count how long trainers waited for samples, and how old the samples were."""
+
+    idle_ms: dict[str, int] = attrs.field(factory=dict)
+    delivered: int = 0
+    age_sum: int = 0
+    oldest: int = 0
+
+    def waited(self, trainer: str, duration_ms: int) -> None:
+        """Count the time in which a pull had no samples."""
+        self.idle_ms[trainer] = self.idle_ms.get(trainer, 0) + duration_ms
+
+    def handed_over(self, outcome: Delivered) -> None:
+        """Count the ages, in weight versions, of the samples of one delivery."""
+        for item in outcome.samples:
+            age = max(0, sample_age(item.sample.spans, outcome.newest_version))
+            self.delivered += 1
+            self.age_sum += age
+            self.oldest = max(self.oldest, age)
+
+    def mean_age(self) -> float:
+        """Return the mean age of all samples delivered so far."""
+        return self.age_sum / self.delivered if self.delivered else 0.0
+
+
+def measures(trainers: TrainerMeasures, routing: RoutingState) -> dict[str, Any]:
+    """Return the measures; latencies are of recent requests, none while there are too few."""
+    return {
+        "trainer_idle_ms": dict(trainers.idle_ms),
+        "sample_age_mean": round(trainers.mean_age(), 3),
+        "sample_age_max": trainers.oldest,
+        "samples_delivered": trainers.delivered,
+        "short_first_token_p99_ms": _quantiles(routing.first_token_tails, short_only=True),
+        "latency_p99_ms": _quantiles(routing.total_tails, short_only=False),
+    }
+
+
+def _quantiles(tails: Tails, short_only: bool) -> dict[str, int]:
+    found = {}
+    for (target, request_class), tail in tails.items():
+        if short_only and request_class not in SHORT_CLASSES:
+            continue
+        value = tail.quantile_ms(TAIL_QUANTILE)
+        if value is not None:
+            found[f"{target} {request_class}"] = value
+    return found
--- a/src/pistachionotch/entry/once.py
+++ b/src/pistachionotch/entry/once.py
@@ -44,10 +44,12 @@
     ended: bool = False
     proved_not_run: bool = False
     resubmitted: bool = False
+    started_ms: int = attrs.field(init=False)
     key_from_caller: bool = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.key_from_caller = bool(self.call.key)
+        self.started_ms = self.state.clock.now_ms()
 
     def run(self) -> Iterator[RouteEvent]:
         """Yield the response and one final event."""
@@ -201,6 +203,7 @@
         link.observations.first_token(self.attempt, state.clock.now_ms())
         link.observations.finished(self.attempt, 0, state.clock.now_ms())
         state.record_success(self.call)
+        state.total_tail(self.call).observe(state.clock.now_ms() - self.started_ms)
         yield from self._done(
             complete.unwrap().body, message.status, message.headers, link.member.node
         )
--- a/src/pistachionotch/entry/steps.py
+++ b/src/pistachionotch/entry/steps.py
@@ -28,6 +28,7 @@
 from ..samples.sample import Sample, Slot
 from ..samples.steps import OpenedStep, StepRegistry
 from ..weights.publish import read_desired
+from .measures import TrainerMeasures
 from .production import Production, Route
 
 LEASE_MS = 6000
@@ -248,6 +249,7 @@
     staleness_bounds: Callable[[], Mapping[str, int]]
     slots: Callable[[str], int]
     coordinators: dict[tuple[str, int], StepCoordinator] = attrs.field(factory=dict)
+    measures: TrainerMeasures = attrs.field(factory=TrainerMeasures)
 
     def create(self, body: bytes) -> Answer:
         """Answer ``POST /v1/steps``."""
@@ -295,6 +297,7 @@
             return opened.failure()
         outcome = self._pull(opened.unwrap(), parsed.unwrap())
         if isinstance(outcome, DeliveredSamples):
+            self.measures.handed_over(outcome)
             self.context.log.info(
                 "samples delivered",
                 step=f"{trainer}/{step}",
@@ -310,10 +313,12 @@
         deadline = Deadline.after(clock, PULL_WAIT_MS)
         delivery = self._delivery(opened)
         while True:
+            started_ms = clock.now_ms()
             outcome = delivery.pull(pull)
             if not isinstance(outcome, NothingReady) or deadline.expired(clock):
                 return outcome
             clock.sleep_ms(PULL_POLL_MS)
+            self.measures.waited(opened.plan.trainer, clock.now_ms() - started_ms)
 
     def _ensure_coordinator(self, trainer: str, step: int) -> Result[OpenedStep, Answer]:
         """Start coordinating a step whose former coordinator may be gone."""
--- /dev/null
+++ b/tests/unit/entry/test_measures.py
@@ -0,0 +1,49 @@
+"""Guards against measures that are missing from status or metrics, or that count wrongly."""
+
+from types import SimpleNamespace
+
+from pistachionotch.entry.measures import TrainerMeasures, measures
+from pistachionotch.metrics import render_metrics
+from pistachionotch.outcomes import RequestClass
+from pistachionotch.routing.hedge import LatencyTail
+from pistachionotch.samples.delivery import Delivered, DeliveredSample
+from pistachionotch.samples.sample import Sample, Slot, body_digest
+from pistachionotch.samples.spans import VersionSpan
+
+
+def _tail(value):
+    tail = LatencyTail()
+    for _ in range(30):
+        tail.observe(value)
+    return tail
+
+
+def _measured():
+    trainers = TrainerMeasures()
+    trainers.waited("t1", 500)
+    trainers.waited("t1", 250)
+    spans = (VersionSpan(3, 5), VersionSpan(5, 5))
+    sample = Sample("0" * 32, Slot(0, 0), body_digest(b""), spans, "a1")
+    trainers.handed_over(Delivered(0, 1, (DeliveredSample(sample, b""),), 5, 0))
+    routing = SimpleNamespace(
+        first_token_tails={
+            ("fitting", RequestClass.STOREFRONT): _tail(40),
+            ("fitting", RequestClass.LONG): _tail(9000),
+        },
+        total_tails={("services/storefront", RequestClass.CONFIRMATION): _tail(70)},
+    )
+    return measures(trainers, routing)
+
+
+def test_all_four_measures_are_counted():
+    measured = _measured()
+    assert measured["trainer_idle_ms"] == {"t1": 750}
+    assert (measured["sample_age_mean"], measured["sample_age_max"]) == (2.0, 2)
+    assert measured["short_first_token_p99_ms"] == {"fitting storefront": 40}
+    assert measured["latency_p99_ms"] == {"services/storefront confirmation": 70}
+
+
+def test_measures_are_scraped():
+    text = render_metrics({"node": "entry-1", "ready": True, "measures": _measured()}).decode()
+    assert 'pistachionotch_trainer_idle_ms{kind="t1",node="entry-1"} 750' in text
+    assert 'pistachionotch_sample_age_max{node="entry-1"} 2' in text
