--- a/src/pistachionotch/routing/place.py
+++ b/src/pistachionotch/routing/place.py
@@ -18,8 +18,7 @@
 
     zone_ms: int = 1
     region_ms: int = 12
-    # What the billed volume is worth; a megabyte takes 36 ms of link time at 225 Mbit/s. Costs of
-    # 0.1 to 20 s for a megabyte differed in the benchmark beyond the spread only in bytes.
+    # A megabyte takes 36 ms of link time at 225 Mbit/s; the rest is what the billed volume is worth.
     region_ms_per_mb: int = 10_000
     # Facts lose half their weight in this time; slowdowns last tens of seconds.
     half_life_ms: int = 5_000
