--- a/src/pistachionotch/routing/place.py
+++ b/src/pistachionotch/routing/place.py
@@ -18,7 +18,7 @@
 
     zone_ms: int = 1
     region_ms: int = 12
-    # A megabyte takes 36 ms of link time at 225 Mbit/s; the rest is what the billed volume is worth.
+    # A megabyte takes 36 ms of the link at 225 Mbit/s; the rest is the worth of the billed volume.
     region_ms_per_mb: int = 10_000
     # Facts lose half their weight in this time; slowdowns last tens of seconds.
     half_life_ms: int = 5_000
