--- /dev/null
+++ b/tests/unit/idempotency/book_machine.py
@@ -0,0 +1,241 @@
+"""State machine of the claim book: several agents, a faulty store, and a ledger of real runs."""
+
+import random
+from collections import Counter
+
+import attrs
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+
+from pistachionotch.clock import ManualClock
+from pistachionotch.idempotency.book import ClaimBook
+from pistachionotch.idempotency.claim import (
+    ClaimStateError,
+    ClaimStatus,
+    Replay,
+    Run,
+    StoredResult,
+)
+from pistachionotch.objects.memory import Faults, MemoryStore
+
+SCOPE = "orders"
+DEPLOYMENT_KEY = b"deployment key for tests"
+AGENTS = ("a1", "a2")
+MAX_RECORDS = 3
+RETENTION_MS = 1_000
+FAULTS = st.sampled_from(
+    [None, None, ("lose_answers", 1), ("lose_answers", 2), ("lose_writes", 2), ("delay_writes", 2)]
+)
+
+
+@attrs.define
+class Attempt:
+    book: ClaimBook
+    key: str
+    run: int
+    sent: bool = False
+
+
+class RacingStore:
+    """Runs ``meanwhile`` once inside the next call, as another greenlet or agent would."""
+
+    def __init__(self, store):
+        self.store = store
+        self.meanwhile = None
+
+    def _interleave(self):
+        meanwhile, self.meanwhile = self.meanwhile, None
+        if meanwhile is not None:
+            meanwhile()
+
+    def get(self, key):
+        answer = self.store.get(key)
+        self._interleave()
+        return answer
+
+    def put(self, key, value, expected_version):
+        self._interleave()
+        return self.store.put(key, value, expected_version)
+
+
+class BookMachine(RuleBasedStateMachine):
+    book_type = ClaimBook
+    caller_keys = ("k1", "k2")
+    issued_keys = 2
+
+    def __init__(self):
+        super().__init__()
+        self.clock = ManualClock()
+        self.memory = MemoryStore(self.clock)
+        self.store = RacingStore(self.memory)
+        self.incarnations = Counter()
+        self.books = {agent: self.new_book(agent) for agent in AGENTS}
+        self.paused = []
+        self.attempts = []
+        self.abandoned = []
+        self.issued = [self.books["a1"].issue(SCOPE)] if self.issued_keys else []
+        self.runs = Counter()
+        self.results = {}
+        self.proved_not_run = set()
+
+    def new_book(self, agent):
+        self.incarnations[agent] += 1
+        incarnation = f"{agent}-{self.incarnations[agent]}"
+        return self.book_type(
+            self.store,
+            self.clock,
+            agent,
+            incarnation,
+            DEPLOYMENT_KEY,
+            RETENTION_MS,
+            random.Random(incarnation),
+            is_live=lambda name, number: self.books[name].incarnation == number,
+            max_records=MAX_RECORDS,
+            max_memory_bytes=40,
+        )
+
+    def keys(self):
+        return st.sampled_from(self.caller_keys + tuple(self.issued[-self.issued_keys :]))
+
+    def begin_with(self, book, key):
+        decision = book.begin(SCOPE, key)
+        if isinstance(decision, Run):
+            self.attempts.append(Attempt(book, key, decision.run))
+        if isinstance(decision, Replay):
+            assert decision.result == self.results[key], "replayed another result"
+
+    def lose(self, fault):
+        """Two losses in a row hit a write and its repetition, so the outcome stays unknown."""
+        if fault is not None:
+            setattr(self.memory.faults, fault[0], fault[1])
+
+    @rule(agent=st.sampled_from(AGENTS), data=st.data(), fault=FAULTS)
+    def begin(self, agent, data, fault):
+        self.lose(fault)
+        self.begin_with(self.books[agent], data.draw(self.keys()))
+
+    @rule(first=st.sampled_from(AGENTS), second=st.sampled_from(AGENTS), data=st.data())
+    def race(self, first, second, data):
+        key = data.draw(self.keys())
+        self.store.meanwhile = lambda: self.begin_with(self.books[second], key)
+        self.begin_with(self.books[first], key)
+        self.store.meanwhile = None
+
+    @rule(agent=st.sampled_from(AGENTS), data=st.data())
+    def maintain_while_another_begins(self, agent, data):
+        key = data.draw(self.keys())
+        book = self.books[agent]
+        self.store.meanwhile = lambda: self.begin_with(book, key)
+        book.maintain()
+        self.store.meanwhile = None
+
+    @precondition(lambda self: self.issued_keys)
+    @rule(agent=st.sampled_from(AGENTS))
+    def issue(self, agent):
+        self.issued.append(self.books[agent].issue(SCOPE))
+
+    @precondition(lambda self: self.attempts)
+    @rule(data=st.data(), outcome=st.sampled_from(["done", "silent", "late", "abandon"]))
+    def advance_attempt(self, data, outcome):
+        attempt = data.draw(st.sampled_from(self.attempts))
+        if not attempt.sent and outcome == "abandon":
+            attempt.book.abandon(SCOPE, attempt.key, attempt.run)
+            self.attempts.remove(attempt)
+            self.abandoned.append(attempt)
+            return
+        if not attempt.sent:
+            attempt.book.sending(SCOPE, attempt.key, attempt.run)
+            attempt.sent = True
+            self.runs[attempt.key] += 1
+            self.results[attempt.key] = StoredResult(200, (), f"{len(self.results)}".encode() * 9)
+        if outcome in ("silent", "late"):
+            attempt.book.fail_unknown(SCOPE, attempt.key, attempt.run)
+        if outcome in ("done", "late"):
+            attempt.book.finish(SCOPE, attempt.key, self.results[attempt.key], attempt.run)
+        if outcome != "abandon":
+            self.attempts.remove(attempt)
+
+    @precondition(lambda self: any(not attempt.sent for attempt in self.attempts))
+    @rule(fault=FAULTS)
+    def abandon_and_release(self, fault):
+        attempt = next(attempt for attempt in self.attempts if not attempt.sent)
+        attempt.book.abandon(SCOPE, attempt.key, attempt.run)
+        self.attempts.remove(attempt)
+        self.lose(fault)
+        attempt.book.maintain()
+
+    @precondition(lambda self: self.abandoned)
+    @rule(data=st.data())
+    def send_abandoned_attempt(self, data):
+        attempt = data.draw(st.sampled_from(self.abandoned))
+        with pytest.raises(ClaimStateError):
+            attempt.book.sending(SCOPE, attempt.key, attempt.run)
+
+    @rule(agent=st.sampled_from(AGENTS), data=st.data())
+    def query(self, agent, data):
+        key = data.draw(self.keys())
+        state = self.books[agent].query(SCOPE, key)
+        if state.status is ClaimStatus.NOT_RUN:
+            self.proved_not_run.add(key)
+        if state.status is ClaimStatus.DONE and state.result is not None:
+            assert state.result == self.results[key]
+
+    @rule(agent=st.sampled_from(AGENTS), pause=st.booleans())
+    def restart(self, agent, pause):
+        old = self.books[agent]
+        self.books[agent] = self.new_book(agent)
+        if pause:
+            self.paused.append(old)
+            return
+        self.attempts = [attempt for attempt in self.attempts if attempt.book is not old]
+
+    @precondition(lambda self: self.paused)
+    @rule(data=st.data())
+    def paused_agent_acts(self, data):
+        book = data.draw(st.sampled_from(self.paused))
+        self.begin_with(book, data.draw(self.keys()))
+        book.maintain()
+
+    @rule(outage=st.booleans())
+    def change_outage(self, outage):
+        self.memory.set_outage(outage)
+
+    @rule()
+    def heal(self):
+        self.memory.faults = Faults()
+
+    @rule()
+    def deliver_delayed(self):
+        self.memory.deliver_delayed()
+
+    @rule(
+        agent=st.sampled_from(AGENTS),
+        duration_ms=st.sampled_from([0, 0, RETENTION_MS + 1]),
+        fault=FAULTS,
+    )
+    def maintain(self, agent, duration_ms, fault):
+        self.lose(fault)
+        self.clock.advance(duration_ms)
+        self.books[agent].maintain()
+
+    @invariant()
+    def nothing_runs_twice(self):
+        assert all(count <= 1 for count in self.runs.values()), "ran twice"
+
+    @invariant()
+    def what_was_proved_not_run_never_runs(self):
+        assert not self.proved_not_run & set(self.runs), "ran after NOT_RUN was told"
+
+    @invariant()
+    def memory_is_bounded(self):
+        for book in self.books.values():
+            assert len(book.records.records) <= MAX_RECORDS
+            assert book.records.result_bytes <= 40
+            results = [record.result for record in book.records.records.values() if record.result]
+            assert book.records.result_bytes == sum(result.size() for result in results)
--- a/tests/unit/idempotency/test_cleanup.py
+++ b/tests/unit/idempotency/test_cleanup.py
@@ -3,9 +3,9 @@
 import random
 
 import pytest
-from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from machine_runs import run_variant
 
 from pistachionotch.clock import ManualClock
 from pistachionotch.idempotency import cleanup
@@ -88,19 +88,7 @@
 
 
 def check(cleaner_type, examples=150):
-    machine = type("Machine", (CleanerMachine,), {"cleaner_type": cleaner_type})
-    run_state_machine_as_test(
-        machine,
-        settings=settings(
-            derandomize=True,
-            database=None,
-            deadline=None,
-            max_examples=examples,
-            stateful_step_count=40,
-            phases=(Phase.generate,),
-            suppress_health_check=list(HealthCheck),
-        ),
-    )
+    run_variant(CleanerMachine, {"cleaner_type": cleaner_type}, examples, steps=40)
 
 
 def test_cleaner_deletes_only_old_final_claims():
--- a/tests/unit/lease/test_lease.py
+++ b/tests/unit/lease/test_lease.py
@@ -10,15 +10,14 @@
 
 import pytest
 import structlog
-from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     invariant,
     precondition,
     rule,
-    run_state_machine_as_test,
 )
+from machine_runs import run_variant
 
 from pistachionotch.clock import ManualClock
 from pistachionotch.lease.lease import Lease, LeaseState
@@ -191,19 +190,7 @@
 
 
 def check(lease_type, examples):
-    machine = type("Machine", (LeaseMachine,), {"lease_type": lease_type})
-    run_state_machine_as_test(
-        machine,
-        settings=settings(
-            derandomize=True,
-            database=None,
-            deadline=None,
-            max_examples=examples,
-            stateful_step_count=30,
-            phases=(Phase.generate,),
-            suppress_health_check=list(HealthCheck),
-        ),
-    )
+    run_variant(LeaseMachine, {"lease_type": lease_type}, examples, steps=30)
 
 
 def test_lease_keeps_its_promises():
