Keep the links to seeds when the table of links is refreshed

Cause: without a directory, a refresh compared links filed by node with seeds filed by address, so every configuration change dropped all links of an entry that had started in an outage and connected anew. Ruled out: missing load facts and slow handshakes, since all three links were ready before the configuration came into force. Before: the regression test finds a new link after a refresh. After: the same link, in place. Conclusion: a seed is matched by the address of its link.

--- a/src/pistachionotch/entry/table.py
+++ b/src/pistachionotch/entry/table.py
@@ -37,7 +37,7 @@
         """Connect to the chosen agents and drop those no longer chosen."""
         wanted = {member.node: member for member in self._chosen()}
         if not wanted:
-            wanted = {seed: unknown_member(seed) for seed in self.seeds}
+            wanted = self._seed_members()
         for node, link in list(self.links.items()):
             member = wanted.get(node)
             if member is not None and member.address == link.member.address:
@@ -99,6 +99,13 @@
                 chosen[member.node] = member
         return tuple(chosen.values())
 
+    def _seed_members(self) -> dict[str, Member]:
+        """Return the seeds by node, or by address while a seed's node is not known."""
+        # A link to a seed is kept: without it the entry refuses requests until it has reconnected.
+        linked = {link.member.address: link.member for link in self.links.values()}
+        members = [linked.get(seed, unknown_member(seed)) for seed in self.seeds]
+        return {member.node or member.address: member for member in members}
+
     def _rename(self, link: AgentLink) -> None:
         """File a seed under the node name that its hello gave."""
         if self.links.pop(link.member.address, None) is link:
--- /dev/null
+++ b/tests/unit/entry/test_table.py
@@ -0,0 +1,75 @@
+"""Tests of the table of links to agents."""
+
+import attrs
+import gevent
+import pytest
+
+from pistachionotch.config.revisions import Revisions
+from pistachionotch.entry.policy import PolicyView
+from pistachionotch.entry.table import LinkTable
+from pistachionotch.membership.directory import Directory, Member
+from pistachionotch.routing.facts import Location
+
+SEED = "127.0.0.1:7001"
+HERE = Location("entry-1", "cebu", "visayas")
+
+
+@attrs.define(eq=False)
+class FakeLink:
+    """Stand for a link without a connection."""
+
+    member: Member
+    leaving: bool = False
+    stopped: bool = False
+    channels: dict = attrs.field(factory=dict)
+    session: None = None
+    on_known: object = None
+
+    def run(self):
+        """Do nothing."""
+
+    def stop(self):
+        self.stopped = True
+
+    def learn(self, node):
+        """Take over who the agent is, as from its hello."""
+        self.member = attrs.evolve(
+            self.member, node=node, zone="cebu", region="visayas", models=("fitting",)
+        )
+        self.on_known(self)
+
+
+@pytest.fixture
+def table():
+    made = LinkTable(HERE, Directory(), FakeLink, PolicyView(Revisions()))
+    made.seeds = (SEED,)
+    made.refresh()
+    return made
+
+
+def test_a_refresh_without_a_directory_keeps_the_links_to_known_seeds(table):
+    # Guards against refusals while links are made anew because a configuration arrived.
+    link = table.links[SEED]
+    link.learn("agent-1")
+    table.refresh()
+    gevent.sleep(0)
+    assert table.links == {"agent-1": link}
+    assert not link.leaving
+    assert link.member.models == ("fitting",)
+
+
+def test_a_seed_that_has_not_answered_stays_under_its_address(table):
+    link = table.links[SEED]
+    table.refresh()
+    assert table.links == {SEED: link}
+
+
+def test_the_directory_takes_over_the_link_of_a_seed(table):
+    # Guards against a reconnect when the object API is back.
+    link = table.links[SEED]
+    link.learn("agent-1")
+    member = Member("agent-1", SEED, "iloilo", "visayas", models=("fitting",))
+    table.directory.apply_zone("iloilo", 1, [member])
+    table.refresh()
+    assert table.links == {"agent-1": link}
+    assert link.member.zone == "iloilo"
