Name the process in each status that could not be read

Cause: 'status' listed an empty reason for a process that answered with an error status, and three places in the module worded the same failure. Before: the new test finds an empty string. After: address and status, from one method.

--- a/src/pistachionotch/cli/status.py
+++ b/src/pistachionotch/cli/status.py
@@ -25,6 +25,10 @@
     body: Any
     reason: str = ""
 
+    def problem(self, address: str) -> str:
+        """Return why the reply is not the one that was asked for."""
+        return self.reason or f"{address}: status {self.status}"
+
 
 def request(address: str, method: str, path: str, headers: dict[str, str] | None = None) -> Reply:
     """Send one request to a process and return its reply."""
@@ -54,6 +58,11 @@
         return content.decode("utf-8", "replace").strip()
 
 
+def _unavailable(reply: Reply, address: str) -> ExitCode:
+    complain(reply.problem(address))
+    return ExitCode.UNAVAILABLE
+
+
 def status(*addresses: str, json: bool = False) -> int:
     """Show the state of entries and agents, with the configuration revision by zone.
 
@@ -65,7 +74,7 @@
         complain("status needs at least one HOST:PORT")
         return ExitCode.USAGE
     replies = [(address, request(address, "GET", "/v1/status")) for address in addresses]
-    missing = [reply.reason for _address, reply in replies if reply.status != 200]
+    missing = [reply.problem(address) for address, reply in replies if reply.status != 200]
     states = [reply.body for _address, reply in replies if reply.status == 200]
     if json:
         print_json({"processes": states, "revisions": _revisions(states), "missing": missing})
@@ -122,8 +131,7 @@
         complain(f"{entry} keeps no decisions for {request_id}")
         return ExitCode.UNKNOWN
     if reply.status != 200:
-        complain(reply.reason or f"{entry}: status {reply.status}")
-        return ExitCode.UNAVAILABLE
+        return _unavailable(reply, entry)
     if json:
         print_json(reply.body)
         return ExitCode.DONE
@@ -147,8 +155,7 @@
         return report_findings(loaded.failure(), json)
     found = request(address, "GET", "/v1/status")
     if found.status != 200:
-        complain(found.reason or f"{address}: status {found.status}")
-        return ExitCode.UNAVAILABLE
+        return _unavailable(found, address)
     node, incarnation = found.body["node"], found.body["incarnation"]
     authorization = drain_authorization(loaded.unwrap().key, node, incarnation)
     reply = request(address, "POST", DRAIN_PATH, {"Authorization": authorization})
@@ -156,8 +163,7 @@
         complain(f"{node} belongs to another deployment")
         return ExitCode.CONFLICT
     if reply.status != 202:
-        complain(reply.reason or f"{address}: status {reply.status}")
-        return ExitCode.UNAVAILABLE
+        return _unavailable(reply, address)
     if json:
         print_json({"node": node, "state": "draining"})
     else:
