Bound the bytes of all request bodies that an entry holds

Cause: each body was limited to 900 KiB, their sum was not; 1,024 connections could hold 900 MB. Ruled out: a smaller limit of connections, which would also refuse the many small requests of a normal peak. Before: the new test's second request is served. After: 503 with Retry-After, and the room is free again when the first request has ended. Conclusion: room is taken by the announced length before the body is read.

--- a/src/pistachionotch/entry/http.py
+++ b/src/pistachionotch/entry/http.py
@@ -16,6 +16,7 @@
 from ..outcomes import Execution, Problem
 from ..server import BODY_TIMEOUT_S, time_limit
 from ..wire.messages import FINISH_REASON_HEADER
+from .body_budget import BodyBudget, BodyBudgetExceededError, announced_bytes
 from .calls import Call, CallDone, CallFailed, Delivered, RouteEvent
 from .requests import (
     MAX_BODY_BYTES,
@@ -76,18 +77,36 @@
     # While draining, connections end with their present response; once closed, nothing starts.
     draining: bool = False
     closed: bool = False
+    bodies: BodyBudget = attrs.field(factory=BodyBudget)
 
     def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> Body:
         """Serve one WSGI request."""
         self.on_open(1)
         try:
-            yield from self._serve(environ, start_response)
+            yield from self._serve_within_budget(environ, start_response)
         finally:
             self.on_open(-1)
 
+    def _serve_within_budget(self, environ: dict[str, Any], start_response: StartResponse) -> Body:
+        size = announced_bytes(environ)
+        try:
+            self.bodies.reserve(size)
+        except BodyBudgetExceededError as error:
+            refused = _refused_unlooked(environ, "overloaded", str(error))
+            # The body stays unread, so the connection must end too.
+            headers = [*refused.headers, ("Connection", "close")]
+            yield from self._respond(attrs.evolve(refused, headers=headers), start_response)
+            return
+        try:
+            yield from self._serve(environ, start_response)
+        finally:
+            self.bodies.release(size)
+
     def _serve(self, environ: dict[str, Any], start_response: StartResponse) -> Body:
         if self.closed:
-            return self._respond(_refused_closed(environ), start_response)
+            detail = "the entry is shutting down"
+            refused = _refused_unlooked(environ, "shutting down", detail)
+            return self._respond(refused, start_response)
         try:
             request = _read_request(environ)
             if (request.method, request.path) == ("POST", "/v1/completions"):
@@ -234,12 +253,12 @@
     return attrs.evolve(response, headers=[*response.headers, ("Connection", "close")])
 
 
-def _refused_closed(environ: dict[str, Any]) -> HttpResponse:
-    # An earlier call with the same key may have run, and nothing is looked up any more.
+def _refused_unlooked(environ: dict[str, Any], title: str, detail: str) -> HttpResponse:
+    """Refuse a request without looking at what is known of its idempotency key."""
+    # An earlier call with the same key may have run.
     keyed = "HTTP_IDEMPOTENCY_KEY" in environ
     execution = Execution.UNKNOWN if keyed else Execution.NOT_RUN
-    detail = "the entry is shutting down"
-    problem = Problem(503, "shutting down", detail, execution, retry_after_ms=1000)
+    problem = Problem(503, title, detail, execution, secrets.token_hex(8), retry_after_ms=1000)
     return HttpResponse.of_problem(problem)
 
 
--- a/tests/unit/entry/test_http.py
+++ b/tests/unit/entry/test_http.py
@@ -6,10 +6,11 @@
 import pytest
 
 from pistachionotch.clock import ManualClock
+from pistachionotch.entry.body_budget import announced_bytes
 from pistachionotch.entry.calls import CallDone, Delivered
 from pistachionotch.entry.http import HttpInterface
 from pistachionotch.entry.policy import DEFAULT_TIMEOUTS_MS
-from pistachionotch.entry.requests import CallDefaults
+from pistachionotch.entry.requests import MAX_BODY_BYTES, CallDefaults
 
 
 class Interface:
@@ -54,3 +55,40 @@
     assert json.loads(body)["execution"] == execution
     assert "Retry-After" in sent
     assert not interface.routed
+
+
+@pytest.mark.parametrize(
+    ("headers", "execution"), [({}, "not-run"), ({"HTTP_IDEMPOTENCY_KEY": "k"}, "unknown")]
+)
+def test_bodies_of_open_requests_are_bounded(headers, execution):
+    # Guards against memory that grows with the number of large requests held open at once.
+    interface = Interface()
+    interface.http.bodies.max_bytes = 100
+    answers = []
+
+    def route(call):
+        if not answers:
+            answers.append(interface.order(CONTENT_LENGTH="40", **headers))
+        yield from Interface().route(call)
+
+    interface.http.route = route
+    assert interface.order(CONTENT_LENGTH="61")[1] == "201 Created"
+    body, status, sent = answers[0]
+    assert status.startswith("503")
+    assert json.loads(body)["execution"] == execution
+    assert (sent["Retry-After"], sent["Connection"]) == ("1", "close")
+    assert interface.http.bodies.used_bytes == 0
+
+
+@pytest.mark.parametrize(
+    ("environ", "size"),
+    [
+        ({}, 0),
+        ({"CONTENT_LENGTH": "7"}, 7),
+        ({"CONTENT_LENGTH": "9" * 12}, MAX_BODY_BYTES),
+        ({"CONTENT_LENGTH": "x"}, MAX_BODY_BYTES),
+        ({"HTTP_TRANSFER_ENCODING": "Chunked", "CONTENT_LENGTH": "7"}, MAX_BODY_BYTES),
+    ],
+)
+def test_a_body_of_unknown_length_takes_the_largest_room(environ, size):
+    assert announced_bytes(environ) == size
