Delete registrations of lost VMs and write missing ones again

Cause: only an agent that drains removes its registration. Ruled out: deleting them after the 120 s of the directory, since an agent that is only cut off from the platform would stay unregistered. Before: no code deletes them; an agent whose registration is deleted never registers again.

--- a/src/pistachionotch/bench/slopes/store.py
+++ b/src/pistachionotch/bench/slopes/store.py
@@ -265,7 +265,7 @@
 
         def register(store: HttpObjectStore = store, count: int = count) -> None:
             for member in members(count):
-                Registration(store, member, SystemClock(), logger("agent")).run()
+                Registration(store, member, SystemClock(), logger("agent")).ensure()
 
         _add(slopes, count, counted.calls_of(register))
         listed.add(count, counted.answer_bytes("/objects?prefix=members/"))
--- a/src/pistachionotch/membership/registration.py
+++ b/src/pistachionotch/membership/registration.py
@@ -16,6 +16,8 @@
 
 MEMBERS_PREFIX = "members/"
 RETRY_MS = 1000
+# A registration can be deleted while its VM is cut off from the platform; see ``stale``.
+RECHECK_MS = 600_000
 
 
 def encode_registration(member: Member, token: str) -> bytes:
@@ -41,21 +43,25 @@
     clock: Clock
     log: Any
     registered: bool = False
+    withdrawn: bool = False
 
     def run(self) -> None:
-        """Try until the registration is in the store."""
-        while not self.registered:
-            self.registered = self._write()
-            if not self.registered:
-                self.clock.sleep_ms(RETRY_MS)
-        self.log.info("registered", node=self.member.node, incarnation=self.member.incarnation)
+        """Keep the registration in the store until it is withdrawn."""
+        while not self.withdrawn:
+            self.clock.sleep_ms(RECHECK_MS if self.ensure() else RETRY_MS)
 
-    def _write(self) -> bool:
+    def ensure(self) -> bool:
+        """Write the registration if it is missing; return whether it is in the store."""
         key = MEMBERS_PREFIX + self.member.node
         read = self.store.get(key)
         if isinstance(read, Failure):
             return False
         current = read.unwrap()
+        if current is not None and self.registered:
+            # One of another incarnation is a later one's, which this agent must not replace.
+            return True
+        if self.withdrawn:
+            return False
         token = secrets.token_hex(8)
         value = encode_registration(self.member, token)
         version = current.version if current else None
@@ -63,10 +69,13 @@
         if isinstance(written, Failure):
             self.log.info("registration not written", reason=str(written.failure()))
             return False
+        self.registered = True
+        self.log.info("registered", node=self.member.node, incarnation=self.member.incarnation)
         return True
 
     def withdraw(self) -> None:
         """Remove the member object, unless a newer incarnation has replaced it."""
+        self.withdrawn = True
         key = MEMBERS_PREFIX + self.member.node
         read = self.store.get(key)
         current = read.value_or(None)
--- /dev/null
+++ b/tests/unit/membership/test_registration.py
@@ -0,0 +1,74 @@
+"""Guards against registrations that outlive their VMs, and against those that get lost."""
+
+import attrs
+import pytest
+
+from pistachionotch.clock import ManualClock
+from pistachionotch.logs import logger
+from pistachionotch.membership.directory import Member
+from pistachionotch.membership.registration import Registration, decode_registration
+from pistachionotch.membership.stale import STALE_MS, StaleRegistrations
+from pistachionotch.objects.memory import MemoryStore
+
+KEY = "members/agent-1"
+MEMBER = Member("agent-1", "10.0.0.1:7000", "cebu", "visayas", "old", ("fitting",))
+
+
+@pytest.fixture
+def store():
+    return MemoryStore(ManualClock())
+
+
+@pytest.fixture
+def registration(store):
+    made = Registration(store, MEMBER, store.clock, logger("agent"))
+    assert made.ensure()
+    return made
+
+
+def registered(store):
+    stored = store.get(KEY).unwrap()
+    return decode_registration(stored.value) if stored else None
+
+
+def sweep(stale, listed):
+    stale.sweep(stale.store.snapshot("members/").unwrap().objects, listed)
+
+
+def test_an_agent_registers_again_after_its_registration_was_deleted(store, registration):
+    store.delete(KEY, store.get(KEY).unwrap().version)
+    assert registration.ensure()
+    assert registered(store) == MEMBER
+
+
+def test_an_old_incarnation_does_not_replace_a_later_one(store, registration):
+    later = attrs.evolve(MEMBER, incarnation="new")
+    Registration(store, later, store.clock, logger("agent")).ensure()
+    registration.ensure()
+    assert registered(store) == later
+
+
+def test_a_withdrawn_agent_stays_withdrawn(store, registration):
+    registration.withdraw()
+    registration.ensure()
+    assert registered(store) is None
+
+
+def test_a_registration_is_deleted_once_its_vm_was_absent_for_long(store, registration):
+    stale = StaleRegistrations(store, store.clock, logger("directory"))
+    sweep(stale, {"agent-2"})
+    store.clock.advance(STALE_MS - 1)
+    sweep(stale, {"agent-2"})
+    assert registered(store) == MEMBER
+    store.clock.advance(1)
+    sweep(stale, {"agent-2"})
+    assert registered(store) is None
+
+
+@pytest.mark.parametrize("listed", [{"agent-1"}, set()], ids=["listed again", "empty list"])
+def test_a_reading_that_proves_nothing_deletes_nothing(store, registration, listed):
+    stale = StaleRegistrations(store, store.clock, logger("directory"))
+    sweep(stale, {"agent-2"})
+    store.clock.advance(STALE_MS)
+    sweep(stale, listed)
+    assert registered(store) == MEMBER
