Give each port of a test deployment once

Cause: free_port checked that nothing was bound to a port, but the process that it was given to binds it only after its start. In one of two runs of the scenarios on a busy machine agent-3 and entry-2 were given port 17365, and entry-2 ended. Ruled out: a slow start, since the log of entry-2 shows 'address already in use'. Before: with a repeated draw the new test gets the same port. After: the next one.

--- a/tests/support/deployment.py
+++ b/tests/support/deployment.py
@@ -21,12 +21,19 @@
 ROOT = Path(__file__).resolve().parents[2]
 
 
+# A process binds its port only after a while, or not while it is down.
+GIVEN_PORTS = set()
+
+
 def free_port():
-    """Return a port below the ephemeral ones, which no client takes while a process is down."""
+    """Return a port below the ephemeral ones, which no client takes, that was not given before."""
     while True:
         port = random.SystemRandom().randrange(12_000, 32_000)
+        if port in GIVEN_PORTS:
+            continue
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind((HOST, port))
+            GIVEN_PORTS.add(port)
             return port
 
 
