Shorten the stored form of a lease

Cause: 330 entries list all leases every 2 s, and a lease took 322 bytes of the list because the session and the token both repeated the holder's name and each field carried its name.

Measured with pistachionotch slopes sizes: 322 bytes per lease before, 242 with a session and a token of 64 random bits each, 170 with an array instead of an object. For 45 leases every 2 s that is 7.3 KB/s before and 3.8 KB/s after.

Ruled out: reading less often while a holder renews. A process that takes over counts the time to live from when it first saw the last version, so each second between its reads delays the takeover after a crash by up to a second.

The former form is still read, because a lease that cannot be parsed is never taken again.

--- a/src/pistachionotch/bench/slopes/sizes.py
+++ b/src/pistachionotch/bench/slopes/sizes.py
@@ -73,8 +73,7 @@
 def _leases() -> Slope:
     """Measure the answer to a list of leases as the object API's protocol has it."""
     listed = Slope("list of leases", "lease", "bytes")
-    session = f"entry-visayas-cebu-01/{1:016x}"
-    record = LeaseRecord("entry-visayas-cebu-01", session, f"{session}/{2:016x}", 12, 6000)
+    record = LeaseRecord("entry-visayas-cebu-01", f"{1:016x}", f"{2:016x}", 12, 6000)
     value = base64.b64encode(record.to_bytes()).decode()
     for count in (1, 9, 36, 45):
         items = [
--- a/src/pistachionotch/lease/lease.py
+++ b/src/pistachionotch/lease/lease.py
@@ -66,7 +66,8 @@
         self.clock = clock
         self.key = f"leases/{duty}/{shard}"
         self.holder = holder
-        self.session = f"{holder}/{rng.getrandbits(64):016x}"
+        # Every waiting entry lists all leases, so the record does not repeat the holder's name.
+        self.session = f"{rng.getrandbits(64):016x}"
         self.time_to_live_ms = time_to_live_ms
         self.margin_ms = max(1, time_to_live_ms // MARGIN_SHARE)
         self.rng = rng
@@ -244,4 +245,4 @@
         self.next_call_ms = self.clock.now_ms() + duration_ms - spread_ms
 
     def _new_token(self) -> str:
-        return f"{self.session}/{self.rng.getrandbits(64):016x}"
+        return f"{self.rng.getrandbits(64):016x}"
--- a/src/pistachionotch/lease/record.py
+++ b/src/pistachionotch/lease/record.py
@@ -22,20 +22,18 @@
     time_to_live_ms: int
 
     def to_bytes(self) -> bytes:
-        """Return the JSON form."""
-        return json.dumps(attrs.asdict(self), separators=(",", ":")).encode()
+        """Return the JSON form, an array of the fields; all entries list all leases."""
+        return json.dumps(attrs.astuple(self), separators=(",", ":")).encode()
 
 
 def parse_lease(value: bytes) -> LeaseRecord | None:
     """Return the lease of an object's value, or None if it is malformed."""
     try:
         fields = json.loads(value)
-        return LeaseRecord(
-            str(fields["holder"]),
-            str(fields["session"]),
-            str(fields["token"]),
-            int(fields["fence"]),
-            int(fields["time_to_live_ms"]),
-        )
+        if isinstance(fields, dict):
+            # Earlier versions stored an object. A lease that cannot be read is never taken again.
+            fields = [fields[field.name] for field in attrs.fields(LeaseRecord)]
+        holder, session, token, fence, time_to_live_ms = fields
+        return LeaseRecord(str(holder), str(session), str(token), int(fence), int(time_to_live_ms))
     except (ValueError, KeyError, TypeError):
         return None
