Send request classes as numbers

Cause: an agent's heartbeat named each request class in use three times.

The protocol version is 2, so that a mixed pair says why it does not connect. test_reflected_proof_is_refused now sends the present version; with the fixed number 1 it would be refused for its version and no longer for its proof.

--- a/src/pistachionotch/wire/codec.py
+++ b/src/pistachionotch/wire/codec.py
@@ -37,6 +37,14 @@
     messages.Withdraw: 21,
 }
 _TYPES = {number: kind for kind, number in _TYPE_NUMBERS.items()}
+# A heartbeat names each class in use three times; the numbers are for good as well.
+_CLASS_NUMBERS = {
+    RequestClass.STOREFRONT: 1,
+    RequestClass.CONFIRMATION: 2,
+    RequestClass.TRAINING: 3,
+    RequestClass.LONG: 4,
+}
+_CLASSES = {number: name for name, number in _CLASS_NUMBERS.items()}
 
 MAX_MESSAGE_BYTES = 1024 * 1024
 MAX_UNPROVED_BYTES = 4096
@@ -62,6 +70,10 @@
     return kind(_exact(value, str))
 
 
+def _request_class(value: Any, _kind: type) -> RequestClass:
+    return _CLASSES[_exact(value, int)]
+
+
 def _make_converter() -> cattrs.Converter:
     converter = cattrs.Converter(
         unstruct_strat=UnstructureStrategy.AS_TUPLE, detailed_validation=False
@@ -70,8 +82,9 @@
     for kind in (int, str, bytes, bool):
         converter.register_structure_hook(kind, _exact)
     converter.register_structure_hook(float, _float)
-    for enumeration in (Execution, RequestClass):
-        converter.register_structure_hook(enumeration, _enumeration)
+    converter.register_structure_hook(Execution, _enumeration)
+    converter.register_structure_hook(RequestClass, _request_class)
+    converter.register_unstructure_hook(RequestClass, _CLASS_NUMBERS.__getitem__)
     for record in (*_TYPES.values(), LoadFacts, VersionSpan):
         # Annotations are strings in every module; the converter needs the types themselves.
         attrs.resolve_types(record)
--- a/src/pistachionotch/wire/messages.py
+++ b/src/pistachionotch/wire/messages.py
@@ -12,7 +12,7 @@
 from ..outcomes import Execution, RequestClass
 from ..samples.spans import VersionSpan
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 # Header of a completion's final message: why the engine ended it.
 FINISH_REASON_HEADER = "X-Finish-Reason"
 
--- a/tests/unit/wire/test_session.py
+++ b/tests/unit/wire/test_session.py
@@ -10,7 +10,7 @@
 from pistachionotch.clock import SystemClock
 from pistachionotch.logs import logger
 from pistachionotch.wire import codec
-from pistachionotch.wire.messages import Hello, Leaving, Piece, Proof
+from pistachionotch.wire.messages import PROTOCOL_VERSION, Hello, Leaving, Piece, Proof
 from pistachionotch.wire.session import (
     HandshakeError,
     Identity,
@@ -67,7 +67,9 @@
     """A stranger that sends the agent's own messages back must not be taken for an entry."""
     port, agent_inbox = agent
     connection = connect(f"ws://{HOST}:{port}/", compression=None, proxy=None, legacy=True)
-    connection.send(codec.encode(Hello(1, "bituin", "x", "entry", "cebu", "i", b"n" * 16)))
+    connection.send(
+        codec.encode(Hello(PROTOCOL_VERSION, "bituin", "x", "entry", "cebu", "i", b"n" * 16))
+    )
     connection.recv(timeout=2)
     proof = codec.decode(connection.recv(timeout=2))
     connection.send(codec.encode(Proof(proof.mac)))
