Send the heartbeats of all links from one task

Cause: an entry with 80 connections woke 40 times a second to send heartbeats and 40 times for their answers, one epoll call and one timer each.

Heartbeats may now leave up to a tenth of their interval early, so that links fall into at most ten groups; a silent peer is still closed at the millisecond at which three intervals have passed.

--- a/src/pistachionotch/entry/daemon.py
+++ b/src/pistachionotch/entry/daemon.py
@@ -33,6 +33,7 @@
 from .decisions import DecisionLog
 from .duties import ClaimCleanup, DirectoryDuty
 from .handlers import Handlers
+from .heartbeats import Heartbeats
 from .http import HttpInterface
 from .keys import KeyIssuer
 from .links import AgentLink
@@ -72,6 +73,7 @@
     directory: Directory = attrs.field(factory=Directory)
     state: str = "starting"
     open_requests: int = 0
+    heartbeats: Heartbeats = attrs.field(factory=Heartbeats)
     directories: dict[str, DirectoryDuty] = attrs.field(factory=dict)
     store: HttpObjectStore = attrs.field(init=False)
     lease_reads: LeaseReads = attrs.field(init=False)
@@ -155,6 +157,7 @@
             logger("link"),
             self._config_changed,
             self.settings.region,
+            heartbeats=self.heartbeats,
         )
 
     def _config_changed(self) -> None:
--- a/src/pistachionotch/entry/links.py
+++ b/src/pistachionotch/entry/links.py
@@ -12,13 +12,14 @@
 from gevent.queue import Queue
 
 from ..admission.load import LoadFacts
-from ..clock import MS_PER_SECOND, Clock
+from ..clock import Clock
 from ..config.revisions import Revisions
 from ..membership.directory import Member
 from ..outcomes import RequestClass
 from ..routing.facts import AgentObservations, CandidateFacts
 from ..wire import messages
 from ..wire.session import HandshakeError, Identity, Session, SessionClosed, open_session
+from .heartbeats import GROUPS, Heartbeats
 
 RECONNECT_MIN_MS = 100
 RECONNECT_MAX_MS = 5000
@@ -65,7 +66,8 @@
     channels: dict[str, Queue] = attrs.field(factory=dict)
     late_messages: int = 0
     up: Event = attrs.field(factory=Event)
-    interval_changed: Event = attrs.field(factory=Event)
+    heartbeats: Heartbeats = attrs.field(factory=Heartbeats)
+    beat_due_ms: int = 0
     inbox: Queue = attrs.field(factory=Queue)
     heartbeat_sequence: int = 0
     observations: AgentObservations = attrs.field(factory=AgentObservations)
@@ -178,7 +180,7 @@
     def _serve(self) -> None:
         session = self.session
         assert session is not None
-        heartbeats = gevent.spawn(self._beat, session)
+        self.heartbeats.add(self)
         try:
             for _session, message in self.inbox:
                 if isinstance(message, SessionClosed):
@@ -186,26 +188,29 @@
                     return
                 self.handle(message, session)
         finally:
-            heartbeats.kill(block=False)
-
-    def _beat(self, session: Session) -> None:
-        due_ms = self.clock.now_ms() + self.heartbeat_ms()
-        while not session.closed:
-            now_ms = self.clock.now_ms()
-            # An entry has 80 links, so a task wakes only when something is due.
-            pause_ms = max(0, min(due_ms - now_ms, session.silent_in_ms()))
-            interval_changed = self.interval_changed.wait(pause_ms / MS_PER_SECOND)
-            self.interval_changed.clear()
-            if session.silent():
-                session.close("no heartbeat")
-                return
-            if interval_changed or self.clock.now_ms() >= due_ms:
-                due_ms = self.clock.now_ms() + self.heartbeat_ms()
-                self._send_heartbeat(session)
+            self.heartbeats.remove(self)
+
+    def beat(self) -> int:
+        """Send a heartbeat if it is due or the peer has fallen silent; return when to look again.
+
+        The return value is in milliseconds from now.
+        """
+        interval_ms = self.heartbeat_ms()
+        session = self.session
+        if session is None or session.closed:
+            return interval_ms
+        if session.silent():
+            session.close("no heartbeat")
+            return interval_ms
+        now_ms = self.clock.now_ms()
+        if now_ms >= self.beat_due_ms - interval_ms // GROUPS:
+            self._send_heartbeat(session)
+        return min(self.beat_due_ms - now_ms, session.silent_in_ms())
 
     def _send_heartbeat(self, session: Session) -> None:
         self.heartbeat_sequence += 1
         interval_ms = self.heartbeat_ms()
+        self.beat_due_ms = self.clock.now_ms() + interval_ms
         revision = self.revisions.revision
         session.send(messages.Heartbeat(self.heartbeat_sequence, revision, None, interval_ms))
 
@@ -213,7 +218,8 @@
         """Offer the configuration in force to the agent, and announce a changed interval."""
         if self.session is not None:
             self.session.send(messages.ConfigOffer(self.revisions.revision))
-            self.interval_changed.set()
+            self.beat_due_ms = 0
+            self.heartbeats.wake()
 
     def _lose(self, reason: str) -> None:
         self.log.info("agent connection lost", agent=self.member.node, reason=reason)
--- a/src/pistachionotch/wire/session.py
+++ b/src/pistachionotch/wire/session.py
@@ -16,7 +16,6 @@
 import gevent
 from gevent.queue import Full, Queue
 from websockets.exceptions import ConnectionClosed, WebSocketException
-from websockets.frames import Frame, Opcode
 from websockets.sync.client import connect
 from websockets.sync.connection import Connection
 from websockets.sync.server import Server, serve
@@ -182,20 +181,15 @@
 
     def _deliver_directly(self) -> None:
         """Take all frames from the connection's reader, after those that already wait."""
-        later: list[Frame] = []
+        later: list[bytes | str] = []
         self.connection.deliver = later.append
         with contextlib.suppress(TimeoutError):
             while True:
                 self._receive(self.connection.recv(timeout=0))
         # No other task runs between here and the end, so the order of the frames is kept.
         for frame in later:
-            self._take(frame)
-        self.connection.deliver = self._take
-
-    def _take(self, frame: Frame) -> None:
-        whole = frame.opcode is Opcode.BINARY and frame.fin
-        # Peers send each message as one binary frame; an empty text is malformed as well.
-        self._receive(bytes(frame.data) if whole else "")
+            self._receive(frame)
+        self.connection.deliver = self._receive
 
     def _receive(self, data: bytes | str) -> None:
         if self.closed:
--- a/tests/unit/calls/network.py
+++ b/tests/unit/calls/network.py
@@ -1,7 +1,7 @@
 """Connections between entries and agents, in memory and with faults of single frames."""
 
 import gevent
-from gevent.queue import Queue
+from gevent.queue import Empty, Queue
 
 from pistachionotch.wire import codec
 
@@ -19,6 +19,7 @@
         self.wire = wire
         self.peer = None
         self.incoming = Queue()
+        self.deliver = None
         self.closed = False
         self.last_ms = 0.0
 
@@ -30,8 +31,11 @@
             raise OSError("connection is closed")
         self.wire.transmit(self, frame)
 
-    def recv(self):
-        frame = self.incoming.get()
+    def recv(self, timeout=None):
+        try:
+            frame = self.incoming.get(block=timeout != 0)
+        except Empty:
+            raise TimeoutError from None
         if frame is _CLOSED:
             raise OSError("connection is closed")
         return frame
@@ -50,8 +54,12 @@
             self.wire.deliver(self, _CLOSED, 0)
 
     def receive(self, frame):
-        if not self.closed and self.wire.open:
+        if self.closed or not self.wire.open:
+            return
+        if self.deliver is None:
             self.incoming.put(frame)
+        else:
+            self.deliver(frame)
 
     def lose_connection(self):
         self.closed = True
