Give each zone the weight store's rate that was asked for it

The configured rate is asked for one zone, but was divided by the number of zones: an answer of 7 would have given 0.78 a second in nine zones, 161 s.

--- a/src/pistachionotch/entry/policy.py
+++ b/src/pistachionotch/entry/policy.py
@@ -17,7 +17,8 @@
 
 DEFAULT_HEARTBEAT_MS = 2000
 DEFAULT_SUBSET = 80
-DEFAULT_FETCHES_PER_S = 4.0
+# Lets the 123 engines of a zone load weights of 5 s within 22.4 s, as docs/weights.md derives.
+DEFAULT_FETCHES_PER_S = 7.0
 DEFAULT_RETRY_SHARE = 0.1
 DEFAULT_HEDGING = Hedging(after_percentile=95, budget=0.1)
 DEFAULT_TIMEOUTS_MS = {
@@ -77,9 +78,7 @@
         if self.configuration is None or model not in self.configuration.models:
             return RolloutLimits(DEFAULT_FETCHES_PER_S)
         rollout = self.configuration.models[model].rollout
-        # Each zone has a holder of its own, so the weight store's rate is shared evenly.
-        share = rollout.weight_store_loads_per_s / max(1, len(self.zones()))
-        return RolloutLimits(share, rollout.max_unavailable_share)
+        return RolloutLimits(rollout.weight_store_loads_per_s, rollout.max_unavailable_share)
 
     def call_defaults(self) -> CallDefaults:
         """Return the timeouts and idempotent routes."""
--- /dev/null
+++ b/tests/unit/entry/test_policy.py
@@ -0,0 +1,23 @@
+"""Guards against a roll-out that takes longer than 28 s at the target scale."""
+
+from pistachionotch.config.revisions import Revisions
+from pistachionotch.entry.policy import PolicyView
+from pistachionotch.weights.rollout import AgentWeights, estimate_rollout
+from tests.support.deployment import ROOT
+
+ZONE = [AgentWeights(f"agent-{number}", "cebu", 1) for number in range(123)]
+
+
+def test_default_rate_lets_a_zone_of_the_target_scale_finish_in_time():
+    limits = PolicyView(Revisions()).rollout_limits("unknown")
+    assert estimate_rollout(ZONE, 2, limits, [5_000]).total_ms <= 27_000
+
+
+def test_rate_of_the_configuration_is_that_of_one_zone():
+    """The questionnaire asks for the rate in one zone; divided by the zones it would be too low."""
+    text = (ROOT / "examples/bituin/configuration.jsonc").read_text()
+    revisions = Revisions()
+    revisions.offer(1, text.replace('_loads_per_s": 1', '_loads_per_s": 7').encode())
+    view = PolicyView(revisions)
+    view.refresh()
+    assert view.rollout_limits("fitting").fetches_per_s == 7
