--- a/src/pistachionotch/wire/session.py
+++ b/src/pistachionotch/wire/session.py
@@ -22,7 +22,7 @@
 
 from ..clock import Clock
 from . import codec
-from .connections import OrderlyClientConnection, OrderlyServerConnection
+from .connections import OrderlyClientConnection, OrderlyClose, OrderlyServerConnection
 from .messages import PROTOCOL_VERSION, Hello, Message, Proof
 
 OUTBOX_MESSAGES = 1024
@@ -122,7 +122,7 @@
     """Carry messages to and from one proved peer."""
 
     def __init__(
-        self, connection: Connection, peer: Hello, clock: Clock, inbox: Queue, heartbeat_ms: int
+        self, connection: OrderlyClose, peer: Hello, clock: Clock, inbox: Queue, heartbeat_ms: int
     ) -> None:
         self.connection = connection
         self.peer = peer
@@ -173,16 +173,35 @@
         """Read until the connection ends; then deliver ``SessionClosed`` to the inbox."""
         reason = "closed by peer"
         try:
-            while not self.closed:
-                message = codec.decode(self.connection.recv())
-                self.last_received_ms = self.clock.now_ms()
-                self.inbox.put((self, message))
-        except codec.MalformedMessageError as error:
-            reason = f"malformed message, {error}"
+            self._deliver_directly()
+            self.connection.recv()  # returns only by raising, as no frame gets there any more
         except (ConnectionClosed, WebSocketException, OSError, EOFError) as error:
             reason = str(error) or type(error).__name__
         self.close(reason)
 
+    def _deliver_directly(self) -> None:
+        """Take all frames from the connection's reader, after those that already wait."""
+        later: list[bytes | str] = []
+        self.connection.deliver = later.append
+        with contextlib.suppress(TimeoutError):
+            while True:
+                self._receive(self.connection.recv(timeout=0))
+        # No other task runs between here and the end, so the order of the frames is kept.
+        for frame in later:
+            self._receive(frame)
+        self.connection.deliver = self._receive
+
+    def _receive(self, data: bytes | str) -> None:
+        if self.closed:
+            return
+        try:
+            message = codec.decode(data)
+        except codec.MalformedMessageError as error:
+            self.close(f"malformed message, {error}")
+            return
+        self.last_received_ms = self.clock.now_ms()
+        self.inbox.put((self, message))
+
     def close(self, reason: str) -> None:
         """Close the connection once and tell the owner."""
         if self.closed:
@@ -242,6 +261,7 @@
     except HandshakeError:
         connection.close()
         raise
+    assert isinstance(connection, OrderlyClose)
     return Session(connection, peer, clock, inbox, heartbeat_ms)
 
 
