--- a/src/pistachionotch/entry/duties.py
+++ b/src/pistachionotch/entry/duties.py
@@ -13,6 +13,7 @@
 from ..lease.lease import Lease
 from ..membership.directory import Member, MemberState, decode_members, encode_members
 from ..membership.registration import MEMBERS_PREFIX, decode_registration
+from ..membership.stale import StaleRegistrations
 from ..objects.api import ObjectStore, StoredObject
 from ..objects.follow import FollowedPrefix
 from ..objects.vms import VmList
@@ -69,24 +70,32 @@
     written_ms: int | None = None
     registrations: FollowedPrefix = attrs.field(init=False)
     published: FollowedPrefix = attrs.field(init=False)
+    stale: StaleRegistrations = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         # Listing 1,100 registrations every second would take about 400 KB/s.
         self.registrations = FollowedPrefix(self.store, MEMBERS_PREFIX)
         self.published = FollowedPrefix(self.store, DIRECTORY_PREFIX + self.zone)
+        self.stale = StaleRegistrations(self.store, self.clock, self.log)
 
     def run(self) -> None:
         """Hold the lease if possible and publish while it is held."""
         while True:
-            self.lease.step()
-            if self.lease.held():
-                self.publish()
+            self.step()
             self.clock.sleep_ms(self.period_ms)
 
+    def step(self) -> None:
+        """Do what is due in one period."""
+        self.lease.step()
+        if self.lease.held():
+            self.publish()
+            self._sweep()
+
     def publish(self) -> None:
         """Write the directory if it changed; a lost race is repaired in the next period."""
         registered = self.registrations.refresh()
-        listed = self.vms.read()
+        # A list without any VM is a fault of the list, and would take all members out.
+        listed = self.vms.read() or None
         # A past holder's late write must be seen as well, so this is read in each period.
         if not registered or not self.published.refresh():
             return
@@ -117,6 +126,20 @@
         self.written_ms = self.clock.now_ms()
         self.log.info("directory written", zone=self.zone, members=len(members))
 
+    def _sweep(self) -> None:
+        """Delete this zone's registrations of VMs that have long been absent."""
+        if not self.absent_since_ms:
+            return
+        listed = self.vms.read()
+        if listed is None:
+            return
+        own = []
+        for key, (_version, member) in self.decoded.items():
+            stored = self.registrations.objects.get(key)
+            if member is not None and member.zone == self.zone and stored is not None:
+                own.append(stored)
+        self.stale.sweep(own, listed)
+
     def _may_wait(self, published: bytes, members: list[Member], size: int) -> bool:
         """Return whether the change only adds members, and the last write is too recent."""
         if self.written_ms is None:
--- a/src/pistachionotch/membership/stale.py
+++ b/src/pistachionotch/membership/stale.py
@@ -22,7 +22,7 @@
 class StaleRegistrations:
     """Delete registrations that an agent's VM left behind when it failed.
 
-    An agent that drains withdraws its own; those of failed VMs would be listed for ever.
+    An agent that drains withdraws its own; those of failed VMs would be listed forever.
     """
 
     store: ObjectStore
--- a/tests/unit/entry/test_duties.py
+++ b/tests/unit/entry/test_duties.py
@@ -10,6 +10,7 @@
 from pistachionotch.logs import logger
 from pistachionotch.membership.directory import MemberState, decode_members
 from pistachionotch.membership.registration import MEMBERS_PREFIX, encode_registration
+from pistachionotch.membership.stale import STALE_MS
 from pistachionotch.objects.memory import MemoryStore
 from pistachionotch.objects.vms import MAX_AGE_MS, HttpVmList
 from pistachionotch.standins.http import start_server
@@ -42,8 +43,7 @@
         """Let time pass in periods of the duty; return the published states."""
         for _ in range(ms // STEP_MS):
             self.clock.advance(STEP_MS)
-            self.duty.lease.step()
-            self.duty.publish()
+            self.duty.step()
         stored = self.store.get("control/directory/cebu").unwrap()
         return {member.node: member.state for member in decode_members(stored.value)}
 
@@ -75,6 +75,23 @@
     assert "agent-0" not in zone.after(2 * STEP_MS)
 
 
+def test_registration_of_a_lost_vm_is_deleted_in_the_end(zone):
+    # Guards against a list of registrations that grows with every failed VM.
+    zone.after()
+    del zone.app.vms[0]
+    key = MEMBERS_PREFIX + "agent-0"
+    zone.after(STALE_MS)
+    assert zone.store.get(key).unwrap() is not None
+    zone.after(2 * STEP_MS)
+    assert zone.store.get(key).unwrap() is None
+
+
+def test_an_empty_vm_list_takes_no_member_out(zone):
+    zone.after()
+    zone.app.vms.clear()
+    assert zone.after(2 * ABSENT_MS).keys() == set(zone.nodes)
+
+
 def test_unchanged_vm_list_is_read_by_its_tag_and_seldom(zone):
     """A list of 1,100 VMs read whole by the duties of nine zones is 800 KB/s."""
     vms = zone.duty.vms
