--- a/spec/claim.pml
+++ b/spec/claim.pml
@@ -5,9 +5,13 @@
  * is checked, an incarnation that never takes another step stands for a crash, and one that takes it
  * late for a pause. A write may be refused, lose its answer after its effect, get lost before it, or
  * be delayed and take effect at any later time.
- * With -DISSUED: an issued key, whose home agent restarts, with late Submit messages and queries.
+ * With -DREFUSALS=n, entries also refuse n requests as "not run", after a conditional write of the
+ * key's next epoch. A Submit may be late for any time, so an attempt carries any epoch that an entry
+ * can have read up to now. An entry receives a request when it reads the epoch.
+ * With -DISSUED: an issued key, whose home agent restarts, with late Submit messages and refusals.
  *
- * Property: at most one run; nothing runs after a query was answered "not run".
+ * Property: at most one run; after a "not run" answer for the key, only requests that were received
+ * after the revocation on which the answer rests can run, and for an issued key none.
  * The macros WITHOUT_... remove one protecting step each; spin must then find an error.
  */
 
@@ -20,6 +24,9 @@
 #ifndef RELEASES
 #define RELEASES 2
 #endif
+#ifndef REFUSALS
+#define REFUSALS 0
+#endif
 
 byte runs = 0;
 
@@ -30,19 +37,29 @@
 
 #ifndef ISSUED
 
-mtype = { NONE, CLAIMED, RELEASED, FINAL };
+mtype = { NONE, CLAIMED, RELEASED, REVOKED, FINAL };
 mtype = { OK, UNAVAILABLE, AMBIGUOUS, CONFLICT };
-mtype = { IDLE, WRITING, CLAIMING, READY, SENT, SAVED, ABANDONED, RELEASING };
+mtype = { IDLE, WRITING, CLAIMING, READY, SENT, SAVED, ABANDONED, RELEASING, SETTLING };
 
 /* The claim object. Each write has a number of its own, which is token and version in one; numbers
  * are given out by book, because a common counter would multiply the states. */
 mtype claim = NONE;
 byte claim_owner = 0;
 byte claim_version = 0;
+byte claim_epoch = 0;
+
+/* The epoch of the last "not run" answer: requests that read a lower one must not run. */
+byte refused_epoch = 0;
 
-/* A claim of this book that was not sent, or one that is free. */
-#define may_replace() (claim == NONE || claim == RELEASED || \
-    (claim == CLAIMED && (claim_owner == me || FOREIGN)))
+#define is_free() (claim == NONE || claim == RELEASED || claim == REVOKED)
+/* A claim of this book that was not sent, or one that is free. The absent object has epoch 0. */
+#define may_replace() (SAME_EPOCH && \
+    (is_free() || (claim == CLAIMED && (claim_owner == me || FOREIGN))))
+#ifdef WITHOUT_EPOCH
+#define SAME_EPOCH true
+#else
+#define SAME_EPOCH (claim_epoch == epoch)
+#endif
 #ifdef WITHOUT_OWNER_CHECK
 #define FOREIGN true
 #else
@@ -50,26 +67,29 @@
 #endif
 #define can_release() (phase == ABANDONED || phase == CLAIMING || phase == RELEASING)
 
-chan delayed = [1] of { byte, byte, mtype, byte };
+chan delayed = [1] of { byte, byte, mtype, byte, byte };
 
-inline apply(number, value, owner) {
+inline apply(number, value, owner, new_epoch) {
     claim = value;
+    claim_epoch = new_epoch;
     claim_owner = owner;
     claim_version = number
 }
 
-/* The answer of the last write; used only within one atomic step, so not part of the state. */
+/* Used only within one atomic step, so not part of the state: the answer of the last write, and
+ * the epoch of a Submit. */
 hidden mtype answer;
+hidden byte submitted;
 
 /* Conditional write with all its outcomes. A conflict is handled in the same step: the object read
  * after a conflict could as well have been met by a later write, because versions never repeat. */
 inline write(expected, number, value) {
     if
-    :: expected == claim_version -> apply(number, value, me); answer = OK
-    :: expected == claim_version -> apply(number, value, me); answer = AMBIGUOUS
+    :: expected == claim_version -> apply(number, value, me, epoch); answer = OK
+    :: expected == claim_version -> apply(number, value, me, epoch); answer = AMBIGUOUS
     :: expected != claim_version -> answer = CONFLICT
     :: answer = AMBIGUOUS
-    :: nfull(delayed) -> delayed!expected, number, value, me; answer = AMBIGUOUS
+    :: nfull(delayed) -> delayed!expected, number, value, me, epoch; answer = AMBIGUOUS
     :: answer = UNAVAILABLE
     fi
 }
@@ -80,14 +100,14 @@
 }
 
 active proctype Network() {
-    byte expected, number, owner;
+    byte expected, number, owner, epoch;
     mtype value;
 end:
     do
     :: atomic {
-        delayed?expected, number, value, owner;
+        delayed?expected, number, value, owner, epoch;
         if
-        :: expected == claim_version -> apply(number, value, owner)
+        :: expected == claim_version -> apply(number, value, owner, epoch)
         :: else
         fi
     }
@@ -109,7 +129,7 @@
     :: answer == UNAVAILABLE && !uncertain -> drop()
 #ifdef WITHOUT_SETTLING
     /* The write is repeated without its condition. */
-    :: answer == AMBIGUOUS -> apply(token, CLAIMED, me); known = token; phase = READY
+    :: answer == AMBIGUOUS -> apply(token, CLAIMED, me, epoch); known = token; phase = READY
 #else
     :: answer == AMBIGUOUS -> uncertain = true; phase = CLAIMING
 #endif
@@ -121,6 +141,19 @@
     fi
 }
 
+/* The epoch of a new attempt; a later one than before needs a token and a version of its own. */
+inline take_epoch(lowest) {
+    submitted = lowest;
+    do
+    :: submitted < claim_epoch -> submitted++
+    :: break
+    od;
+    if
+    :: submitted != epoch -> epoch = submitted; known = 0; new_number(token)
+    :: else
+    fi
+}
+
 /* One write that gives the claim back. */
 inline release_call() {
     new_number(release_number);
@@ -139,22 +172,42 @@
     fi
 }
 
+/* Ends one refusal; its variables are reset so that they do not multiply the states. */
+inline end_refusal() {
+    known = 0;
+    token = 0;
+    epoch = 0;
+    phase = IDLE
+}
+
+/* The answer "not run", which rests on a confirmed revocation. */
+inline refuse() {
+    refused_epoch = epoch;
+    end_refusal()
+}
+
 active [BOOKS] proctype Book() {
     byte me = _pid;
     mtype phase = IDLE;
-    byte known, token, release_number, numbers, attempts, releases;
+    byte known, token, release_number, numbers, attempts, releases, epoch;
     bool uncertain = false;
 end:
     do
     :: atomic { phase == IDLE && attempts < ATTEMPTS ->
         attempts++;
+        take_epoch(0);
         new_number(token);
         claim_call()
     }
     :: atomic { phase == WRITING -> claim_call() }
-    :: atomic { phase == CLAIMING && attempts < ATTEMPTS -> attempts++; claim_call() }
+    :: atomic { phase == CLAIMING && attempts < ATTEMPTS ->
+        attempts++;
+        take_epoch(epoch);
+        claim_call()
+    }
     :: atomic { phase == RELEASING && attempts < ATTEMPTS ->
         attempts++;
+        take_epoch(epoch);
 #ifdef WITHOUT_NEW_TOKEN
         /* The object still carries our claim, which is taken for proof that it stays ours. */
         if
@@ -167,7 +220,7 @@
 #endif
     }
     :: atomic { phase == ABANDONED && attempts < ATTEMPTS -> attempts++; phase = READY }
-    :: atomic { phase == READY -> phase = SENT; run_call() }
+    :: atomic { phase == READY -> phase = SENT; assert(epoch >= refused_epoch); run_call() }
     :: atomic { phase == READY -> phase = ABANDONED }
     :: atomic { can_release() && releases < RELEASES -> releases++; release_call() }
     :: atomic { phase == SENT ->
@@ -178,11 +231,49 @@
     od
 }
 
+#if REFUSALS
+/* Entries that refuse requests with the key, one after the other. */
+active proctype Entry() {
+    byte me = _pid;
+    mtype phase = IDLE;
+    byte known, token, numbers, epoch, refusals;
+end:
+    do
+    :: atomic { phase == IDLE && refusals < REFUSALS && is_free() ->
+        refusals++;
+        known = claim_version;
+        epoch = claim_epoch + 1;
+        new_number(token);
+        phase = WRITING
+    }
+    :: atomic { phase == WRITING ->
+        write(known, token, REVOKED);
+        if
+        :: answer == OK -> refuse()
+#ifdef WITHOUT_CONFIRMING
+        :: answer == AMBIGUOUS -> refuse()
+#else
+        :: answer == AMBIGUOUS -> phase = SETTLING
+#endif
+        :: else -> end_refusal()
+        fi
+    }
+    :: atomic { phase == SETTLING ->
+        if
+        :: claim_version == token -> refuse()
+        :: claim_version == known -> phase = WRITING
+        :: else -> end_refusal()
+        fi
+    }
+    od
+}
+#endif
+
 #else
 
-/* Submits and queries of one issued key of incarnation 1; each is delivered at any time or never. */
+/* Submits and refusals of one issued key of incarnation 1; each is delivered at any time or never. */
 byte submits = ATTEMPTS;
-byte queries = ATTEMPTS;
+byte refusals = ATTEMPTS;
 bool told_not_run = false;
 
 active proctype Agent() {
@@ -208,7 +299,7 @@
         fi
     }
     :: atomic {
-        queries > 0 -> queries--;
+        refusals > 0 -> refusals--;
         if
         :: incarnation == 1 && !recorded ->
             told_not_run = true;
--- a/src/pistachionotch/agent/attempts.py
+++ b/src/pistachionotch/agent/attempts.py
@@ -12,6 +12,7 @@
 from ..clock import Clock, Deadline
 from ..idempotency import claim as claims
 from ..idempotency.book import MAX_RESULT_BYTES, ClaimBook
+from ..idempotency.keys import is_issued
 from ..outcomes import Execution
 from ..samples.spans import SpanRecorder, VersionSpan
 from ..wire.assembly import PieceCounter
@@ -94,14 +95,14 @@
     def _run(self) -> bool:
         if self.submit.idempotent:
             return self._call_upstream()
-        decision = self.book.begin(self.submit.scope, self.submit.key)
+        decision = self.book.begin(self.submit.scope, self.submit.key, self.submit.epoch)
         if not isinstance(decision, claims.Run):
             self._answer_claim(decision)
             return False
         self.permission = decision.run
         if self.deadline.expired(self.clock):
             self.book.abandon(self.submit.scope, self.submit.key, self.permission)
-            self.refuse("deadline passed before sending", Execution.NOT_RUN, proved=True)
+            self._refuse_unsent("deadline passed before sending")
             return False
         self.book.sending(self.submit.scope, self.submit.key, self.permission)
         return self._call_upstream()
@@ -160,9 +161,11 @@
 
     def _finish_broken(self, outcome: UpstreamBroken) -> bool:
         if not outcome.sent:
-            if not self.submit.idempotent:
-                self.book.not_sent(self.submit.scope, self.submit.key, self.permission)
-            self.refuse(outcome.reason, Execution.NOT_RUN, proved=not self.submit.idempotent)
+            if self.submit.idempotent:
+                self.refuse(outcome.reason, Execution.NOT_RUN)
+                return False
+            self.book.not_sent(self.submit.scope, self.submit.key, self.permission)
+            self._refuse_unsent(outcome.reason)
             return False
         if self.submit.idempotent:
             self._send_finished(0, (), Execution.FAILED, outcome.reason)
@@ -171,6 +174,13 @@
         self._send_finished(0, (), Execution.UNKNOWN, outcome.reason)
         return False
 
+    def _refuse_unsent(self, reason: str) -> None:
+        """Refuse a call that was permitted and not sent; its issued key was revoked with it."""
+        issued = is_issued(self.submit.key)
+        if not issued:
+            self.book.give_back(self.submit.scope, self.submit.key)
+        self.refuse(reason, Execution.NOT_RUN, proved=True, revoked=issued)
+
     def _send_finished(
         self, status: int, headers: tuple[tuple[str, str], ...], execution: Execution, reason: str
     ) -> None:
@@ -187,10 +197,11 @@
         retry_after_ms: int = 0,
         home: str = "",
         proved: bool = False,
+        revoked: bool = False,
     ) -> None:
         """Send the final answer of an attempt that produced no response."""
         self.session.send(
-            Refused(self.submit.attempt, reason, execution, retry_after_ms, home, proved)
+            Refused(self.submit.attempt, reason, execution, retry_after_ms, home, proved, revoked)
         )
 
     @singledispatchmethod
@@ -216,6 +227,11 @@
     def _(self, decision: claims.Refuse) -> None:
         self.refuse(decision.reason, Execution.NOT_RUN, decision.retry_after_ms)
 
+    @_answer_claim.register
+    def _(self, decision: claims.Revoked) -> None:
+        proved = is_issued(self.submit.key)
+        self.refuse(decision.reason, Execution.NOT_RUN, proved=proved, revoked=True)
+
     @_answer_claim.register
     def _(self, decision: claims.WrongAgent) -> None:
         self.refuse("the key belongs to another agent", Execution.NOT_RUN, 0, decision.home)
--- a/src/pistachionotch/agent/core.py
+++ b/src/pistachionotch/agent/core.py
@@ -16,6 +16,7 @@
 from ..clock import MS_PER_SECOND, Clock, Deadline
 from ..config.revisions import Revisions
 from ..idempotency.book import MAX_RESULT_BYTES, ClaimBook
+from ..idempotency.keys import is_issued
 from ..outcomes import Execution
 from ..samples.retained import RetainedBodies
 from ..wire import messages
@@ -280,16 +281,25 @@
     ) -> None:
         """Answer an attempt that was not handed to the upstream."""
         submit = runner.submit
-        proved = submit.idempotent or self._never_run(submit)
-        runner.refuse(reason, Execution.NOT_RUN, retry_after_ms, proved=proved)
+        revoked = self._revoke(submit)
+        proved = submit.idempotent or revoked or self._never_run(submit)
+        runner.refuse(reason, Execution.NOT_RUN, retry_after_ms, proved=proved, revoked=revoked)
         self._log_admission(submit, decision, reason)
 
+    def _revoke(self, submit: messages.Submit) -> bool:
+        """Revoke an issued key, unless an earlier call with it waits here and may still run."""
+        if submit.idempotent or not is_issued(submit.key) or self._key_waits(submit):
+            return False
+        return self.book.revoke(submit.scope, submit.key)
+
     def _never_run(self, submit: messages.Submit) -> bool:
         """Return whether no call with the key was sent, and none that waits here may still be."""
-        for runner in self.waiting.values():
-            if (runner.submit.scope, runner.submit.key) == (submit.scope, submit.key):
-                return False
-        return self.book.never_run(submit.scope, submit.key)
+        return not self._key_waits(submit) and self.book.never_run(submit.scope, submit.key)
+
+    def _key_waits(self, submit: messages.Submit) -> bool:
+        named = (submit.scope, submit.key)
+        waiting = (runner.submit for runner in self.waiting.values())
+        return any((other.scope, other.key) == named for other in waiting)
 
     def _withdraw(self, attempt: str) -> None:
         self.waiting.pop(attempt, None)
--- a/src/pistachionotch/entry/calls.py
+++ b/src/pistachionotch/entry/calls.py
@@ -37,6 +37,8 @@
     avoid: frozenset[str] = frozenset()
     # Parts are handed to the caller as they arrive; otherwise a faster attempt may replace them.
     streamed: bool = False
+    # Number of revocations of the caller's key when the request was received.
+    epoch: int = 0
 
     def routed(self, excluded: frozenset[str]) -> RoutedRequest:
         """Return what placement needs to know."""
@@ -69,6 +71,7 @@
             self.expected_tokens,
             self.tenant,
             self.retain,
+            self.epoch,
         )
 
     def resumed(self, text: bytes, tokens: int) -> Call | None:
--- a/src/pistachionotch/entry/claims.py
+++ b/src/pistachionotch/entry/claims.py
@@ -1,13 +1,15 @@
-"""What the object API says of earlier calls with a caller's idempotency key."""
+"""What an entry reads and writes of the claims of caller's keys: epochs and revocations."""
 
 from __future__ import annotations
 
 import attrs
-from returns.result import Failure
+from returns.result import Failure, Success
 
-from ..idempotency.claim import ClaimPhase, StoredResult, parse_claim
-from ..idempotency.keys import claim_key, is_issued
-from ..objects.api import ObjectStore
+from ..idempotency.claim import ClaimPhase, StoredClaim, StoredResult, parse_claim
+from ..idempotency.keys import claim_key
+from ..idempotency.writer import FREE_PHASES, MAX_WRITES
+from ..objects.api import ObjectStore, StoredObject, VersionConflict
+from ..objects.settle import put_settled
 from ..outcomes import Execution
 
 
@@ -19,26 +21,58 @@
     result: StoredResult | None = None
 
 
-def look_up_earlier_call(store: ObjectStore, scope: str, key: str) -> EarlierCall:
-    """Return what is known of a key without making a claim.
+UNKNOWN = EarlierCall(Execution.UNKNOWN)
 
-    A refusal of a repeated key must not say ``not-run`` when an earlier request with the key ran,
-    so the claim is read before such an answer.
-    """
-    if is_issued(key):
-        # Only the memory of the home agent could tell, and it did not answer.
-        return EarlierCall(Execution.UNKNOWN)
+
+def read_epoch(store: ObjectStore, scope: str, key: str) -> int | None:
+    """Return the epoch of a caller's key, or None if it cannot be read."""
     read = store.get(claim_key(scope, key))
     if isinstance(read, Failure):
-        return EarlierCall(Execution.UNKNOWN)
-    stored = read.unwrap()
-    if stored is None:
-        return EarlierCall(Execution.NOT_RUN)
-    claim = parse_claim(stored.value)
+        return None
+    return _epoch(read.unwrap())
+
+
+def revoke_key(store: ObjectStore, scope: str, key: str, token: str) -> EarlierCall:
+    """Keep every request that was received with the key from running, unless one has begun.
+
+    NOT_RUN says that the claim was free and that its epoch has passed: a ``Submit`` that carries it
+    may still wait somewhere, but is refused when it arrives. ``token`` is the writer token.
+    """
+    name = claim_key(scope, key)
+    read = store.get(name)
+    if isinstance(read, Failure):
+        return UNKNOWN
+    current = read.unwrap()
+    for _attempt in range(MAX_WRITES):
+        begun = _begun(current)
+        if begun is not None:
+            return begun
+        revoked = StoredClaim(token, "", "", ClaimPhase.REVOKED, epoch=_epoch(current) + 1)
+        version = None if current is None else current.version
+        answer = put_settled(store, name, revoked.to_bytes(), version, token)
+        if isinstance(answer, Success):
+            return EarlierCall(Execution.NOT_RUN)
+        error = answer.failure()
+        if not isinstance(error, VersionConflict):
+            return UNKNOWN
+        current = error.current
+    return UNKNOWN
+
+
+def _begun(current: StoredObject | None) -> EarlierCall | None:
+    """Return what is known of a call that holds the claim, or None if the claim is free."""
+    if current is None:
+        return None
+    claim = parse_claim(current.value)
     if claim is None:
-        return EarlierCall(Execution.UNKNOWN)
-    if claim.phase is ClaimPhase.RELEASED:
-        return EarlierCall(Execution.NOT_RUN)
+        return UNKNOWN
+    if claim.phase in FREE_PHASES:
+        return None
     if claim.phase is ClaimPhase.DONE and claim.result is not None:
         return EarlierCall(Execution.DONE, claim.result)
-    return EarlierCall(Execution.UNKNOWN)
+    return UNKNOWN
+
+
+def _epoch(current: StoredObject | None) -> int:
+    claim = None if current is None else parse_claim(current.value)
+    return 0 if claim is None else claim.epoch
--- a/src/pistachionotch/entry/once.py
+++ b/src/pistachionotch/entry/once.py
@@ -2,22 +2,23 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from functools import singledispatchmethod
+from typing import TypeVar
 
 import attrs
 import gevent
 from gevent.queue import Empty, Queue
 from returns.result import Success
 
-from ..idempotency.keys import decode_key
+from ..idempotency.keys import decode_key, is_issued
 from ..objects.api import ObjectStore
 from ..outcomes import Execution, Problem
 from ..routing.retry import FailedAttempt, decide_retry
 from ..wire.assembly import Assembler
 from ..wire.messages import Finished, Piece, Refused, Started
 from .calls import Call, CallDone, CallFailed, Delivered, RouteEvent
-from .claims import EarlierCall, look_up_earlier_call
+from .claims import UNKNOWN, EarlierCall, read_epoch, revoke_key
 from .keys import ISSUE_TIMEOUT_S, issue_at
 from .links import AgentLink, LinkLost
 from .router import FINAL_ANSWER_GRACE_MS
@@ -25,6 +26,7 @@
 
 RESUBMIT_PAUSE_MS = 100
 ASK_AGAIN_MS = 1000
+T = TypeVar("T")
 
 
 @attrs.define
@@ -42,13 +44,18 @@
     excluded: set[str] = attrs.field(factory=set)
     number: int = 0
     ended: bool = False
-    proved_not_run: bool = False
+    # Whether a ``Submit`` with the present key was written, and whether that key can run no more.
+    written: bool = False
+    revoked: bool = False
     resubmitted: bool = False
     started_ms: int = attrs.field(init=False)
     key_from_caller: bool = attrs.field(init=False)
+    # A key of the caller's own choice, which claims and epochs in the object API guard.
+    claimed: bool = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.key_from_caller = bool(self.call.key)
+        self.claimed = self.key_from_caller and not is_issued(self.call.key)
         self.started_ms = self.state.clock.now_ms()
 
     def run(self) -> Iterator[RouteEvent]:
@@ -61,6 +68,9 @@
                 self.link.observations.dropped(self.attempt)
 
     def _run(self) -> Iterator[RouteEvent]:
+        if self.claimed and not self._read_epoch():
+            yield from self._refuse("the claim of the key cannot be read", ASK_AGAIN_MS)
+            return
         yield from self._send("")
         while not self.ended:
             left_ms = self.call.deadline.at_ms - self.state.clock.now_ms() + FINAL_ANSWER_GRACE_MS
@@ -71,6 +81,15 @@
                 break
             yield from self.on_message(message, link)
 
+    def _read_epoch(self) -> bool:
+        """Read the epoch of the key; a later one would undo a refusal given since."""
+        left_ms = self.call.deadline.remaining_ms(self.state.clock)
+        epoch = _within(left_ms, read_epoch, self.store, self.call.target, self.call.key)
+        if epoch is None:
+            return False
+        self.call = attrs.evolve(self.call, epoch=epoch)
+        return True
+
     def _send(self, home: str) -> Iterator[RouteEvent]:
         """Submit to ``home`` if given, else to the key's home or to a placed agent."""
         home = home or self._home_of_key()
@@ -102,6 +121,7 @@
         remaining_ms = self.call.deadline.remaining_ms(state.clock)
         if not link.submit(self.call.submit(self.attempt, remaining_ms), self.channel):
             return False
+        self.written = True
         link.observations.sent(self.attempt, self.call.request_class, state.clock.now_ms())
         return True
 
@@ -142,34 +162,31 @@
             yield from self._refuse(reason, retry_after_ms)
             return
         state.clock.sleep_ms(decision.wait_ms)
-        # Another request with the key may run from now on.
-        self.proved_not_run = False
         if others and not self._home_of_key():
             self.excluded.add(agent)
         self.number += 1
         yield from self._send("")
 
     def _refuse(self, reason: str, retry_after_ms: int) -> Iterator[RouteEvent]:
-        """Refuse a call of which nothing was sent, by what is known of its key."""
-        if self.proved_not_run or not self.key_from_caller:
-            yield self._failed(503, Execution.NOT_RUN, reason, retry_after_ms)
-            return
-        earlier = self._look_up()
+        """Refuse a call that was not run; its key must not run later either."""
+        earlier = self._revoke_key() if self.claimed else self._state_of_issued_key()
         if earlier.result is not None:
             result = earlier.result
             yield from self._done(result.body, result.status, result.headers, "")
             return
         yield self._failed(503, earlier.execution, reason, retry_after_ms)
 
-    def _look_up(self) -> EarlierCall:
-        """Read the claim of the key; a store that is too slow proves nothing."""
+    def _revoke_key(self) -> EarlierCall:
+        """Revoke the caller's key; a store that is too slow proves nothing."""
         left_ms = self.call.deadline.at_ms - self.state.clock.now_ms() + FINAL_ANSWER_GRACE_MS
-        # The read ends in a task of its own, so that its connection is not left in mid-response.
-        reading = gevent.spawn(look_up_earlier_call, self.store, self.call.target, self.call.key)
-        reading.join(max(0, left_ms) / 1000)
-        if not reading.successful():
-            return EarlierCall(Execution.UNKNOWN)
-        return reading.value
+        token = f"{self.state.rng.getrandbits(64):016x}"
+        call = self.call
+        return _within(left_ms, revoke_key, self.store, call.target, call.key, token) or UNKNOWN
+
+    def _state_of_issued_key(self) -> EarlierCall:
+        """Return what is known without the home agent, which alone can revoke an issued key."""
+        unused = not self.key_from_caller and not self.written
+        return EarlierCall(Execution.NOT_RUN) if self.revoked or unused else UNKNOWN
 
     @singledispatchmethod
     def on_message(self, message: object, link: AgentLink) -> Iterator[RouteEvent]:
@@ -224,13 +241,15 @@
         if message.home:
             yield from self._send_home(message.home)
             return
+        if message.execution is Execution.NOT_RUN and message.revoked:
+            yield from self._on_revoked(link, message)
+            return
         if message.execution is Execution.NOT_RUN and self.resubmitted and not message.proved:
             # The agent refused to look at the key now, which says nothing of the earlier attempt.
             self.state.clock.sleep_ms(RESUBMIT_PAUSE_MS)
             yield from self._submit_again(link, message.reason)
             return
         if message.execution is Execution.NOT_RUN:
-            self.proved_not_run = message.proved
             yield from self._not_run(link.member.node, message.reason, message.retry_after_ms)
             return
         if message.retry_after_ms and self.resubmitted:
@@ -241,6 +260,16 @@
         status = 409 if message.retry_after_ms else 502
         yield self._failed(status, Execution.UNKNOWN, message.reason, message.retry_after_ms)
 
+    def _on_revoked(self, link: AgentLink, message: Refused) -> Iterator[RouteEvent]:
+        """Refuse the call, whose key cannot run any more, or go on with another issued key."""
+        if self.key_from_caller:
+            self.revoked = True
+            yield from self._refuse(message.reason, message.retry_after_ms)
+            return
+        self.call = attrs.evolve(self.call, key="")
+        self.written = self.resubmitted = False
+        yield from self._not_run(link.member.node, message.reason, message.retry_after_ms)
+
     def _send_home(self, home: str) -> Iterator[RouteEvent]:
         """Go on at the agent that holds the key's claim; nobody else may answer for it."""
         link = self.state.table.links.get(home)
@@ -281,6 +310,15 @@
             execution,
             self.call.request_id,
             retry_after_ms or ASK_AGAIN_MS,
+            new_key=self.revoked and not self.claimed,
         )
         self.state.decisions.failed(self.call, problem)
         return CallFailed(problem)
+
+
+def _within(limit_ms: int, function: Callable[..., T], *arguments: object) -> T | None:
+    """Return the result of a call of the store, or None if it takes longer."""
+    # The call ends in a task of its own, so that its connection is not left in mid-response.
+    task = gevent.spawn(function, *arguments)
+    task.join(max(0, limit_ms) / 1000)
+    return task.value if task.successful() else None
--- a/src/pistachionotch/idempotency/book.py
+++ b/src/pistachionotch/idempotency/book.py
@@ -4,12 +4,18 @@
 (1) An issued key of this incarnation has no record and lies above the floor. Every such key that
 was ever sent has a record, and evicting a record first raises the floor to its sequence number.
 (2) The claim object of a caller's key was created by this incarnation, or taken over from
-``released``, by a conditional update, and the call was not sent since. Evicting a record leaves the
-claim object in place, so a later ``begin`` finds it. The clean-up deletes only final claims that
-are older than the retention (see ``cleanup``).
+``released`` or ``revoked``, by a conditional update, and the call was not sent since. Evicting a
+record leaves the claim object in place, so a later ``begin`` finds it. The clean-up deletes only
+final claims that are older than the retention (see ``cleanup``).
 ``sending`` succeeds once for each permission, and a call may be sent only after it returned.
 
-``begin`` and ``maintain`` use the store and may wait for it; the other methods change memory only.
+Why nothing runs after a refusal said ``not-run``. For a caller's key, the refusing entry first
+replaces a free claim by a revoked one of the next epoch; a claim is made only in the epoch that the
+request's entry read when it received the request. For an issued key, this book keeps a record of
+the refusal.
+
+``begin``, ``give_back`` and ``maintain`` use the store and may wait for it; the other methods
+change memory only.
 Call ``maintain`` a few times a second: it saves final states, releases abandoned claims and evicts
 old records.
 """
@@ -24,12 +30,11 @@
 from .claim import (
     ClaimDecision,
     ClaimPhase,
-    ClaimState,
     ClaimStateError,
-    ClaimStatus,
     InProgress,
     Refuse,
     Replay,
+    Revoked,
     Run,
     StoredClaim,
     StoredResult,
@@ -37,7 +42,7 @@
     WrongAgent,
 )
 from .keys import IssuedKey, claim_key, decode_key, encode_key, is_issued
-from .records import FINAL_PHASES, Record, RecordPhase, Records
+from .records import FINAL_PHASES, UNSETTLED_PHASES, Record, RecordPhase, Records
 from .writer import RELEASABLE_PHASES, ClaimOutcome, ClaimWriter
 
 MAX_RECORDS = 4_000
@@ -46,13 +51,8 @@
 RETRY_AFTER_MS = 1_000
 SETTLING_WAIT_MS = 1_000
 SETTLING_POLL_MS = 10
+REVOKED_SINCE = "the key was revoked after the request was received"
 OUTCOME_UNKNOWN = "the outcome at the upstream is not known"
-STATUS_BY_PHASE = {
-    RecordPhase.READY: ClaimStatus.IN_PROGRESS,
-    RecordPhase.SENT: ClaimStatus.IN_PROGRESS,
-    RecordPhase.DONE: ClaimStatus.DONE,
-    RecordPhase.REVOKED: ClaimStatus.NOT_RUN,
-}
 
 IsLive = Callable[[str, str], bool]
 
@@ -90,7 +90,6 @@
         self.writer = ClaimWriter(store, agent, incarnation)
         # Records for which ``maintain`` has a write to make.
         self.unsettled: dict[str, Record] = {}
-        self.settling: Record | None = None
         self.issued = 0
         self.claims = 0
         self.runs = 0
@@ -102,11 +101,11 @@
             IssuedKey(self.agent, self.incarnation, self.issued), scope, self.deployment_key
         )
 
-    def begin(self, scope: str, key: str) -> ClaimDecision:
+    def begin(self, scope: str, key: str, epoch: int = 0) -> ClaimDecision:
         """Decide on an attempt; only ``Run`` permits it to be sent, after ``sending``."""
         if is_issued(key):
             return self._begin_issued(decode_key(key, scope, self.deployment_key), key)
-        return self._begin_claim(claim_key(scope, key))
+        return self._begin_claim(claim_key(scope, key), epoch)
 
     def sending(self, scope: str, key: str, run: int | None = None) -> None:
         """Record that the call may have run from here on; raise if it must not be sent."""
@@ -140,7 +139,7 @@
         if record.phase is not RecordPhase.READY:
             raise ClaimStateError(f"not known to be unsent in state {record.phase.name}")
         if record.sequence > 0:
-            self.records.drop(record)
+            self.records.finish(record, RecordPhase.REVOKED, None, self.clock.now_ms())
             return
         record.phase = RecordPhase.ABANDONED
         self.unsettled[record.name] = record
@@ -153,54 +152,56 @@
         record.phase = RecordPhase.READY
         self.abandon(scope, key, run)
 
+    def give_back(self, scope: str, key: str) -> None:
+        """Release the claim of an abandoned call now, so that the key can be revoked."""
+        record = self.records.get(claim_key(scope, key))
+        if record is not None and record.phase is RecordPhase.ABANDONED and not record.busy:
+            self._settle_alone(record)
+
     def never_run(self, scope: str, key: str) -> bool:
-        """Return whether memory alone proves that no call with this key was sent."""
-        if not is_issued(key):
-            record = self.records.get(claim_key(scope, key))
-            return record is not None and record.phase is RecordPhase.ABANDONED
-        issued = decode_key(key, scope, self.deployment_key)
-        if issued is None or not self._is_own(issued):
-            return False
-        return self.records.get(key) is None and self._never_begun(issued)
+        """Return whether memory proves that no call with this caller's key was sent."""
+        record = self.records.get(claim_key(scope, key))
+        return record is not None and record.phase is RecordPhase.ABANDONED
 
-    def query(self, scope: str, key: str) -> ClaimState:
-        """Return what memory proves about a call.
+    def revoke(self, scope: str, key: str) -> bool:
+        """Return whether an issued key did not run and, from here on, never will.
 
-        NOT_RUN revokes an issued key: its ``Submit`` may still arrive on an older connection.
+        A refusal may say ``not-run`` only after this: another ``Submit`` with the key may still
+        arrive on an older connection.
         """
-        if not is_issued(key):
-            return _state_of(self.records.get(claim_key(scope, key)))
         issued = decode_key(key, scope, self.deployment_key)
         if issued is None or not self._is_own(issued):
-            return ClaimState(ClaimStatus.UNKNOWN)
+            return False
         record = self.records.get(key)
-        if record is not None or not self._never_begun(issued):
-            return _state_of(record)
+        if record is not None:
+            return record.phase is RecordPhase.REVOKED
+        if not self._never_begun(issued):
+            return False
         revoked = Record(key, issued.sequence, RecordPhase.REVOKED)
         revoked.finished_ms = self.clock.now_ms()
-        return _state_of(revoked if self.records.add(revoked) else None)
+        return self.records.add(revoked)
 
     def maintain(self) -> None:
         """Save final states, release abandoned claims and evict old records."""
         for record in list(self.unsettled.values()):
             if record.busy:
                 continue
-            record.busy = True
-            self.settling = record
-            try:
-                settled = self._settle(record)
-            finally:
-                record.busy = False
-                self.settling = None
-            self.unsettled.pop(record.name, None)
-            if not settled:
+            if not self._settle_alone(record):
                 # The store has a problem, so the rest waits; another record is first next time.
-                self.unsettled[record.name] = record
                 break
-            if not record.saved:
-                self.unsettled[record.name] = record
         self.records.evict_older_than(self.clock.now_ms() - self.retention_ms)
 
+    def _settle_alone(self, record: Record) -> bool:
+        record.busy = record.settling = True
+        try:
+            settled = self._settle(record)
+        finally:
+            record.busy = record.settling = False
+        self.unsettled.pop(record.name, None)
+        if not settled or not record.saved:
+            self.unsettled[record.name] = record
+        return settled
+
     def _settle(self, record: Record) -> bool:
         if record.phase in FINAL_PHASES:
             return self.writer.save(record)
@@ -229,32 +230,43 @@
             return self._refuse("too many calls in progress")
         return self._permit(record)
 
-    def _begin_claim(self, name: str) -> ClaimDecision:
+    def _begin_claim(self, name: str, epoch: int) -> ClaimDecision:
         record = self.records.get(name)
         if record is None:
-            record = Record(name, 0, RecordPhase.CLAIMING, identity=self._new_identity())
+            identity = self._new_identity()
+            record = Record(name, 0, RecordPhase.CLAIMING, identity=identity, epoch=epoch)
             if not self.records.add(record):
                 return self._refuse("too many calls in progress")
             record.token = self._new_token(record)
             return self._claim(record)
         if record.phase in FINAL_PHASES:
             return self._decide_known(record)
-        if record is self.settling:
+        if record.settling:
             # ``maintain`` gives an earlier claim back, which is no call in progress.
             deadline_ms = self.clock.now_ms() + SETTLING_WAIT_MS
-            while record is self.settling and self.clock.now_ms() < deadline_ms:
+            while record.settling and self.clock.now_ms() < deadline_ms:
                 self.clock.sleep_ms(SETTLING_POLL_MS)
-            if record is not self.settling:
-                return self._begin_claim(name)
+            if not record.settling:
+                return self._begin_claim(name, epoch)
         if record.busy:
             return self._in_progress()
-        if record.phase is RecordPhase.RELEASING:
-            # The release may still arrive; a write with a new token keeps it from taking effect.
+        if record.phase in UNSETTLED_PHASES:
+            return self._claim_again(record, epoch)
+        if record.phase is RecordPhase.ABANDONED and record.epoch != epoch:
+            return Revoked(REVOKED_SINCE)
+        return self._decide_known(record)
+
+    def _claim_again(self, record: Record, epoch: int) -> ClaimDecision:
+        if epoch < record.epoch:
+            return Revoked(REVOKED_SINCE)
+        if record.phase is RecordPhase.RELEASING or epoch > record.epoch:
+            # The last write may still arrive; one with a new token keeps it from taking effect.
             record.token = self._new_token(record)
             record.phase = RecordPhase.CLAIMING
-        if record.phase is RecordPhase.CLAIMING:
-            return self._claim(record)
-        return self._decide_known(record)
+        if epoch > record.epoch:
+            record.epoch = epoch
+            record.version = None
+        return self._claim(record)
 
     def _decide_known(self, record: Record) -> ClaimDecision:
         if record.phase is RecordPhase.ABANDONED:
@@ -262,7 +274,7 @@
         if record.phase is RecordPhase.UNKNOWN:
             return Unknown(OUTCOME_UNKNOWN)
         if record.phase is RecordPhase.REVOKED:
-            return self._refuse("the key was reported as not run and is revoked")
+            return Revoked("the key was refused before and is revoked")
         if record.phase is RecordPhase.DONE:
             return _replay(record.result)
         return self._in_progress()
@@ -282,22 +294,26 @@
             else:
                 self._drop(record)
             return self._refuse("the object API is unavailable")
-        self._drop(record)
+        if record.uncertain and outcome is ClaimOutcome.REVOKED:
+            # The claim may have been deleted, so that an earlier write could still create it.
+            self.unsettled[record.name] = record
+        else:
+            self._drop(record)
         return self._decide_other(outcome)
 
     def _drop(self, record: Record) -> None:
         self.unsettled.pop(record.name, None)
         self.records.drop(record)
 
-    def _decide_other(self, claim: StoredClaim | None) -> ClaimDecision:
-        if claim is None:
+    def _decide_other(self, claim: ClaimOutcome | StoredClaim) -> ClaimDecision:
+        if claim is ClaimOutcome.REVOKED:
+            return Revoked(REVOKED_SINCE)
+        if isinstance(claim, ClaimOutcome):
             return Unknown("the stored claim is malformed")
         if claim.phase is ClaimPhase.DONE:
             return _replay(claim.result)
         if claim.phase is ClaimPhase.UNKNOWN:
             return Unknown(OUTCOME_UNKNOWN)
-        if claim.phase is ClaimPhase.RELEASED:
-            return self._in_progress()
         if claim.agent == self.agent:
             return Unknown("this agent has no record of the run that it claimed")
         if not self.is_live(claim.agent, claim.incarnation):
@@ -353,10 +369,3 @@
     if result is None:
         return Unknown("the call ran, but its response was too large to keep")
     return Replay(result)
-
-
-def _state_of(record: Record | None) -> ClaimState:
-    if record is None:
-        return ClaimState(ClaimStatus.UNKNOWN)
-    status = STATUS_BY_PHASE.get(record.phase, ClaimStatus.UNKNOWN)
-    return ClaimState(status, record.result)
--- a/src/pistachionotch/idempotency/claim.py
+++ b/src/pistachionotch/idempotency/claim.py
@@ -27,23 +27,30 @@
 
     CLAIMED = "claimed"
     RELEASED = "released"
+    REVOKED = "revoked"
     DONE = "done"
     UNKNOWN = "unknown"
 
 
 @attrs.frozen
 class StoredClaim:
-    """Hold the value of a claim object; ``result`` is None in DONE if it was too large to keep."""
+    """Hold the value of a claim object; ``result`` is None in DONE if it was too large to keep.
+
+    ``epoch`` counts the revocations of the key; an absent object is of epoch 0.
+    """
 
     token: str
     agent: str
     incarnation: str
     phase: ClaimPhase
     result: StoredResult | None = None
+    epoch: int = 0
 
     def to_bytes(self) -> bytes:
-        """Return the JSON form."""
+        """Return the JSON form; it leaves out epoch 0, as claims of earlier versions do."""
         fields = attrs.asdict(self)
+        if not self.epoch:
+            del fields["epoch"]
         if self.result is not None:
             fields["result"]["body"] = base64.b64encode(self.result.body).decode()
         return json.dumps(fields, separators=(",", ":")).encode()
@@ -59,6 +66,7 @@
             str(fields["incarnation"]),
             ClaimPhase(fields["phase"]),
             _parse_result(fields["result"]),
+            int(fields.get("epoch", 0)),
         )
     except (ValueError, KeyError, TypeError):
         return None
@@ -108,30 +116,20 @@
 
 
 @attrs.frozen
-class WrongAgent:
-    """Refuse because only the agent ``home`` may decide on this issued key."""
-
-    home: str
-
-
-ClaimDecision = Run | Replay | InProgress | Unknown | Refuse | WrongAgent
+class Revoked:
+    """Refuse for good: the key was revoked, so this attempt did not run and never will."""
 
+    reason: str
 
-class ClaimStatus(enum.StrEnum):
-    """Say what the agent's memory proves about a call."""
 
-    NOT_RUN = "not-run"
-    IN_PROGRESS = "in-progress"
-    DONE = "done"
-    UNKNOWN = "unknown"
+@attrs.frozen
+class WrongAgent:
+    """Refuse because only the agent ``home`` may decide on this issued key."""
 
+    home: str
 
-@attrs.frozen
-class ClaimState:
-    """Answer a query; ``result`` is set in DONE if it is still in memory."""
 
-    status: ClaimStatus
-    result: StoredResult | None = None
+ClaimDecision = Run | Replay | InProgress | Unknown | Refuse | Revoked | WrongAgent
 
 
 class ClaimStateError(Exception):
--- a/src/pistachionotch/idempotency/cleanup.py
+++ b/src/pistachionotch/idempotency/cleanup.py
@@ -9,8 +9,8 @@
 
 Claims in the state ``claimed`` are never deleted, because their agent may be paused before sending.
 They are left by agents that died with calls in flight, so they are few. A caller's key is thus
-remembered for at least the retention after its call ended; a caller that uses a key again after
-that starts a new call.
+remembered for at least the retention after its call ended or was revoked; a caller that uses a key
+again after that starts a new call, in epoch 0.
 """
 
 from __future__ import annotations
@@ -32,7 +32,9 @@
 # Claims are listed by the first three digits of their hash, which bounds the size of one answer.
 SHARDS = 4096
 MAX_DELETES_PER_STEP = 50
-DELETABLE = frozenset({ClaimPhase.DONE, ClaimPhase.UNKNOWN, ClaimPhase.RELEASED})
+DELETABLE = frozenset(
+    {ClaimPhase.DONE, ClaimPhase.UNKNOWN, ClaimPhase.RELEASED, ClaimPhase.REVOKED}
+)
 
 
 @attrs.frozen
--- a/src/pistachionotch/idempotency/records.py
+++ b/src/pistachionotch/idempotency/records.py
@@ -13,7 +13,8 @@
     """Name the states of a record.
 
     CLAIMING and RELEASING mean that a write to the store has an unknown outcome. Neither permits a
-    run before another conditional write has settled it.
+    run before another conditional write has settled it. REVOKED is for issued keys: a refusal said
+    that the call was not run, so it never may.
     """
 
     CLAIMING = enum.auto()
@@ -26,6 +27,7 @@
     REVOKED = enum.auto()
 
 
+UNSETTLED_PHASES = frozenset({RecordPhase.CLAIMING, RecordPhase.RELEASING})
 FINAL_PHASES = frozenset({RecordPhase.DONE, RecordPhase.UNKNOWN, RecordPhase.REVOKED})
 
 
@@ -35,7 +37,8 @@
 
     ``busy`` is set while a greenlet waits for the store on behalf of this record. ``uncertain``
     says that the store may hold, or may yet receive, a claim of this record that permits no run;
-    ``saved`` says that the store needs no final state.
+    ``saved`` says that the store needs no final state. ``settling`` is set while ``maintain`` or
+    ``give_back`` writes; ``epoch`` is that of the request for which the claim is made.
     """
 
     name: str
@@ -45,7 +48,9 @@
     token: str = ""
     version: int | None = None
     run: int = 0
+    epoch: int = 0
     busy: bool = False
+    settling: bool = False
     uncertain: bool = False
     saved: bool = True
     result: StoredResult | None = None
--- a/src/pistachionotch/idempotency/writer.py
+++ b/src/pistachionotch/idempotency/writer.py
@@ -8,7 +8,7 @@
 
 import enum
 
-from returns.result import Result, Success
+from returns.result import Failure, Result, Success
 
 from ..objects.api import (
     ObjectStore,
@@ -24,6 +24,7 @@
 
 # An object can change at most a few times in a row: created, released, deleted by the clean-up.
 MAX_WRITES = 3
+FREE_PHASES = frozenset({ClaimPhase.RELEASED, ClaimPhase.REVOKED})
 RELEASABLE_PHASES = frozenset({RecordPhase.CLAIMING, RecordPhase.ABANDONED, RecordPhase.RELEASING})
 
 
@@ -32,6 +33,8 @@
 
     CLAIMED = enum.auto()
     UNAVAILABLE = enum.auto()
+    REVOKED = enum.auto()
+    MALFORMED = enum.auto()
 
 
 class ClaimWriter:
@@ -42,13 +45,21 @@
         self.agent = agent
         self.incarnation = incarnation
 
-    def claim(self, record: Record) -> ClaimOutcome | StoredClaim | None:
-        """Create the claim or take a released one over.
+    def claim(self, record: Record) -> ClaimOutcome | StoredClaim:
+        """Create the claim or take a free one of the record's epoch over.
 
-        Return the claim that stands in the way if there is one, or None if it is malformed.
+        Return the claim that stands in the way if there is one.
         """
         expected = record.version
-        found: StoredClaim | None = None
+        if record.epoch and expected is None:
+            # The first write would create the claim, which is right in epoch 0 only.
+            read = self.store.get(record.name)
+            if isinstance(read, Failure):
+                return ClaimOutcome.UNAVAILABLE
+            obstacle = self._obstacle(record, read.unwrap())
+            if obstacle is not None:
+                return obstacle
+            expected = _version(read.unwrap())
         for _attempt in range(MAX_WRITES):
             answer = self._write(record, ClaimPhase.CLAIMED, expected)
             if isinstance(answer, Success):
@@ -59,12 +70,10 @@
             if not isinstance(error, VersionConflict):
                 record.uncertain = record.uncertain or not isinstance(error, StoreUnavailable)
                 return ClaimOutcome.UNAVAILABLE
+            obstacle = self._obstacle(record, error.current)
+            if obstacle is not None:
+                return obstacle
             expected = _version(error.current)
-            if error.current is None:
-                continue
-            found = parse_claim(error.current.value)
-            if found is None or not self._may_replace(record, found):
-                return found
         return ClaimOutcome.UNAVAILABLE
 
     def release(self, record: Record) -> bool:
@@ -127,11 +136,26 @@
         self, record: Record, phase: ClaimPhase, expected: int | None
     ) -> Result[StoredObject, StoreError]:
         result = record.result if phase is ClaimPhase.DONE else None
-        claim = StoredClaim(record.token, self.agent, self.incarnation, phase, result)
+        claim = StoredClaim(record.token, self.agent, self.incarnation, phase, result, record.epoch)
         return put_settled(self.store, record.name, claim.to_bytes(), expected, record.token)
 
+    def _obstacle(
+        self, record: Record, current: StoredObject | None
+    ) -> ClaimOutcome | StoredClaim | None:
+        """Return what forbids to claim in place of the object, or None."""
+        if current is None:
+            return ClaimOutcome.REVOKED if record.epoch else None
+        found = parse_claim(current.value)
+        if found is None:
+            return ClaimOutcome.MALFORMED
+        if self._may_replace(record, found):
+            return None
+        return ClaimOutcome.REVOKED if found.phase in FREE_PHASES else found
+
     def _may_replace(self, record: Record, found: StoredClaim) -> bool:
-        if found.phase is ClaimPhase.RELEASED:
+        if found.epoch != record.epoch:
+            return False
+        if found.phase in FREE_PHASES:
             return True
         return found.phase is ClaimPhase.CLAIMED and self._is_own(record, found)
 
--- a/src/pistachionotch/outcomes.py
+++ b/src/pistachionotch/outcomes.py
@@ -40,6 +40,8 @@
     execution: Execution
     request_id: str = ""
     retry_after_ms: int | None = None
+    # The issued key of the request is revoked; the same work needs a new one.
+    new_key: bool = False
 
     def body(self) -> bytes:
         """Return the JSON problem body."""
@@ -53,6 +55,8 @@
         }
         if self.retry_after_ms is not None:
             fields["retry_after_ms"] = self.retry_after_ms
+        if self.new_key:
+            fields["new_key"] = True
         return json.dumps(fields).encode()
 
     def headers(self) -> list[tuple[str, str]]:
--- a/src/pistachionotch/wire/messages.py
+++ b/src/pistachionotch/wire/messages.py
@@ -68,6 +68,8 @@
     tenant: str = ""
     # The agent keeps the response under this name, so that another entry can fetch it.
     retain: str = ""
+    # What the entry read of the caller's key when it received the request; see ``idempotency``.
+    epoch: int = 0
 
 
 @attrs.frozen
@@ -81,6 +83,8 @@
     home: str = ""
     # The agent knows that no earlier call with the same idempotency key ran either.
     proved: bool = False
+    # The key was revoked: no attempt of this request can run any more.
+    revoked: bool = False
 
 
 @attrs.frozen
--- a/tests/unit/agent/test_upkeep.py
+++ b/tests/unit/agent/test_upkeep.py
@@ -84,3 +84,21 @@
     book.maintain()
     gevent.sleep(0.1)
     assert [type(decision) for decision in decisions] == [Run]
+
+
+@pytest.mark.parametrize(("outage_ms", "saved"), [(500, True), (5_000, False)])
+def test_a_drain_waits_for_claims_until_its_limit(store, outage_ms, saved):
+    """Guards against results lost in a drain during an outage, and against a drain without end."""
+    book = _send_at(store, "agent-3")
+    book.finish(SCOPE, KEY, RESULT)
+    maintain = book.maintain
+
+    def maintain_in_outage():
+        store.set_outage(store.clock.now_ms() < outage_ms)
+        maintain()
+
+    book.maintain = maintain_in_outage
+    BookUpkeep(book, store.clock).finish(1_000)
+    assert store.clock.now_ms() <= (1_100 if not saved else outage_ms + 100)
+    store.set_outage(False)
+    assert isinstance(_book(store, "agent-4").begin(SCOPE, KEY), Replay) is saved
--- a/tests/unit/calls/call_machine.py
+++ b/tests/unit/calls/call_machine.py
@@ -15,6 +15,7 @@
 
 from pistachionotch.entry.calls import COMPLETIONS_PATH, Call, CallDone
 from pistachionotch.idempotency.claim import ClaimPhase, parse_claim
+from pistachionotch.idempotency.keys import claim_key
 from pistachionotch.outcomes import Execution, RequestClass
 
 GRACE_MS = 250
@@ -144,8 +145,9 @@
     def drain_agent(self, agent):
         self.world.drain_agent(agent)
 
-    @rule(key=st.sampled_from(("k0", "k1", "k2")))
+    @rule(key=st.sampled_from(("k0", "k1", "k2", "issued")))
     def repeat_while_agents_drain(self, key):
+        key = self.key_named(key)
         self.send("e0", 400, "POST", key)
         self.advance(100)
         for agent in AGENTS:
@@ -155,6 +157,23 @@
         for agent in AGENTS:
             self.restart_agent(agent)
 
+    def key_named(self, key):
+        if key != "issued":
+            return key
+        self.issue_key("e0")
+        return self.world.issued[-1] if self.world.issued else "k2"
+
+    @rule(key=st.sampled_from(("k0", "k1", "issued")))
+    def refuse_while_a_submit_is_late(self, key):
+        key = self.key_named(key)
+        self.world.network.armed.append(("Submit", "late"))
+        self.send("e0", 400, "POST", key)
+        for node in AGENTS:
+            self.world.upstreams.faults[node] = ["refuse"] * 9
+        self.send("e1", 400, "POST", key)
+        self.advance(600)
+        self.world.upstreams.faults.clear()
+
     @rule(entry=entries)
     def restart_entry(self, entry):
         self.world.restart_entry(entry)
@@ -251,6 +270,17 @@
             return
         runs = [ran for ran in self.world.upstreams.ledger if ran.request == order.call.request_id]
         assert not runs, f"ran after the answer not-run: {order} {runs}"
+        for ran in self._runs(order.call) if order.call.key else ():
+            received_ms = self.world.orders[int(ran.request[1:])].received_ms
+            revoked_ms = self._revoked_ms(order)
+            late = ran.at_ms >= order.answered_ms and received_ms < revoked_ms
+            assert not late, f"received before a refusal and ran after it: {order} {ran}"
+
+    def _revoked_ms(self, order):
+        """Return when the refusal took effect; without a revocation, when it was answered."""
+        revoked = self.world.store.revoked_ms.get(claim_key(order.call.target, order.call.key), ())
+        earlier = (at_ms for at_ms in revoked if at_ms <= order.answered_ms)
+        return max(earlier, default=order.answered_ms)
 
     def _check_agent(self, agent):
         core = agent.core
--- a/tests/unit/calls/call_world.py
+++ b/tests/unit/calls/call_world.py
@@ -64,11 +64,14 @@
     call: object
     entry: str
     order: int
+    # The latest time at which the entry has read the epoch of the key.
+    received_ms: int
     data: bytes = b""
     answers: list = attrs.field(factory=list)
     answered_ms: int = 0
     lost: bool = False
     ended: bool = False
+    follower: object = None
 
 
 class Agent:
@@ -205,12 +208,17 @@
         self.start_entry(node)
 
     def send(self, node, call):
-        order = Order(call, node, len(self.orders))
+        order = Order(call, node, len(self.orders), self.clock.now_ms() + self.store.slow_ms)
         self.orders.append(order)
         entry = self.entries[node]
-        self.processes.spawn_in(entry.process, self._follow, entry, order)
+        order.follower = self.processes.spawn_in(entry.process, self._follow, entry, order)
         return order
 
+    def abandon_call(self, order):
+        """End the task of a call as the server does when the caller's connection breaks."""
+        self.orders[order].lost = True
+        self.orders[order].follower.kill(block=False)
+
     def _follow(self, entry, order):
         for event in entry.route(order.call):
             if order.lost:
--- a/tests/unit/calls/test_call_machine.py
+++ b/tests/unit/calls/test_call_machine.py
@@ -19,6 +19,8 @@
 from pistachionotch.entry.routing_state import RoutingState
 from pistachionotch.idempotency.book import ClaimBook
 from pistachionotch.idempotency.claim import Run
+from pistachionotch.idempotency.keys import is_issued
+from pistachionotch.idempotency.writer import FREE_PHASES, ClaimWriter
 from pistachionotch.outcomes import Execution
 from pistachionotch.wire.assembly import Assembler, CompleteResponse
 
@@ -38,7 +40,7 @@
     return ran
 
 
-def begin_ignoring_records(self, scope, key):
+def begin_ignoring_records(self, scope, key, epoch):
     return Run(0)
 
 
@@ -62,7 +64,8 @@
 
 
 def refuse_with_proof(self, runner, reason, retry_after_ms, decision):
-    runner.refuse(reason, Execution.NOT_RUN, retry_after_ms, proved=True)
+    revoked = not runner.submit.idempotent
+    runner.refuse(reason, Execution.NOT_RUN, retry_after_ms, proved=True, revoked=revoked)
 
 
 def nothing(*_arguments):
@@ -73,6 +76,21 @@
     return claims.EarlierCall(Execution.NOT_RUN)
 
 
+def revoke_without_writing(*_arguments):
+    return Success(None)
+
+
+def replace_free_claims_of_any_epoch(self, record, found):
+    return found.phase in FREE_PHASES
+
+
+def abandon_without_revoking(self, scope, key, run=None):
+    abandon(self, scope, key, run)
+    if is_issued(key):
+        del self.records.records[key], self.records.finished[key]
+
+
+abandon = ClaimBook.abandon
 BOOK_WITHOUT_RECORDS = [
     (ClaimBook, "finish", nothing),
     (ClaimBook, "fail_unknown", nothing),
@@ -80,13 +98,15 @@
 ]
 RAN_TWICE = "ran twice"
 WRONG_NOT_RUN = "answered not-run, but ran"
+RAN_LATER = "received before a refusal and ran after it"
 WRONG_RESPONSE = "not one of"
 # Where a mutant also leaves entries in tables, ``check_quiet`` is off, so that its own fault shows.
 # The steps that are removed, and the fault that the machine has to report.
 MUTANTS = {
     "run without a claim": (
         [(AttemptRunner, "_run", run_without_claim), *BOOK_WITHOUT_RECORDS],
-        RAN_TWICE,
+        # An entry finds no claim of the call that ran, revokes the key and says so.
+        f"{RAN_TWICE}|{WRONG_NOT_RUN}",
     ),
     "claim after sending": (
         [
@@ -102,7 +122,7 @@
             (ClaimBook, "sending", nothing),
             *BOOK_WITHOUT_RECORDS,
         ],
-        RAN_TWICE,
+        f"{RAN_TWICE}|{WRONG_NOT_RUN}",
     ),
     "retry sent work with a new key": (
         [
@@ -113,10 +133,23 @@
         f"{RAN_TWICE}|{WRONG_NOT_RUN}",
     ),
     "skip the look-up of earlier claims": (
-        [(once, "look_up_earlier_call", earlier_never_ran)],
+        [(once, "revoke_key", earlier_never_ran)],
         WRONG_NOT_RUN,
     ),
-    "state proof without having it": ([(AgentCore, "_refuse", refuse_with_proof)], WRONG_NOT_RUN),
+    "state proof without having it": (
+        [(AgentCore, "_refuse", refuse_with_proof)],
+        # An entry that trusts the proof also goes on with another issued key.
+        f"{RAN_TWICE}|{WRONG_NOT_RUN}",
+    ),
+    "refuse without revoking": ([(claims, "put_settled", revoke_without_writing)], RAN_LATER),
+    "claim in any epoch": (
+        [(ClaimWriter, "_may_replace", replace_free_claims_of_any_epoch)],
+        RAN_LATER,
+    ),
+    "keep the issued key of a refused call": (
+        [(ClaimBook, "abandon", abandon_without_revoking)],
+        RAN_LATER,
+    ),
     "no sequence check": (
         [(Assembler, "add", accept_any_piece), (Assembler, "finish", accept_any_end)],
         WRONG_RESPONSE,
--- a/tests/unit/calls/test_calls.py
+++ b/tests/unit/calls/test_calls.py
@@ -89,3 +89,52 @@
     repeated = _order(world, "e1", world.issued[0], name="r1")
     world.loop.advance(600)
     assert repeated.answers[0].problem.execution is Execution.UNKNOWN
+
+
+def test_no_call_received_before_a_refusal_runs_after_it(world):
+    """Guards against a second payment: the caller orders anew after ``not-run``."""
+    _keep_one_agent(world)
+    world.network.armed.append(("Submit", "late"))
+    _order(world)
+    world.loop.advance(10)
+    world.upstreams.faults["a0"] = ["refuse"] * 9
+    refused = _order(world, "e1", name="r1")
+    world.loop.advance(500)
+    assert refused.answers[0].problem.execution is Execution.NOT_RUN
+    world.upstreams.faults.clear()
+    world.loop.advance(2000)
+    assert not world.upstreams.ledger
+    later = _order(world, "e0", name="r2")
+    world.loop.advance(500)
+    assert isinstance(later.answers[0], CallDone)
+
+
+def test_a_refused_issued_key_is_revoked_and_the_caller_gets_a_new_one(world):
+    """Guards against a run of an issued key after ``not-run``, also where no caller holds it."""
+    _keep_one_agent(world)
+    world.issue_key("e0")
+    world.loop.advance(20)
+    world.upstreams.faults["a0"] = ["refuse"]
+    refused = _order(world, key=world.issued[0])
+    world.loop.advance(100)
+    problem = refused.answers[0].problem
+    assert (problem.execution, problem.new_key) == (Execution.NOT_RUN, True)
+    repeated = _order(world, "e1", world.issued[0], name="r1")
+    world.upstreams.faults["a0"] = ["refuse"]
+    other = _order(world, key="", name="r2")
+    world.loop.advance(600)
+    assert repeated.answers[0].problem.new_key
+    assert isinstance(other.answers[0], CallDone)
+    assert [ran.request for ran in world.upstreams.ledger] == ["r2"]
+
+
+def test_a_call_whose_caller_goes_away_is_no_longer_observed(world):
+    """Guards against channels and observed attempts that stay for good."""
+    world.upstreams.faults.update(a0=["slow"], a1=["slow"])
+    _order(world)
+    world.loop.advance(50)
+    links = world.entries["e0"].table.links.values()
+    assert sum(len(link.channels) for link in links) == 1
+    world.abandon_call(0)
+    world.loop.advance(1)
+    assert not any(link.channels or link.observations.attempts for link in links)
--- a/tests/unit/calls/upstreams.py
+++ b/tests/unit/calls/upstreams.py
@@ -4,9 +4,11 @@
 
 import attrs
 import gevent
+from returns.result import Success
 
 from pistachionotch.agent.upstream import NO_VERSION, UpstreamBroken, UpstreamEnd, UpstreamPiece
 from pistachionotch.entry.calls import COMPLETIONS_PATH
+from pistachionotch.idempotency.claim import parse_claim
 from pistachionotch.objects.memory import MemoryStore
 
 SERVICE_MS = 20
@@ -72,6 +74,8 @@
     """Answer late: each write takes effect at once, and its answer waits ``slow_ms``."""
 
     slow_ms: int = 0
+    # When each claim was revoked.
+    revoked_ms: dict = attrs.field(factory=dict)
 
     def get(self, key):
         self._wait()
@@ -79,6 +83,9 @@
 
     def put(self, key, value, expected_version):
         answer = super().put(key, value, expected_version)
+        claim = parse_claim(value)
+        if isinstance(answer, Success) and claim is not None and claim.phase == "revoked":
+            self.revoked_ms.setdefault(key, []).append(self.clock.now_ms())
         self._wait()
         return answer
 
--- a/tests/unit/idempotency/book_machine.py
+++ b/tests/unit/idempotency/book_machine.py
@@ -1,5 +1,6 @@
 """State machine of the claim book: several agents, a faulty store, and a ledger of real runs."""
 
+import math
 import random
 from collections import Counter
 
@@ -14,15 +15,18 @@
 )
 
 from pistachionotch.clock import ManualClock
+from pistachionotch.entry.claims import revoke_key
 from pistachionotch.idempotency.book import ClaimBook
 from pistachionotch.idempotency.claim import (
     ClaimStateError,
-    ClaimStatus,
     Replay,
     Run,
     StoredResult,
+    parse_claim,
 )
+from pistachionotch.idempotency.keys import claim_key, is_issued
 from pistachionotch.objects.memory import Faults, MemoryStore
+from pistachionotch.outcomes import Execution
 
 SCOPE = "orders"
 DEPLOYMENT_KEY = b"deployment key for tests"
@@ -39,6 +43,7 @@
     book: ClaimBook
     key: str
     run: int
+    epoch: int
     sent: bool = False
 
 
@@ -82,7 +87,8 @@
         self.issued = [self.books["a1"].issue(SCOPE)] if self.issued_keys else []
         self.runs = Counter()
         self.results = {}
-        self.proved_not_run = set()
+        # The epoch that a request must have read to run after a refusal.
+        self.refused = {}
 
     def new_book(self, agent):
         self.incarnations[agent] += 1
@@ -103,10 +109,15 @@
     def keys(self):
         return st.sampled_from(self.caller_keys + tuple(self.issued[-self.issued_keys :]))
 
-    def begin_with(self, book, key):
-        decision = book.begin(SCOPE, key)
+    def epoch(self, key):
+        stored = self.memory.objects.get(claim_key(SCOPE, key))
+        return 0 if stored is None else parse_claim(stored.value).epoch
+
+    def begin_with(self, book, key, epoch=None):
+        epoch = self.epoch(key) if epoch is None else epoch
+        decision = book.begin(SCOPE, key, epoch)
         if isinstance(decision, Run):
-            self.attempts.append(Attempt(book, key, decision.run))
+            self.attempts.append(Attempt(book, key, decision.run, epoch))
         if isinstance(decision, Replay):
             assert decision.result == self.results[key], "replayed another result"
 
@@ -120,6 +131,12 @@
         self.lose(fault)
         self.begin_with(self.books[agent], data.draw(self.keys()))
 
+    @rule(agent=st.sampled_from(AGENTS), data=st.data())
+    def begin_received_earlier(self, agent, data):
+        key = data.draw(self.keys())
+        epoch = data.draw(st.integers(0, self.epoch(key)))
+        self.begin_with(self.books[agent], key, epoch)
+
     @rule(first=st.sampled_from(AGENTS), second=st.sampled_from(AGENTS), data=st.data())
     def race(self, first, second, data):
         key = data.draw(self.keys())
@@ -152,6 +169,7 @@
         if not attempt.sent:
             attempt.book.sending(SCOPE, attempt.key, attempt.run)
             attempt.sent = True
+            assert attempt.epoch >= self.refused.get(attempt.key, 0), "ran after NOT_RUN was told"
             self.runs[attempt.key] += 1
             self.results[attempt.key] = StoredResult(200, (), f"{len(self.results)}".encode() * 9)
         if outcome in ("silent", "late"):
@@ -177,14 +195,21 @@
         with pytest.raises(ClaimStateError):
             attempt.book.sending(SCOPE, attempt.key, attempt.run)
 
-    @rule(agent=st.sampled_from(AGENTS), data=st.data())
-    def query(self, agent, data):
+    @rule(agent=st.sampled_from(AGENTS), data=st.data(), fault=FAULTS)
+    def refuse(self, agent, data, fault):
         key = data.draw(self.keys())
-        state = self.books[agent].query(SCOPE, key)
-        if state.status is ClaimStatus.NOT_RUN:
-            self.proved_not_run.add(key)
-        if state.status is ClaimStatus.DONE and state.result is not None:
-            assert state.result == self.results[key]
+        if is_issued(key):
+            if self.books[agent].revoke(SCOPE, key):
+                self.refused[key] = math.inf
+            return
+        self.lose(fault)
+        token = f"{len(self.memory.history)}-revocation"
+        earlier = revoke_key(self.store, SCOPE, key, token)
+        if earlier.result is not None:
+            assert earlier.result == self.results[key]
+        if earlier.execution is Execution.NOT_RUN:
+            assert not self.runs[key], "told NOT_RUN of a call that ran"
+            self.refused[key] = self.epoch(key)
 
     @rule(agent=st.sampled_from(AGENTS), pause=st.booleans())
     def restart(self, agent, pause):
@@ -228,10 +253,6 @@
     def nothing_runs_twice(self):
         assert all(count <= 1 for count in self.runs.values()), "ran twice"
 
-    @invariant()
-    def what_was_proved_not_run_never_runs(self):
-        assert not self.proved_not_run & set(self.runs), "ran after NOT_RUN was told"
-
     @invariant()
     def memory_is_bounded(self):
         for book in self.books.values():
--- a/tests/unit/idempotency/test_book.py
+++ b/tests/unit/idempotency/test_book.py
@@ -16,7 +16,6 @@
 from pistachionotch.idempotency.book import MAX_RESULT_BYTES, ClaimBook
 from pistachionotch.idempotency.claim import (
     ClaimStateError,
-    ClaimStatus,
     InProgress,
     Refuse,
     Replay,
@@ -24,6 +23,7 @@
     StoredResult,
     Unknown,
     WrongAgent,
+    parse_claim,
 )
 from pistachionotch.idempotency.records import RecordPhase, Records
 from pistachionotch.objects.memory import Faults, MemoryStore
@@ -84,32 +84,44 @@
         record.phase = RecordPhase.SENT
 
 
-class QueriesWithoutRevoking(ClaimBook):
-    def query(self, scope, key):
-        state = super().query(scope, key)
-        if state.status is ClaimStatus.NOT_RUN:
+class RefusesWithoutRevoking(ClaimBook):
+    def revoke(self, scope, key):
+        revoked = super().revoke(scope, key)
+        if revoked:
             self.records.finished.pop(key)
             self.records.records.pop(key)
-        return state
+        return revoked
+
+
+class ClaimsInAnyEpoch(ClaimBook):
+    def _begin_claim(self, name, epoch):
+        stored = self.store.get(name).value_or(None)
+        current = None if stored is None else parse_claim(stored.value)
+        return super()._begin_claim(name, 0 if current is None else current.epoch)
 
 
 class IgnoresBusyRecords(ClaimBook):
-    def _begin_claim(self, name):
+    def _begin_claim(self, name, epoch):
         record = self.records.get(name)
         if record is not None:
             record.busy = False
-        return super()._begin_claim(name)
+        return super()._begin_claim(name, epoch)
+
+
+# Most missing steps break both promises, and either may be found first.
+RAN_AGAIN = "ran twice|ran after NOT_RUN|told NOT_RUN of a call that ran"
 
 
 @pytest.mark.parametrize(
     ("faulty", "keys", "fault"),
     [
-        (RunsKeysOfEarlierIncarnations, ISSUED, "ran after NOT_RUN"),
-        (ForgetsWithoutFloor, ISSUED, "ran twice"),
+        (RunsKeysOfEarlierIncarnations, ISSUED, RAN_AGAIN),
+        (ForgetsWithoutFloor, ISSUED, RAN_AGAIN),
         (TakesOverForeignClaims, CALLERS, "ran twice"),
-        (RunsAfterAmbiguousRelease, ONE_CALLER, "ran twice"),
+        (RunsAfterAmbiguousRelease, ONE_CALLER, RAN_AGAIN),
         (SendsWithoutPermission, CALLERS, "DID NOT RAISE"),
-        (QueriesWithoutRevoking, ISSUED, "ran after NOT_RUN"),
+        (RefusesWithoutRevoking, ISSUED, "ran after NOT_RUN"),
+        (ClaimsInAnyEpoch, ONE_CALLER, "ran after NOT_RUN"),
         (IgnoresBusyRecords, CALLERS, "permission to run was given to another"),
     ],
 )
