Measure the object API calls of epochs and revocations

Cause: an entry now reads the epoch of a caller's key and revokes the key before a refusal; the capacity page counted the agent's two writes only. Ruled out: taking the figures from the design page instead of a run. Before: 2 puts per request with a caller's key. After, by `pistachionotch slopes claims`: 1 get and 2 puts per request, and 2 gets and 1 put per refused one, each with r squared 1. Conclusion: 65 keyed calls a second add 65 reads, 3.2 % of the rate that the platform allows; the limit on writes stays about 165 calls a second.

--- a/src/pistachionotch/bench/slopes/store.py
+++ b/src/pistachionotch/bench/slopes/store.py
@@ -13,6 +13,7 @@
 from ...clock import SystemClock
 from ...config.revisions import Revisions
 from ...entry.calls import Call, CallDone, Delivered, RouteEvent
+from ...entry.claims import read_epoch, revoke_key
 from ...entry.control import ControlWatch
 from ...entry.duties import DirectoryDuty
 from ...entry.links import AgentLink
@@ -276,24 +277,32 @@
 
 
 def measure_claims() -> list[Slope]:
-    """Measure the calls per non-idempotent request with a caller's key."""
+    """Measure the calls per non-idempotent request with a caller's key, and per refusal of one."""
     slopes = _slopes("claim", "request with a caller's key", "calls")
+    refusals = _slopes("refusal", "refused request with a caller's key", "calls")
     for count in (10, 20, 40):
         counted = CountedStore()
-        book = ClaimBook(
-            counted.client(), counted.clock, "agent-1", "1" * 12, KEY, 86_400_000, counted.rng
-        )
+        store = counted.client()
+        book = ClaimBook(store, counted.clock, "agent-1", "1" * 12, KEY, 86_400_000, counted.rng)
+
+        def run(store: HttpObjectStore = store, book: ClaimBook = book, count: int = count) -> None:
+            for key in (f"key-{number}" for number in range(count)):
+                epoch = read_epoch(store, "orders", key)
+                assert epoch is not None
+                book.begin("orders", key, epoch)
+                book.sending("orders", key)
+                book.finish("orders", key, StoredResult(201, (), b"{}"))
+                book.maintain()
 
-        def run(book: ClaimBook = book, count: int = count) -> None:
+        def refuse(store: HttpObjectStore = store, count: int = count) -> None:
             for number in range(count):
-                book.begin("orders", f"key-{number}")
-                book.sending("orders", f"key-{number}")
-                book.finish("orders", f"key-{number}", StoredResult(201, (), b"{}"))
-                book.maintain()
+                read_epoch(store, "orders", f"refused-{number}")
+                revoke_key(store, "orders", f"refused-{number}", f"token-{number}")
 
         _add(slopes, count, counted.calls_of(run))
+        _add(refusals, count, counted.calls_of(refuse))
         counted.stop()
-    return _used(slopes)
+    return [*_used(slopes), *_used(refusals)]
 
 
 def measure_steps() -> list[Slope]:
