Open large steps in parts

A step of 2,048 samples needs about 977 concurrent streams and 1.26 cores of its coordinator, while one entry reaches about 213 streams (CAPACITY.md). A step of more than 512 samples is now opened in parts, each with its own range of whole groups, ledger, lease and cursor. A step of one part keeps its object key and its stored bytes.

Part 0 is created last, so a step exists only with all its parts. Creating part 0 first and completing the others on a pull was ruled out: a part that pruning had deleted could be created again with open slots. The keys of the other parts name a digest of the plan, so leftovers of a given-up opening cannot block or enter another one. The creation is checked once more after part 0 was written, because pruning removes parts of old steps that have no part 0. Two entries with different part sizes end with the parts of the first opening.

An entry that holds parts waits 500 ms for each before it takes a free lease. That wait never applied to an object that does not exist yet, because it was counted from time 0; it is now counted from when the process began to contend.

A waiting pull of one of P parts counts 1/P of its time as the trainer's idle time. Merging the intervals per entry was ruled out, since the pulls are spread over entries and the sum over entries would count them again.

The state machine opens the step with entries that die in between and pulls 1, 2 or 4 parts at two entries. It finds the faults of parts that overlap, of gaps between parts, of part 0 created first and of a part size that each entry takes for itself.

Changed tests: cut takes the plan instead of trainer and step; the trainer of the scenarios keeps cursor and attempt by part; the idle measure is checked for parallel pulls as well.

--- a/src/pistachionotch/bench/slopes/store.py
+++ b/src/pistachionotch/bench/slopes/store.py
@@ -14,11 +14,12 @@
 from ...config.revisions import Revisions
 from ...entry.calls import Call, CallDone, Delivered, RouteEvent
 from ...entry.control import ControlWatch
+from ...entry.coordination import StepContext
 from ...entry.duties import DirectoryDuty
 from ...entry.links import AgentLink
 from ...entry.policy import PolicyView
 from ...entry.rollouts import RolloutDuty
-from ...entry.steps import StepContext, StepService
+from ...entry.steps import StepService
 from ...entry.table import LinkTable
 from ...idempotency.book import ClaimBook
 from ...idempotency.claim import StoredResult
--- a/src/pistachionotch/config/settings.py
+++ b/src/pistachionotch/config/settings.py
@@ -80,6 +80,7 @@
     upstream: UpstreamSettings | None = member(record_of(UpstreamSettings), None)
     peers: tuple[Address, ...] = member(ListSpec(AddressSpec(), distinct=True), ())
     data_folder: str | None = member(TextSpec(), None)
+    step_part_samples: int | None = member(IntegerSpec(1), None)
 
     @property
     def key(self) -> bytes:
--- a/src/pistachionotch/entry/daemon.py
+++ b/src/pistachionotch/entry/daemon.py
@@ -24,12 +24,14 @@
 from ..probes import ProbeApp
 from ..routing.facts import Location
 from ..samples.bodies import BodyCache, first_found
+from ..samples.parts import PART_SLOTS
 from ..samples.steps import StepRegistry
 from ..server import make_server
 from ..wire.session import Identity
 from .bodies import BodyFetcher
 from .calls import Call, RouteEvent
 from .control import ControlWatch
+from .coordination import StepContext
 from .decisions import DecisionLog
 from .duties import ClaimCleanup, DirectoryDuty
 from .handlers import Handlers
@@ -44,7 +46,7 @@
 from .rollouts import RolloutDuties
 from .router import RoutedCall
 from .routing_state import RoutingState
-from .steps import StepContext, StepService
+from .steps import StepService
 from .table import LinkTable
 
 DRAIN_POLL_S = 0.05
@@ -126,7 +128,7 @@
             self.route,
             cache,
             first_found(cache.find, BodyFetcher(self.table)),
-            StepRegistry(self.store, self.rng),
+            StepRegistry(self.store, self.rng, self.settings.step_part_samples or PART_SLOTS),
             self.rng,
             logger("steps"),
         )
--- a/src/pistachionotch/entry/measures.py
+++ b/src/pistachionotch/entry/measures.py
@@ -18,14 +18,18 @@
 class TrainerMeasures:
     """Count how long trainers waited for samples, and how old the samples were."""
 
-    idle_ms: dict[str, int] = attrs.field(factory=dict)
+    idle_ms: dict[str, float] = attrs.field(factory=dict)
     delivered: int = 0
     age_sum: int = 0
     oldest: int = 0
 
-    def waited(self, trainer: str, duration_ms: int) -> None:
-        """Count the time in which a pull had no samples."""
-        self.idle_ms[trainer] = self.idle_ms.get(trainer, 0) + duration_ms
+    def waited(self, trainer: str, duration_ms: int, parts: int = 1) -> None:
+        """Count the time in which a pull had no samples.
+
+        The pulls of a step's parts run in parallel and at several entries. Each counts for its
+        share of the step, so that the sum over all entries never exceeds the time that passed.
+        """
+        self.idle_ms[trainer] = self.idle_ms.get(trainer, 0) + duration_ms / parts
 
     def handed_over(self, outcome: Delivered) -> None:
         """Count the ages, in weight versions, of the samples of one delivery."""
@@ -43,7 +47,7 @@
 def measures(trainers: TrainerMeasures, routing: RoutingState) -> dict[str, Any]:
     """Return the measures; latencies are of recent requests, none while there are too few."""
     return {
-        "trainer_idle_ms": dict(trainers.idle_ms),
+        "trainer_idle_ms": {name: round(idle) for name, idle in trainers.idle_ms.items()},
         "sample_age_mean": round(trainers.mean_age(), 3),
         "sample_age_max": trainers.oldest,
         "samples_delivered": trainers.delivered,
--- a/src/pistachionotch/lease/lease.py
+++ b/src/pistachionotch/lease/lease.py
@@ -59,10 +59,14 @@
         time_to_live_ms: int,
         rng: random.Random,
         reads: LeaseReads | None = None,
+        held: set[str] | None = None,
     ) -> None:
         self.store = store
         # Serves the reads of a waiting process that has no write of unknown outcome.
         self.reads = reads
+        # Keys of the leases that this process holds, which decide how long it leaves a free one to
+        # other processes; without them it takes a free one at once.
+        self.held_keys = reads.held if held is None and reads is not None else held
         self.clock = clock
         self.key = f"leases/{duty}/{shard}"
         self.holder = holder
@@ -77,7 +81,8 @@
         self.highest_fence = 0
         self.held_until_ms: int | None = None
         self.seen: StoredObject | None = None
-        self.first_seen_ms = 0
+        # An object that does not exist yet counts as free from now on.
+        self.first_seen_ms = clock.now_ms()
         self.next_call_ms = clock.now_ms()
         # Start times of writes with unknown outcomes, by token.
         self.unsettled: dict[str, int] = {}
@@ -157,14 +162,14 @@
         Without this, the entry that sees a free lease first takes all of them: one holder of every
         roll-out lease at the target scale would have links to all 1,100 agents.
         """
-        if self.reads is None:
+        if self.held_keys is None:
             return False
         if record is not None and record.session == self.session:
             return False
         free_ms = self.first_seen_ms
         if record is not None and record.session:
             free_ms += record.time_to_live_ms
-        handicap_ms = min(MAX_HANDICAP_MS, len(self.reads.held) * HANDICAP_MS)
+        handicap_ms = min(MAX_HANDICAP_MS, len(self.held_keys) * HANDICAP_MS)
         if self.clock.now_ms() >= free_ms + handicap_ms:
             return False
         self.next_call_ms = min(self.next_call_ms, free_ms + handicap_ms)
@@ -228,12 +233,12 @@
         self.log.warning("lost", lease=self.key, fence=self.fence, reason=reason)
 
     def _count_held(self, held: bool) -> None:
-        if self.reads is None:
+        if self.held_keys is None:
             return
         if held:
-            self.reads.held.add(self.key)
+            self.held_keys.add(self.key)
         else:
-            self.reads.held.discard(self.key)
+            self.held_keys.discard(self.key)
 
     def _seen_record(self) -> LeaseRecord | None:
         return None if self.seen is None else parse_lease(self.seen.value)
--- a/src/pistachionotch/samples/answers.py
+++ b/src/pistachionotch/samples/answers.py
@@ -25,6 +25,7 @@
     "attempt": "attempt",
     "limit": "limit",
     "version": "trainer_version",
+    "part": "part",
 }
 STEP_NUMBERS = ("step", "groups", "samples_per_group", "staleness_bound")
 
--- a/src/pistachionotch/samples/delivery.py
+++ b/src/pistachionotch/samples/delivery.py
@@ -37,6 +37,7 @@
     attempt: int = 1
     limit: int = DEFAULT_LIMIT
     trainer_version: int | None = None
+    part: int = 0
 
     def fault(self) -> str | None:
         """Return why no ledger can answer this pull, or None."""
--- a/src/pistachionotch/samples/ledger.py
+++ b/src/pistachionotch/samples/ledger.py
@@ -1,4 +1,4 @@
-"""Ledger of one step: its slots, their samples, and the assignment of samples to a cursor.
+"""Ledger of one part of a step: its slots, their samples, and their assignment to a cursor.
 
 The ledger is plain state. Whoever changes it writes it back on the condition that nobody else wrote
 in between, and acts on the change only after that write succeeded (see ``delivery``).
@@ -100,18 +100,34 @@
     # The prompts are stored apart from the ledger, under the digest of their bytes.
     request_parts: int = 0
     request_digest: str = ""
+    # A large step has several parts; each has a ledger of its own.
+    parts: int = 1
+    part: int = 0
+
+    @property
+    def part_groups(self) -> range:
+        """Return the groups of this part; those of all parts follow each other without gaps."""
+        first = self.part * self.groups // self.parts
+        return range(first, (self.part + 1) * self.groups // self.parts)
 
     @property
     def slot_count(self) -> int:
-        """Return the number of slots of the step."""
+        """Return the number of slots of this part."""
+        return len(self.part_groups) * self.samples_per_group
+
+    @property
+    def step_slot_count(self) -> int:
+        """Return the number of slots of all parts."""
         return self.groups * self.samples_per_group
 
     def fault(self) -> str | None:
         """Return why no step can have this plan, or None."""
         if self.groups < 1 or self.samples_per_group < 1:
             return "a step needs at least one group of one sample"
-        if self.slot_count > MAX_SLOTS:
-            return f"a step has at most {MAX_SLOTS} samples, not {self.slot_count}"
+        if self.step_slot_count > MAX_SLOTS:
+            return f"a step has at most {MAX_SLOTS} samples, not {self.step_slot_count}"
+        if not 0 <= self.part < self.parts <= self.groups:
+            return f"a step of {self.groups} groups has no part {self.part} of {self.parts}"
         if self.staleness_bound < 0:
             return "the staleness bound is negative"
         if not NAME.fullmatch(self.trainer) or not NAME.fullmatch(self.model):
@@ -123,7 +139,7 @@
 
 @attrs.define
 class StepLedger:
-    """Keep the state of one step."""
+    """Keep the state of one part of a step."""
 
     plan: StepPlan
     states: list[SlotState]
@@ -135,7 +151,7 @@
 
     @classmethod
     def create(cls, plan: StepPlan) -> StepLedger:
-        """Return the ledger of a step in which every slot is open."""
+        """Return a ledger in which every slot is open."""
         fault = plan.fault()
         if fault is not None:
             raise ValueError(fault)
@@ -144,16 +160,16 @@
     # Slots
 
     def number(self, slot: Slot) -> int | None:
-        """Return the position of a slot, or None if the step has no such slot."""
-        if not 0 <= slot.group < self.plan.groups:
-            return None
-        if not 0 <= slot.index < self.plan.samples_per_group:
+        """Return the position of a slot, or None if this part has no such slot."""
+        groups = self.plan.part_groups
+        if slot.group not in groups or not 0 <= slot.index < self.plan.samples_per_group:
             return None
-        return slot.group * self.plan.samples_per_group + slot.index
+        return (slot.group - groups.start) * self.plan.samples_per_group + slot.index
 
     def slot(self, number: int) -> Slot:
         """Return the slot at a position."""
-        return Slot(*divmod(number, self.plan.samples_per_group))
+        group, index = divmod(number, self.plan.samples_per_group)
+        return Slot(self.plan.part_groups.start + group, index)
 
     def slots_in(self, state: SlotState) -> tuple[Slot, ...]:
         """Return the slots in one state."""
--- a/src/pistachionotch/samples/ledger_format.py
+++ b/src/pistachionotch/samples/ledger_format.py
@@ -19,6 +19,18 @@
 
 FORMAT = 1
 MAX_LEDGER_BYTES = 1_000_000
+# A step of one part is stored without the fields of parts, as entries of earlier versions read it.
+ONE_PART_FIELDS = 9
+COUNTS = (
+    "step",
+    "groups",
+    "samples_per_group",
+    "staleness_bound",
+    "deadline_unix_ms",
+    "request_parts",
+    "parts",
+    "part",
+)
 
 
 @attrs.frozen
@@ -38,6 +50,8 @@
             continue
         slots.append(int(state))
     plan = list(attrs.astuple(ledger.plan))
+    if ledger.plan.parts == 1:
+        plan = plan[:ONE_PART_FIELDS]
     cursor = [ledger.cursor, ledger.attempt, list(ledger.assigned)]
     return cbor2.dumps([FORMAT, plan, cursor, ledger.writer, list(names), slots])
 
@@ -68,7 +82,7 @@
         return Failure(CorruptLedger(f"format {fields[0]} is not {FORMAT}"))
     _, plan_fields, (cursor, attempt, assigned), writer, names, slots = fields
     plan = StepPlan(*plan_fields)
-    numbers = [cursor, attempt, *assigned, *attrs.astuple(plan)[3:-1], plan.step]
+    numbers = [cursor, attempt, *assigned, *(getattr(plan, name) for name in COUNTS)]
     texts = [plan.trainer, plan.model, plan.request_digest, *names]
     if not _all_are(int, numbers) or min(numbers) < 0:
         return Failure(CorruptLedger("a number is not a count"))
--- a/src/pistachionotch/samples/ledger_store.py
+++ b/src/pistachionotch/samples/ledger_store.py
@@ -12,6 +12,7 @@
 from ..objects.api import ObjectStore, StoredObject, VersionConflict, WriteAmbiguous
 from .ledger import StepLedger, StepPlan
 from .ledger_format import MAX_LEDGER_BYTES, CorruptLedger, from_bytes, to_bytes
+from .parts import same_step
 
 T = TypeVar("T")
 
@@ -25,6 +26,13 @@
     """There is no ledger for this step."""
 
 
+@attrs.frozen
+class PartUnknown:
+    """The step has no part of this number."""
+
+    parts: int
+
+
 @attrs.frozen
 class NotCommitted:
     """The change is not known to be in effect; nothing may be built on it."""
@@ -42,11 +50,6 @@
 UpdateError = StepUnknown | NotCommitted | CorruptLedger
 
 
-def ledger_key(trainer: str, step: int) -> str:
-    """Return the object key of a step's ledger."""
-    return f"steps/{trainer}/{step}"
-
-
 @attrs.define
 class LedgerStore:
     """Apply changes to one ledger so that a change counts only once its write is certain.
@@ -136,7 +139,6 @@
         if isinstance(decoded, Failure):
             return decoded
         ledger = decoded.unwrap()
-        # A repeated request names the same deadline by a later clock reading.
-        if attrs.evolve(plan, deadline_unix_ms=ledger.plan.deadline_unix_ms) != ledger.plan:
+        if not same_step(plan, ledger.plan):
             return Failure(PlanDiffers(ledger.plan))
         return Success(ledger)
--- /dev/null
+++ b/src/pistachionotch/samples/parts.py
@@ -0,0 +1,69 @@
+"""Parts of a large step: each has its own range of whole groups, ledger, lease and cursor.
+
+The ledger of part 0 has the key of the step and is created last. So a step exists exactly when it
+has all its parts, whatever a process that opened it left behind. The keys of the other parts name
+the digest of the whole plan; an opening that was given up cannot be taken for another one.
+"""
+
+from __future__ import annotations
+
+import hashlib
+
+import attrs
+import cbor2
+
+from .ledger import StepPlan
+
+# One entry reaches about 213 streams at the target scale, and 977 are needed for 2,048 samples.
+PART_SLOTS = 512
+PARTS_PREFIX = "step-parts/"
+DIGEST_BYTES = 8
+
+
+def count_parts(plan: StepPlan, part_slots: int) -> int:
+    """Return the number of parts of at most ``part_slots`` samples, but at least one group each."""
+    groups_per_part = max(1, part_slots // plan.samples_per_group)
+    return max(1, -(-plan.groups // groups_per_part))
+
+
+def part_of(plan: StepPlan, part: int) -> StepPlan:
+    """Return the plan of one part."""
+    return attrs.evolve(plan, part=part)
+
+
+def same_step(plan: StepPlan, other: StepPlan) -> bool:
+    """Return whether two plans are parts of the same step, opened with the same part size.
+
+    A repeated request names the same deadline by a later clock reading.
+    """
+    return _whole(plan) == _whole(other)
+
+
+def ledger_key(plan: StepPlan) -> str:
+    """Return the object key of the ledger of a plan's part."""
+    if plan.part == 0:
+        return step_key(plan.trainer, plan.step)
+    data = cbor2.dumps(attrs.astuple(_whole(plan)))
+    digest = hashlib.blake2b(data, digest_size=DIGEST_BYTES).hexdigest()
+    return f"{PARTS_PREFIX}{plan.trainer}/{plan.step}/{digest}/{plan.part}"
+
+
+def step_key(trainer: str, step: int) -> str:
+    """Return the object key of a step, which is the ledger of its part 0."""
+    return f"steps/{trainer}/{step}"
+
+
+def shard(plan: StepPlan) -> str:
+    """Return the shard of the lease of a plan's part; trainer names have no slash."""
+    step = f"{plan.trainer}-{plan.step}"
+    return step if plan.part == 0 else f"{step}/{plan.part}"
+
+
+def part_name(plan: StepPlan) -> str:
+    """Return the name of a plan's part in logs and in the body cache."""
+    step = f"{plan.trainer}/{plan.step}"
+    return step if plan.part == 0 else f"{step}/{plan.part}"
+
+
+def _whole(plan: StepPlan) -> StepPlan:
+    return attrs.evolve(plan, part=0, deadline_unix_ms=0)
--- a/src/pistachionotch/samples/retention.py
+++ b/src/pistachionotch/samples/retention.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 import attrs
 from returns.result import Failure, Result, Success
 
-from ..objects.api import ObjectStore, StoreUnavailable
+from ..objects.api import ObjectStore, StoredObject, StoreUnavailable
+from .ledger import StepLedger, StepPlan
 from .ledger_format import from_bytes
+from .parts import PARTS_PREFIX, same_step
 from .request import delete_request
 
 # Complete ledgers of the latest steps stay, so that a repeated last pull still gets its answer.
@@ -45,23 +49,63 @@
 def prune_steps(store: ObjectStore, trainer: str) -> Result[tuple[int, ...], StoreUnavailable]:
     """Delete complete ledgers and prompts of old steps; return the step numbers.
 
-    The deletion is conditional on the version that was read, so it never hits a ledger that
-    changed since.
+    Part 0 goes first, so that a step never lacks a part. What an opening that was given up left of
+    an old step goes as well. Each deletion is conditional on the version that was read, so it never
+    hits a ledger that changed since.
     """
-    listed = store.list(f"steps/{trainer}/")
+    listed = _ledgers(store, f"steps/{trainer}/")
     if isinstance(listed, Failure):
         return listed
-    ledgers = {}
-    for stored in listed.unwrap():
-        decoded = from_bytes(stored.value)
-        if isinstance(decoded, Success):
-            ledgers[stored] = decoded.unwrap()
-    highest = max((ledger.plan.step for ledger in ledgers.values()), default=0)
+    listed_parts = _ledgers(store, f"{PARTS_PREFIX}{trainer}/")
+    if isinstance(listed_parts, Failure):
+        return listed_parts
+    steps, parts = listed.unwrap(), listed_parts.unwrap()
+    highest = max((ledger.plan.step for ledger in steps.values()), default=0)
     deleted: list[int] = []
-    for stored, ledger in ledgers.items():
-        if ledger.plan.step > highest - RETAINED_STEPS or not ledger.complete():
+    kept: dict[int, StepPlan] = {}
+    for stored, ledger in steps.items():
+        plan = ledger.plan
+        others = [other for other in parts.values() if same_step(plan, other.plan)]
+        complete = all(part.complete() for part in (ledger, *others))
+        if plan.step > highest - RETAINED_STEPS or not complete:
+            kept[plan.step] = plan
             continue
-        delete_request(store, ledger.plan)
+        delete_request(store, plan)
         if isinstance(store.delete(stored.key, stored.version), Success):
-            deleted.append(ledger.plan.step)
+            deleted.append(plan.step)
+            continue
+        kept[plan.step] = plan
+    _prune_parts(store, parts, kept, highest)
     return Success(tuple(sorted(deleted)))
+
+
+def _prune_parts(
+    store: ObjectStore,
+    parts: Mapping[StoredObject, StepLedger],
+    kept: Mapping[int, StepPlan],
+    highest: int,
+) -> None:
+    """Delete the parts of old steps whose part 0 does not exist."""
+    for stored, ledger in parts.items():
+        plan = ledger.plan
+        step = kept.get(plan.step)
+        if plan.step > highest - RETAINED_STEPS or (step is not None and same_step(plan, step)):
+            continue
+        if step is None:
+            delete_request(store, plan)
+        store.delete(stored.key, stored.version)
+
+
+def _ledgers(
+    store: ObjectStore, prefix: str
+) -> Result[dict[StoredObject, StepLedger], StoreUnavailable]:
+    """Return the readable ledgers under a prefix."""
+    listed = store.list(prefix)
+    if isinstance(listed, Failure):
+        return listed
+    found = {}
+    for stored in listed.unwrap():
+        decoded = from_bytes(stored.value)
+        if isinstance(decoded, Success):
+            found[stored] = decoded.unwrap()
+    return Success(found)
--- a/src/pistachionotch/samples/steps.py
+++ b/src/pistachionotch/samples/steps.py
@@ -1,4 +1,4 @@
-"""Open a step for a trainer, and take one over from another entry."""
+"""Open a step for a trainer, and take a part of one over from another entry."""
 
 from __future__ import annotations
 
@@ -12,7 +12,8 @@
 from .answers import RETRY_AFTER_MS, Answer, parse_step
 from .ledger import SlotState, StepLedger, StepPlan
 from .ledger_format import CorruptLedger
-from .ledger_store import LedgerStore, NotCommitted, PlanDiffers, StepUnknown, ledger_key
+from .ledger_store import LedgerStore, NotCommitted, PartUnknown, PlanDiffers, StepUnknown
+from .parts import PART_SLOTS, count_parts, ledger_key, part_of, same_step, step_key
 from .request import RequestFault, StepRequest, load_request, plan_with, store_request
 from .retention import StepGone, check_creatable
 from .sample import Sample, Slot
@@ -20,7 +21,7 @@
 
 @attrs.frozen
 class OpenedStep:
-    """Hold what an entry needs to coordinate a step."""
+    """Hold what an entry needs to coordinate one part of a step."""
 
     plan: StepPlan
     request: StepRequest
@@ -48,13 +49,14 @@
 
     store: ObjectStore
     rng: random.Random
+    part_slots: int = PART_SLOTS
 
-    def ledgers(self, trainer: str, step: int) -> LedgerStore:
-        """Return the access to one step's ledger."""
-        return LedgerStore(self.store, ledger_key(trainer, step), self.rng)
+    def ledgers(self, plan: StepPlan) -> LedgerStore:
+        """Return the access to the ledger of a plan's part."""
+        return LedgerStore(self.store, ledger_key(plan), self.rng)
 
     def open(self, body: bytes, now_unix_ms: int) -> Result[OpenedStep, Answer]:
-        """Answer ``POST /v1/steps``; the prompts are stored before the ledger names them."""
+        """Answer ``POST /v1/steps`` with part 0; the step then has all its parts."""
         parsed = parse_step(body, now_unix_ms)
         if isinstance(parsed, Failure):
             return Failure(Answer(HTTPStatus.BAD_REQUEST, {"detail": parsed.failure()}))
@@ -63,20 +65,53 @@
         if isinstance(planned, Failure):
             return Failure(refusal(planned.failure()))
         plan = planned.unwrap()
-        creatable = check_creatable(self.store, plan.trainer, plan.step)
-        if isinstance(creatable, Failure):
-            return Failure(refusal(creatable.failure()))
-        stored = store_request(self.store, plan, request)
-        if isinstance(stored, Failure):
-            return Failure(refusal(stored.failure()))
-        created = self.ledgers(plan.trainer, plan.step).create(plan)
+        plan = attrs.evolve(plan, parts=count_parts(plan, self.part_slots))
+        created = self._create(plan, request)
         if isinstance(created, Failure):
             return Failure(refusal(created.failure()))
         return Success(OpenedStep.of(created.unwrap(), request))
 
-    def take_over(self, trainer: str, step: int) -> Result[OpenedStep, Answer]:
-        """Read a step that another entry coordinated; a change of nothing only reads."""
-        read = self.ledgers(trainer, step).update(lambda ledger: ledger)
+    def _create(self, plan: StepPlan, request: StepRequest) -> Result[StepLedger, object]:
+        """Create the step, or find it as it was opened with whatever part size."""
+        created = self._create_parts(plan, request)
+        error = created.failure() if isinstance(created, Failure) else None
+        if not isinstance(error, PlanDiffers):
+            return created
+        as_opened = attrs.evolve(plan, parts=error.existing.parts)
+        if as_opened == plan or not same_step(as_opened, error.existing):
+            return created
+        return self._create_parts(as_opened, request)
+
+    def _create_parts(self, plan: StepPlan, request: StepRequest) -> Result[StepLedger, object]:
+        """Store the prompts, then the ledgers that name them, part 0 last."""
+        creatable = check_creatable(self.store, plan.trainer, plan.step)
+        if isinstance(creatable, Failure):
+            return creatable
+        stored = store_request(self.store, plan, request)
+        if isinstance(stored, Failure):
+            return stored
+        for part in range(plan.parts - 1, 0, -1):
+            created = self._create_part(part_of(plan, part))
+            if isinstance(created, Failure):
+                return created
+        created = self._create_part(plan)
+        if plan.parts == 1 or isinstance(created, Failure):
+            return created
+        # Parts of an old step that is not yet open are pruned, so this step may lack some.
+        creatable = check_creatable(self.store, plan.trainer, plan.step)
+        return creatable if isinstance(creatable, Failure) else created
+
+    def _create_part(self, plan: StepPlan) -> Result[StepLedger, object]:
+        return self.ledgers(plan).create(plan)
+
+    def take_over(self, trainer: str, step: int, part: int = 0) -> Result[OpenedStep, Answer]:
+        """Read a part that another entry coordinated; a change of nothing only reads."""
+        read = self._read(step_key(trainer, step))
+        if part > 0 and isinstance(read, Success):
+            plan = read.unwrap().plan
+            if part >= plan.parts:
+                return Failure(refusal(PartUnknown(plan.parts)))
+            read = self._read(ledger_key(part_of(plan, part)))
         if isinstance(read, Failure):
             return Failure(refusal(read.failure()))
         ledger = read.unwrap()
@@ -87,15 +122,18 @@
             return Failure(refusal(request.failure()))
         return Success(OpenedStep.of(ledger, request.unwrap()))
 
-    def cut(self, trainer: str, step: int, slots: tuple[Slot, ...]) -> Result[int, Answer]:
-        """Cut open slots; return how many slots of the step are cut now."""
+    def _read(self, key: str) -> Result[StepLedger, object]:
+        return LedgerStore(self.store, key, self.rng).update(lambda ledger: ledger)
+
+    def cut(self, plan: StepPlan, slots: tuple[Slot, ...]) -> Result[int, Answer]:
+        """Cut open slots; return how many slots of the plan's part are cut now."""
 
         def change(ledger: StepLedger) -> int:
             for slot in slots:
                 ledger.cut(slot)
             return len(ledger.slots_in(SlotState.CUT))
 
-        updated = self.ledgers(trainer, step).update(change)
+        updated = self.ledgers(plan).update(change)
         if isinstance(updated, Failure):
             return Failure(refusal(updated.failure()))
         return Success(updated.unwrap())
@@ -111,6 +149,8 @@
         return Answer(HTTPStatus.CONFLICT, {"detail": "the step exists with other fields"})
     if isinstance(error, StepUnknown):
         return Answer(HTTPStatus.NOT_FOUND, {"detail": "there is no such step"})
+    if isinstance(error, PartUnknown):
+        return Answer(HTTPStatus.NOT_FOUND, {"detail": f"the step has {error.parts} parts"})
     if isinstance(error, CorruptLedger):
         return Answer(HTTPStatus.INTERNAL_SERVER_ERROR, {"detail": detail})
     if isinstance(error, RequestFault) and error.lost:
--- a/tests/features/failures.feature
+++ b/tests/features/failures.feature
@@ -78,6 +78,17 @@
     Then the trainer received every slot exactly once
     And every sample names only versions that its engine ran
 
+  Scenario: An entry is killed that coordinates one part of a step
+    Given a deployment of two entries and three agents with parts of 16 samples
+    When trainer "t3" creates step 1 with 4 prompts of 8 samples at entry-1
+    And the trainer pulls 1 batch of 5 samples from entry-1
+    And the trainer pulls 1 batch of 5 samples of part 1 from entry-2
+    Then entry-1 and entry-2 coordinate one part each
+    When entry-1 is killed
+    And the trainer pulls the rest of all parts from entry-2
+    Then the trainer received every slot exactly once
+    And every sample names only versions that its engine ran
+
   Scenario: SIGTERM to an entry cuts off nothing in flight
     Given a deployment of two entries and three agents
     When 10 streams of 200 tokens run through entry-1 and it gets SIGTERM
--- a/tests/features/steps/deployment_steps.py
+++ b/tests/features/steps/deployment_steps.py
@@ -12,6 +12,11 @@
     context.deployment.start_standard()
 
 
+@given("a deployment of two entries and three agents with parts of {count:d} samples")
+def start_with_small_parts(context, count):
+    context.deployment.start_standard(step_part_samples=count)
+
+
 @given("a deployment whose storefront agent is reached through a forwarder")
 def start_with_forwarder(context):
     deployment: Deployment = context.deployment
--- a/tests/features/steps/trainer_steps.py
+++ b/tests/features/steps/trainer_steps.py
@@ -21,35 +21,38 @@
     answer = context.deployment.caller(entry).send("POST", "/v1/steps", request)
     assert answer.status == 201, answer
     context.trainer, context.step = trainer, step
-    context.samples, context.cursor, context.attempt = [], 0, 1
-    context.complete = False
+    context.samples, context.pulls = [], {}
+    for part in range(answer.json()["parts"]):
+        context.pulls[part] = {"cursor": 0, "attempt": 1, "complete": False}
 
 
-def _pull(context, entry, limit=64):
+def _pull(context, entry, limit=64, part=0):
     """Pull once as a trainer would; a pull without a usable answer is repeated as it is."""
+    due = context.pulls[part]
     path = (
         f"/v1/steps/{context.trainer}/{context.step}/samples"
-        f"?cursor={context.cursor}&attempt={context.attempt}&limit={limit}"
+        f"?cursor={due['cursor']}&attempt={due['attempt']}&limit={limit}&part={part}"
     )
     answer = context.deployment.caller(entry).send("GET", path)
     if answer.status == 409:
-        context.attempt = answer.json()["next_attempt"]
+        due["attempt"] = answer.json()["next_attempt"]
         return 0
     if answer.status != 200:
         time.sleep(0.2)
         return 0
     batch = answer.json()
     context.samples.extend(batch["samples"])
-    context.complete = batch["complete"]
+    due["complete"] = batch["complete"]
     if batch["samples"]:
-        context.cursor, context.attempt = context.cursor + 1, 1
+        due["cursor"], due["attempt"] = due["cursor"] + 1, 1
     return len(batch["samples"])
 
 
 def _pull_rest(context, entry):
     limit = time.monotonic() + 60
-    while not context.complete and time.monotonic() < limit:
-        _pull(context, entry)
+    for part, due in context.pulls.items():
+        while not due["complete"] and time.monotonic() < limit:
+            _pull(context, entry, part=part)
 
 
 @when('trainer "{trainer}" runs step {step:d} with {prompts:d} prompts of {samples:d} samples')
@@ -67,13 +70,23 @@
 
 
 @when("the trainer pulls 1 batch of {count:d} samples from {entry:Name}")
-def pull_batch(context, count, entry):
+@when("the trainer pulls 1 batch of {count:d} samples of part {part:d} from {entry:Name}")
+def pull_batch(context, count, entry, part=0):
     limit = time.monotonic() + 30
-    while not _pull(context, entry, count):
+    while not _pull(context, entry, count, part):
         assert time.monotonic() < limit, "no samples"
 
 
+@then("{first:Name} and {second:Name} coordinate one part each")
+def check_spread(context, first, second):
+    for name in (first, second):
+        lines = context.deployment.log(name).splitlines()
+        shards = [line for line in lines if "lease: acquired" in line and "leases/step/" in line]
+        assert len(shards) == 1, (name, shards)
+
+
 @when("the trainer pulls the rest from {entry:Name}")
+@when("the trainer pulls the rest of all parts from {entry:Name}")
 def pull_rest(context, entry):
     _pull_rest(context, entry)
 
--- a/tests/support/deployment.py
+++ b/tests/support/deployment.py
@@ -144,7 +144,7 @@
         path.write_text(json.dumps(settings, indent=2))
         self.settings[name] = path
 
-    def start_standard(self, entries=2):
+    def start_standard(self, entries=2, **fields):
         """Start two entries, two engines and one storefront, each with its agent."""
         self.start_platform()
         for number, zone in ((1, "cebu"), (2, "iloilo")):
@@ -153,7 +153,7 @@
         self.start_standin("storefront", "plain-service", "storefront")
         self.start_agent("agent-3", "cebu", "storefront", "plain-service", "storefront", 32)
         for number in range(1, entries + 1):
-            self.start_entry(f"entry-{number}", "cebu")
+            self.start_entry(f"entry-{number}", "cebu", **fields)
         for number in range(1, entries + 1):
             self.wait_agents(f"entry-{number}", 3)
 
--- a/tests/unit/entry/test_measures.py
+++ b/tests/unit/entry/test_measures.py
@@ -22,6 +22,8 @@
     trainers = TrainerMeasures()
     trainers.waited("t1", 500)
     trainers.waited("t1", 250)
+    for _part in range(4):
+        trainers.waited("t2", 100, parts=4)
     spans = (VersionSpan(3, 5), VersionSpan(5, 5))
     sample = Sample("0" * 32, Slot(0, 0), body_digest(b""), spans, "a1")
     trainers.handed_over(Delivered(0, 1, (DeliveredSample(sample, b""),), 5, 0))
@@ -37,7 +39,7 @@
 
 def test_all_four_measures_are_counted():
     measured = _measured()
-    assert measured["trainer_idle_ms"] == {"t1": 750}
+    assert measured["trainer_idle_ms"] == {"t1": 750, "t2": 100}
     assert (measured["sample_age_mean"], measured["sample_age_max"]) == (2.0, 2)
     assert measured["short_first_token_p99_ms"] == {"fitting storefront": 40}
     assert measured["latency_p99_ms"] == {"services/storefront confirmation": 70}
--- a/tests/unit/lease/test_lease.py
+++ b/tests/unit/lease/test_lease.py
@@ -304,3 +304,21 @@
     store.set_outage(False)
     assert step_until_held(lease, clock, 1_000) is not None
     assert lease.fence == 1
+
+
+def test_a_holder_of_other_leases_leaves_one_that_was_never_held_to_others():
+    """Else the entry that sees the first pull of each part of a step coordinates all of them."""
+    clock = ManualClock()
+    clock.advance(1_000_000)
+    store = MemoryStore(clock)
+
+    def part(holder, held):
+        return Lease(store, clock, "step", "t-1/1", holder, 6_000, random.Random(holder), held=held)
+
+    busy, idle = part("entry-1", {"leases/step/t-1"}), part("entry-2", set())
+    busy.step()
+    clock.advance(400)
+    idle.step()
+    clock.advance(200)
+    busy.step()
+    assert idle.held() and not busy.held()
--- a/tests/unit/samples/delivery_machine.py
+++ b/tests/unit/samples/delivery_machine.py
@@ -1,12 +1,15 @@
 """State machine of one step against an oracle: what the engine produced, what the trainer used.
 
-Requests and responses may be lost, repeated, delayed and crossed. Any call to the outside may be
-the point where an entry is paused while something else happens, or where it dies.
+Two entries with different part sizes open the step, and either may die in the middle of it. The
+trainer pulls each part at either entry. Requests and responses may be lost, repeated, delayed and
+crossed. Any call to the outside may be the point where an entry is paused while something else
+happens, or where it dies.
 """
 
 from __future__ import annotations
 
 import contextlib
+import json
 import random
 
 import attrs
@@ -20,10 +23,15 @@
 from pistachionotch.samples.ledger import StepPlan
 from pistachionotch.samples.ledger_format import from_bytes
 from pistachionotch.samples.ledger_store import LedgerStore
-from pistachionotch.samples.sample import Sample, body_digest, new_sample_id
+from pistachionotch.samples.parts import ledger_key, part_of
+from pistachionotch.samples.sample import Sample, Slot, body_digest, new_sample_id
 from pistachionotch.samples.spans import SpanRecorder, VersionSpan, merge_spans
+from pistachionotch.samples.steps import StepRegistry
 
-PLAN = StepPlan("t", 1, "m", groups=4, samples_per_group=2, staleness_bound=1)
+GROUPS, SAMPLES_PER_GROUP, STALENESS_BOUND = 4, 2, 1
+SHAPE = {"groups": GROUPS, "samples_per_group": SAMPLES_PER_GROUP}
+REQUEST = {"trainer": "t", "step": 1, "model": "m", "deadline_ms": 9, "prompts": ["p"] * GROUPS}
+BODY = json.dumps({**REQUEST, **SHAPE, "staleness_bound": STALENESS_BOUND}).encode()
 SETTINGS = settings(
     max_examples=400,
     stateful_step_count=20,
@@ -35,6 +43,7 @@
 )
 EVENTS = ["publish", "agent_dies", "copies_lost", "both_lost", "body_lost", "late_write", "crash"]
 EVENTS += ["execute", "repeat", "pull", "next_attempt"] * 2 + ["respond", "record"]
+EVENTS += ["other_part", "other_entry"]
 EVENT = st.tuples(st.sampled_from(EVENTS), st.integers(0, 99))
 EVENTS_MEANWHILE = st.lists(EVENT, max_size=3)
 AGES = st.lists(st.sampled_from([0, 0, 0, 1, 2, None]), min_size=1, max_size=3)
@@ -42,6 +51,8 @@
 FAULTS = st.lists(st.sampled_from(WRITE_FAULTS), max_size=2)
 CALLS = st.integers(0, 6)
 PICK = st.integers(0, 99)
+# Part size of the entry, calls until it dies, faults of its writes.
+OPENING = st.tuples(st.sampled_from([2, 4, 4, 8]), st.integers(0, 14), FAULTS)
 
 
 class EntryDied(Exception):
@@ -54,10 +65,24 @@
     outcome: d.PullOutcome
 
 
+@attrs.define
+class Puller:
+    """The trainer's pulls of one part."""
+
+    plan: StepPlan
+    requests: list = attrs.field(factory=list)
+    responses: list = attrs.field(factory=list)
+    used: dict = attrs.field(factory=dict)
+    handed: dict = attrs.field(factory=dict)
+    cursor: int = 0
+    attempt: int = 1
+
+
 class StepMachine(RuleBasedStateMachine):
     delivery_class = d.StepDelivery
     ledgers_class = LedgerStore
     recorder_class = SpanRecorder
+    registry_class = StepRegistry
 
     def __init__(self):
         super().__init__()
@@ -66,14 +91,28 @@
         self.published = 3
         self.truth = {}  # body -> (slot, spans that the engine used, None when unlabelled)
         self.agent_bodies, self.copies = {}, {}
-        self.pending, self.requests, self.responses = [], [], []
-        self.cursor, self.attempt, self.used = 0, 1, {}
-        self.handed = {}
+        self.pending, self.pullers, self.puller = [], [], None
+        self.entry, self.deliveries = 0, {}
         self.interrupt = None
         self.store.before = lambda _call: self.outside_call()
-        ledgers = self.ledgers_class(self.store, "steps/t/1", self.rng)
-        self.delivery = self.delivery_class(ledgers, self.find_body, self.read_newest)
-        ledgers.create(PLAN)
+
+    @property
+    def delivery(self):
+        return self.delivery_of(self.puller)
+
+    def delivery_of(self, puller):
+        key = ledger_key(puller.plan)
+        if (self.entry, key) not in self.deliveries:
+            ledgers = self.ledgers_class(self.store, key, self.rng)
+            made = self.delivery_class(ledgers, self.find_body, self.read_newest)
+            self.deliveries[self.entry, key] = made
+        return self.deliveries[self.entry, key]
+
+    def record(self, sample):
+        """Record a sample in the part that has its slot."""
+        for puller in self.pullers:
+            if sample.slot.group in puller.plan.part_groups:
+                self.delivery_of(puller).record([sample])
 
     # What an entry calls, each time a point of interruption
 
@@ -123,50 +162,63 @@
             self.copies.pop(lost, None)
 
     def event_execute(self, pick):
-        if self.requests:
-            self.execute_now(self.requests[-1 - pick % min(4, len(self.requests))])
+        if self.puller.requests:
+            self.execute_now(self.puller.requests[-1 - pick % min(4, len(self.puller.requests))])
 
     def event_repeat(self, _pick):
-        for request in self.requests[-1:]:
+        for request in self.puller.requests[-1:]:
             self.execute_now(request)
 
     def event_next_attempt(self, pick):
-        self.attempt += 1
-        self.requests.append(d.Pull(self.cursor, self.attempt, limit=1 + pick % 3))
-        self.execute_now(self.requests[-1])
+        self.puller.attempt += 1
+        self.puller.requests.append(
+            d.Pull(self.puller.cursor, self.puller.attempt, limit=1 + pick % 3)
+        )
+        self.execute_now(self.puller.requests[-1])
 
     def event_pull(self, pick):
-        self.requests.append(d.Pull(self.cursor, self.attempt, limit=1 + pick % 3))
-        self.execute_now(self.requests[-1])
+        self.puller.requests.append(
+            d.Pull(self.puller.cursor, self.puller.attempt, limit=1 + pick % 3)
+        )
+        self.execute_now(self.puller.requests[-1])
         self.event_respond(0)
 
     def event_respond(self, _pick):
-        if self.responses:
-            self.use(self.responses[-1])
+        if self.puller.responses:
+            self.use(self.puller.responses[-1])
 
     def event_record(self, pick):
         if self.pending:
-            self.delivery.record([self.pending[pick % len(self.pending)]])
+            self.record(self.pending[pick % len(self.pending)])
 
     def event_late_write(self, _pick):
         self.store.deliver_delayed()
 
+    def event_other_part(self, _pick):
+        self.puller = self.pullers[self.pullers.index(self.puller) - 1]
+
+    def event_other_entry(self, _pick):
+        self.entry = 1 - self.entry
+
     def event_crash(self, _pick):
         self.copies.clear()
+        for key in [key for key in self.deliveries if key[0] == self.entry]:
+            del self.deliveries[key]
         raise EntryDied
 
     def execute_now(self, pull):
+        puller = self.puller
         try:
             outcome = self.delivery.pull(pull)
         except EntryDied:
             return
         finally:
             self.interrupt = None
-        self.responses.append(Response(pull, outcome))
+        puller.responses.append(Response(pull, outcome))
         if isinstance(outcome, d.Delivered):
-            self.check_delivered(pull, outcome)
+            self.check_delivered(puller, pull, outcome)
 
-    def check_delivered(self, pull, outcome):
+    def check_delivered(self, puller, pull, outcome):
         newest = max(self.published, pull.trainer_version or 0)
         assert outcome.samples, "an empty delivery"
         for item in outcome.samples:
@@ -174,28 +226,29 @@
             slot, spans = self.truth[item.body]
             assert (slot, spans) == (item.sample.slot, item.sample.spans), "wrong label"
             oldest = min(span.version for span in spans)
-            assert newest - oldest <= PLAN.staleness_bound, "stale delivery"
+            assert newest - oldest <= STALENESS_BOUND, "stale delivery"
         ids = [item.sample.sample_id for item in outcome.samples]
         key = (outcome.cursor, outcome.attempt)
-        assert self.handed.setdefault(key, ids) == ids, "two deliveries under one attempt differ"
+        assert puller.handed.setdefault(key, ids) == ids, "two deliveries under one attempt differ"
 
     def use(self, response):
         pull, outcome = response.pull, response.outcome
-        if (pull.cursor, pull.attempt) != (self.cursor, self.attempt):
+        if (pull.cursor, pull.attempt) != (self.puller.cursor, self.puller.attempt):
             return
         if isinstance(outcome, d.AttemptNeeded):
-            self.attempt = max(self.attempt + 1, outcome.next_attempt)
+            self.puller.attempt = max(self.puller.attempt + 1, outcome.next_attempt)
         if isinstance(outcome, d.StepComplete):
-            assert len(self.used) == PLAN.slot_count, "the step ended without all samples"
+            assert len(self.puller.used) == self.puller.plan.slot_count, "ended without all samples"
         if not isinstance(outcome, d.Delivered):
             return
         for item in outcome.samples:
-            assert item.sample.slot not in self.used, "a slot was delivered twice"
-            self.used[item.sample.slot] = item.sample.sample_id
-        self.cursor, self.attempt = self.cursor + 1, 1
+            used = [puller for puller in self.pullers if item.sample.slot in puller.used]
+            assert not used, "a slot was delivered twice"
+            self.puller.used[item.sample.slot] = item.sample.sample_id
+        self.puller.cursor, self.puller.attempt = self.puller.cursor + 1, 1
 
     def ledger(self):
-        return from_bytes(self.store.objects["steps/t/1"].value).unwrap()
+        return from_bytes(self.store.objects[ledger_key(self.puller.plan)].value).unwrap()
 
     def produce_now(self, slot, versions, damaged=False):
         body = f"body {len(self.truth)} of {slot}".encode()
@@ -216,18 +269,34 @@
 
     # Rules
 
-    @initialize(ages_by_slot=st.lists(AGES, min_size=1, max_size=8))
-    def start(self, ages_by_slot):
+    @initialize(
+        openings=st.lists(OPENING, max_size=3),
+        last=st.sampled_from([2, 4, 8]),
+        ages_by_slot=st.lists(AGES, min_size=1, max_size=8),
+    )
+    def start(self, openings, last, ages_by_slot):
+        for part_slots, calls, faults in openings:
+            self.interrupt, self.store.planned = (calls, [("crash", 0)]), faults
+            with contextlib.suppress(EntryDied):
+                self.registry_class(self.store, self.rng, part_slots).open(BODY, 0)
+            self.every_part_exists()
+        self.interrupt, self.store.planned = None, []
+        opened = self.registry_class(self.store, self.rng, last).open(BODY, 0)
+        assert isinstance(opened, Success), "a repeated request does not open the step"
+        plan = opened.unwrap().plan
+        self.pullers = [Puller(part_of(plan, part)) for part in range(plan.parts)]
+        self.puller = self.pullers[0]
         for number, ages in enumerate(ages_by_slot):
             self.produce(number, ages, False)
 
     @rule(number=st.integers(0, 7), ages=AGES, damaged=st.booleans())
     def produce(self, number, ages, damaged):
         versions = [None if age is None else max(0, self.published - age) for age in ages]
-        sample = self.produce_now(self.ledger().slot(number), versions, damaged)
+        slot = Slot(*divmod(number, SAMPLES_PER_GROUP))
+        sample = self.produce_now(slot, versions, damaged)
         if sample is not None:
             self.pending.append(sample)
-            self.delivery.record([sample])
+            self.record(sample)
 
     @rule(calls=st.integers(0, 3), events=EVENTS_MEANWHILE)
     def paused_holder_records(self, calls, events):
@@ -265,44 +334,60 @@
 
     @rule(next_attempt=st.booleans(), limit=st.integers(1, 4), ahead=AHEAD, now=st.booleans())
     def send_pull(self, next_attempt, limit, ahead, now):
-        self.attempt += next_attempt
+        self.puller.attempt += next_attempt
         version = None if ahead is None else self.published + ahead
-        self.requests.append(d.Pull(self.cursor, self.attempt, limit, version))
+        self.puller.requests.append(d.Pull(self.puller.cursor, self.puller.attempt, limit, version))
         if now:
-            self.execute_now(self.requests[-1])
+            self.execute_now(self.puller.requests[-1])
 
     @rule(pull=st.booleans(), pick=PICK, calls=CALLS, events=EVENTS_MEANWHILE, faults=FAULTS)
     def execute_and_respond(self, pull, pick, calls, events, faults):
-        if pull or not self.requests:
-            self.requests.append(d.Pull(self.cursor, self.attempt, limit=1 + pick % 4))
+        if pull or not self.puller.requests:
+            self.puller.requests.append(
+                d.Pull(self.puller.cursor, self.puller.attempt, limit=1 + pick % 4)
+            )
             pick = 0
         self.interrupt = (calls, events)
         self.store.planned = faults
-        self.execute_now(self.requests[-1 - pick % min(6, len(self.requests))])
+        self.execute_now(self.puller.requests[-1 - pick % min(6, len(self.puller.requests))])
         self.store.planned = []
         if pull:
             self.event_respond(0)
 
-    @precondition(lambda self: self.responses)
+    @precondition(lambda self: self.puller.responses)
     @rule(pick=PICK)
     def respond(self, pick):
-        self.use(self.responses[-1 - pick % min(2, len(self.responses))])
+        self.use(self.puller.responses[-1 - pick % min(2, len(self.puller.responses))])
 
     @invariant()
-    def ledger_is_readable(self):
-        assert self.ledger().plan == PLAN
+    def every_part_exists(self):
+        first = self.store.objects.get("steps/t/1")
+        if first is None:
+            return
+        plan = from_bytes(first.value).unwrap().plan
+        for part in range(plan.parts):
+            stored = self.store.objects.get(ledger_key(part_of(plan, part)))
+            assert stored is not None, "a part is missing"
+            assert from_bytes(stored.value).unwrap().plan == part_of(plan, part)
 
     def teardown(self):
         """Without further faults the step must end with every slot used once."""
         self.store.planned.clear()
         self.store.deliver_delayed()
+        for puller in self.pullers:
+            self.puller = puller
+            self.pull_rest()
+        used = [slot for puller in self.pullers for slot in puller.used]
+        assert len(used) == GROUPS * SAMPLES_PER_GROUP or not self.pullers, "slots are missing"
+
+    def pull_rest(self):
         for _ in range(60):
             for slot in self.ledger().open_slots():
                 self.delivery.record([self.produce_now(slot, [self.published])])
-            pull = d.Pull(self.cursor, self.attempt, limit=4)
+            pull = d.Pull(self.puller.cursor, self.puller.attempt, limit=4)
             self.execute_now(pull)
-            outcome = self.responses[-1].outcome
-            self.use(self.responses[-1])
+            outcome = self.puller.responses[-1].outcome
+            self.use(self.puller.responses[-1])
             if isinstance(outcome, d.StepComplete):
                 return
         raise AssertionError(f"the step does not end: {outcome}")
--- a/tests/unit/samples/test_answers.py
+++ b/tests/unit/samples/test_answers.py
@@ -66,7 +66,7 @@
     assert registry.open(b"{", 1_000).failure().status == 400
     assert registry.open(json.dumps({**BODY, "prompts": []}).encode(), 0).failure().status == 400
     assert registry.take_over("t", 2).failure().status == 404
-    assert registry.cut("t", 1, opened.open_slots).unwrap() == 2
+    assert registry.cut(opened.plan, opened.open_slots).unwrap() == 2
     assert registry.take_over("t", 1).unwrap().open_slots == ()
     registry.store.set_outage(True)
     assert registry.open(body, 1_000).failure().status == 503
@@ -100,3 +100,47 @@
     delayed = json.dumps({**BODY, "step": 3}).encode()
     assert StepRegistry(store, rng).open(delayed, 0).failure().status == 410
     retention.check_creatable(store, "t", 4).unwrap()
+
+
+def registry_of_two_parts(store):
+    return StepRegistry(store, random.Random(1), part_slots=1)
+
+
+def step_body(step, **changes):
+    return json.dumps({**BODY, "step": step, **changes}).encode()
+
+
+def test_a_pull_of_a_part_that_the_step_does_not_have_is_refused():
+    registry = registry_of_two_parts(MemoryStore())
+    assert registry.open(step_body(1), 0).unwrap().plan.parts == 2
+    assert registry.take_over("t", 1, 1).unwrap().open_slots == (Slot(1, 0),)
+    for step, part in [(1, 2), (2, 0), (2, 1)]:
+        assert registry.take_over("t", step, part).failure().status == 404
+    assert answers.parse_pull({"cursor": "0", "part": "1"}).unwrap().part == 1
+
+
+def test_all_parts_of_old_steps_are_deleted_and_so_is_what_a_refused_opening_left():
+    store = MemoryStore()
+    registry = registry_of_two_parts(store)
+    for step in range(1, 8):
+        first = registry.open(step_body(step), 0).unwrap().plan
+        assert registry.open(step_body(step, prompts=["a", "c"]), 0).failure().status == 409
+        for plan in [first] if step == 2 else [first, attrs.evolve(first, part=1)]:
+            registry.cut(plan, (Slot(plan.part, 0),)).unwrap()
+    assert retention.prune_steps(store, "t").unwrap() == (1, 3)
+    left = [key.split("/")[2] for key in store.objects if key.startswith("step-parts/")]
+    assert left == ["2", "4", "4", "5", "5", "6", "6", "7", "7"]
+    assert registry.take_over("t", 2, 1).unwrap().request.prompts == ("a", "b")
+
+
+def test_a_step_whose_parts_were_pruned_while_it_was_opened_is_refused():
+    store, puts = HookedStore(), []
+
+    def before(call):
+        puts.append(call)
+        if puts.count("put") == 3:
+            registry_of_two_parts(store).open(step_body(9), 0).unwrap()
+            retention.prune_steps(store, "t").unwrap()
+
+    store.before = before
+    assert registry_of_two_parts(store).open(step_body(1), 0).failure().status == 410
--- a/tests/unit/samples/test_delivery_machine.py
+++ b/tests/unit/samples/test_delivery_machine.py
@@ -7,9 +7,11 @@
 from returns.result import Success
 
 from pistachionotch.samples.delivery import Delivered, DeliveredSample, Prepared, StepDelivery
-from pistachionotch.samples.ledger import Assignment, Turn
+from pistachionotch.samples.ledger import Assignment, StepPlan, Turn
 from pistachionotch.samples.ledger_store import LedgerStore
+from pistachionotch.samples.parts import part_of
 from pistachionotch.samples.spans import SpanRecorder
+from pistachionotch.samples.steps import StepRegistry
 
 
 def test_every_promise_holds():
@@ -100,7 +102,20 @@
         super().add(self.spans[0].version if self.spans else version, tokens)
 
 
+class PartZeroComesFirst(StepRegistry):
+    def _create_part(self, plan):
+        super()._create_part(part_of(plan, 0))
+        return super()._create_part(plan)
+
+
+class EachEntryTakesItsOwnPartSize(StepRegistry):
+    def _create(self, plan, request):
+        return self._create_parts(plan, request)
+
+
 MUTANTS = [
+    ("registry_class", PartZeroComesFirst),
+    ("registry_class", EachEntryTakesItsOwnPartSize),
     ("delivery_class", RepeatReplacesLostSamples),
     ("delivery_class", NewAttemptIsNotWritten),
     ("delivery_class", OldAttemptIsAnswered),
@@ -121,3 +136,14 @@
     machine = type("Mutated", (StepMachine,), {part: mutant})
     with pytest.raises(AssertionError):
         run_state_machine_as_test(machine, settings=SETTINGS)
+
+
+@pytest.mark.parametrize("extra", [1, -1], ids=["overlap", "gap"])
+def test_machine_finds_parts_that_do_not_divide_the_step(extra, monkeypatch):
+    def groups(plan):
+        first, last = (number * plan.groups // plan.parts for number in (plan.part, plan.part + 1))
+        return range(first, min(last + extra, plan.groups) if plan.parts > 1 else last)
+
+    monkeypatch.setattr(StepPlan, "part_groups", property(groups))
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(StepMachine, settings=SETTINGS)
