Keep the coordinator's ledger in memory

The coordinator read and decoded its whole ledger four times a second, and each pull read it again. An entry now keeps one copy of a ledger for all its tasks. A change is tried on a copy of it and written on the condition that nobody else wrote; after a conflict it is tried on what is stored. A change that writes nothing is answered only after a watch without waiting has shown that the ledger is still the stored one. The coordinator looks for changes by others once a second, and a pull that waits for samples is tried again when the ledger has changed. A conditional GET was ruled out because the object API's protocol has none; a waiting watch per part was ruled out because it holds a connection.

The state machine pulls at two entries that each keep ledgers, and finds three more faults: a kept ledger that is not checked when nothing is written, a change that is kept before its write, and a change made on the kept ledger itself.

Changed test: the test of an unknown step deletes the object through the store instead of clearing the store's dictionary, which no watch could see.

--- a/src/pistachionotch/bench/slopes/run.py
+++ b/src/pistachionotch/bench/slopes/run.py
@@ -19,7 +19,8 @@
     "registrations": (".store", "measure_registrations"),
     "claims": (".store", "measure_claims"),
     "rollouts": (".store", "measure_rollouts"),
-    "steps": (".store", "measure_steps"),
+    "steps": (".steps", "measure_steps"),
+    "pulls": (".steps", "measure_pulls"),
 }
 
 
--- a/src/pistachionotch/bench/slopes/store.py
+++ b/src/pistachionotch/bench/slopes/store.py
@@ -4,7 +4,7 @@
 
 import json
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import Any
 
 import gevent
@@ -12,14 +12,11 @@
 
 from ...clock import SystemClock
 from ...config.revisions import Revisions
-from ...entry.calls import Call, CallDone, Delivered, RouteEvent
 from ...entry.control import ControlWatch
-from ...entry.coordination import StepContext
 from ...entry.duties import DirectoryDuty
 from ...entry.links import AgentLink
 from ...entry.policy import PolicyView
 from ...entry.rollouts import RolloutDuty
-from ...entry.steps import StepService
 from ...entry.table import LinkTable
 from ...idempotency.book import ClaimBook
 from ...idempotency.claim import StoredResult
@@ -30,9 +27,6 @@
 from ...membership.registration import Registration
 from ...objects.client import HttpObjectStore
 from ...routing.facts import Location
-from ...samples.bodies import BodyCache
-from ...samples.spans import VersionSpan
-from ...samples.steps import StepRegistry
 from ...standins.object_store import ObjectStoreApp, serve
 from ...weights.publish import DesiredVersion, publish
 from .fit import Slope
@@ -44,10 +38,6 @@
 WATCH_WINDOW_S = 60.0
 SETTLE_S = 2.0
 TIME_TO_LIVE_MS = 6000
-BODY_CACHE_BYTES = 1_000_000
-SLOTS_IN_FLIGHT = 64
-SAMPLES_PER_GROUP = 8
-STEP_DEADLINE_MS = 480_000
 KINDS = ("get", "list", "put", "delete", "watch")
 KEY = b"a-key-for-slopes-only-0123456789"
 
@@ -295,66 +285,3 @@
         _add(slopes, count, counted.calls_of(run))
         counted.stop()
     return _used(slopes)
-
-
-def measure_steps() -> list[Slope]:
-    """Measure the calls of one whole step by its samples, and by the time that it takes."""
-    by_samples = _slopes("step", "sample at 40 samples/s", "calls")
-    for samples in (64, 128, 256):
-        _add(by_samples, samples, _step_calls(samples, 64 / 40))
-    by_seconds = _slopes("step of 64 samples", "second per sample", "calls")
-    for seconds in (1, 3, 6):
-        _add(by_seconds, seconds, _step_calls(64, seconds))
-    return _used(by_samples) + _used(by_seconds)
-
-
-def _step_calls(samples: int, sample_s: float) -> dict[str, int]:
-    counted = CountedStore()
-
-    def route(call: Call) -> Iterator[RouteEvent]:
-        gevent.sleep(sample_s)
-        spans = (VersionSpan(0, 10),)
-        yield Delivered(b"x" * 100, 0, 10)
-        yield CallDone(200, (), spans, "agent-1")
-
-    store = counted.client()
-    cache = BodyCache(BODY_CACHE_BYTES)
-    context = StepContext(
-        store,
-        counted.clock,
-        "entry-1",
-        route,
-        cache,
-        cache.find,
-        StepRegistry(store, counted.rng),
-        counted.rng,
-        logger("steps"),
-    )
-    service = StepService(context, dict, lambda _model: SLOTS_IN_FLIGHT)
-    groups = samples // SAMPLES_PER_GROUP
-    request = {
-        "trainer": "trainer",
-        "step": 1,
-        "model": "fitting",
-        "groups": groups,
-        "samples_per_group": SAMPLES_PER_GROUP,
-        "staleness_bound": 2,
-        "deadline_ms": STEP_DEADLINE_MS,
-        "prompts": ["p"] * groups,
-        "sampling": {"max_tokens": 10},
-    }
-    try:
-        return counted.calls_of(lambda: _run_step(service, json.dumps(request).encode()))
-    finally:
-        counted.stop()
-
-
-def _run_step(service: StepService, request: bytes) -> None:
-    service.create(request)
-    cursor = 0
-    while True:
-        answer = service.pull("trainer", 1, {"cursor": str(cursor)})
-        if answer.fields.get("complete"):
-            return
-        if answer.fields.get("samples"):
-            cursor += 1
--- a/src/pistachionotch/entry/coordination.py
+++ b/src/pistachionotch/entry/coordination.py
@@ -29,6 +29,8 @@
 from .production import Production, Route
 
 STEP_MS = 250
+# Changes by other entries, such as a reopened slot, and new versions are seen after this time.
+LOOK_MS = 1000
 RECENT_FINISHED = 64
 # Taken until samples of the step have finished.
 EXPECTED_SAMPLE_MS = 10_000
@@ -79,6 +81,8 @@
     deadline: Deadline = attrs.field(init=False)
     complete: bool = False
     reported_late: bool = False
+    newest: int = 0
+    look_at_ms: int = 0
 
     def __attrs_post_init__(self) -> None:
         now_unix_ms = int(time.time() * MS_PER_SECOND)
@@ -106,14 +110,9 @@
 
     def _work(self) -> None:
         self._record()
-        read = self.ledgers.update(lambda unchanged: unchanged)
-        newest = newest_version(self.context.store, self.opened.plan.model)
-        if isinstance(read, Failure) and isinstance(read.failure(), StepUnknown):
-            # The ledger is deleted only once the step is complete.
-            self.complete = True
-        if isinstance(read, Failure) or isinstance(newest, Failure):
+        if not self._look() or self.ledgers.held is None:
             return
-        ledger = read.unwrap()
+        ledger = self.ledgers.held.ledger
         if not self.produced:
             needed = {sample.slot: sample for sample in ledger.samples.values()}
             self.context.cache.release_unneeded(self.name, needed)
@@ -121,13 +120,29 @@
             self.complete = True
             self.context.log.info("step complete", step=self.name)
             return
-        facts = self._facts(ledger, newest.unwrap())
+        facts = self._facts(ledger, self.newest)
         now_ms = self.context.clock.now_ms()
         self.demand = self._demand(len(facts.open_slots))
         quota = self.quota(self)
         for action in policy.decide_step(facts, self.limits, quota, now_ms):
             self.act(action)
 
+    def _look(self) -> bool:
+        """Learn what other entries and the trainer changed; False if that is not known."""
+        now_ms = self.context.clock.now_ms()
+        if now_ms < self.look_at_ms:
+            return True
+        refreshed = self.ledgers.refresh()
+        if isinstance(refreshed, Failure) and isinstance(refreshed.failure(), StepUnknown):
+            # The ledger is deleted only once the step is complete.
+            self.complete = True
+        newest = newest_version(self.context.store, self.opened.plan.model)
+        if isinstance(refreshed, Failure) or isinstance(newest, Failure):
+            return False
+        self.newest = newest.unwrap()
+        self.look_at_ms = now_ms + LOOK_MS
+        return True
+
     def _demand(self, open_slots: int) -> StepDemand:
         """Return what the step still needs, for the share of capacity among steps."""
         durations = [facts.duration_ms for facts in self.recent] or [EXPECTED_SAMPLE_MS]
--- a/src/pistachionotch/entry/steps.py
+++ b/src/pistachionotch/entry/steps.py
@@ -16,6 +16,8 @@
 from ..samples.capacity import share_capacity
 from ..samples.delivery import Delivered as DeliveredSamples
 from ..samples.delivery import NothingReady, Pull, PullOutcome, StepDelivery
+from ..samples.ledger import StepPlan
+from ..samples.ledger_store import LedgerStore
 from ..samples.parts import part_name, shard
 from ..samples.steps import OpenedStep
 from .coordination import StepContext, StepCoordinator, newest_version
@@ -106,11 +108,29 @@
         while True:
             started_ms = clock.now_ms()
             outcome = delivery.pull(pull)
-            if not isinstance(outcome, NothingReady) or deadline.expired(clock):
+            if not isinstance(outcome, NothingReady):
                 return outcome
-            clock.sleep_ms(PULL_POLL_MS)
+            self._await_change(opened.plan, delivery.ledgers, deadline)
             plan = opened.plan
             self.measures.waited(plan.trainer, clock.now_ms() - started_ms, plan.parts)
+            if deadline.expired(clock):
+                return outcome
+
+    def _await_change(self, plan: StepPlan, ledgers: LedgerStore, deadline: Deadline) -> None:
+        """Wait until the ledger changes, without which a pull has nothing new to hand over."""
+        clock = self.context.clock
+        held = ledgers.held
+        while held is not None and not deadline.expired(clock):
+            clock.sleep_ms(PULL_POLL_MS)
+            if not self._coordinates(plan):
+                ledgers.refresh()
+            if ledgers.held is None or ledgers.held.version != held.version:
+                return
+
+    def _coordinates(self, plan: StepPlan) -> bool:
+        """Return whether this entry keeps the part's ledger current."""
+        known = self.coordinators.get((plan.trainer, plan.step, plan.part))
+        return known is not None and known.lease.held()
 
     def _ensure_coordinator(self, trainer: str, step: int, part: int) -> Result[OpenedStep, Answer]:
         """Start coordinating a part whose former coordinator may be gone."""
--- a/src/pistachionotch/samples/ledger.py
+++ b/src/pistachionotch/samples/ledger.py
@@ -157,6 +157,10 @@
             raise ValueError(fault)
         return cls(plan, [SlotState.OPEN] * plan.slot_count)
 
+    def copy(self) -> StepLedger:
+        """Return a ledger that can be changed without changing this one; samples are frozen."""
+        return attrs.evolve(self, states=list(self.states), samples=dict(self.samples))
+
     # Slots
 
     def number(self, slot: Slot) -> int | None:
--- a/src/pistachionotch/samples/ledger_store.py
+++ b/src/pistachionotch/samples/ledger_store.py
@@ -9,7 +9,13 @@
 import attrs
 from returns.result import Failure, Result, Success
 
-from ..objects.api import ObjectStore, StoredObject, VersionConflict, WriteAmbiguous
+from ..objects.api import (
+    ObjectStore,
+    StoredObject,
+    VersionConflict,
+    WatchExpired,
+    WriteAmbiguous,
+)
 from .ledger import StepLedger, StepPlan
 from .ledger_format import MAX_LEDGER_BYTES, CorruptLedger, from_bytes, to_bytes
 from .parts import same_step
@@ -50,17 +56,33 @@
 UpdateError = StepUnknown | NotCommitted | CorruptLedger
 
 
+@attrs.frozen
+class HeldLedger:
+    """Hold a ledger as it was stored; it is never changed in place."""
+
+    version: int
+    # Changes up to this revision of the store have been seen.
+    revision: int
+    ledger: StepLedger
+
+
 @attrs.define
 class LedgerStore:
     """Apply changes to one ledger so that a change counts only once its write is certain.
 
-    A change may be applied several times, each time to a newly read ledger, and may find itself in
-    effect already. So every change must give the same outcome when it is repeated.
+    The ledger is kept between updates. A change is tried on a copy of it and written on the
+    condition that nobody else wrote in between; after a conflict it is tried on what is stored. If
+    it changes nothing, there is no write that could fail, so it is first asked whether the ledger
+    was changed elsewhere.
+
+    A change may be applied several times, and may find itself in effect already. So every change
+    must give the same outcome when it is repeated.
     """
 
     store: ObjectStore
     key: str
     rng: random.Random
+    held: HeldLedger | None = None
 
     def create(self, plan: StepPlan) -> Result[StepLedger, PlanDiffers | UpdateError]:
         """Create the ledger, or return the existing one of the same plan."""
@@ -81,27 +103,84 @@
 
     def update(self, change: Callable[[StepLedger], T]) -> Result[T, UpdateError]:
         """Return the outcome of ``change`` once the ledger holds it."""
-        for _ in range(MAX_WRITE_ROUNDS):
-            read = self.store.get(self.key)
-            if isinstance(read, Failure):
-                return Failure(NotCommitted(read.failure().reason))
-            stored = read.unwrap()
-            if stored is None:
-                return Failure(StepUnknown())
-            decoded = from_bytes(stored.value)
-            if isinstance(decoded, Failure):
-                return decoded
-            ledger = decoded.unwrap()
+        for number in range(MAX_WRITE_ROUNDS):
+            kept = self.held if number == 0 else None
+            base = Success(kept) if kept is not None else self.refresh()
+            if isinstance(base, Failure):
+                return base
+            held = base.unwrap()
+            ledger = held.ledger.copy()
             outcome = change(ledger)
-            if to_bytes(ledger) == stored.value:
-                return Success(outcome)
-            written = self.write(ledger, stored.version)
+            if ledger == held.ledger:
+                if kept is None or self.is_current(held):
+                    return Success(outcome)
+                continue
+            written = self.write(ledger, held.version)
             if isinstance(written, Failure):
                 return written
             if written.unwrap():
                 return Success(outcome)
         return Failure(NotCommitted("too many writers"))
 
+    def is_current(self, held: HeldLedger) -> bool:
+        """Return whether the stored ledger is known to be the held one."""
+        refreshed = self.refresh()
+        return isinstance(refreshed, Success) and refreshed.unwrap().version == held.version
+
+    def refresh(self) -> Result[HeldLedger, UpdateError]:
+        """Make the kept ledger as recent as this call; it is read only if it has changed."""
+        if self.held is None:
+            return self._read()
+        batch = self.store.watch(self.key, self.held.revision, 0)
+        if isinstance(batch, Failure):
+            if isinstance(batch.failure(), WatchExpired):
+                return self._read_with_revision()
+            return Failure(NotCommitted(str(batch.failure())))
+        revision = batch.unwrap().revision
+        for change in batch.unwrap().changes:
+            if change.key != self.key:
+                continue
+            if change.value is None:
+                return self._hold(None)
+            return self._hold(StoredObject(self.key, change.version, change.value), revision)
+        if self.held is None:
+            return self._read()
+        self.held = attrs.evolve(self.held, revision=max(revision, self.held.revision))
+        return Success(self.held)
+
+    def _read(self) -> Result[HeldLedger, UpdateError]:
+        read = self.store.get(self.key)
+        if isinstance(read, Failure):
+            return Failure(NotCommitted(read.failure().reason))
+        return self._hold(read.unwrap())
+
+    def _read_with_revision(self) -> Result[HeldLedger, UpdateError]:
+        """Read from a revision that the store can still watch from."""
+        snapshot = self.store.snapshot(self.key)
+        if isinstance(snapshot, Failure):
+            return Failure(NotCommitted(snapshot.failure().reason))
+        found = {stored.key: stored for stored in snapshot.unwrap().objects}
+        return self._hold(found.get(self.key), snapshot.unwrap().revision)
+
+    def _hold(
+        self, stored: StoredObject | None, revision: int = 0
+    ) -> Result[HeldLedger, UpdateError]:
+        """Keep a stored ledger unless another task of this process has put a later one there."""
+        held = self.held
+        if stored is None:
+            self.held = None
+            return Failure(StepUnknown())
+        if held is not None and held.version >= stored.version:
+            self.held = attrs.evolve(held, revision=max(revision, held.revision))
+            return Success(self.held)
+        decoded = from_bytes(stored.value)
+        if isinstance(decoded, Failure):
+            self.held = None
+            return decoded
+        revision = max(revision, stored.version)
+        self.held = HeldLedger(stored.version, revision, decoded.unwrap())
+        return Success(self.held)
+
     def write(
         self, ledger: StepLedger, expected_version: int | None
     ) -> Result[bool, NotCommitted | CorruptLedger]:
@@ -112,9 +191,14 @@
             return Failure(CorruptLedger(f"the ledger would have {len(value)} bytes"))
         put = self.store.put(self.key, value, expected_version)
         if isinstance(put, Success):
+            version = put.unwrap().version
+            if self.held is None or self.held.version < version:
+                self.held = HeldLedger(version, version, ledger)
             return Success(True)
         error = put.failure()
         if isinstance(error, VersionConflict):
+            # The next round reports a ledger that is gone or corrupt.
+            self._hold(error.current)
             return Success(False)
         if isinstance(error, WriteAmbiguous):
             return self.settle(value)
@@ -130,6 +214,7 @@
         if isinstance(read, Failure):
             return Failure(NotCommitted(read.failure().reason))
         stored = read.unwrap()
+        self._hold(stored)
         return Success(stored is not None and stored.value == value)
 
     def _same_plan(
--- a/src/pistachionotch/samples/steps.py
+++ b/src/pistachionotch/samples/steps.py
@@ -4,6 +4,7 @@
 
 import random
 from http import HTTPStatus
+from weakref import WeakValueDictionary
 
 import attrs
 from returns.result import Failure, Result, Success
@@ -50,10 +51,18 @@
     store: ObjectStore
     rng: random.Random
     part_slots: int = PART_SLOTS
+    # A ledger is kept for all tasks of this process as long as one of them uses it.
+    used: WeakValueDictionary[str, LedgerStore] = attrs.field(factory=WeakValueDictionary)
 
     def ledgers(self, plan: StepPlan) -> LedgerStore:
         """Return the access to the ledger of a plan's part."""
-        return LedgerStore(self.store, ledger_key(plan), self.rng)
+        return self._ledgers(ledger_key(plan))
+
+    def _ledgers(self, key: str) -> LedgerStore:
+        known = self.used.get(key)
+        if known is None:
+            known = self.used[key] = LedgerStore(self.store, key, self.rng)
+        return known
 
     def open(self, body: bytes, now_unix_ms: int) -> Result[OpenedStep, Answer]:
         """Answer ``POST /v1/steps`` with part 0; the step then has all its parts."""
@@ -123,7 +132,7 @@
         return Success(OpenedStep.of(ledger, request.unwrap()))
 
     def _read(self, key: str) -> Result[StepLedger, object]:
-        return LedgerStore(self.store, key, self.rng).update(lambda ledger: ledger)
+        return self._ledgers(key).update(lambda ledger: ledger)
 
     def cut(self, plan: StepPlan, slots: tuple[Slot, ...]) -> Result[int, Answer]:
         """Cut open slots; return how many slots of the plan's part are cut now."""
--- a/tests/unit/samples/step_world.py
+++ b/tests/unit/samples/step_world.py
@@ -26,6 +26,10 @@
         self.before("get")
         return MemoryStore.get(self, key)
 
+    def watch(self, prefix, since, timeout_ms):
+        self.before("watch")
+        return MemoryStore.watch(self, prefix, since, timeout_ms)
+
     def put(self, key, value, expected_version):
         self.before("put")
         fault = self.planned.pop(0) if self.planned else "none"
--- a/tests/unit/samples/test_delivery.py
+++ b/tests/unit/samples/test_delivery.py
@@ -81,7 +81,8 @@
     ids(world.delivery.pull(d.Pull(0)))
     world.delivery.pull(d.Pull(1))
     assert world.delivery.pull(d.Pull(0)) == d.WrongCursor(1, "already acknowledged")
-    world.store.objects.clear()
+    (stored,) = world.store.objects.values()
+    world.store.delete(stored.key, stored.version).unwrap()
     assert world.delivery.pull(d.Pull(1)) == StepUnknown()
 
 
--- a/tests/unit/samples/test_delivery_machine.py
+++ b/tests/unit/samples/test_delivery_machine.py
@@ -8,7 +8,7 @@
 
 from pistachionotch.samples.delivery import Delivered, DeliveredSample, Prepared, StepDelivery
 from pistachionotch.samples.ledger import Assignment, StepPlan, Turn
-from pistachionotch.samples.ledger_store import LedgerStore
+from pistachionotch.samples.ledger_store import HeldLedger, LedgerStore
 from pistachionotch.samples.parts import part_of
 from pistachionotch.samples.spans import SpanRecorder
 from pistachionotch.samples.steps import StepRegistry
@@ -36,6 +36,24 @@
         return Success(True)
 
 
+class KeptLedgerIsNotCheckedWithoutAWrite(LedgerStore):
+    def is_current(self, held):
+        return True
+
+
+class ChangeIsKeptBeforeItsWrite(LedgerStore):
+    def write(self, ledger, expected_version):
+        self.held = HeldLedger(expected_version, expected_version, ledger)
+        return super().write(ledger, expected_version)
+
+
+class ChangeIsMadeOnTheKeptLedger(LedgerStore):
+    def update(self, change):
+        if self.held is not None:
+            change(self.held.ledger)
+        return super().update(change)
+
+
 class RepeatReplacesLostSamples(StepDelivery):
     def answer(self, ledger, pull, version, cache):
         if ledger.turn(pull.cursor, pull.attempt) == Turn.CURRENT:
@@ -123,6 +141,9 @@
     ("delivery_class", MissingBodyIsLeftOut),
     ("delivery_class", NoDigestCheck),
     ("delivery_class", AssignedCountsAsUsed),
+    ("ledgers_class", KeptLedgerIsNotCheckedWithoutAWrite),
+    ("ledgers_class", ChangeIsKeptBeforeItsWrite),
+    ("ledgers_class", ChangeIsMadeOnTheKeptLedger),
     ("ledgers_class", UnconditionalWrite),
     ("ledgers_class", ConflictCountsAsWritten),
     ("ledgers_class", AmbiguousCountsAsWritten),
