Keep the leases of parts apart and delete leases with their ledgers

Every entry lists leases/ every 2 s for its duties, at 322 bytes a lease. The leases of parts are now below part-leases/, which nobody lists, and pruning deletes the lease of each ledger that it deletes, unless somebody holds it. The figures are on paper, from the measured size of a lease.

The wait before a lease that was never held is counted from when a process began to contend only for parts. With it, the duties of a new deployment came up to 4 s later in the scenarios; they are taken at once again.

One run of a scenario failed because its deployment gave entry-2 the port of agent-2, which did not listen yet. A test process now hands out each port once.

--- a/src/pistachionotch/entry/steps.py
+++ b/src/pistachionotch/entry/steps.py
@@ -18,7 +18,7 @@
 from ..samples.delivery import NothingReady, Pull, PullOutcome, StepDelivery
 from ..samples.ledger import StepPlan
 from ..samples.ledger_store import LedgerStore
-from ..samples.parts import part_name, shard
+from ..samples.parts import LEASE_DUTY, lease_prefix, part_name, shard
 from ..samples.steps import OpenedStep
 from .coordination import StepContext, StepCoordinator, newest_version
 from .measures import TrainerMeasures
@@ -151,12 +151,13 @@
         lease = Lease(
             context.store,
             context.clock,
-            "step",
+            LEASE_DUTY,
             shard(plan),
             context.node,
             LEASE_MS,
             context.rng,
             held=self.held_parts if plan.parts > 1 else None,
+            prefix=lease_prefix(plan),
         )
         ledgers = context.registry.ledgers(plan)
         coordinator = StepCoordinator(
--- a/src/pistachionotch/lease/lease.py
+++ b/src/pistachionotch/lease/lease.py
@@ -60,6 +60,7 @@
         rng: random.Random,
         reads: LeaseReads | None = None,
         held: set[str] | None = None,
+        prefix: str = "leases",
     ) -> None:
         self.store = store
         # Serves the reads of a waiting process that has no write of unknown outcome.
@@ -68,7 +69,7 @@
         # other processes; without them it takes a free one at once.
         self.held_keys = reads.held if held is None and reads is not None else held
         self.clock = clock
-        self.key = f"leases/{duty}/{shard}"
+        self.key = f"{prefix}/{duty}/{shard}"
         self.holder = holder
         self.session = f"{holder}/{rng.getrandbits(64):016x}"
         self.time_to_live_ms = time_to_live_ms
@@ -81,8 +82,9 @@
         self.highest_fence = 0
         self.held_until_ms: int | None = None
         self.seen: StoredObject | None = None
-        # An object that does not exist yet counts as free from now on.
-        self.first_seen_ms = clock.now_ms()
+        # A lease that was never held counts as free from now on, but the duties of a new deployment
+        # are taken at once.
+        self.first_seen_ms = 0 if held is None else clock.now_ms()
         self.next_call_ms = clock.now_ms()
         # Start times of writes with unknown outcomes, by token.
         self.unsettled: dict[str, int] = {}
--- a/src/pistachionotch/samples/parts.py
+++ b/src/pistachionotch/samples/parts.py
@@ -19,6 +19,7 @@
 # of more than 426 samples would take longer than the 8 minutes of a step.
 PART_SLOTS = 256
 PARTS_PREFIX = "step-parts/"
+LEASE_DUTY = "step"
 DIGEST_BYTES = 8
 
 
@@ -61,6 +62,20 @@
     return f"steps/{trainer}/{step}"
 
 
+def lease_prefix(plan: StepPlan) -> str:
+    """Return the prefix of the lease of a plan's part.
+
+    Every entry lists ``leases/`` for its duties, which the leases of 72 parts would make three
+    times as long.
+    """
+    return "leases" if plan.parts == 1 else "part-leases"
+
+
+def lease_key(plan: StepPlan) -> str:
+    """Return the object key of the lease of a plan's part."""
+    return f"{lease_prefix(plan)}/{LEASE_DUTY}/{shard(plan)}"
+
+
 def shard(plan: StepPlan) -> str:
     """Return the shard of the lease of a plan's part; trainer names have no slash."""
     step = f"{plan.trainer}-{plan.step}"
--- a/src/pistachionotch/samples/retention.py
+++ b/src/pistachionotch/samples/retention.py
@@ -7,10 +7,11 @@
 import attrs
 from returns.result import Failure, Result, Success
 
+from ..lease.record import parse_lease
 from ..objects.api import ObjectStore, StoredObject, StoreUnavailable
 from .ledger import StepLedger, StepPlan
 from .ledger_format import from_bytes
-from .parts import PARTS_PREFIX, same_step
+from .parts import PARTS_PREFIX, lease_key, same_step
 from .request import delete_request
 
 # Complete ledgers of the latest steps stay, so that a repeated last pull still gets its answer.
@@ -47,7 +48,7 @@
 
 
 def prune_steps(store: ObjectStore, trainer: str) -> Result[tuple[int, ...], StoreUnavailable]:
-    """Delete complete ledgers and prompts of old steps; return the step numbers.
+    """Delete complete ledgers, leases and prompts of old steps; return the step numbers.
 
     Part 0 goes first, so that a step never lacks a part. What an opening that was given up left of
     an old step goes as well. Each deletion is conditional on the version that was read, so it never
@@ -71,7 +72,7 @@
             kept[plan.step] = plan
             continue
         delete_request(store, plan)
-        if isinstance(store.delete(stored.key, stored.version), Success):
+        if _delete(store, stored, plan):
             deleted.append(plan.step)
             continue
         kept[plan.step] = plan
@@ -93,7 +94,18 @@
             continue
         if step is None:
             delete_request(store, plan)
-        store.delete(stored.key, stored.version)
+        _delete(store, stored, plan)
+
+
+def _delete(store: ObjectStore, stored: StoredObject, plan: StepPlan) -> bool:
+    """Delete a ledger and then its lease, unless somebody holds that."""
+    if isinstance(store.delete(stored.key, stored.version), Failure):
+        return False
+    lease = store.get(lease_key(plan)).value_or(None)
+    record = None if lease is None else parse_lease(lease.value)
+    if lease is not None and record is not None and not record.session:
+        store.delete(lease.key, lease.version)
+    return True
 
 
 def _ledgers(
--- a/tests/features/steps/trainer_steps.py
+++ b/tests/features/steps/trainer_steps.py
@@ -81,7 +81,9 @@
 def check_spread(context, first, second):
     for name in (first, second):
         lines = context.deployment.log(name).splitlines()
-        shards = [line for line in lines if "lease: acquired" in line and "leases/step/" in line]
+        shards = [
+            line for line in lines if "lease: acquired" in line and "part-leases/step/" in line
+        ]
         assert len(shards) == 1, (name, shards)
 
 
--- a/tests/support/deployment.py
+++ b/tests/support/deployment.py
@@ -21,10 +21,16 @@
 ROOT = Path(__file__).resolve().parents[2]
 
 
+PORTS = random.SystemRandom().sample(range(12_000, 32_000), 20_000)
+
+
 def free_port():
-    """Return a port below the ephemeral ones, which no client takes while a process is down."""
+    """Return a port below the ephemeral ones, which no client takes while a process is down.
+
+    None is returned twice, since a process may listen on the first one only later.
+    """
     while True:
-        port = random.SystemRandom().randrange(12_000, 32_000)
+        port = PORTS.pop()
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind((HOST, port))
             return port
--- a/tests/unit/samples/test_answers.py
+++ b/tests/unit/samples/test_answers.py
@@ -8,11 +8,12 @@
 from returns.result import Failure
 from step_world import HookedStore
 
+from pistachionotch.lease.record import LeaseRecord
 from pistachionotch.objects.memory import MemoryStore
 from pistachionotch.samples import answers, delivery, request, retention
 from pistachionotch.samples.ledger import StepPlan
 from pistachionotch.samples.ledger_store import LedgerStore, StepUnknown
-from pistachionotch.samples.parts import PART_SLOTS, count_parts, part_of
+from pistachionotch.samples.parts import PART_SLOTS, count_parts, lease_key, part_of
 from pistachionotch.samples.sample import Slot
 from pistachionotch.samples.steps import StepRegistry
 
@@ -140,9 +141,13 @@
         assert registry.open(step_body(step, prompts=["a", "c"]), 0).failure().status == 409
         for plan in [first] if step == 2 else [first, attrs.evolve(first, part=1)]:
             registry.cut(plan, (Slot(plan.part, 0),)).unwrap()
+            lease = LeaseRecord("", "held" if step == 3 else "", "token", 1, 6_000)
+            store.put(lease_key(plan), lease.to_bytes(), None).unwrap()
     assert retention.prune_steps(store, "t").unwrap() == (1, 3)
     left = [key.split("/")[2] for key in store.objects if key.startswith("step-parts/")]
     assert left == ["2", "4", "4", "5", "5", "6", "6", "7", "7"]
+    leases = [key.split("/")[2] for key in store.objects if key.startswith("part-leases/")]
+    assert leases == ["t-2"] + [f"t-{step}" for step in range(3, 8) for _part in range(2)]
     assert registry.take_over("t", 2, 1).unwrap().request.prompts == ("a", "b")
 
 
