--- a/src/pistachionotch/lease/lease.py
+++ b/src/pistachionotch/lease/lease.py
@@ -59,12 +59,17 @@
         time_to_live_ms: int,
         rng: random.Random,
         reads: LeaseReads | None = None,
+        held: set[str] | None = None,
+        prefix: str = "leases",
     ) -> None:
         self.store = store
         # Serves the reads of a waiting process that has no write of unknown outcome.
         self.reads = reads
+        # Keys of the leases that this process holds, which decide how long it leaves a free one to
+        # other processes; without them it takes a free one at once.
+        self.held_keys = reads.held if held is None and reads is not None else held
         self.clock = clock
-        self.key = f"leases/{duty}/{shard}"
+        self.key = f"{prefix}/{duty}/{shard}"
         self.holder = holder
         # Every waiting entry lists all leases, so the record does not repeat the holder's name.
         self.session = f"{rng.getrandbits(64):016x}"
@@ -78,7 +83,9 @@
         self.highest_fence = 0
         self.held_until_ms: int | None = None
         self.seen: StoredObject | None = None
-        self.first_seen_ms = 0
+        # A lease that was never held counts as free from now on, but the duties of a new deployment
+        # are taken at once.
+        self.first_seen_ms = 0 if held is None else clock.now_ms()
         self.next_call_ms = clock.now_ms()
         # Start times of writes with unknown outcomes, by token.
         self.unsettled: dict[str, int] = {}
@@ -158,14 +165,14 @@
         Without this, the entry that sees a free lease first takes all of them: one holder of every
         roll-out lease at the target scale would have links to all 1,100 agents.
         """
-        if self.reads is None:
+        if self.held_keys is None:
             return False
         if record is not None and record.session == self.session:
             return False
         free_ms = self.first_seen_ms
         if record is not None and record.session:
             free_ms += record.time_to_live_ms
-        handicap_ms = min(MAX_HANDICAP_MS, len(self.reads.held) * HANDICAP_MS)
+        handicap_ms = min(MAX_HANDICAP_MS, len(self.held_keys) * HANDICAP_MS)
         if self.clock.now_ms() >= free_ms + handicap_ms:
             return False
         self.next_call_ms = min(self.next_call_ms, free_ms + handicap_ms)
@@ -229,12 +236,12 @@
         self.log.warning("lost", lease=self.key, fence=self.fence, reason=reason)
 
     def _count_held(self, held: bool) -> None:
-        if self.reads is None:
+        if self.held_keys is None:
             return
         if held:
-            self.reads.held.add(self.key)
+            self.held_keys.add(self.key)
         else:
-            self.reads.held.discard(self.key)
+            self.held_keys.discard(self.key)
 
     def _seen_record(self) -> LeaseRecord | None:
         return None if self.seen is None else parse_lease(self.seen.value)
--- a/src/pistachionotch/samples/delivery.py
+++ b/src/pistachionotch/samples/delivery.py
@@ -1,6 +1,6 @@
 """Answer pulls of a trainer so that each sample is delivered exactly once.
 
-Every pull is the same sequence: read the ledger, change it, write it conditionally, and hand the
+Every pull is the same sequence: change a copy of the ledger, write it conditionally, and hand the
 samples over only after that write. Any entry may run it at any time, also one whose lease expired.
 """
 
@@ -37,6 +37,7 @@
     attempt: int = 1
     limit: int = DEFAULT_LIMIT
     trainer_version: int | None = None
+    part: int = 0
 
     def fault(self) -> str | None:
         """Return why no ledger can answer this pull, or None."""
--- a/tests/unit/samples/test_delivery_machine.py
+++ b/tests/unit/samples/test_delivery_machine.py
@@ -7,9 +7,11 @@
 from returns.result import Success
 
 from pistachionotch.samples.delivery import Delivered, DeliveredSample, Prepared, StepDelivery
-from pistachionotch.samples.ledger import Assignment, Turn
-from pistachionotch.samples.ledger_store import LedgerStore
+from pistachionotch.samples.ledger import Assignment, StepPlan, Turn
+from pistachionotch.samples.ledger_store import HeldLedger, LedgerStore
+from pistachionotch.samples.parts import part_of
 from pistachionotch.samples.spans import SpanRecorder
+from pistachionotch.samples.steps import StepRegistry
 
 
 def test_every_promise_holds():
@@ -34,6 +36,24 @@
         return Success(True)
 
 
+class KeptLedgerIsNotCheckedWithoutAWrite(LedgerStore):
+    def is_current(self, held):
+        return True
+
+
+class ChangeIsKeptBeforeItsWrite(LedgerStore):
+    def write(self, ledger, expected_version):
+        self.held = HeldLedger(expected_version, expected_version, ledger)
+        return super().write(ledger, expected_version)
+
+
+class ChangeIsMadeOnTheKeptLedger(LedgerStore):
+    def update(self, change):
+        if self.held is not None:
+            change(self.held.ledger)
+        return super().update(change)
+
+
 class RepeatReplacesLostSamples(StepDelivery):
     def answer(self, ledger, pull, version, cache):
         if ledger.turn(pull.cursor, pull.attempt) == Turn.CURRENT:
@@ -100,7 +120,20 @@
         super().add(self.spans[0].version if self.spans else version, tokens)
 
 
+class PartZeroComesFirst(StepRegistry):
+    def _create_part(self, plan):
+        super()._create_part(part_of(plan, 0))
+        return super()._create_part(plan)
+
+
+class EachEntryTakesItsOwnPartSize(StepRegistry):
+    def _create(self, plan, request):
+        return self._create_parts(plan, request)
+
+
 MUTANTS = [
+    ("registry_class", PartZeroComesFirst),
+    ("registry_class", EachEntryTakesItsOwnPartSize),
     ("delivery_class", RepeatReplacesLostSamples),
     ("delivery_class", NewAttemptIsNotWritten),
     ("delivery_class", OldAttemptIsAnswered),
@@ -108,6 +141,9 @@
     ("delivery_class", MissingBodyIsLeftOut),
     ("delivery_class", NoDigestCheck),
     ("delivery_class", AssignedCountsAsUsed),
+    ("ledgers_class", KeptLedgerIsNotCheckedWithoutAWrite),
+    ("ledgers_class", ChangeIsKeptBeforeItsWrite),
+    ("ledgers_class", ChangeIsMadeOnTheKeptLedger),
     ("ledgers_class", UnconditionalWrite),
     ("ledgers_class", ConflictCountsAsWritten),
     ("ledgers_class", AmbiguousCountsAsWritten),
@@ -121,3 +157,14 @@
     machine = type("Mutated", (StepMachine,), {part: mutant})
     with pytest.raises(AssertionError):
         run_state_machine_as_test(machine, settings=SETTINGS)
+
+
+@pytest.mark.parametrize("extra", [1, -1], ids=["overlap", "gap"])
+def test_machine_finds_parts_that_do_not_divide_the_step(extra, monkeypatch):
+    def groups(plan):
+        first, last = (number * plan.groups // plan.parts for number in (plan.part, plan.part + 1))
+        return range(first, min(last + extra, plan.groups) if plan.parts > 1 else last)
+
+    monkeypatch.setattr(StepPlan, "part_groups", property(groups))
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(StepMachine, settings=SETTINGS)
