Give back work that still waits when a leaving agent's bound is near

Ruled out: the entries, which send nothing to an agent once it has told them.

Before, the two regression tests fail when the protecting steps are taken out. After, what waits 2.5 s after the notice is refused as not-run, so that other agents run it; work that the upstream was given is finished as before.

--- a/src/pistachionotch/agent/attempts.py
+++ b/src/pistachionotch/agent/attempts.py
@@ -61,6 +61,7 @@
     clock: Clock
     deadline: Deadline
     on_progress: Callable[[AttemptProgress], None]
+    may_start: Callable[[], bool] = attrs.field(default=lambda: True)
     counter: PieceCounter = attrs.field(factory=PieceCounter)
     spans: SpanRecorder = attrs.field(factory=SpanRecorder)
     body: bytearray = attrs.field(factory=bytearray)
@@ -99,9 +100,12 @@
             self._answer_claim(decision)
             return False
         self.permission = decision.run
-        if self.deadline.expired(self.clock):
+        # The claim may have waited for a slow object API.
+        expired = self.deadline.expired(self.clock)
+        if expired or not self.may_start():
             self.book.abandon(self.submit.scope, self.submit.key, self.permission)
-            self.refuse("deadline passed before sending", Execution.NOT_RUN, proved=True)
+            reason = "deadline passed before sending" if expired else "upstream is leaving"
+            self.refuse(reason, Execution.NOT_RUN, proved=True)
             return False
         self.book.sending(self.submit.scope, self.submit.key, self.permission)
         return self._call_upstream()
--- a/src/pistachionotch/agent/core.py
+++ b/src/pistachionotch/agent/core.py
@@ -33,6 +33,8 @@
 # All 24 entries of an agent offer a new configuration at once. If the one that was asked does not
 # answer in this time, the next offer or heartbeat of any entry leads to another fetch.
 CONFIG_ANSWER_MS = 1000
+# An upstream that is leaving gets no new work after 3 s, so what waits by then goes elsewhere.
+LAST_STARTS_MS = 2500
 MAX_ATTEMPTS = 4096
 # At 9 trainers with 2,048 samples a step and 1,100 agents, a step leaves about 17 bodies here.
 MAX_RETAINED_BYTES = 4 * 1024 * 1024
@@ -79,6 +81,7 @@
     work_waits: Event = attrs.field(factory=Event)
     fetched_revision: int = 0
     fetch_again_ms: int = 0
+    last_start_ms: int | None = None
 
     def run(self) -> None:
         """Serve the inbox until the greenlet is killed."""
@@ -93,6 +96,10 @@
         """Return whether no attempt waits or runs."""
         return not self.waiting and not self.running
 
+    def may_start(self) -> bool:
+        """Return whether work that was accepted may still be handed to the upstream."""
+        return self.last_start_ms is None or self.clock.now_ms() < self.last_start_ms
+
     def load(self) -> LoadFacts:
         """Return what the entries should know."""
         return self.queue.load()
@@ -114,6 +121,8 @@
 
     @handle.register
     def _(self, message: Tick, _session: None) -> None:
+        if not self.may_start():
+            self._give_back_waiting()
         now_ms = self.clock.now_ms()
         for session, last_sent_ms in list(self.sessions.items()):
             if session.silent():
@@ -132,10 +141,16 @@
     @handle.register
     def _(self, message: Drain, _session: None) -> None:
         self.queue.drain()
+        self.last_start_ms = self.clock.now_ms() + LAST_STARTS_MS
         for session in self.sessions:
             session.send(messages.Leaving(message.reason))
         self.log.info("draining", reason=message.reason, running=len(self.running))
 
+    def _give_back_waiting(self) -> None:
+        for attempt, runner in list(self.waiting.items()):
+            self._withdraw(attempt)
+            self._refuse(runner, "upstream is leaving", DRAIN_RETRY_MS, "refused")
+
     @handle.register
     def _(self, message: VersionObserved, _session: None) -> None:
         self.queue.observe_versions((message.version,))
@@ -209,6 +224,7 @@
             self.clock,
             Deadline.after(self.clock, message.remaining_ms),
             lambda progress: self.inbox.put((None, progress)),
+            self.may_start,
         )
         refusal = self._refusal(message)
         if refusal is not None:
--- a/tests/unit/agent/test_attempts.py
+++ b/tests/unit/agent/test_attempts.py
@@ -1,4 +1,4 @@
-"""Guards against replays that pass a part of a large response as the whole."""
+"""Guards against replays of partial responses and against calls that start after leaving."""
 
 import random
 
@@ -37,7 +37,7 @@
     return call
 
 
-def _run(book, clock):
+def _run(book, clock, may_start=lambda: True):
     submit = Submit(
         "a", "r", RequestClass.STOREFRONT, 1000, False, "s", "k", "POST", "/", (), b"", 0
     )
@@ -50,6 +50,7 @@
         clock,
         Deadline.after(clock, 1000),
         lambda _progress: None,
+        may_start,
     )
     runner.run()
     return session.sent
@@ -69,3 +70,14 @@
         return
     assert isinstance(again[-1], Finished)
     assert again[-1].size_bytes == pieces * len(PIECE)
+
+
+def test_a_claim_that_took_too_long_starts_nothing_at_a_leaving_upstream(monkeypatch):
+    """A call once reached its upstream after 3 s because the object API was slow."""
+    monkeypatch.setattr(attempts, "call", lambda *_: pytest.fail("the upstream was called"))
+    clock = ManualClock()
+    book = ClaimBook(MemoryStore(clock), clock, "a1", "i1", b"k" * 16, 60_000, random.Random(1))
+    [refused] = _run(book, clock, may_start=lambda: False)
+    assert refused.execution is Execution.NOT_RUN
+    monkeypatch.setattr(attempts, "call", _answer(1))
+    assert isinstance(_run(book, clock)[-1], Finished)
--- a/tests/unit/agent/test_core.py
+++ b/tests/unit/agent/test_core.py
@@ -1,4 +1,4 @@
-"""Guards against repeated configuration fetches and against heartbeats out of step with entries."""
+"""Guards against repeated configuration fetches, heartbeats out of step and work after leaving."""
 
 import pytest
 import structlog
@@ -6,9 +6,10 @@
 from pistachionotch.admission.limit import ConcurrencyLimit
 from pistachionotch.admission.queue import AdmissionQueue
 from pistachionotch.admission.shares import ClassShares
-from pistachionotch.agent.core import CONFIG_ANSWER_MS, AgentCore, Tick
+from pistachionotch.agent.core import CONFIG_ANSWER_MS, LAST_STARTS_MS, AgentCore, Drain, Tick
 from pistachionotch.clock import ManualClock
 from pistachionotch.config.revisions import Revisions
+from pistachionotch.outcomes import Execution, RequestClass
 from pistachionotch.wire import messages
 
 HEARTBEAT_MS = 2000
@@ -70,3 +71,19 @@
         core.clock.advance(HEARTBEAT_MS // 2)
         core.handle(Tick(), None)
     assert session.count(messages.Heartbeat) == 3
+
+
+def test_work_that_waits_while_the_agent_leaves_is_given_back(core):
+    """Queued work once reached an upstream more than 3 s after the agent was told to leave."""
+    session = FakeSession("entry-1")
+    request_class = RequestClass.STOREFRONT
+    submit = messages.Submit("a", "r", request_class, 20_000, True, "", "", "GET", "/", (), b"", 0)
+    core.handle(submit, session)
+    core.handle(Drain("signal"), None)
+    core.clock.advance(LAST_STARTS_MS - 1)
+    core.handle(Tick(), None)
+    assert core.may_start() and core.waiting
+    core.clock.advance(1)
+    core.handle(Tick(), None)
+    assert session.sent[-1].execution is Execution.NOT_RUN
+    assert core.idle() and not core.may_start()
