Take back work that waits at an agent whose VM is listed as leaving

Cause: entries sent nothing new to such an agent, but what waited in its queue went on to the upstream until the platform's SIGTERM. An order with an issued key was still submitted to it. Also, a link once marked as leaving stayed so until it reconnected, so a VM replaced under its name while the list lagged got no work. Ruled out: telling the agent to drain, because a lagging list would then drain the next incarnation for good. Before: four cases of the new test time out with the callback removed. After: the call runs on the other agent within 600 ms, and the VM is ready again once it is listed as live. Conclusion: what an agent announces and what the list says are kept apart.

--- a/src/pistachionotch/entry/links.py
+++ b/src/pistachionotch/entry/links.py
@@ -61,7 +61,10 @@
     load: LoadFacts | None = None
     incarnation: str = ""
     observed_ms: int = 0
-    leaving: bool = False
+    # The agent said that it leaves, which lasts until another incarnation is connected.
+    announced_leaving: bool = False
+    # The VM list says that its VM leaves; a replaced VM may be listed so for a while.
+    listed_leaving: bool = False
     stopped: bool = False
     channels: dict[str, Queue] = attrs.field(factory=dict)
     late_messages: int = 0
@@ -92,6 +95,11 @@
         if self.session is not None:
             self.session.close("link is no longer needed")
 
+    @property
+    def leaving(self) -> bool:
+        """Return whether the agent is to get no new work."""
+        return self.announced_leaving or self.listed_leaving
+
     def ready(self) -> bool:
         """Return whether the agent can be given work."""
         return self.session is not None and self.load is not None and not self.leaving
@@ -162,7 +170,7 @@
             raise HandshakeError(f"node is {session.peer.node}")
         self.session = session
         self.incarnation = session.peer.incarnation
-        self.leaving = False
+        self.announced_leaving = False
         gevent.spawn(session.run)
         self._send_heartbeat(session)
 
@@ -242,14 +250,14 @@
         self.load = message.load
         self.observed_ms = self.clock.now_ms()
         if message.load is not None and message.load.draining:
-            self.leaving = True
+            self.announced_leaving = True
         self.up.set()
         if message.config_revision > self.revisions.revision:
             session.send(messages.ConfigFetch(message.config_revision))
 
     @handle.register
     def _(self, message: messages.Leaving, _session: Session) -> None:
-        self.leaving = True
+        self.announced_leaving = True
         self.log.info("agent is leaving", agent=self.member.node, reason=message.reason)
 
     @handle.register
--- a/src/pistachionotch/entry/moves.py
+++ b/src/pistachionotch/entry/moves.py
@@ -31,6 +31,8 @@
         # One move for each agent and check: the others would follow the same old reports.
         last: dict[tuple[str, RequestClass], tuple[RoutedCall, AgentLink]] = {}
         for call in self.state.open_calls.values():
+            if not isinstance(call, RoutedCall):
+                continue
             link = call.waiting_at()
             if link is None or call.call.request_class not in MOVED_CLASSES:
                 continue
--- a/src/pistachionotch/entry/once.py
+++ b/src/pistachionotch/entry/once.py
@@ -60,13 +60,20 @@
 
     def run(self) -> Iterator[RouteEvent]:
         """Yield the response and one final event."""
+        self.state.open_calls[id(self)] = self
         try:
             yield from self._run()
         finally:
+            del self.state.open_calls[id(self)]
             if self.link is not None:
                 self.link.forget(self.attempt)
                 self.link.observations.dropped(self.attempt)
 
+    def take_back(self, link: AgentLink) -> None:
+        """Ask for the attempt back if it still waits at an agent; one that started is kept."""
+        if self.link is link:
+            link.withdraw(self.attempt)
+
     def _run(self) -> Iterator[RouteEvent]:
         if self.claimed and not self._read_epoch():
             yield from self._refuse("the claim of the key cannot be read", ASK_AGAIN_MS)
@@ -105,6 +112,9 @@
         if link is None or link.session is None:
             yield from self._not_run(home, "agent is not connected", ASK_AGAIN_MS)
             return
+        if link.listed_leaving:
+            yield from self._not_run(home, "the VM of the agent is leaving", ASK_AGAIN_MS)
+            return
         if not self._ensure_key(link):
             yield from self._not_run(home, "agent issued no key", ASK_AGAIN_MS)
             return
--- a/src/pistachionotch/entry/router.py
+++ b/src/pistachionotch/entry/router.py
@@ -84,6 +84,15 @@
         for attempt in self.attempts.values():
             attempt.link.withdraw(attempt.identifier)
 
+    def take_back(self, link: AgentLink) -> None:
+        """Ask for the attempts back that still wait at an agent."""
+        if self.waiting_at() is link:
+            self.move()
+            return
+        for attempt in list(self.attempts.values()):
+            if attempt.link is link and not attempt.started and len(self.attempts) > 1:
+                self._drop_losers((attempt.identifier,))
+
     def _next_message(self) -> tuple[AgentLink, Any] | None:
         while True:
             late_ms = self.state.clock.now_ms() - self.call.deadline.at_ms
--- a/src/pistachionotch/entry/routing_state.py
+++ b/src/pistachionotch/entry/routing_state.py
@@ -5,7 +5,7 @@
 import itertools
 import random
 from collections.abc import Iterator
-from typing import Any
+from typing import Protocol
 
 import attrs
 
@@ -18,8 +18,17 @@
 from ..routing.retry import RetryBudget
 from .calls import Call
 from .decisions import DecisionLog
+from .links import AgentLink
 from .table import LinkTable
 
+
+class OpenCall(Protocol):
+    """Follow one call until it ends."""
+
+    def take_back(self, link: AgentLink) -> None:
+        """Ask for the attempts back that still wait at an agent."""
+
+
 Tails = dict[tuple[str, RequestClass], LatencyTail]
 
 
@@ -39,8 +48,16 @@
     total_tails: Tails = attrs.field(factory=dict)
     attempt_prefix: str = ""
     attempt_numbers: Iterator[int] = attrs.field(factory=itertools.count)
-    # Calls that could be moved while they wait, in the order of their start.
-    open_calls: dict[int, Any] = attrs.field(factory=dict)
+    # Calls that may wait at an agent, in the order of their start.
+    open_calls: dict[int, OpenCall] = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        self.table.on_leaving = self.take_back
+
+    def take_back(self, link: AgentLink) -> None:
+        """Ask for the work back that waits at an agent whose VM is leaving."""
+        for call in list(self.open_calls.values()):
+            call.take_back(link)
 
     def next_attempt(self) -> str:
         """Return an attempt id that no other attempt of this entry incarnation has."""
--- a/src/pistachionotch/entry/table.py
+++ b/src/pistachionotch/entry/table.py
@@ -32,6 +32,8 @@
     required: dict[str, frozenset[str]] = attrs.field(factory=dict)
     # Agents to start with while no directory could be read, by their wire addresses.
     seeds: tuple[str, ...] = ()
+    # Called with a link once its VM is listed as leaving, to take waiting work back.
+    on_leaving: Callable[[AgentLink], None] = attrs.field(default=lambda _link: None)
 
     def refresh(self) -> None:
         """Connect to the chosen agents and drop those no longer chosen."""
@@ -114,7 +116,7 @@
     def _drop(self, node: str, link: AgentLink) -> None:
         # Answers still due arrive over the old session, so it ends only once nothing is open.
         del self.links[node]
-        link.leaving = True
+        link.announced_leaving = True
         gevent.spawn(self._stop_when_idle, link)
 
     def _stop_when_idle(self, link: AgentLink) -> None:
@@ -124,5 +126,8 @@
 
     def _mark_leaving(self) -> None:
         for link in self.links.values():
-            if self.directory.is_leaving(link.member):
-                link.leaving = True
+            listed = self.directory.is_leaving(link.member)
+            newly = listed and not link.listed_leaving
+            link.listed_leaving = listed
+            if newly:
+                self.on_leaving(link)
--- a/tests/unit/calls/call_world.py
+++ b/tests/unit/calls/call_world.py
@@ -195,6 +195,17 @@
         if node in self.agents:
             self.agents[node].core.inbox.put((None, Drain("test")))
 
+    def list_vm(self, node, state):
+        """Publish a directory in which the VM of an agent has a state."""
+        for entry in self.entries.values():
+            directory = entry.table.directory
+            members = [
+                attrs.evolve(member, state=state) if member.node == node else member
+                for member in directory.known()
+            ]
+            directory.apply_zone("z", directory.zones["z"][0] + 1, members)
+            self.processes.spawn_in(entry.process, entry.table.refresh)
+
     def start_entry(self, node):
         self.entries[node] = Entry(self, node, self._next_incarnation())
 
--- a/tests/unit/calls/test_calls.py
+++ b/tests/unit/calls/test_calls.py
@@ -5,6 +5,7 @@
 
 from pistachionotch.entry.calls import Call, CallDone
 from pistachionotch.idempotency.claim import ClaimPhase, parse_claim
+from pistachionotch.membership.directory import MemberState
 from pistachionotch.outcomes import Execution, RequestClass
 
 
@@ -15,10 +16,10 @@
     made.close()
 
 
-def _order(world, entry="e0", key="k", timeout_ms=400, name="r0"):
+def _order(world, entry="e0", key="k", timeout_ms=400, name="r0", idempotent=False):
     deadline = world.deadline(timeout_ms)
     storefront = RequestClass.STOREFRONT
-    call = Call(name, storefront, deadline, SERVICE, "POST", "/o", (), b"{}", False, key)
+    call = Call(name, storefront, deadline, SERVICE, "POST", "/o", (), b"{}", idempotent, key)
     return world.send(entry, call)
 
 
@@ -138,3 +139,25 @@
     world.abandon_call(0)
     world.loop.advance(1)
     assert not any(link.channels or link.observations.attempts for link in links)
+
+
+@pytest.mark.parametrize("idempotent", [False, True])
+@pytest.mark.parametrize("key", ["", "k"])
+def test_work_that_waits_at_a_vm_listed_as_leaving_runs_elsewhere(world, idempotent, key):
+    """Guards against new work for an upstream whose VM has been leaving for seconds."""
+    _keep_one_agent(world)
+    world.upstreams.faults["a0"] = ["slow", "slow"]
+    for number in range(2):
+        _order(world, key=f"busy{number}", timeout_ms=9000, name=f"busy{number}")
+    world.loop.advance(50)
+    call = _order(world, key=key, timeout_ms=4000, idempotent=idempotent)
+    world.start_agent("a1")
+    world.loop.advance(1000)
+    assert not call.answers
+    world.list_vm("a0", MemberState.LEAVING)
+    world.loop.advance(600)
+    assert isinstance(call.answers[0], CallDone)
+    assert call.answers[0].agent == "a1"
+    world.list_vm("a0", MemberState.LIVE)
+    world.loop.advance(10)
+    assert len(world.entries["e0"].table.ready()) == 2
--- a/tests/unit/entry/test_table.py
+++ b/tests/unit/entry/test_table.py
@@ -19,7 +19,8 @@
     """Stand for a link without a connection."""
 
     member: Member
-    leaving: bool = False
+    announced_leaving: bool = False
+    listed_leaving: bool = False
     stopped: bool = False
     channels: dict = attrs.field(factory=dict)
     session: None = None
@@ -54,7 +55,7 @@
     table.refresh()
     gevent.sleep(0)
     assert table.links == {"agent-1": link}
-    assert not link.leaving
+    assert not (link.announced_leaving or link.listed_leaving)
     assert link.member.models == ("fitting",)
 
 
