--- a/tests/features/steps/deployment_steps.py
+++ b/tests/features/steps/deployment_steps.py
@@ -23,7 +23,7 @@
     deployment.start_platform()
     deployment.start_standin("storefront", "plain-service", "storefront")
     port = deployment.ports.setdefault("agent-3", free_port())
-    context.forwarder = Forwarder(port)
+    context.forwarder = Forwarder(port, lambda _client_port: True)
     deployment.move_member("agent-3", context.forwarder.port)
     deployment.start_agent("agent-3", "cebu", "storefront", "plain-service", "storefront", 32)
     deployment.start_entry("entry-1", "cebu")
@@ -120,6 +120,30 @@
     context.deployment.restart(name)
 
 
+@given("{name:Name} that does not reach the agent behind the forwarder")
+def start_without_agent(context, name):
+    context.forwarder.closed_to_new = True
+    context.deployment.start_entry(name, "cebu")
+    context.deployment.wait_agents(name, 0)
+
+
+@when("the forwarder holds everything back")
+def hold_back(context):
+    context.forwarder.cut()
+
+
+@when("{name:Name} has placed a call")
+def placed(context, name):
+    wait_until(lambda: "placed" in context.deployment.log(name), 20, f"{name} has placed a call")
+
+
+@when("the forwarder delivers what it held back, and accepts new connections")
+def deliver(context):
+    context.forwarder.closed_to_new = False
+    context.forwarder.mend()
+    context.job.get(timeout=40)
+
+
 @when("the forwarder goes silent on open connections")
 def silence(context):
     context.forwarder.silence_open()
--- a/tests/support/forwarder.py
+++ b/tests/support/forwarder.py
@@ -25,6 +25,7 @@
         self.held = 0
         self.linked = Event()
         self.linked.set()
+        self.closed_to_new = False
         self.server = StreamServer((HOST, 0), self._serve)
         self.server.start()
 
@@ -44,6 +45,9 @@
         self.linked.set()
 
     def _serve(self, near, address):
+        if self.closed_to_new:
+            near.close()
+            return
         self.accepted += 1
         name = self.accepted
         self.open.add(name)
