Tell a weight store that is above its rate from a failed swap

Cause: an engine that could not fetch because the weight store answered 429 was ordered again by its agent at once, three times, and then counted as a failed swap; after three of those it was left on the old version. docs/weights.md already said otherwise.

The engine protocol gains 429 with Retry-After for POST /admin/orders, which the stand-in offers. The agent repeats the order after that time, for 8 s at most, and then refuses it with a reason; the holder forgets such an order and plans it again.

tests/unit/agent/test_orders.py: with two answers of 429 and 3 s the order is accepted after 6 s; with 429 throughout it is refused within 8 s and not corrected by the agent; a further order ends the wait.

--- a/src/pistachionotch/agent/orders.py
+++ b/src/pistachionotch/agent/orders.py
@@ -4,6 +4,7 @@
 
 import json
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import Any
 
 import attrs
@@ -11,7 +12,7 @@
 from geventhttpclient import HTTPClient
 from returns.result import Failure
 
-from ..clock import Clock
+from ..clock import MS_PER_SECOND, Clock, Deadline
 from ..lease.fence import read_fence
 from ..objects.api import ObjectStore
 from ..weights.gate import Admitted, Correct, EngineOrder, OrderGate
@@ -24,6 +25,10 @@
 READ_BACK_S = 2.0
 FENCE_RETRY_MS = 1000
 ROLLOUT_DUTY = "weights"
+# With a swap of 5 s an order still ends before the holder's time-out of 15 s.
+MAX_STORE_WAIT_MS = 8000
+DEFAULT_RETRY_MS = 1000
+STORE_BUSY = "weight store is above its rate"
 
 
 @attrs.define
@@ -83,22 +88,30 @@
             reason = type(decision).__name__
             self.log.info("order refused", order=order.order, fence=order.fence, reason=reason)
             return OrderResult(order.order, False, self._reported(), reason)
-        self._run(wanted)
+        if not self._run(wanted):
+            # With a reason, the holder orders again and does not count a failed swap.
+            return OrderResult(order.order, False, self._reported(), STORE_BUSY)
         accepted = self.observed_version == order.version
         self.log.info("order run", order=order.order, fence=order.fence, version=self._reported())
         return OrderResult(order.order, accepted, self._reported())
 
-    def _run(self, order: EngineOrder) -> None:
-        """Run one admitted order and any correction that the read-back asks for."""
+    def _run(self, order: EngineOrder) -> bool:
+        """Run one admitted order and any correction that the read-back asks for.
+
+        Return false if the engine did not start it because the weight store is above its rate.
+        """
         while True:
-            self._post(order)
+            if not self._post(order):
+                self.gate.not_started(order)
+                self.observed_version = self._read_version()
+                return False
             self.observed_version = self._read_version()
             verdict = self.gate.finish(order, self.observed_version)
             if not isinstance(verdict, Correct):
-                return
+                return True
             decision = self.gate.admit(verdict.order)
             if not isinstance(decision, Admitted):
-                return
+                return True
             order = verdict.order
 
     def _observe(self) -> None:
@@ -113,13 +126,24 @@
     def _reported(self) -> int:
         return -1 if self.observed_version is None else self.observed_version
 
-    def _post(self, order: EngineOrder) -> None:
+    def _post(self, order: EngineOrder) -> bool:
+        """Pass an order on, waiting while the weight store asks for it; false if it was in vain."""
         body = json.dumps(attrs.asdict(order)).encode()
-        self._request("POST", "/admin/orders", body)
+        deadline = Deadline.after(self.clock, MAX_STORE_WAIT_MS)
+        while True:
+            status, headers, _answer = self._request("POST", "/admin/orders", body)
+            if status != HTTPStatus.TOO_MANY_REQUESTS:
+                return True
+            wait_ms = _retry_after_ms(headers)
+            self.log.info("weight store is busy", version=order.version, wait_ms=wait_ms)
+            # A further order comes from the same holder after its time-out, or from a new one.
+            if wait_ms > deadline.remaining_ms(self.clock) or not self.inbox.empty():
+                return False
+            self.clock.sleep_ms(wait_ms)
 
     def _read_version(self) -> int | None:
-        answer = self._request("GET", "/admin/version", b"")
-        if answer is None or answer.get("model") != self.upstream.model:
+        status, _headers, answer = self._request("GET", "/admin/version", b"")
+        if status != HTTPStatus.OK or answer.get("model") != self.upstream.model:
             return None
         version = answer.get("version")
         if not isinstance(version, int):
@@ -127,7 +151,8 @@
         self.on_observed(version)
         return version
 
-    def _request(self, method: str, path: str, body: bytes) -> dict[str, Any] | None:
+    def _request(self, method: str, path: str, body: bytes) -> tuple[int, Any, dict[str, Any]]:
+        """Return status, headers and answer of the engine; status 0 if there was none."""
         client = HTTPClient(
             self.upstream.host,
             self.upstream.port,
@@ -137,10 +162,16 @@
         )
         try:
             response = client.request(method, path, body, {"Content-Type": "application/json"})
-            answer = json.loads(response.read())
-            return answer if response.status_code == 200 else None
+            text = response.read()
+            answer = json.loads(text) if response.status_code == HTTPStatus.OK else {}
+            return response.status_code, response, answer
         except Exception as error:  # a lost answer is settled by the version read back
             self.log.info("engine call failed", path=path, reason=repr(error))
-            return None
+            return 0, {}, {}
         finally:
             client.close()
+
+
+def _retry_after_ms(headers: Any) -> int:
+    text = str(headers.get("retry-after") or "")
+    return int(text) * MS_PER_SECOND if text.isdecimal() else DEFAULT_RETRY_MS
--- a/src/pistachionotch/standins/engine.py
+++ b/src/pistachionotch/standins/engine.py
@@ -42,6 +42,9 @@
     hide_versions: bool = False
     fail_orders: int = 0
     lose_order_answers: int = 0
+    # Orders to refuse because the weight store answered 429, and the time that it gave.
+    busy_orders: int = 0
+    retry_after_s: int = 1
 
 
 @attrs.define
@@ -169,6 +172,11 @@
         if self.faults.fail_orders > 0:
             self.faults.fail_orders -= 1
             return respond_json(start_response, 500, {"error": "swap failed"})
+        if self.faults.busy_orders > 0:
+            self.faults.busy_orders -= 1
+            headers = [("Retry-After", str(self.faults.retry_after_s))]
+            busy = {"error": "weight store is above its rate"}
+            return respond_json(start_response, 429, busy, headers)
         gevent.sleep(self.swap_ms / 1000)
         self.version = int(order["version"])
         if self.faults.lose_order_answers > 0:
--- a/src/pistachionotch/weights/gate.py
+++ b/src/pistachionotch/weights/gate.py
@@ -154,6 +154,13 @@
         self.running = None
         return self.observe(order.model, observed)
 
+    def not_started(self, order: EngineOrder) -> None:
+        """End the running order that the engine did not start; nothing is left to correct."""
+        if self.running != order:
+            raise ValueError(f"{order} is not running")
+        self.running = None
+        self.ordered.pop(order.model, None)
+
     def observe(self, model: str, observed: int | None) -> ReadBack:
         """Compare a reading of the engine's version with the ordered one.
 
--- /dev/null
+++ b/tests/unit/agent/test_orders.py
@@ -0,0 +1,58 @@
+"""Guards against a busy weight store that counts as a failed swap."""
+
+import pytest
+
+from pistachionotch.agent.orders import MAX_STORE_WAIT_MS, STORE_BUSY, OrderTask
+from pistachionotch.agent.upstream import EngineUpstream
+from pistachionotch.clock import ManualClock
+from pistachionotch.logs import logger
+from pistachionotch.objects.memory import MemoryStore
+from pistachionotch.standins.engine import EngineStandIn
+from pistachionotch.standins.http import start_server
+from pistachionotch.wire.messages import Order
+
+ORDER = Order("o-1", 3, "load_version", "fitting", 2)
+
+
+@pytest.fixture
+def busy():
+    engine = EngineStandIn("fitting", swap_ms=0)
+    server = start_server(engine, "127.0.0.1", 0)
+    yield engine, _task(server.server_port)
+    server.stop(timeout=0)
+
+
+def _task(port):
+    upstream = EngineUpstream("127.0.0.1", port, "fitting")
+    task = OrderTask(upstream, MemoryStore(), "fitting-cebu", ManualClock(), logger("orders"))
+    task.gate.load_fence(0)
+    return task
+
+
+def test_an_order_waits_for_the_time_that_the_store_gives(busy):
+    engine, task = busy
+    engine.faults.busy_orders, engine.faults.retry_after_s = 2, 3
+    result = task._serve(ORDER)
+    assert (result.accepted, result.version, result.reason) == (True, 2, "")
+    assert task.clock.now_ms() == 6000
+
+
+def test_an_order_in_vain_is_refused_and_not_repeated_by_the_agent(busy):
+    engine, task = busy
+    engine.faults.busy_orders, engine.faults.retry_after_s = 100, 3
+    result = task._serve(ORDER)
+    assert (result.accepted, result.version, result.reason) == (False, 1, STORE_BUSY)
+    assert task.clock.now_ms() <= MAX_STORE_WAIT_MS
+    sent = len(engine.orders)
+    task._observe()
+    assert len(engine.orders) == sent
+    engine.faults.busy_orders = 0
+    assert task._serve(ORDER).accepted
+
+
+def test_a_further_order_ends_the_wait(busy):
+    engine, task = busy
+    engine.faults.busy_orders = 100
+    task.submit(None, ORDER)
+    assert task._serve(ORDER).reason == STORE_BUSY
+    assert len(engine.orders) == 1
