Bring the step of process_slopes.py samples in line with the step service

Cause: the measurement sent max_tokens outside of sampling and no groups, staleness bound or deadline, so the entry answered 400 and the run ended.

--- a/scripts/process_slopes.py
+++ b/scripts/process_slopes.py
@@ -210,9 +210,12 @@
         "trainer": "tuner",
         "step": step,
         "model": "fitting",
-        "prompts": [f"prompt {number}" for number in range(8)],
+        "groups": 8,
         "samples_per_group": 4,
-        "max_tokens": tokens,
+        "staleness_bound": 4,
+        "deadline_ms": 120_000,
+        "prompts": [f"prompt {number}" for number in range(8)],
+        "sampling": {"max_tokens": tokens},
     }
     answer = caller.send("POST", "/v1/steps", wanted)
     assert answer.status in (200, 201), answer
