Read the VM list over a kept connection

Cause: the conditional read of the VM list opened a connection each second.

A read that fails closes the connection, so that a silent one is used once at most.

--- a/src/pistachionotch/objects/vms.py
+++ b/src/pistachionotch/objects/vms.py
@@ -39,6 +39,7 @@
     etag: str = ""
     states: dict[str, MemberState] | None = None
     read_ms: int | None = None
+    client: HTTPClient | None = None
     reading: BoundedSemaphore = attrs.field(factory=BoundedSemaphore)
 
     def read(self) -> dict[str, MemberState] | None:
@@ -55,24 +56,31 @@
             self.read_ms = now_ms
             if states is None:
                 self.etag = ""
+                self._forget_connection()
             self.states = states
             return states
 
     def _fetch(self) -> dict[str, MemberState] | None:
-        client = HTTPClient(
-            self.host,
-            self.port,
-            connection_timeout=CONNECT_TIMEOUT_S,
-            network_timeout=RESPONSE_TIMEOUT_S,
-        )
-        try:
-            response = client.get("/vms", {"If-None-Match": self.etag} if self.etag else {})
-            if response.status_code == HTTPStatus.NOT_MODIFIED:
-                return self.states
-            if response.status_code != HTTPStatus.OK:
-                return None
-            items = json.loads(response.read())
-            self.etag = str(response.get("etag") or "")
-            return {str(item["name"]): MemberState(item["state"]) for item in items}
-        finally:
-            client.close()
+        if self.client is None:
+            self.client = HTTPClient(
+                self.host,
+                self.port,
+                concurrency=1,
+                connection_timeout=CONNECT_TIMEOUT_S,
+                network_timeout=RESPONSE_TIMEOUT_S,
+            )
+        headers = {"If-None-Match": self.etag} if self.etag else {}
+        response = self.client.get("/vms", headers)
+        text = response.read()
+        if response.status_code == HTTPStatus.NOT_MODIFIED:
+            return self.states
+        if response.status_code != HTTPStatus.OK:
+            return None
+        items = json.loads(text)
+        self.etag = str(response.get("etag") or "")
+        return {str(item["name"]): MemberState(item["state"]) for item in items}
+
+    def _forget_connection(self) -> None:
+        if self.client is not None:
+            self.client.close()
+        self.client = None
