Keep the load facts of an idle agent for a tick

Cause: an agent computed its load for each heartbeat of each entry, 12 times a second with 24 entries, which a sampled profile put at 18 % of its processor time (10 of 54 samples).

--- a/src/pistachionotch/agent/core.py
+++ b/src/pistachionotch/agent/core.py
@@ -79,6 +79,9 @@
     work_waits: Event = attrs.field(factory=Event)
     fetched_revision: int = 0
     fetch_again_ms: int = 0
+    # Kept for the heartbeats of 24 entries, 12 a second; forgotten when more than ages changes.
+    idle_load: LoadFacts | None = None
+    idle_load_ms: int = 0
 
     def run(self) -> None:
         """Serve the inbox until the greenlet is killed."""
@@ -94,8 +97,14 @@
         return not self.waiting and not self.running
 
     def load(self) -> LoadFacts:
-        """Return what the entries should know."""
-        return self.queue.load()
+        """Return what the entries should know; that of an idle agent may be a little old."""
+        now_ms = self.clock.now_ms()
+        idle = self.idle()
+        if idle and self.idle_load is not None and now_ms - self.idle_load_ms < IDLE_TICK_MS:
+            return self.idle_load
+        load = self.queue.load()
+        self.idle_load, self.idle_load_ms = (load if idle else None), now_ms
+        return load
 
     def _tick(self) -> None:
         while True:
@@ -132,6 +141,7 @@
     @handle.register
     def _(self, message: Drain, _session: None) -> None:
         self.queue.drain()
+        self.idle_load = None
         for session in self.sessions:
             session.send(messages.Leaving(message.reason))
         self.log.info("draining", reason=message.reason, running=len(self.running))
@@ -139,6 +149,7 @@
     @handle.register
     def _(self, message: VersionObserved, _session: None) -> None:
         self.queue.observe_versions((message.version,))
+        self.idle_load = None
 
     @handle.register
     def _(self, message: messages.Heartbeat, session: Session) -> None:
@@ -319,6 +330,7 @@
     @handle.register
     def _(self, message: AttemptEnded, _session: None) -> None:
         runner, _greenlet = self.running.pop(message.attempt)
+        self.idle_load = None
         self.queue.finish(message.attempt, message.facts)
         whole = message.facts.succeeded and len(runner.body) <= MAX_RESULT_BYTES
         if runner.submit.retain and whole:
--- a/tests/unit/agent/test_core.py
+++ b/tests/unit/agent/test_core.py
@@ -6,7 +6,7 @@
 from pistachionotch.admission.limit import ConcurrencyLimit
 from pistachionotch.admission.queue import AdmissionQueue
 from pistachionotch.admission.shares import ClassShares
-from pistachionotch.agent.core import CONFIG_ANSWER_MS, AgentCore, Tick
+from pistachionotch.agent.core import CONFIG_ANSWER_MS, AgentCore, Drain, Tick, VersionObserved
 from pistachionotch.clock import ManualClock
 from pistachionotch.config.revisions import Revisions
 from pistachionotch.wire import messages
@@ -70,3 +70,11 @@
         core.clock.advance(HEARTBEAT_MS // 2)
         core.handle(Tick(), None)
     assert session.count(messages.Heartbeat) == 3
+
+
+def test_load_of_an_idle_agent_shows_a_new_version_and_a_drain_at_once(core):
+    assert core.load() is core.load()
+    core.handle(VersionObserved(7), None)
+    assert core.load().serving_versions == (7,)
+    core.handle(Drain("test"), None)
+    assert core.load().draining
