Let duties wait for one read of a VM list that hangs

Cause: a failed read counted as made when it began. The duties of several zones share the reads, so with a list that hangs for 4 s each of them would wait for its predecessors and make a read of its own, longer than its lease of 6 s.

Found by reading; the new test makes three reads where the first hangs and counted three fetches before this change and one after it.

--- a/src/pistachionotch/objects/vms.py
+++ b/src/pistachionotch/objects/vms.py
@@ -55,6 +55,8 @@
                 states = None
             self.read_ms = now_ms
             if states is None:
+                # A list that hangs must not hold the duties that wait here one after the other.
+                self.read_ms = self.clock.now_ms()
                 self.etag = ""
                 self._forget_connection()
             self.states = states
--- a/tests/unit/entry/test_duties.py
+++ b/tests/unit/entry/test_duties.py
@@ -1,6 +1,7 @@
 """Guards against joins that flood all entries, late departures and reads of a whole VM list."""
 
 import random
+from unittest import mock
 
 import pytest
 
@@ -83,3 +84,18 @@
     zone.app.vms[0]["state"] = "leaving"
     zone.clock.advance(MAX_AGE_MS)
     assert vms.read()["agent-0"] is MemberState.LEAVING
+
+
+def test_duties_that_wait_for_a_list_that_hangs_wait_for_one_read():
+    """Waiting in turn, the duties of three zones would lose leases of 6 s."""
+    clock, calls = ManualClock(), []
+    vms = HttpVmList(HOST, 1, clock)
+
+    def hang():
+        calls.append(clock.now_ms())
+        clock.advance(4000)
+        raise TimeoutError
+
+    with mock.patch.object(HttpVmList, "_fetch", side_effect=hang):
+        assert [vms.read() for _ in range(3)] == [None] * 3
+    assert len(calls) == 1
