--- a/tests/unit/agent/test_core.py
+++ b/tests/unit/agent/test_core.py
@@ -6,7 +6,14 @@
 from pistachionotch.admission.limit import ConcurrencyLimit
 from pistachionotch.admission.queue import AdmissionQueue
 from pistachionotch.admission.shares import ClassShares
-from pistachionotch.agent.core import CONFIG_ANSWER_MS, LAST_STARTS_MS, AgentCore, Drain, Tick
+from pistachionotch.agent.core import (
+    CONFIG_ANSWER_MS,
+    LAST_STARTS_MS,
+    AgentCore,
+    Drain,
+    Tick,
+    VersionObserved,
+)
 from pistachionotch.clock import ManualClock
 from pistachionotch.config.revisions import Revisions
 from pistachionotch.outcomes import Execution, RequestClass
@@ -87,3 +94,11 @@
     core.handle(Tick(), None)
     assert session.sent[-1].execution is Execution.NOT_RUN
     assert core.idle() and not core.may_start()
+
+
+def test_load_of_an_idle_agent_shows_a_new_version_and_a_drain_at_once(core):
+    assert core.load() is core.load()
+    core.handle(VersionObserved(7), None)
+    assert core.load().serving_versions == (7,)
+    core.handle(Drain("test"), None)
+    assert core.load().draining
