Continue slowed training streams on engines with free slots

Cause: a training stream on a slowed engine stayed there, or a hedge repeated it from its first token and held two slots.

The entry now cancels such a stream and submits the prompt with the text so far to an agent that reports a free slot, when the rest ends there at least 2 s earlier and in at most 0.7 of the time. It uses the mechanism that resumes streams after an engine broke off. Submit says that the attempt continues a stream, which starts ahead of other work of its class.

--- a/src/pistachionotch/admission/queue.py
+++ b/src/pistachionotch/admission/queue.py
@@ -24,7 +24,10 @@
 
 @attrs.frozen
 class QueuedWork:
-    """Describe one attempt that waits for a slot; ``tenant`` names the trainer, if any."""
+    """Describe one attempt that waits for a slot; ``tenant`` names the trainer, if any.
+
+    ``continues`` says that it goes on with a stream that has left another agent.
+    """
 
     attempt: str
     request_class: RequestClass
@@ -32,6 +35,7 @@
     expected_tokens: int
     arrived_ms: int
     tenant: str = ""
+    continues: bool = False
 
 
 @attrs.frozen
@@ -88,8 +92,9 @@
     progress: StreamProgress = attrs.field(factory=StreamProgress)
 
 
-def _deadline_order(work: QueuedWork) -> tuple[int, int, str]:
-    return (work.deadline.at_ms, work.arrived_ms, work.attempt)
+def _queue_order(work: QueuedWork) -> tuple[bool, int, int, str]:
+    # A continued stream has given up a slot elsewhere, and the end of its step waits for it.
+    return (not work.continues, work.deadline.at_ms, work.arrived_ms, work.attempt)
 
 
 class AdmissionQueue:
@@ -291,13 +296,16 @@
         tenants = self.queued[request_class]
         if not tenants:
             return None
-        tenant = min(tenants, key=lambda name: (self.served_tokens[name], name))
-        return tenants[tenant][0]
+        heads = {name: works[0] for name, works in tenants.items()}
+        tenant = min(
+            heads, key=lambda name: (not heads[name].continues, self.served_tokens[name], name)
+        )
+        return heads[tenant]
 
     def _enqueue(self, work: QueuedWork) -> None:
         tenants = self.queued[work.request_class]
         self._count_tenant(work.tenant, 1)
-        insort(tenants.setdefault(work.tenant, []), work, key=_deadline_order)
+        insort(tenants.setdefault(work.tenant, []), work, key=_queue_order)
         self.queued_attempts[work.attempt] = work
 
     def _remove(self, work: QueuedWork, charge: bool = True) -> None:
--- a/src/pistachionotch/agent/core.py
+++ b/src/pistachionotch/agent/core.py
@@ -222,6 +222,7 @@
             message.expected_tokens,
             self.clock.now_ms(),
             message.tenant,
+            message.continues,
         )
         answer = self.queue.offer(work)
         if not isinstance(answer, Admitted):
--- a/src/pistachionotch/bench/agents.py
+++ b/src/pistachionotch/bench/agents.py
@@ -23,9 +23,9 @@
 from ..outcomes import RequestClass
 from .deployments import ENGINE_POOL
 from .events import EventLoop
-from .upstreams import TOKENS_PER_SECOND, FakeUpstream
+from .upstreams import PREFILL_TOKENS_PER_MS, TOKENS_PER_SECOND, FakeUpstream, stream_time_ms
 from .versions import Versions
-from .workload import SERVICE, Job
+from .workload import SERVICE, Job, left_tokens
 
 EXPIRY_TICK_MS = 100
 HEARTBEAT_MS = 2_000
@@ -110,6 +110,15 @@
         """Handle the complete response."""
 
 
+@attrs.frozen
+class KeptStream:
+    """Hold what an entry has of a stream that another attempt continues."""
+
+    tokens: int
+    started_ms: int
+    version: int
+
+
 @attrs.define(eq=False)
 class Attempt:
     """Carry one attempt of a job at one agent; ``hop_ms`` is the one-way delay to its entry."""
@@ -125,6 +134,22 @@
     streaming: bool = False
     streamed_ms: float = 0.0
     cancelled: bool = False
+    kept: KeptStream | None = None
+
+    @property
+    def kept_tokens(self) -> int:
+        """Return the tokens of the stream that this attempt continues."""
+        return 0 if self.kept is None else self.kept.tokens
+
+    @property
+    def first_started_ms(self) -> int:
+        """Return when the stream started that this attempt produces or continues."""
+        return self.started_ms if self.kept is None else self.kept.started_ms
+
+    @property
+    def expected_tokens(self) -> int:
+        """Return what the caller expects of this attempt."""
+        return left_tokens(self.job, self.kept_tokens)
 
 
 class FakeAgent:
@@ -150,9 +175,10 @@
             attempt=attempt.name,
             request_class=job.request_class,
             deadline=Deadline(job.deadline_ms),
-            expected_tokens=job.kind.mean_tokens,
+            expected_tokens=attempt.expected_tokens,
             arrived_ms=self.loop.clock.now_ms(),
             tenant=job.tenant,
+            continues=attempt.kept is not None,
         )
         answer = self.queue.offer(work)
         if isinstance(answer, RefusedWork):
@@ -194,10 +220,14 @@
         now_ms = self.loop.clock.now_ms()
         job = attempt.job
         prefill_ms = self.upstream.prefill_ms(job.kind.prompt_tokens, job.prefix)
+        prefill_ms += attempt.kept_tokens / PREFILL_TOKENS_PER_MS
+        stream_ms = max(1.0, job.stream_ms - stream_time_ms(attempt.kept_tokens))
         attempt.started_ms = now_ms
         job.note_start(now_ms)
         attempt.version = self.versions.serving(now_ms, self.upstream.name)
-        done_ms = self.upstream.finish_ms(now_ms, prefill_ms + job.stream_ms)
+        if attempt.kept is not None:
+            attempt.version = min(attempt.version, attempt.kept.version)
+        done_ms = self.upstream.finish_ms(now_ms, prefill_ms + stream_ms)
         first_ms = done_ms
         if job.kind is not SERVICE:
             first_ms = self.upstream.finish_ms(now_ms, prefill_ms)
@@ -236,7 +266,8 @@
         if attempt.cancelled:
             return
         duration_ms = self.loop.clock.now_ms() - attempt.started_ms
-        facts = RunFacts(first_token_ms, attempt.job.tokens, duration_ms)
+        tokens = max(0, attempt.job.tokens - attempt.kept_tokens)
+        facts = RunFacts(first_token_ms, tokens, duration_ms)
         self.queue.finish(attempt.name, facts)
         del self.attempts[attempt.name]
         self.loop.after(attempt.hop_ms, attempt.caller.finished, attempt)
--- a/src/pistachionotch/bench/own.py
+++ b/src/pistachionotch/bench/own.py
@@ -19,17 +19,17 @@
 )
 from ..routing.move import decide_move
 from ..routing.place import Placement, RoutingCosts, place
+from ..routing.resume import RESUMED_CLASSES, StreamFacts, decide_resume, worth_asking
 from ..routing.retry import FailedAttempt, RetryBudget, decide_retry
-from .agents import HEARTBEAT_MS, Attempt, FakeAgent
+from .agents import HEARTBEAT_MS, Attempt, FakeAgent, KeptStream
 from .upstreams import CACHED_PREFIXES
-from .workload import ASSISTANT, LONG, TRAINING, Job
+from .workload import ASSISTANT, LONG, TRAINING, Job, left_tokens
 from .world import World
 
 CANCEL_BYTES = 60
 MOVE_CHECK_MS = 1_000
 MOVED_KINDS = (TRAINING, LONG)
-HEDGED_STREAMS = (ASSISTANT, TRAINING)
-OVERRUN_SHARE = 0.25
+HEDGED_STREAMS = (ASSISTANT,)
 
 
 @attrs.define(eq=False)
@@ -42,6 +42,8 @@
     tried: frozenset[str] = frozenset()
     sent: int = 0
     estimate_ms: int = 0
+    continuations: int = 0
+    kept: KeptStream | None = None
 
 
 class Entry:
@@ -130,7 +132,9 @@
         entry = self.entries[job.entry]
         now_ms = self.world.loop.clock.now_ms()
         entry.observations[attempt.agent].first_token(attempt.name, now_ms)
-        entry.tails.setdefault(job.kind.name, LatencyTail()).observe(now_ms - job.arrived_ms)
+        if not attempt.kept_tokens:
+            tail = entry.tails.setdefault(job.kind.name, LatencyTail())
+            tail.observe(now_ms - job.arrived_ms)
         for loser in state.race.first_token(attempt.name).cancel:
             self._cancel(state, state.attempts[loser])
 
@@ -153,8 +157,13 @@
             return
         seen = self.entries[attempt.job.entry].observations[attempt.agent]
         seen.progress(attempt.name, tokens, self.world.loop.clock.now_ms())
-        if attempt.job.kind in HEDGED_STREAMS and state.race.winner == attempt.name:
-            self._check_slow_stream(state, tokens, seen.tokens_per_second.value)
+        speed = seen.tokens_per_second.value
+        if state.race.winner != attempt.name:
+            return
+        if attempt.job.request_class in RESUMED_CLASSES:
+            self._check_resume(state, attempt, tokens, speed)
+        elif attempt.job.kind in HEDGED_STREAMS:
+            self._check_slow_stream(state, tokens, speed)
 
     def finished(self, attempt: Attempt) -> None:
         """Complete the job."""
@@ -167,7 +176,8 @@
         for loser in state.race.finished(attempt.name).cancel:
             self._cancel(state, state.attempts[loser])
         entry.totals.setdefault(job.kind.name, LatencyTail()).observe(now_ms - job.arrived_ms)
-        entry.observations[attempt.agent].finished(attempt.name, attempt.job.tokens, now_ms)
+        tokens = max(0, job.tokens - attempt.kept_tokens)
+        entry.observations[attempt.agent].finished(attempt.name, tokens, now_ms)
         entry.budget.record_success(now_ms)
         self.world.complete(state.job, attempt)
 
@@ -252,6 +262,7 @@
         agent = self.world.agents[agent_name]
         name = f"{job.name}#{state.sent}"
         attempt = Attempt(name, job, agent_name, self, self.world.hop_ms(job.entry, agent))
+        attempt.kept = state.kept
         state.attempts[name] = attempt
         state.race.start(name)
         self.states[name] = state
@@ -292,14 +303,38 @@
     def _check_slow_stream(self, state: _Open, tokens: int, speed: float) -> None:
         if speed <= 0:
             return
-        kind = state.job.kind
-        # The true length is not known; a stream beyond the declared length goes on for a while.
-        left = max(kind.mean_tokens - tokens, tokens * OVERRUN_SHARE)
+        left = left_tokens(state.job, tokens)
         facts = self._hedge_facts(state)
         projected_ms = round(facts.elapsed_ms + left * 1_000 / speed)
-        tail = self.entries[state.job.entry].totals.setdefault(kind.name, LatencyTail())
+        tail = self.entries[state.job.entry].totals.setdefault(state.job.kind.name, LatencyTail())
         facts = attrs.evolve(facts, projected_ms=projected_ms)
-        self._hedge(state, facts, tail, round(tokens + left))
+        self._hedge(state, facts, tail, tokens + left)
+
+    def _check_resume(self, state: _Open, attempt: Attempt, tokens: int, speed: float) -> None:
+        whole = attempt.kept_tokens + tokens
+        facts = StreamFacts(whole, left_tokens(state.job, whole), speed, state.continuations)
+        if not worth_asking(facts):
+            return
+        # Placement costs time, so that the cheap conditions come first.
+        state.tried = frozenset({attempt.agent})
+        placement = self._place(state, facts.left_tokens)
+        facts = attrs.evolve(
+            facts,
+            alternative=placement.agent,
+            alternative_ms=placement.estimate_ms,
+            alternative_wait_ms=placement.wait_ms,
+        )
+        decision = decide_resume(facts)
+        if decision.agent is not None:
+            self._continue_at(state, attempt, whole, decision.agent)
+
+    def _continue_at(self, state: _Open, attempt: Attempt, tokens: int, agent: str) -> None:
+        state.kept = KeptStream(tokens, attempt.first_started_ms, attempt.version)
+        state.continuations += 1
+        self.world.measures.counts["continued"] += 1
+        state.race.failed(attempt.name)
+        self._cancel(state, attempt)
+        self._send(state, agent)
 
     def _hedge_facts(self, state: _Open) -> HedgeFacts:
         job = state.job
--- a/src/pistachionotch/bench/upstreams.py
+++ b/src/pistachionotch/bench/upstreams.py
@@ -86,6 +86,11 @@
         return prefill_ms
 
 
+def stream_time_ms(tokens: int) -> float:
+    """Return the time of ``tokens`` tokens at full speed."""
+    return tokens * 1_000 / TOKENS_PER_SECOND
+
+
 def make_episodes(rng: random.Random, until_ms: int) -> tuple[Episode, ...]:
     """Draw the slowdown episodes of one upstream."""
     episodes: list[Episode] = []
--- a/src/pistachionotch/bench/workload.py
+++ b/src/pistachionotch/bench/workload.py
@@ -23,6 +23,7 @@
 SAMPLES_PER_STEP = SAMPLES_PER_GROUP * GROUPS_PER_STEP
 STRAGGLER_SHARE = 0.02
 STRAGGLER_FACTOR = 4
+OVERRUN_SHARE = 0.25
 
 
 @attrs.frozen
@@ -110,6 +111,14 @@
     return Job(name, kind, request_class, entry, now_ms, stream_ms, whole)
 
 
+def left_tokens(job: Job, tokens: int) -> int:
+    """Return what a caller expects after ``tokens`` tokens.
+
+    The true length is not known; a stream beyond the declared length goes on for a while.
+    """
+    return max(job.kind.mean_tokens - tokens, round(tokens * OVERRUN_SHARE))
+
+
 def make_service_job(
     rng: random.Random, request_class: RequestClass, name: str, entry: int, now_ms: int
 ) -> Job:
--- a/src/pistachionotch/bench/world.py
+++ b/src/pistachionotch/bench/world.py
@@ -13,7 +13,7 @@
 from .idle import SampleTimes
 from .measures import Measures
 from .trainers import Trainer
-from .upstreams import FakeUpstream, make_upstreams
+from .upstreams import FakeUpstream, make_upstreams, stream_time_ms
 from .versions import make_versions
 from .workload import TRAINING, Job, open_arrivals, step_period_ms
 
@@ -154,12 +154,12 @@
             self.measures.counts[f"{job.kind.name}_missed"] += 1
 
     def _sample_times(self, attempt: Attempt, now_ms: int) -> SampleTimes:
-        run_started_ms = attempt.started_ms
         upstream = self.agents[attempt.agent].upstream
-        work_ms = upstream.work_ms(run_started_ms, now_ms - attempt.hop_ms)
+        work_ms = upstream.work_ms(attempt.started_ms, now_ms - attempt.hop_ms)
+        work_ms += stream_time_ms(attempt.kept_tokens)
         started_ms = attempt.job.started_ms
         assert started_ms is not None
-        return SampleTimes(started_ms, run_started_ms, work_ms, now_ms)
+        return SampleTimes(started_ms, attempt.first_started_ms, work_ms, now_ms)
 
     def _count_goodput(self, job: Job, now_ms: int) -> None:
         if WARM_UP_MS <= now_ms <= self.end_ms:
--- a/src/pistachionotch/entry/calls.py
+++ b/src/pistachionotch/entry/calls.py
@@ -37,6 +37,8 @@
     avoid: frozenset[str] = frozenset()
     # Parts are handed to the caller as they arrive; otherwise a faster attempt may replace them.
     streamed: bool = False
+    # The body already holds the first part of the response.
+    continues: bool = False
 
     def routed(self, excluded: frozenset[str]) -> RoutedRequest:
         """Return what placement needs to know."""
@@ -69,6 +71,7 @@
             self.expected_tokens,
             self.tenant,
             self.retain,
+            self.continues,
         )
 
     def resumed(self, text: bytes, tokens: int) -> Call | None:
@@ -81,7 +84,8 @@
             return None
         wanted["prompt"] = wanted["prompt"] + text.decode()
         wanted["max_tokens"] = remaining
-        return attrs.evolve(self, body=json.dumps(wanted).encode(), expected_tokens=remaining)
+        body = json.dumps(wanted).encode()
+        return attrs.evolve(self, body=body, expected_tokens=remaining, continues=True)
 
 
 @attrs.frozen
--- a/src/pistachionotch/entry/decisions.py
+++ b/src/pistachionotch/entry/decisions.py
@@ -48,6 +48,10 @@
         """Record that waiting work is asked back to be placed elsewhere."""
         self._record(call, "moving", agent=agent, reason=reason)
 
+    def continued(self, call: Call, agent: str, reason: str) -> None:
+        """Record that a slow stream goes on at another agent."""
+        self._record(call, "continued", agent=agent, reason=reason)
+
     def retried(self, call: Call, failure: str, decision: RetryDecision) -> None:
         """Record whether a failed attempt is retried."""
         outcome = "retrying" if decision.retry else "giving up"
--- /dev/null
+++ b/src/pistachionotch/entry/resuming.py
@@ -0,0 +1,43 @@
+"""Choice of the agent at which a call's slow stream is continued."""
+
+from __future__ import annotations
+
+import attrs
+
+from ..routing.resume import StreamFacts, decide_resume, worth_asking
+from .attempt import Attempt
+from .calls import Call
+from .routing_state import RoutingState
+
+# The true length is not known; a stream beyond the expected length goes on for a while.
+OVERRUN_SHARE = 0.25
+
+
+def left_tokens(call: Call, attempt: Attempt) -> int:
+    """Return what the attempt is expected to produce yet."""
+    return max(call.expected_tokens - attempt.tokens, round(attempt.tokens * OVERRUN_SHARE))
+
+
+def better_agent(
+    state: RoutingState, call: Call, attempt: Attempt, continuations: int
+) -> str | None:
+    """Return the agent that would end the stream clearly earlier, and log the decision."""
+    speed = attempt.link.observations.tokens_per_second.value
+    facts = StreamFacts(attempt.tokens, left_tokens(call, attempt), speed, continuations)
+    if not worth_asking(facts):
+        return None
+    # Placement costs time, so the cheap conditions come first.
+    resumed = call.resumed(b"".join(attempt.assembler.parts), attempt.tokens)
+    if resumed is None:
+        return None
+    placement = state.consider(resumed, frozenset({attempt.link.member.node}))
+    facts = attrs.evolve(
+        facts,
+        alternative=placement.agent,
+        alternative_ms=placement.estimate_ms,
+        alternative_wait_ms=placement.wait_ms,
+    )
+    decision = decide_resume(facts)
+    if decision.agent is not None:
+        state.decisions.continued(call, decision.agent, decision.reason)
+    return decision.agent
--- a/src/pistachionotch/entry/router.py
+++ b/src/pistachionotch/entry/router.py
@@ -12,6 +12,7 @@
 
 from ..outcomes import Execution, Problem
 from ..routing.hedge import NO_ALTERNATIVE, HedgeFacts, HedgeRace, LatencyTail, decide_hedge
+from ..routing.resume import RESUMED_CLASSES
 from ..routing.retry import FailedAttempt, decide_retry
 from ..samples.spans import VersionSpan, merge_spans
 from ..wire.assembly import Assembler, CompleteResponse
@@ -19,6 +20,7 @@
 from .attempt import Attempt
 from .calls import Call, CallDone, CallFailed, Delivered, Progress, RouteEvent, graver
 from .links import AgentLink, LinkLost
+from .resuming import better_agent, left_tokens
 from .routing_state import RoutingState
 
 # The agent reports an expired attempt at its deadline; its answer is truer than the entry's guess.
@@ -26,8 +28,6 @@
 HEDGE_CHECK_MS = 50
 SLOW_CHECK_MS = 250
 DEFAULT_RETRY_AFTER_MS = 1000
-# The true length is not known; a stream beyond the expected length goes on for a while.
-OVERRUN_SHARE = 0.25
 
 
 @attrs.define(eq=False)
@@ -48,6 +48,7 @@
     delivered: bool = False
     moving: bool = False
     ended: bool = False
+    continuations: int = 0
     # Parts of attempts that broke off, which the present attempt continues.
     kept: list[bytes] = attrs.field(factory=list)
     kept_spans: tuple[VersionSpan, ...] = ()
@@ -133,21 +134,35 @@
             facts = self._hedge_facts(None)
             self._hedge(facts, self.state.first_token_tail(self.call), self.call)
 
-    def _hedge_slow_stream(self, attempt: Attempt) -> None:
-        """Compare the expected end of a response that is kept back with recent total times."""
+    def _check_slow_stream(self, attempt: Attempt) -> Iterator[RouteEvent]:
+        """Continue a response that is kept back elsewhere, or hedge it by recent total times."""
         now_ms = self.state.clock.now_ms()
         speed = attempt.link.observations.tokens_per_second.value
         if now_ms - attempt.checked_ms < SLOW_CHECK_MS or speed <= 0:
             return
         attempt.checked_ms = now_ms
-        left = max(
-            self.call.expected_tokens - attempt.tokens, round(attempt.tokens * OVERRUN_SHARE)
-        )
+        if self.call.request_class in RESUMED_CLASSES:
+            yield from self._continue_elsewhere(attempt)
+            return
+        left = left_tokens(self.call, attempt)
         projected_ms = now_ms - self.started_ms + round(left * 1000 / speed)
         facts = self._hedge_facts(projected_ms)
         whole = attrs.evolve(self.call, expected_tokens=attempt.tokens + left)
         self._hedge(facts, self.state.total_tail(self.call), whole)
 
+    def _continue_elsewhere(self, attempt: Attempt) -> Iterator[RouteEvent]:
+        agent = better_agent(self.state, self.call, attempt, self.continuations)
+        if agent is None or not self._continue_after(attempt):
+            return
+        self.continuations += 1
+        # A part of the call has run, whatever becomes of the rest.
+        self.execution = graver(self.execution, Execution.FAILED)
+        attempt.link.cancel(attempt.identifier)
+        self._forget(attempt)
+        self.tried.clear()
+        if not self._submit(agent) and not self._start_attempt():
+            yield self._failed(503)
+
     def _hedge_facts(self, projected_ms: int | None) -> HedgeFacts:
         clock = self.state.clock
         return HedgeFacts(
@@ -205,8 +220,7 @@
         added = attempt.assembler.add(message)
         if not isinstance(added, Success):
             link.cancel(message.attempt)
-            reason = added.failure().reason
-            yield from self._attempt_failed(attempt, Execution.FAILED, reason, 0)
+            yield from self._attempt_failed(attempt, Execution.FAILED, added.failure().reason, 0)
             return
         self._note_piece(attempt, message)
         if self.call.streamed:
@@ -215,12 +229,13 @@
             return
         yield Progress(message.version, message.tokens, link.member.node)
         if self.race.winner == attempt.identifier:
-            self._hedge_slow_stream(attempt)
+            yield from self._check_slow_stream(attempt)
 
     def _note_piece(self, attempt: Attempt, message: Piece) -> None:
         state, now_ms = self.state, self.state.clock.now_ms()
         if attempt.assembler.counter.pieces == 1:
-            state.first_token_tail(self.call).observe(now_ms - self.started_ms)
+            if not self.kept:
+                state.first_token_tail(self.call).observe(now_ms - self.started_ms)
             attempt.link.observations.first_token(attempt.identifier, now_ms)
             self._drop_losers(self.race.first_token(attempt.identifier).cancel)
         attempt.add_tokens(message.version, message.tokens)
--- a/src/pistachionotch/wire/messages.py
+++ b/src/pistachionotch/wire/messages.py
@@ -68,6 +68,8 @@
     tenant: str = ""
     # The agent keeps the response under this name, so that another entry can fetch it.
     retain: str = ""
+    # The attempt goes on with a stream that another agent has begun.
+    continues: bool = False
 
 
 @attrs.frozen
--- a/tests/unit/admission/test_queue.py
+++ b/tests/unit/admission/test_queue.py
@@ -274,3 +274,14 @@
     queue.next()
     clock.advance(20_000)
     assert queue.load().expected_wait_ms[RequestClass.TRAINING] > 5_000
+
+
+def test_a_continued_stream_starts_before_other_work_of_its_class():
+    """Guards against steps that end late because their last streams queue a second time."""
+    clock, queue = make_queue(limit=8)
+    for number in range(4):
+        queue.offer(make_work(clock, f"new{number}", tenant="a"))
+    queue.offer(make_work(clock, "other", tenant="b"))
+    queue.offer(make_work(clock, "continued", tenant="a", remaining_ms=FAR_MS + 1, continues=True))
+    assert queue.next()[0].attempt == "continued"
+    assert queue.next()[0].attempt == "other"
--- a/tests/unit/calls/test_calls.py
+++ b/tests/unit/calls/test_calls.py
@@ -1,9 +1,12 @@
 """Single faults of calls that the state machine found, each as one short run."""
 
+import json
+
 import pytest
-from call_world import SERVICE, World
+from call_world import MODEL, SERVICE, World
+from upstreams import completion_text
 
-from pistachionotch.entry.calls import Call, CallDone
+from pistachionotch.entry.calls import COMPLETIONS_PATH, Call, CallDone
 from pistachionotch.idempotency.claim import ClaimPhase, parse_claim
 from pistachionotch.outcomes import Execution, RequestClass
 
@@ -74,6 +77,24 @@
     assert isinstance(order.answers[0], CallDone)
 
 
+def test_a_slow_training_stream_goes_on_elsewhere_without_a_gap(world):
+    """Guards against steps that wait for one slowed engine, and against lost or doubled tokens."""
+    world.upstreams.faults["a0"] = ["crawl"] * 9
+    orders = []
+    for name in ("r0", "r1"):
+        body = json.dumps({"prompt": f"{name}|", "max_tokens": 60}).encode()
+        deadline, training = world.deadline(600_000), RequestClass.TRAINING
+        path, model = COMPLETIONS_PATH, MODEL
+        call = Call(name, training, deadline, model, "POST", path, (), body, True, "", 60)
+        orders.append(world.send("e0", call))
+    world.loop.advance(15_000)
+    assert [order.data.decode() for order in orders] == [
+        completion_text(order.call.request_id, 60) for order in orders
+    ]
+    assert [sum(span.tokens for span in order.answers[0].spans) for order in orders] == [60, 60]
+    assert sorted(ran.request for ran in world.upstreams.ledger) == ["r0", "r0", "r1", "r1"]
+
+
 def test_a_key_that_waits_in_the_queue_is_not_proved_unrun(world):
     """Guards against ``not-run`` for a key whose earlier call starts soon after."""
     _keep_one_agent(world)
--- a/tests/unit/calls/upstreams.py
+++ b/tests/unit/calls/upstreams.py
@@ -11,6 +11,7 @@
 
 SERVICE_MS = 20
 TOKEN_MS = 10
+CRAWL_MS = 500
 SLOW_MS = 6000
 
 
@@ -53,7 +54,7 @@
             if fault == "break later" and number == len(pieces) - 1:
                 return UpstreamBroken("stream broke off", sent=True)
             emit(piece)
-            gevent.sleep(TOKEN_MS / 1000)
+            gevent.sleep((CRAWL_MS if fault == "crawl" else TOKEN_MS) / 1000)
         return UpstreamEnd(200, (("Content-Type", "text/plain"),))
 
     def _pieces(self, submit, run):
--- /dev/null
+++ b/tests/unit/routing/test_resume.py
@@ -0,0 +1,37 @@
+"""Guards against streams that change engines for nothing, or take the slot of waiting work."""
+
+import pytest
+
+from pistachionotch.routing.resume import MAX_CONTINUATIONS, StreamFacts, decide_resume
+
+
+def decide(**fields):
+    values = {
+        "tokens": 200,
+        "left_tokens": 200,
+        "tokens_per_second": 10.0,
+        "continuations": 0,
+        "alternative": "other",
+        "alternative_ms": 6_000,
+    }
+    return decide_resume(StreamFacts(**(values | fields))).agent
+
+
+def test_slow_stream_goes_on_where_it_ends_clearly_earlier():
+    assert decide() == "other"
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"tokens": 0},
+        {"tokens_per_second": 0.0},
+        {"continuations": MAX_CONTINUATIONS},
+        {"alternative": None},
+        {"alternative_wait_ms": 1},
+        {"alternative_ms": 15_000},
+        {"left_tokens": 20, "alternative_ms": 100},
+    ],
+)
+def test_stream_stays_where_it_is(fields):
+    assert decide(**fields) is None
