Serve training before long work that has time

Cause: the queue orders classes by deadline, and a step's deadline of 8 minutes lies behind that of long work (5 minutes), so that long work of 40 s took the slots for which samples of a waiting trainer queued.

Training now counts as due 40 s after its arrival, which is when its trainer wants the next step. Deadlines, refusals and the turn after 16 passes stay.

Ruled out: the order between trainers.

--- a/src/pistachionotch/admission/queue.py
+++ b/src/pistachionotch/admission/queue.py
@@ -18,6 +18,9 @@
 # Bounds the agent's memory; deadlines bound the queue long before in ordinary operation.
 MAX_QUEUED = 2_000
 MIN_RESIDUAL_MS = 50
+# A step is wanted when its trainer has trained on the last one, which takes about this long; its
+# deadline is minutes later. Long work, with minutes of time, is served after training until then.
+TRAINING_DUE_MS = 40_000
 # A run that outlasts its estimate is a straggler: it counts with this share of its work so far.
 OVERRUN_SHARE = 0.6
 
@@ -92,6 +95,13 @@
     progress: StreamProgress = attrs.field(factory=StreamProgress)
 
 
+def _due_ms(request_class: RequestClass, arrived_ms: int, deadline: Deadline) -> int:
+    """Return the time by which classes are ordered."""
+    if request_class is RequestClass.TRAINING:
+        return min(deadline.at_ms, arrived_ms + TRAINING_DUE_MS)
+    return deadline.at_ms
+
+
 def _queue_order(work: QueuedWork) -> tuple[bool, int, int, str]:
     # A continued stream has given up a slot elsewhere, and the end of its step waits for it.
     return (not work.continues, work.deadline.at_ms, work.arrived_ms, work.attempt)
@@ -280,7 +290,8 @@
             if not self.shares.free_slots(request_class, self.running_counts, limit):
                 continue
             overdue = self.passes[request_class] >= self.shares.passes_before_turn
-            order = (not overdue, head.deadline.at_ms)
+            due_ms = _due_ms(request_class, head.arrived_ms, head.deadline)
+            order = (not overdue, due_ms)
             if best is None or order < best_order:
                 best, best_order = request_class, order
         return best
@@ -341,11 +352,12 @@
     def _ahead_ms(self, request_class: RequestClass, deadline: Deadline) -> list[int]:
         # Background work cannot hold up short work: short work has slots of its own.
         short = request_class in SHORT_CLASSES
+        due_ms = _due_ms(request_class, self.clock.now_ms(), deadline)
         ahead = []
         for work in self.queued_attempts.values():
             if (work.request_class in SHORT_CLASSES) is not short:
                 continue
-            if work.deadline.at_ms <= deadline.at_ms:
+            if _due_ms(work.request_class, work.arrived_ms, work.deadline) <= due_ms:
                 ahead.append(self.speed.service_ms(work.expected_tokens))
         return ahead
 
--- a/tests/unit/admission/test_queue.py
+++ b/tests/unit/admission/test_queue.py
@@ -285,3 +285,12 @@
     queue.offer(make_work(clock, "continued", tenant="a", remaining_ms=FAR_MS + 1, continues=True))
     assert queue.next()[0].attempt == "continued"
     assert queue.next()[0].attempt == "other"
+
+
+def test_training_starts_before_long_work_that_has_time():
+    """Guards against trainers that idle behind work with minutes of time, and against its misses."""
+    clock, queue = make_queue(limit=8)
+    queue.offer(make_work(clock, "patient", RequestClass.LONG, remaining_ms=300_000))
+    queue.offer(make_work(clock, "urgent", RequestClass.LONG, remaining_ms=20_000))
+    queue.offer(make_work(clock, "sample", remaining_ms=480_000))
+    assert [queue.next()[0].attempt for _ in range(3)] == ["urgent", "sample", "patient"]
