--- a/src/pistachionotch/bench/workload.py
+++ b/src/pistachionotch/bench/workload.py
@@ -23,6 +23,7 @@
 SAMPLES_PER_STEP = SAMPLES_PER_GROUP * GROUPS_PER_STEP
 STRAGGLER_SHARE = 0.02
 STRAGGLER_FACTOR = 4
+OVERRUN_SHARE = 0.25
 
 
 @attrs.frozen
@@ -60,10 +61,15 @@
     idempotent: bool = True
     prefix: str = ""
     tenant: str = ""
-    started_version: int = 0
+    started_ms: int | None = None
     slowed: bool = False
     done: bool = False
 
+    def note_start(self, now_ms: int) -> None:
+        """Keep the start of the first run."""
+        if self.started_ms is None:
+            self.started_ms = now_ms
+
     @property
     def deadline_ms(self) -> int:
         """Return the time after which the answer has no use."""
@@ -105,6 +111,14 @@
     return Job(name, kind, request_class, entry, now_ms, stream_ms, whole)
 
 
+def left_tokens(job: Job, tokens: int) -> int:
+    """Return what a caller expects after ``tokens`` tokens.
+
+    The true length is not known; a stream beyond the declared length goes on for a while.
+    """
+    return max(job.kind.mean_tokens - tokens, round(tokens * OVERRUN_SHARE))
+
+
 def make_service_job(
     rng: random.Random, request_class: RequestClass, name: str, entry: int, now_ms: int
 ) -> Job:
--- a/src/pistachionotch/entry/calls.py
+++ b/src/pistachionotch/entry/calls.py
@@ -39,6 +39,8 @@
     streamed: bool = False
     # Number of revocations of the caller's key when the request was received.
     epoch: int = 0
+    # The body already holds the first part of the response.
+    continues: bool = False
 
     def routed(self, excluded: frozenset[str]) -> RoutedRequest:
         """Return what placement needs to know."""
@@ -72,6 +74,7 @@
             self.tenant,
             self.retain,
             self.epoch,
+            self.continues,
         )
 
     def resumed(self, text: bytes, tokens: int) -> Call | None:
@@ -84,7 +87,8 @@
             return None
         wanted["prompt"] = wanted["prompt"] + text.decode()
         wanted["max_tokens"] = remaining
-        return attrs.evolve(self, body=json.dumps(wanted).encode(), expected_tokens=remaining)
+        body = json.dumps(wanted).encode()
+        return attrs.evolve(self, body=body, expected_tokens=remaining, continues=True)
 
 
 @attrs.frozen
--- /dev/null
+++ b/src/pistachionotch/entry/hedging.py
@@ -0,0 +1,34 @@
+"""Choice of the agent for a second attempt of a late call."""
+
+from __future__ import annotations
+
+import attrs
+
+from ..routing.hedge import NO_ALTERNATIVE, HedgeFacts, LatencyTail, decide_hedge
+from .calls import Call
+from .routing_state import RoutingState
+
+
+def hedge_agent(
+    state: RoutingState,
+    call: Call,
+    facts: HedgeFacts,
+    tail: LatencyTail,
+    excluded: frozenset[str],
+) -> str | None:
+    """Return the agent that gets a second attempt, if one is worth it, and log the decision."""
+    hedging = state.table.policy.hedging(call.request_class)
+    if hedging is None:
+        return None
+    quantile = hedging.after_percentile / 100
+    budget = state.hedge_budget(call, hedging)
+    now_ms = state.clock.now_ms()
+    if decide_hedge(facts, tail, budget, now_ms, quantile).reason != NO_ALTERNATIVE:
+        return None
+    # Placement costs time, so the cheap conditions come first.
+    placement = state.consider(call, excluded)
+    facts = attrs.evolve(facts, alternative=placement.agent, alternative_ms=placement.estimate_ms)
+    decision = decide_hedge(facts, tail, budget, now_ms, quantile)
+    if decision.agent is not None:
+        state.decisions.hedged(call, decision.agent, decision.reason)
+    return decision.agent
--- a/src/pistachionotch/wire/messages.py
+++ b/src/pistachionotch/wire/messages.py
@@ -70,6 +70,8 @@
     retain: str = ""
     # What the entry read of the caller's key when it received the request; see ``idempotency``.
     epoch: int = 0
+    # The attempt goes on with a stream that another agent has begun.
+    continues: bool = False
 
 
 @attrs.frozen
--- a/tests/unit/admission/test_queue.py
+++ b/tests/unit/admission/test_queue.py
@@ -274,3 +274,23 @@
     queue.next()
     clock.advance(20_000)
     assert queue.load().expected_wait_ms[RequestClass.TRAINING] > 5_000
+
+
+def test_a_continued_stream_starts_before_other_work_of_its_class():
+    """Guards against steps that end late because their last streams queue a second time."""
+    clock, queue = make_queue(limit=8)
+    for number in range(4):
+        queue.offer(make_work(clock, f"new{number}", tenant="a"))
+    queue.offer(make_work(clock, "other", tenant="b"))
+    queue.offer(make_work(clock, "continued", tenant="a", remaining_ms=FAR_MS + 1, continues=True))
+    assert queue.next()[0].attempt == "continued"
+    assert queue.next()[0].attempt == "other"
+
+
+def test_training_starts_before_long_work_that_has_time():
+    """Guards against trainers that idle behind patient work, and against its misses."""
+    clock, queue = make_queue(limit=8)
+    queue.offer(make_work(clock, "patient", RequestClass.LONG, remaining_ms=300_000))
+    queue.offer(make_work(clock, "urgent", RequestClass.LONG, remaining_ms=20_000))
+    queue.offer(make_work(clock, "sample", remaining_ms=480_000))
+    assert [queue.next()[0].attempt for _ in range(3)] == ["urgent", "sample", "patient"]
