Move the check that all agents are used again into the oracle

The chaos run reported an entry that does not use all agents after the failures, but no case showed that this check can fail. It now is a function of the oracle that names the agent, with a case of either verdict.

--- a/tests/support/chaos.py
+++ b/tests/support/chaos.py
@@ -39,7 +39,12 @@
     prompt_of,
     read_spans,
 )
-from tests.support.operation_oracle import Arrival, check_configuration, check_departures
+from tests.support.operation_oracle import (
+    Arrival,
+    check_configuration,
+    check_departures,
+    check_recovery,
+)
 from tests.support.operators import Operators
 from tests.support.oracle import (
     Delivery,
@@ -93,16 +98,15 @@
             jobs.append(gevent.spawn(self.faults.bring_about, fault))
         gevent.joinall(jobs, raise_error=True)
         self.load.finish(SETTLE_S)
-        unused = [name for name in ENTRIES if not self.uses_all_agents(name)]
-        self.violations = [f"{name} does not use all agents again" for name in unused]
+        self.violations = check_recovery({name: self.used(name) for name in ENTRIES}, AGENTS)
         self.operators.stopping = True
         gevent.joinall(watches, raise_error=True)
         self.judge()
 
-    def uses_all_agents(self, entry):
+    def used(self, entry):
         with contextlib.suppress(AssertionError):
             self.deployment.wait_agents(entry, len(AGENTS))
-            return True
+        return {each["node"] for each in self.deployment.status(entry)["agents"] if each["ready"]}
 
     def start(self):
         deployment = self.deployment
--- a/tests/support/operation_oracle.py
+++ b/tests/support/operation_oracle.py
@@ -140,6 +140,16 @@
     )
 
 
+def check_recovery(used, agents):
+    """Check that each entry uses all agents once the failures are over; ``used`` is by entry."""
+    return [
+        f"{entry} does not use {agent} again"
+        for entry, ready in used.items()
+        for agent in agents
+        if agent not in ready
+    ]
+
+
 @attrs.frozen
 class Applied:
     """A change of an operator that was accepted."""
--- a/tests/unit/support/test_oracle.py
+++ b/tests/unit/support/test_oracle.py
@@ -12,6 +12,7 @@
     Sighting,
     check_configuration,
     check_departures,
+    check_recovery,
 )
 from tests.support.oracle import (
     Delivery,
@@ -150,6 +151,14 @@
     check_verdict(check_departures([departure], arrivals, exchanges, disturbances), fault)
 
 
+@pytest.mark.parametrize(
+    ("ready", "fault"),
+    [({"agent-1", "agent-2"}, ""), ({"agent-1"}, "entry-1 does not use agent-2 again")],
+)
+def test_recovery(ready, fault):
+    check_verdict(check_recovery({"entry-1": ready}, ("agent-1", "agent-2")), fault)
+
+
 FIRST = Applied("first", 1, 2, 10.0)
 SEEN = [Sighting("entry-1", "a", 1, 5.0), Sighting("entry-1", "a", 2, 11.0)]
 OLD = Sighting("entry-1", "a", 1, 23.0)
