Give the engine stand-in a prefix cache with late and lost events

The placement of work by cached prefixes needs an engine to be tested against. The stand-in keeps the most recently used prompts within a limit of tokens, spends prefill time on what is not cached, publishes stored and evicted prefixes after a delay, and loses events on demand.

--- a/src/pistachionotch/standins/engine.py
+++ b/src/pistachionotch/standins/engine.py
@@ -1,4 +1,4 @@
-"""Stand-in for a model engine: completions, load reports, orders, run ledger and faults."""
+"""Stand-in for a model engine: completions, load, cache events, orders, run ledger and faults."""
 
 from __future__ import annotations
 
@@ -8,6 +8,7 @@
 import zlib
 from collections.abc import Iterator
 from typing import Any
+from urllib.parse import parse_qs
 
 import attrs
 import gevent
@@ -16,6 +17,7 @@
 from ..clock import Clock, SystemClock
 from .http import Environ, StartResponse, read_body, respond_json
 from .ledger import Record, keep_nothing
+from .prefix_cache import PrefixCacheStandIn
 
 _WORDS = ("saddle", "tyre", "jersey", "hub", "spoke", "crank", "ferret", "class", "judge", "show")
 
@@ -42,6 +44,7 @@
     hide_versions: bool = False
     fail_orders: int = 0
     lose_order_answers: int = 0
+    lose_cache_events: int = 0
 
 
 @attrs.define
@@ -64,6 +67,7 @@
     version: int = 1
     slots: int = 8
     token_ms: int = 4
+    prefill_tokens_per_ms: float = 100.0
     checks_fences: bool = False
     swap_ms: int = 50
     fence: int = 0
@@ -73,10 +77,12 @@
     running: int = 0
     waiting: int = 0
     record: Record = keep_nothing
+    cache: PrefixCacheStandIn = attrs.field(init=False)
     _slots: BoundedSemaphore = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self._slots = BoundedSemaphore(self.slots)
+        self.cache = PrefixCacheStandIn(self.clock)
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Any:
         """Dispatch one HTTP request."""
@@ -86,6 +92,9 @@
         if route == ("GET", "/load"):
             report = {"running": self.running, "waiting": self.waiting, "measured_ms_ago": 0}
             return respond_json(start_response, 200, report)
+        if route == ("GET", "/cache/events"):
+            after = parse_qs(environ.get("QUERY_STRING", "")).get("after", ["0"])[0]
+            return respond_json(start_response, 200, self.cache.page(int(after)))
         if route == ("GET", "/admin/version"):
             return respond_json(start_response, 200, {"model": self.model, "version": self.version})
         if route == ("POST", "/admin/orders"):
@@ -134,6 +143,7 @@
 
     def _tokens(self, run: EngineRun, wanted: dict[str, Any]) -> Iterator[bytes]:
         words = draw_words(wanted.get("seed", 0), wanted["prompt"])
+        usage = self._prefill(wanted["prompt"])
         count = int(wanted.get("max_tokens", 16))
         for position in range(count):
             if position == self.faults.break_after_tokens:
@@ -146,11 +156,21 @@
                 run.spans.append([version, 1])
             reason = "length" if position == count - 1 else None
             self.record({"run": run.identifier, "version": version})
-            yield self._chunk(next(words), reason, version)
+            yield self._chunk(next(words), reason, version, usage if reason else None)
         run.finished = True
         yield b"data: [DONE]\n\n"
 
-    def _chunk(self, text: str, reason: str | None, version: int) -> bytes:
+    def _prefill(self, prompt: str) -> dict[str, Any]:
+        self.cache.lose_events += self.faults.lose_cache_events
+        self.faults.lose_cache_events = 0
+        usage = self.cache.use(prompt)
+        missing = usage["prompt_tokens"] - usage["prompt_tokens_details"]["cached_tokens"]
+        gevent.sleep(missing / self.prefill_tokens_per_ms * self.faults.slow_factor / 1000)
+        return usage
+
+    def _chunk(
+        self, text: str, reason: str | None, version: int, usage: dict[str, Any] | None
+    ) -> bytes:
         chunk: dict[str, Any] = {
             "object": "text_completion",
             "model": self.model,
@@ -158,6 +178,8 @@
         }
         if not self.faults.hide_versions:
             chunk["weight_version"] = version
+        if usage is not None:
+            chunk["usage"] = usage
         return b"data: " + json.dumps(chunk).encode() + b"\n\n"
 
     def _order(self, order: dict[str, Any], start_response: StartResponse) -> list[bytes]:
--- /dev/null
+++ b/tests/unit/standins/test_prefix_cache.py
@@ -0,0 +1,24 @@
+"""Guards against a stand-in whose cache events tell more or earlier than an engine's would."""
+
+from pistachionotch.clock import ManualClock
+from pistachionotch.standins.prefix_cache import PrefixCacheStandIn
+
+
+def test_events_are_late_show_gaps_and_follow_a_limited_memory():
+    clock = ManualClock(0)
+    cache = PrefixCacheStandIn(clock, capacity_tokens=10, event_delay_ms=200)
+    cached = [
+        cache.use(prompt)["prompt_tokens_details"]["cached_tokens"] for prompt in ("a" * 32,) * 2
+    ]
+    assert cached == [0, 8]
+    assert cache.page(0) == {"events": [], "last": 0}
+    cache.lose_events = 1
+    cache.use("b" * 32)
+    clock.advance(200)
+    page = cache.page(0)
+    assert [(item["sequence"], item["kind"]) for item in page["events"]] == [
+        (1, "stored"),
+        (3, "evicted"),
+    ]
+    assert page["last"] == 3
+    assert cache.use("a" * 32)["prompt_tokens_details"]["cached_tokens"] == 0
