Place work by cached prompt prefixes, with the age of each fact

Entries placed prompts without any fact on the engines' prefix caches, so the samples of a group prefilled their prompt at several engines. Entries also learn from responses. Among the candidates near the best estimate, placement prefers those with the prefix cached, else the agent of rendezvous hashing; the decision line says so.

--- a/src/pistachionotch/agent/attempts.py
+++ b/src/pistachionotch/agent/attempts.py
@@ -13,6 +13,7 @@
 from ..idempotency import claim as claims
 from ..idempotency.book import MAX_RESULT_BYTES, ClaimBook
 from ..outcomes import Execution
+from ..prefixes.view import PrefixUse
 from ..samples.spans import SpanRecorder, VersionSpan
 from ..wire.assembly import PieceCounter
 from ..wire.messages import Finished, Piece, Refused, Submit
@@ -69,6 +70,7 @@
     first_piece_ms: int | None = None
     succeeded: bool = False
     permission: int | None = None
+    use: PrefixUse | None = None
 
     def run(self) -> None:
         """Run the attempt and send its final message."""
@@ -155,6 +157,7 @@
         if not self.submit.idempotent:
             result = claims.StoredResult(outcome.status, outcome.headers, bytes(self.body))
             self.book.finish(self.submit.scope, self.submit.key, result, self.permission)
+        self.use = outcome.use
         self._send_finished(outcome.status, outcome.headers, Execution.DONE, "")
         return True
 
@@ -176,7 +179,7 @@
     ) -> None:
         spans = self.spans.finish().value_or(())
         message = finished_message(
-            self.submit.attempt, self.counter, status, headers, spans, execution, reason
+            self.submit.attempt, self.counter, status, headers, spans, execution, reason, self.use
         )
         self.session.send_waiting(message, SEND_TIMEOUT_S)
 
@@ -229,6 +232,7 @@
     spans: tuple[VersionSpan, ...] = (),
     execution: Execution = Execution.DONE,
     reason: str = "",
+    use: PrefixUse | None = None,
 ) -> Finished:
     """Return the final message for the pieces that were counted."""
     return Finished(
@@ -241,4 +245,6 @@
         spans,
         execution,
         reason,
+        -1 if use is None else use.cached_tokens,
+        -1 if use is None else use.prompt_tokens,
     )
--- a/src/pistachionotch/agent/core.py
+++ b/src/pistachionotch/agent/core.py
@@ -17,11 +17,13 @@
 from ..config.revisions import Revisions
 from ..idempotency.book import MAX_RESULT_BYTES, ClaimBook
 from ..outcomes import Execution
+from ..prefixes.reports import CacheReports
 from ..samples.retained import RetainedBodies
 from ..wire import messages
 from ..wire.assembly import PieceCounter
 from ..wire.session import Session, SessionClosed
 from .attempts import AttemptEnded, AttemptProgress, AttemptRunner, finished_message
+from .engine_reports import EngineReport
 from .upkeep import BookUpkeep
 from .upstream import Upstream
 
@@ -73,6 +75,7 @@
     on_config: Callable[[], None] = attrs.field(default=lambda: None)
     inbox: Queue = attrs.field(factory=Queue)
     retained: RetainedBodies = attrs.field(factory=lambda: RetainedBodies(MAX_RETAINED_BYTES))
+    cache: CacheReports = attrs.field(factory=CacheReports)
     sessions: dict[Session, int] = attrs.field(factory=dict)
     waiting: dict[str, AttemptRunner] = attrs.field(factory=dict)
     running: dict[str, tuple[AttemptRunner, gevent.Greenlet]] = attrs.field(factory=dict)
@@ -125,9 +128,11 @@
             self._send_heartbeat(session)
 
     def _send_heartbeat(self, session: Session) -> None:
+        now_ms = self.clock.now_ms()
+        report = self.cache.take(session, now_ms)
         revision = self.revisions.revision
-        session.send(messages.Heartbeat(0, revision, self.load(), self.heartbeat_ms))
-        self.sessions[session] = self.clock.now_ms()
+        session.send(messages.Heartbeat(0, revision, self.load(), self.heartbeat_ms, report))
+        self.sessions[session] = now_ms
 
     @handle.register
     def _(self, message: Drain, _session: None) -> None:
@@ -140,6 +145,12 @@
     def _(self, message: VersionObserved, _session: None) -> None:
         self.queue.observe_versions((message.version,))
 
+    @handle.register
+    def _(self, message: EngineReport, _session: None) -> None:
+        view, now_ms = self.cache.view, self.clock.now_ms()
+        if message.cache is not None and not view.observe(message.cache, now_ms):
+            self.log.info("cache events are missing, view dropped", sequence=view.sequence)
+
     @handle.register
     def _(self, message: messages.Heartbeat, session: Session) -> None:
         session.expect_interval(message.interval_ms)
@@ -187,6 +198,7 @@
     @handle.register
     def _(self, message: SessionClosed, session: Session) -> None:
         self.sessions.pop(session, None)
+        self.cache.forget(session)
         self.log.info("entry disconnected", entry=session.peer.node, reason=message.reason)
         for attempt, runner in list(self.waiting.items()):
             if runner.session is session:
@@ -323,6 +335,8 @@
         whole = message.facts.succeeded and len(runner.body) <= MAX_RESULT_BYTES
         if runner.submit.retain and whole:
             self.retained.put(runner.submit.retain, bytes(runner.body))
+        if runner.use is not None:
+            self.cache.view.completed(runner.submit.prefix, runner.use)
         if runner.spans.spans:
             self.queue.observe_versions((runner.spans.spans[-1].version,))
         self.log.info(
--- a/src/pistachionotch/agent/daemon.py
+++ b/src/pistachionotch/agent/daemon.py
@@ -28,6 +28,7 @@
 from ..wire.session import Identity, Session
 from ..wire.session import make_server as make_wire_server
 from .core import AgentCore, Drain, VersionObserved
+from .engine_reports import EngineReport, EngineReports
 from .orders import OrderTask
 from .policy import AgentPolicy
 from .upkeep import BookUpkeep, ClaimantLiveness
@@ -70,6 +71,7 @@
     registration: Registration = attrs.field(init=False)
     upkeep: BookUpkeep = attrs.field(init=False)
     orders: OrderTask | None = attrs.field(init=False, default=None)
+    reports: EngineReports | None = attrs.field(init=False, default=None)
     server: Any = attrs.field(init=False, default=None)
     probes: WSGIServer | None = attrs.field(init=False, default=None)
     state: str = attrs.field(init=False, default="starting")
@@ -97,6 +99,7 @@
         if isinstance(upstream, EngineUpstream):
             shard = f"{upstream.model}-{settings.zone}"
             self.orders = OrderTask(upstream, store, shard, self.clock, logger("orders"))
+            self.reports = EngineReports(upstream, self.clock, log, self._engine_reported)
         self.core = AgentCore(
             self.clock,
             upstream,
@@ -128,6 +131,9 @@
     def _version_observed(self, version: int) -> None:
         self.core.inbox.put((None, VersionObserved(version)))
 
+    def _engine_reported(self, report: EngineReport) -> None:
+        self.core.inbox.put((None, report))
+
     def _take_order(self, session: Session, order: Order) -> None:
         if self.orders is None:
             session.send(OrderResult(order.order, False, -1, "upstream takes no orders"))
@@ -161,6 +167,8 @@
         gevent.spawn(self.core.run)
         if self.orders is not None:
             gevent.spawn(self.orders.run)
+        if self.reports is not None:
+            gevent.spawn(self.reports.run)
         gevent.spawn(self.registration.run)
         if settings.listen.http is not None:
             app = ProbeApp(settings.key, self.status, self.drain)
--- a/src/pistachionotch/agent/upstream.py
+++ b/src/pistachionotch/agent/upstream.py
@@ -11,6 +11,7 @@
 
 from ..clock import Clock
 from ..objects.client import SingleAttemptClient
+from ..prefixes.view import PrefixUse, parse_use
 from ..wire.messages import FINISH_REASON_HEADER, Submit
 
 CONNECT_TIMEOUT_S = 2.0
@@ -64,6 +65,7 @@
 
     status: int
     headers: tuple[tuple[str, str], ...]
+    use: PrefixUse | None = None
 
 
 @attrs.frozen
@@ -144,12 +146,14 @@
         return UpstreamEnd(response.status_code, (("Content-Type", "application/json"),))
     wait_ms = SAMPLE_COALESCE_MS if submit.retain else COALESCE_MS
     finish_reason = ""
+    use: PrefixUse | None = None
     coalescer = Coalescer(clock, emit, wait_ms)
     for event in _events(response):
         if event == b"[DONE]":
             coalescer.flush()
-            return UpstreamEnd(200, ((FINISH_REASON_HEADER, finish_reason),))
+            return UpstreamEnd(200, ((FINISH_REASON_HEADER, finish_reason),), use)
         chunk = json.loads(event)
+        use = parse_use(chunk.get("usage")) or use
         choice = chunk["choices"][0]
         finish_reason = choice.get("finish_reason") or finish_reason
         text = choice["text"].encode()
--- a/src/pistachionotch/bench/agents.py
+++ b/src/pistachionotch/bench/agents.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from typing import Protocol
 
 import attrs
@@ -21,6 +22,9 @@
 from ..admission.shares import ClassShares
 from ..clock import Deadline, ManualClock
 from ..outcomes import RequestClass
+from ..prefixes.facts import CacheReport
+from ..prefixes.reports import CacheReports
+from ..prefixes.view import PrefixUse
 from .deployments import ENGINE_POOL
 from .events import EventLoop
 from .upstreams import TOKENS_PER_SECOND, FakeUpstream
@@ -141,6 +145,9 @@
         self.ticking = False
         self.report = queue.load()
         self.reported_ms = 0
+        self.cache = CacheReports()
+        # One for each entry, which takes the reports on cached prefixes.
+        self.listeners: list[Callable[[CacheReport], None]] = []
         self.observer = queue if isinstance(queue, AdmissionQueue) else None
 
     def submit(self, attempt: Attempt) -> None:
@@ -193,7 +200,7 @@
         """Start an attempt on the upstream."""
         now_ms = self.loop.clock.now_ms()
         job = attempt.job
-        prefill_ms = self.upstream.prefill_ms(job.kind.prompt_tokens, job.prefix)
+        prefill_ms = self.upstream.prefill_ms(job.kind.prompt_tokens, job.prefix, now_ms)
         attempt.started_ms = now_ms
         attempt.version = self.versions.serving(now_ms, self.upstream.name)
         done_ms = self.upstream.finish_ms(now_ms, prefill_ms + job.stream_ms)
@@ -211,9 +218,19 @@
 
     def _heartbeat(self) -> None:
         self.report = self.queue.load()
-        self.reported_ms = self.loop.clock.now_ms()
+        now_ms = self.reported_ms = self.loop.clock.now_ms()
+        self._report_cache(now_ms)
         self.loop.after(HEARTBEAT_MS, self._heartbeat)
 
+    def _report_cache(self, now_ms: int) -> None:
+        page = self.upstream.cache_events(now_ms)
+        if page.events:
+            self.cache.view.observe(page, now_ms)
+        for number, listen in enumerate(self.listeners):
+            report = self.cache.take(number, now_ms)
+            if report is not None:
+                listen(report)
+
     def _progress(self, observer: AdmissionQueue) -> None:
         now_ms = self.loop.clock.now_ms()
         window_ms = self.upstream.work_ms(now_ms - PROGRESS_MS, now_ms)
@@ -235,6 +252,9 @@
         if attempt.cancelled:
             return
         duration_ms = self.loop.clock.now_ms() - attempt.started_ms
+        job = attempt.job
+        use = PrefixUse(job.prefix, job.kind.prompt_tokens, 0)
+        self.cache.view.completed(job.prefix.encode(), use)
         facts = RunFacts(first_token_ms, attempt.job.tokens, duration_ms)
         self.queue.finish(attempt.name, facts)
         del self.attempts[attempt.name]
--- a/src/pistachionotch/bench/central.py
+++ b/src/pistachionotch/bench/central.py
@@ -125,7 +125,7 @@
             self.world.measures.counts["region_bytes"] += job.transfer_bytes
         now_ms = self.world.loop.clock.now_ms()
         start_ms = now_ms + hop_ms
-        prefill_ms = upstream.prefill_ms(job.kind.prompt_tokens, job.prefix)
+        prefill_ms = upstream.prefill_ms(job.kind.prompt_tokens, job.prefix, now_ms)
         done_ms = upstream.finish_ms(start_ms, prefill_ms + job.stream_ms)
         attempt.version = self.world.versions.serving(start_ms, upstream.name)
         self.busy_until[upstream.name][job.name] = done_ms
--- a/src/pistachionotch/bench/measures.py
+++ b/src/pistachionotch/bench/measures.py
@@ -86,6 +86,8 @@
         summary[f"{name}_per_s"] = attrs.asdict(Spread.of(rates))
     for name in ("stale_delivered", "stale_regenerated", "hedges", "retries", "moves", "steps"):
         summary[name] = sum(run.counts[name] for run in runs)
+    lookups = sum(run.counts["prefix_lookups"] for run in runs)
+    summary["prefix_hit_share"] = sum(run.counts["prefix_hits"] for run in runs) / max(1, lookups)
     return summary
 
 
--- a/src/pistachionotch/bench/own.py
+++ b/src/pistachionotch/bench/own.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from functools import partial
 
 import attrs
 
 from ..clock import Deadline
 from ..outcomes import Execution
+from ..prefixes.facts import CacheReport, PrefixFacts
 from ..routing.facts import AgentObservations, CandidateFacts, Location, RoutedRequest
 from ..routing.hedge import (
     NO_ALTERNATIVE,
@@ -21,7 +22,6 @@
 from ..routing.place import Placement, RoutingCosts, place
 from ..routing.retry import FailedAttempt, RetryBudget, decide_retry
 from .agents import HEARTBEAT_MS, Attempt, FakeAgent
-from .upstreams import CACHED_PREFIXES
 from .workload import ASSISTANT, LONG, TRAINING, Job
 from .world import World
 
@@ -50,19 +50,11 @@
     def __init__(self, here: Location, agents: list[str]) -> None:
         self.here = here
         self.observations = {name: AgentObservations() for name in agents}
-        self.prefixes: dict[str, OrderedDict[str, None]] = {n: OrderedDict() for n in agents}
+        self.prefixes = {name: PrefixFacts() for name in agents}
         self.budget = RetryBudget()
         self.tails: dict[str, LatencyTail] = {}
         self.totals: dict[str, LatencyTail] = {}
 
-    def remember_prefix(self, agent: str, prefix: str) -> None:
-        """Expect the prefix in the agent's cache from now on."""
-        known = self.prefixes[agent]
-        known[prefix] = None
-        known.move_to_end(prefix)
-        if len(known) > CACHED_PREFIXES:
-            known.popitem(last=False)
-
 
 class OwnDispatcher:
     """Place, retry and hedge by the decision modules; each entry has its own facts."""
@@ -79,10 +71,15 @@
             Entry(Location(f"entry-{site.zone}", site.zone, site.region), names) for site in sites
         ]
         for number, agent in enumerate(world.agents.values()):
+            for entry in self.entries:
+                agent.listeners.append(partial(self._learn, entry, agent.upstream.name))
             agent.start_heartbeats(number * HEARTBEAT_MS // len(world.agents))
         for number in range(len(self.entries)):
             world.loop.after(MOVE_CHECK_MS, self._move_waiting, number)
 
+    def _learn(self, entry: Entry, agent: str, report: CacheReport) -> None:
+        entry.prefixes[agent].apply(report, self.world.loop.clock.now_ms())
+
     def start(self, job: Job) -> None:
         """Place a new job, or refuse it at once."""
         state = _Open(job)
@@ -167,6 +164,8 @@
         for loser in state.race.finished(attempt.name).cancel:
             self._cancel(state, state.attempts[loser])
         entry.totals.setdefault(job.kind.name, LatencyTail()).observe(now_ms - job.arrived_ms)
+        prefix = job.prefix.encode()
+        entry.prefixes[attempt.agent].completed(prefix, job.kind.prompt_tokens, now_ms)
         entry.observations[attempt.agent].finished(attempt.name, attempt.job.tokens, now_ms)
         entry.budget.record_success(now_ms)
         self.world.complete(state.job, attempt)
@@ -180,7 +179,7 @@
     def _facts(self, entry: Entry, job: Job, agent: FakeAgent, now_ms: int) -> CandidateFacts:
         name = agent.upstream.name
         seen = entry.observations[name]
-        cached = bool(job.prefix) and job.prefix in entry.prefixes[name]
+        cached = entry.prefixes[name].cached(job.prefix.encode(), now_ms)
         return CandidateFacts(
             agent=name,
             zone=agent.upstream.zone,
@@ -189,7 +188,8 @@
             observed_ms=agent.reported_ms,
             in_flight_here=len(seen.attempts),
             sent_since_report=seen.sent_since(agent.reported_ms),
-            cached_tokens=job.kind.prompt_tokens if cached else 0,
+            cached_tokens=cached.tokens,
+            cached_age_ms=cached.age_ms,
             first_hand=seen.summary(job.request_class, now_ms),
         )
 
@@ -243,6 +243,7 @@
             transfer_bytes=job.transfer_bytes,
             idempotent=job.idempotent,
             excluded=state.tried,
+            prefix=job.prefix.encode(),
         )
 
     def _send(self, state: _Open, agent_name: str) -> None:
@@ -257,8 +258,6 @@
         self.states[name] = state
         entry = self.entries[job.entry]
         entry.observations[agent_name].sent(name, job.request_class, self.world.loop.clock.now_ms())
-        if job.prefix:
-            entry.remember_prefix(agent_name, job.prefix)
         self.world.send(attempt)
 
     def _retry(self, state: _Open) -> None:
--- a/src/pistachionotch/bench/report.py
+++ b/src/pistachionotch/bench/report.py
@@ -30,6 +30,7 @@
     "retries",
     "moves",
     "stale",
+    "prefix hits %",
 )
 
 
@@ -99,6 +100,7 @@
         str(summary["retries"]),
         str(summary["moves"]),
         f"{summary['stale_regenerated']}",
+        f"{100 * summary['prefix_hit_share']:.0f}",
     )
 
 
--- a/src/pistachionotch/bench/upstreams.py
+++ b/src/pistachionotch/bench/upstreams.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from ..prefixes.view import EVICTED, STORED, CacheEvent, CachePage
 from .deployments import ENGINE_POOL, SERVICE_POOL, Deployment
 
 ENGINE_SLOTS = 8
@@ -15,6 +16,9 @@
 PREFILL_TOKENS_PER_MS = 4
 CACHED_PREFIXES = 16
 CACHED_PREFILL_SHARE = 0.1
+# Cache events come this late, and each hundredth is lost.
+EVENT_LAG_MS = 1_000
+LOST_EVENT_DIVISOR = 100
 
 EPISODE_GAP_MS = 100_000
 EPISODE_MS = (8_000, 16_000)
@@ -40,7 +44,12 @@
     region: str
     slots: int
     episodes: tuple[Episode, ...]
-    prefixes: OrderedDict[str, None] = attrs.field(factory=OrderedDict)
+    prefixes: OrderedDict[str, int] = attrs.field(factory=OrderedDict)
+    # Time and event; lost ones are missing.
+    events: list[tuple[int, CacheEvent]] = attrs.field(factory=list)
+    sequence: int = 0
+    lookups: int = 0
+    hits: int = 0
 
     def slowed(self, now_ms: int) -> bool:
         """Return whether an episode is in progress."""
@@ -72,19 +81,33 @@
                 done_ms -= overlap_ms * (1 - 1 / item.factor)
         return done_ms
 
-    def prefill_ms(self, prompt_tokens: int, prefix: str) -> float:
+    def prefill_ms(self, prompt_tokens: int, prefix: str, now_ms: int) -> float:
         """Return the prefill time at full speed and keep the prefix in the cache."""
         prefill_ms = prompt_tokens / PREFILL_TOKENS_PER_MS
         if not prefix:
             return prefill_ms
+        self.lookups += 1
         if prefix in self.prefixes:
+            self.hits += 1
             self.prefixes.move_to_end(prefix)
             return prefill_ms * CACHED_PREFILL_SHARE
-        self.prefixes[prefix] = None
+        self.prefixes[prefix] = prompt_tokens
+        self._publish(STORED, prefix, prompt_tokens, now_ms)
         if len(self.prefixes) > CACHED_PREFIXES:
-            self.prefixes.popitem(last=False)
+            self._publish(EVICTED, *self.prefixes.popitem(last=False), now_ms)
         return prefill_ms
 
+    def cache_events(self, now_ms: int) -> CachePage:
+        """Return the events that are published by now and were not returned before."""
+        count = sum(1 for at_ms, _ in self.events if at_ms + EVENT_LAG_MS <= now_ms)
+        due, self.events = self.events[:count], self.events[count:]
+        return CachePage(tuple(event for _, event in due), due[-1][1].sequence if due else 0)
+
+    def _publish(self, kind: str, prefix: str, tokens: int, now_ms: int) -> None:
+        self.sequence += 1
+        if self.sequence % LOST_EVENT_DIVISOR:
+            self.events.append((now_ms, CacheEvent(self.sequence, kind, prefix, tokens)))
+
 
 def make_episodes(rng: random.Random, until_ms: int) -> tuple[Episode, ...]:
     """Draw the slowdown episodes of one upstream."""
--- a/src/pistachionotch/bench/world.py
+++ b/src/pistachionotch/bench/world.py
@@ -79,6 +79,9 @@
             trainer.account_idle(self.end_ms)
         self.trainers = {}
         self.loop.run(self.end_ms + DRAIN_MS)
+        for upstream in self.upstreams:
+            self.measures.counts["prefix_lookups"] += upstream.lookups
+            self.measures.counts["prefix_hits"] += upstream.hits
         for job in list(self.open_jobs.values()):
             self._record(job, self.end_ms + DRAIN_MS)
         return self.measures
--- a/src/pistachionotch/entry/calls.py
+++ b/src/pistachionotch/entry/calls.py
@@ -37,6 +37,8 @@
     avoid: frozenset[str] = frozenset()
     # Parts are handed to the caller as they arrive; otherwise a faster attempt may replace them.
     streamed: bool = False
+    # Name of the prompt's prefix; empty for calls of plain services.
+    prefix: bytes = b""
 
     def routed(self, excluded: frozenset[str]) -> RoutedRequest:
         """Return what placement needs to know."""
@@ -50,6 +52,7 @@
             transfer_bytes=len(self.body),
             idempotent=self.idempotent,
             excluded=excluded | self.avoid,
+            prefix=self.prefix,
         )
 
     def submit(self, attempt: str, remaining_ms: int) -> Submit:
@@ -69,6 +72,7 @@
             self.expected_tokens,
             self.tenant,
             self.retain,
+            self.prefix,
         )
 
     def resumed(self, text: bytes, tokens: int) -> Call | None:
--- a/src/pistachionotch/entry/links.py
+++ b/src/pistachionotch/entry/links.py
@@ -16,6 +16,7 @@
 from ..config.revisions import Revisions
 from ..membership.directory import Member
 from ..outcomes import RequestClass
+from ..prefixes.facts import PrefixFacts
 from ..routing.facts import AgentObservations, CandidateFacts
 from ..wire import messages
 from ..wire.session import HandshakeError, Identity, Session, SessionClosed, open_session
@@ -69,6 +70,7 @@
     inbox: Queue = attrs.field(factory=Queue)
     heartbeat_sequence: int = 0
     observations: AgentObservations = attrs.field(factory=AgentObservations)
+    prefixes: PrefixFacts = attrs.field(factory=PrefixFacts)
 
     def run(self) -> None:
         """Connect, serve and reconnect until stopped."""
@@ -94,11 +96,12 @@
         """Return whether the agent can be given work."""
         return self.session is not None and self.load is not None and not self.leaving
 
-    def facts(self, request_class: RequestClass) -> CandidateFacts | None:
+    def facts(self, request_class: RequestClass, prefix: bytes = b"") -> CandidateFacts | None:
         """Return what placement should know, or none while the agent cannot be given work."""
         if self.session is None or self.load is None:
             return None
         now_ms = self.clock.now_ms()
+        cached = self.prefixes.cached(prefix, now_ms)
         return CandidateFacts(
             agent=self.member.node,
             zone=self.member.zone,
@@ -108,6 +111,8 @@
             in_flight_here=len(self.observations.attempts),
             sent_since_report=self.observations.sent_since(self.observed_ms),
             draining=self.leaving,
+            cached_tokens=cached.tokens,
+            cached_age_ms=cached.age_ms,
             models=frozenset(self.member.models),
             first_hand=self.observations.summary(request_class, now_ms),
         )
@@ -235,6 +240,8 @@
         session.expect_interval(message.interval_ms)
         self.load = message.load
         self.observed_ms = self.clock.now_ms()
+        if message.cache is not None:
+            self.prefixes.apply(message.cache, self.observed_ms)
         if message.load is not None and message.load.draining:
             self.leaving = True
         self.up.set()
--- a/src/pistachionotch/entry/moves.py
+++ b/src/pistachionotch/entry/moves.py
@@ -42,7 +42,7 @@
         decision = decide_move(
             call.call.routed(frozenset()),
             link.member.node,
-            state.table.candidates(call.call.request_class),
+            state.table.candidates(call.call.request_class, call.call.prefix),
             state.here,
             state.clock.now_ms(),
             state.costs,
--- a/src/pistachionotch/entry/production.py
+++ b/src/pistachionotch/entry/production.py
@@ -12,6 +12,7 @@
 
 from ..clock import Clock, Deadline
 from ..outcomes import RequestClass
+from ..prefixes.key import prefix_key
 from ..samples.coordinator import AttemptFacts, FinishedFacts
 from ..samples.sample import Sample, Slot, body_digest, new_sample_id
 from ..samples.steps import OpenedStep
@@ -141,4 +142,5 @@
             tenant=plan.trainer,
             retain=self.sample_id,
             avoid=frozenset(self.avoid),
+            prefix=prefix_key(plan.model, wanted["prompt"]),
         )
--- a/src/pistachionotch/entry/requests.py
+++ b/src/pistachionotch/entry/requests.py
@@ -14,6 +14,7 @@
 from ..clock import Clock, Deadline
 from ..findings import Findings, InvalidInputError, Place
 from ..outcomes import RequestClass
+from ..prefixes.key import prefix_key
 from .calls import COMPLETIONS_PATH, DEFAULT_MAX_TOKENS, Call
 
 # A request body and its message framing must fit one message to the agent.
@@ -235,6 +236,7 @@
         expected_tokens=tokens,
         tenant=tenant,
         streamed=bool(wanted.get("stream")),
+        prefix=prefix_key(model, wanted["prompt"]),
     )
 
 
--- a/src/pistachionotch/entry/router.py
+++ b/src/pistachionotch/entry/router.py
@@ -246,6 +246,9 @@
         self._drop_losers(self.race.finished(attempt.identifier).cancel)
         del self.attempts[attempt.identifier]
         attempt.link.observations.finished(attempt.identifier, attempt.tokens, now_ms)
+        if complete.finished.prompt_tokens > 0:
+            prompt_tokens = complete.finished.prompt_tokens
+            attempt.link.prefixes.completed(self.call.prefix, prompt_tokens, now_ms)
         state.total_tail(self.call).observe(now_ms - self.started_ms)
         state.record_success(self.call)
         agent = attempt.link.member.node
--- a/src/pistachionotch/entry/routing_state.py
+++ b/src/pistachionotch/entry/routing_state.py
@@ -78,7 +78,7 @@
         """Return where an attempt would go, without deciding it."""
         return place(
             call.routed(excluded),
-            self.table.candidates(call.request_class),
+            self.table.candidates(call.request_class, call.prefix),
             self.here,
             self.clock.now_ms(),
             self.rng,
--- a/src/pistachionotch/entry/table.py
+++ b/src/pistachionotch/entry/table.py
@@ -53,11 +53,11 @@
             gevent.spawn(link.run)
         self._mark_leaving()
 
-    def candidates(self, request_class: RequestClass) -> list[CandidateFacts]:
-        """Return the facts of all connected agents, as they are for one class."""
+    def candidates(self, request_class: RequestClass, prefix: bytes = b"") -> list[CandidateFacts]:
+        """Return the facts of all connected agents, as they are for one class and prompt."""
         found = []
         for link in self.links.values():
-            facts = link.facts(request_class)
+            facts = link.facts(request_class, prefix)
             if facts is None:
                 continue
             found.append(facts)
--- a/src/pistachionotch/routing/facts.py
+++ b/src/pistachionotch/routing/facts.py
@@ -31,6 +31,8 @@
     transfer_bytes: int = 0
     idempotent: bool = True
     excluded: frozenset[str] = frozenset()
+    # Name of the prompt's prefix; empty for work without a prompt.
+    prefix: bytes = b""
 
 
 @attrs.frozen
@@ -62,6 +64,7 @@
     sent_since_report: int = 0
     draining: bool = False
     cached_tokens: int = 0
+    cached_age_ms: int = 0
     models: frozenset[str] = frozenset()
     first_hand: FirstHand = FirstHand()
 
--- a/src/pistachionotch/routing/place.py
+++ b/src/pistachionotch/routing/place.py
@@ -9,6 +9,7 @@
 
 from ..admission.load import FACT_TRUST_MS
 from ..clock import MS_PER_SECOND
+from ..prefixes.key import preferred_agent
 from .facts import CandidateFacts, Location, RoutedRequest
 
 
@@ -22,6 +23,8 @@
     region_ms_per_mb: int = 10_000
     # Facts lose half their weight in this time; slowdowns last tens of seconds.
     half_life_ms: int = 5_000
+    # A prefix stays cached for minutes under ordinary load, which events of evictions correct.
+    cache_half_life_ms: int = 60_000
     # Beyond three heartbeats of 2 s the agent or its connection may be gone.
     suspect_after_ms: int = 6_000
     # Candidates within this share of the best estimate are chosen among at random, so that
@@ -43,6 +46,8 @@
     transfer_ms: int
     fact_age_ms: int
     speed_age_ms: int
+    # Prefill that the engine's prefix cache is expected to save; taken off the first token's time.
+    saved_ms: int = 0
 
     @property
     def total_ms(self) -> int:
@@ -92,10 +97,10 @@
     remaining_ms = request.deadline.at_ms - now_ms
     if estimates[0].total_ms > remaining_ms and _certain(estimates, costs):
         return _refuse(estimates, remaining_ms)
-    chosen = _choose(estimates, rng, costs)
+    chosen, why = _choose(request, estimates, rng, costs)
     return Placement(
         agent=chosen.agent,
-        reason=_reason(chosen, len(estimates)),
+        reason=_reason(chosen, len(estimates), why),
         estimate_ms=chosen.total_ms,
         wait_ms=chosen.wait_ms,
         fact_age_ms=chosen.fact_age_ms,
@@ -132,14 +137,17 @@
     age_ms = max(0, now_ms - candidate.observed_ms)
     stream_ms = _stream_ms(request, candidate, age_ms, costs, typical)
     wait_ms = _told_wait_ms(request, candidate, stream_ms, age_ms)
+    first_ms = _first_token_ms(request, candidate, wait_ms, age_ms, costs, typical)
+    saved_ms = _saved_ms(request, candidate, first_ms, costs, typical)
     return Estimate(
         agent=candidate.agent,
         wait_ms=wait_ms,
-        first_token_ms=_first_token_ms(request, candidate, wait_ms, age_ms, costs, typical),
+        first_token_ms=round(max(first_ms - saved_ms, candidate.first_hand.longest_silence_ms)),
         stream_ms=stream_ms,
         transfer_ms=_transfer_ms(request, candidate, here, costs),
         fact_age_ms=age_ms,
         speed_age_ms=_speed_age_ms(candidate, age_ms),
+        saved_ms=round(saved_ms),
     )
 
 
@@ -195,17 +203,31 @@
     )
 
 
-def _choose(estimates: Sequence[Estimate], rng: random.Random, costs: RoutingCosts) -> Estimate:
+def _choose(
+    request: RoutedRequest,
+    estimates: Sequence[Estimate],
+    rng: random.Random,
+    costs: RoutingCosts,
+) -> tuple[Estimate, str]:
+    """Choose among near estimates: a cached prefix first, then where equal prompts meet."""
     best_ms = estimates[0].total_ms
     margin_ms = costs.tie_ms + costs.tie_share * best_ms
     near = [item for item in estimates if item.total_ms <= best_ms + margin_ms]
-    return rng.choice(near)
-
-
-def _reason(chosen: Estimate, count: int) -> str:
+    most_ms = max(item.saved_ms for item in near)
+    if most_ms > 0:
+        holding = [item for item in near if 2 * item.saved_ms > most_ms]
+        chosen = rng.choice(holding)
+        return chosen, f", cached prefix saves {chosen.saved_ms} ms"
+    if request.prefix and len(near) > 1:
+        agent = preferred_agent(request.prefix, [item.agent for item in near])
+        return next(item for item in near if item.agent == agent), ", preferred for its prefix"
+    return rng.choice(near), ""
+
+
+def _reason(chosen: Estimate, count: int, why: str) -> str:
     first = f"first token after {chosen.first_token_ms} ms"
     rest = f"stream {chosen.stream_ms} ms, transfer {chosen.transfer_ms} ms"
-    return f"earliest of {count}: {first}, {rest}"
+    return f"earliest of {count}: {first}, {rest}{why}"
 
 
 def _blend(values: Sequence[tuple[float, int]], typical: float, half_life_ms: int) -> float:
@@ -232,8 +254,8 @@
     age_ms: int,
     costs: RoutingCosts,
     typical: Typical,
-) -> int:
-    """Estimate the time to first token, queue included."""
+) -> float:
+    """Estimate the time to first token, queue included and nothing cached."""
     seen = candidate.first_hand
     load = candidate.load
     told_ms = load.time_to_first_token_ms or typical.first_token_ms
@@ -241,11 +263,23 @@
         (seen.time_to_first_token_ms, seen.first_token_age_ms),
         (wait_ms + told_ms, load.first_token_age_ms + age_ms),
     )
-    first_ms = _blend(facts, wait_ms + typical.first_token_ms, costs.half_life_ms)
-    if request.prompt_tokens > 0:
-        cached_share = min(1.0, candidate.cached_tokens / request.prompt_tokens)
-        first_ms -= min(first_ms, told_ms * cached_share)
-    return round(max(first_ms, seen.longest_silence_ms))
+    return _blend(facts, wait_ms + typical.first_token_ms, costs.half_life_ms)
+
+
+def _saved_ms(
+    request: RoutedRequest,
+    candidate: CandidateFacts,
+    first_ms: float,
+    costs: RoutingCosts,
+    typical: Typical,
+) -> float:
+    """Estimate the prefill that a cached prefix saves, halved with the age of the fact."""
+    if request.prompt_tokens <= 0 or candidate.cached_tokens <= 0:
+        return 0.0
+    told_ms = candidate.load.time_to_first_token_ms or typical.first_token_ms
+    share = min(1.0, candidate.cached_tokens / request.prompt_tokens)
+    weight = 0.5 ** (candidate.cached_age_ms / costs.cache_half_life_ms)
+    return min(first_ms, told_ms * share * weight)
 
 
 def _stream_ms(
--- a/src/pistachionotch/wire/codec.py
+++ b/src/pistachionotch/wire/codec.py
@@ -11,6 +11,7 @@
 
 from ..admission.load import LoadFacts
 from ..outcomes import Execution, RequestClass
+from ..prefixes.facts import CacheChange, CacheReport
 from ..samples.spans import VersionSpan
 from . import messages
 
@@ -72,7 +73,7 @@
     converter.register_structure_hook(float, _float)
     for enumeration in (Execution, RequestClass):
         converter.register_structure_hook(enumeration, _enumeration)
-    for record in (*_TYPES.values(), LoadFacts, VersionSpan):
+    for record in (*_TYPES.values(), LoadFacts, VersionSpan, CacheChange, CacheReport):
         # Annotations are strings in every module; the converter needs the types themselves.
         attrs.resolve_types(record)
     return converter
--- a/src/pistachionotch/wire/messages.py
+++ b/src/pistachionotch/wire/messages.py
@@ -10,6 +10,7 @@
 
 from ..admission.load import LoadFacts
 from ..outcomes import Execution, RequestClass
+from ..prefixes.facts import CacheReport
 from ..samples.spans import VersionSpan
 
 PROTOCOL_VERSION = 1
@@ -47,6 +48,8 @@
     load: LoadFacts | None = None
     # When the next heartbeat is due at the latest; the receiver judges silence by it.
     interval_ms: int = 2000
+    # From agents: what has changed in the engine's prefix cache.
+    cache: CacheReport | None = None
 
 
 @attrs.frozen
@@ -68,6 +71,8 @@
     tenant: str = ""
     # The agent keeps the response under this name, so that another entry can fetch it.
     retain: str = ""
+    # Name of the prompt's prefix in reports on the engine's cache.
+    prefix: bytes = b""
 
 
 @attrs.frozen
@@ -114,6 +119,9 @@
     spans: tuple[VersionSpan, ...]
     execution: Execution
     reason: str = ""
+    # Tokens of the prompt that the engine had cached and had to serve; -1 where it does not tell.
+    cached_tokens: int = -1
+    prompt_tokens: int = -1
 
 
 @attrs.frozen
