Show by separate processes that both entries learn of a cached prefix

The modules were checked one by one; that usage and cache events reach the placement of an entry, and by an agent's report that of another, was not.

--- a/tests/features/steps/caller_steps.py
+++ b/tests/features/steps/caller_steps.py
@@ -46,6 +46,30 @@
     assert body["weight_versions"] == [{"version": 1, "tokens": count}], body
 
 
+def _reason_of_placement(context, entry):
+    """Return why a completion of the same long prompt went where it went."""
+    caller = context.deployment.caller(entry)
+    request_id = f"{entry}-{time.monotonic_ns()}"
+    fields = {"model": "fitting", "prompt": "saddle " * 400, "max_tokens": 2}
+    answer = caller.send("POST", "/v1/completions", fields, {"X-Request-Id": request_id})
+    assert answer.status == 200, answer
+    return caller.send("GET", f"/v1/decisions/{request_id}").json()["decisions"][0]["reason"]
+
+
+@then("{entry:Name} places a repeated prompt by its cached prefix within {seconds:d} seconds")
+def check_repeated_prompt(context, entry, seconds):
+    wait_until(
+        lambda: "cached prefix" in _reason_of_placement(context, entry), seconds, "a cached prefix"
+    )
+
+
+@then("{entry:Name} places it by its cached prefix at the first request")
+def check_reported_prompt(context, entry):
+    # Two heartbeats: the engine's events are late, and agents report with their heartbeats.
+    gevent.sleep(5)
+    assert "cached prefix" in _reason_of_placement(context, entry)
+
+
 @when("a caller asks {entry:Name} for a streamed completion of {count:d} tokens")
 def stream(context, entry, count):
     context.streams = [context.deployment.caller(entry).stream("which tyre", count)]
--- a/tests/features/whole_path.feature
+++ b/tests/features/whole_path.feature
@@ -22,6 +22,11 @@
     When trainer "t1" runs step 1 with 2 prompts of 2 samples
     Then every sample names only versions that its engine ran
 
+  Scenario: A cached prompt is known to the entry that sent it and by report to the other
+    Given a deployment of two entries and three agents
+    Then entry-1 places a repeated prompt by its cached prefix within 10 seconds
+    And entry-2 places it by its cached prefix at the first request
+
   Scenario: A longer heartbeat interval is taken over without losing a connection
     Given a deployment of two entries and three agents
     When the example configuration is applied with a heartbeat interval of 7000 ms
