Lower an engine's concurrency limit by its own load reports

Agents used a fixed limit. Where it is above what the engine runs at once, the rest waits inside the engine, where neither deadlines nor reserved slots count. Agents of engines now read GET /load each second; concurrency_limit of the settings, which takes precedence over the configuration, is the maximum.

--- a/src/pistachionotch/agent/core.py
+++ b/src/pistachionotch/agent/core.py
@@ -147,6 +147,10 @@
 
     @handle.register
     def _(self, message: EngineReport, _session: None) -> None:
+        load = message.load
+        if load is not None:
+            limit = self.queue.limit
+            limit.observe_report(load.running, load.waiting, load.measured_ms_ago)
         view, now_ms = self.cache.view, self.clock.now_ms()
         if message.cache is not None and not view.observe(message.cache, now_ms):
             self.log.info("cache events are missing, view dropped", sequence=view.sequence)
--- a/src/pistachionotch/agent/daemon.py
+++ b/src/pistachionotch/agent/daemon.py
@@ -15,7 +15,7 @@
 from ..admission.shares import ClassShares
 from ..clock import SystemClock
 from ..config.revisions import Revisions
-from ..config.settings import Settings, UpstreamKind
+from ..config.settings import Settings, UpstreamKind, UpstreamSettings
 from ..idempotency.book import ClaimBook
 from ..logs import logger
 from ..membership.directory import Member
@@ -59,6 +59,14 @@
     return ServiceUpstream(upstream.address.host, upstream.address.port, upstream.service or "")
 
 
+def make_limit(upstream: UpstreamSettings) -> ConcurrencyLimit:
+    """Return the limit of an upstream; only engines report what waits inside them."""
+    maximum = upstream.concurrency_limit
+    if upstream.kind is UpstreamKind.ENGINE:
+        return ConcurrencyLimit.adaptive(initial=maximum, minimum=1, maximum=maximum)
+    return ConcurrencyLimit.fixed(maximum)
+
+
 @attrs.define
 class AgentDaemon:
     """Run one agent."""
@@ -94,8 +102,7 @@
         )
         self.upkeep = BookUpkeep(book, self.clock)
         assert settings.upstream is not None
-        limit = ConcurrencyLimit.fixed(settings.upstream.concurrency_limit)
-        queue = AdmissionQueue(self.clock, limit, ClassShares())
+        queue = AdmissionQueue(self.clock, make_limit(settings.upstream), ClassShares())
         if isinstance(upstream, EngineUpstream):
             shard = f"{upstream.model}-{settings.zone}"
             self.orders = OrderTask(upstream, store, shard, self.clock, logger("orders"))
--- a/src/pistachionotch/agent/engine_reports.py
+++ b/src/pistachionotch/agent/engine_reports.py
@@ -17,11 +17,30 @@
 TIMEOUT_S = 2.0
 
 
+@attrs.frozen
+class EngineLoad:
+    """Carry the load that the engine measured some time ago."""
+
+    running: int
+    waiting: int
+    measured_ms_ago: int
+
+
 @attrs.frozen
 class EngineReport:
-    """Report what the engine said of its cache; none where it did not say."""
+    """Report what the engine said of its cache and its load; none where it did not say."""
 
     cache: CachePage | None
+    load: EngineLoad | None
+
+
+def parse_load(answer: Any) -> EngineLoad | None:
+    """Read an engine's answer, none if it is not a report."""
+    try:
+        values = [int(answer[name]) for name in ("running", "waiting", "measured_ms_ago")]
+    except (TypeError, KeyError, ValueError):
+        return None
+    return EngineLoad(*values) if min(values) >= 0 else None
 
 
 @attrs.define
@@ -37,7 +56,8 @@
     on_report: Callable[[EngineReport], None]
     # The newest cache event that was read.
     sequence: int = 0
-    answering: bool = True
+    load: EngineLoad | None = None
+    silent: set[str] = attrs.field(factory=set)
     client: HTTPClient = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -61,7 +81,20 @@
         page = parse_page(answer).value_or(None)
         if page is not None:
             self.sequence = page.last
-        return EngineReport(page)
+        return EngineReport(page, self._read_load())
+
+    def _read_load(self) -> EngineLoad | None:
+        """Return what two reports in a row agree on.
+
+        Requests also wait for a moment while an engine forms a batch; a limit that falls at that
+        moment takes a minute to recover.
+        """
+        before, now = self.load, parse_load(self._get("/load"))
+        self.load = now
+        if before is None or now is None:
+            return None
+        running, waiting = max(before.running, now.running), min(before.waiting, now.waiting)
+        return EngineLoad(running, waiting, now.measured_ms_ago)
 
     def _get(self, path: str) -> Any:
         """Return the JSON answer, none if there is no usable one."""
@@ -77,6 +110,10 @@
         return answer
 
     def _note(self, path: str, fault: str) -> None:
-        if fault and self.answering:
-            self.log.info("engine does not report", path=path, reason=fault)
-        self.answering = not fault
+        """Log the first of several failures in a row."""
+        report = path.partition("?")[0]
+        if not fault:
+            self.silent.discard(report)
+        elif report not in self.silent:
+            self.silent.add(report)
+            self.log.info("engine does not report", path=report, reason=fault)
--- a/tests/unit/agent/test_engine_reports.py
+++ b/tests/unit/agent/test_engine_reports.py
@@ -4,9 +4,14 @@
 
 import pytest
 
-from pistachionotch.agent.engine_reports import EngineReports
+from pistachionotch.admission.limit import ConcurrencyLimit
+from pistachionotch.admission.queue import AdmissionQueue
+from pistachionotch.admission.shares import ClassShares
+from pistachionotch.agent.core import AgentCore
+from pistachionotch.agent.engine_reports import EngineReports, parse_load
 from pistachionotch.agent.upstream import EngineUpstream
 from pistachionotch.clock import SystemClock
+from pistachionotch.config.revisions import Revisions
 from pistachionotch.standins.engine import EngineStandIn
 from pistachionotch.standins.http import start_server
 
@@ -36,6 +41,22 @@
     assert reports.read().cache.last == 0
 
 
+def test_a_load_report_lowers_the_limit_to_the_batch(engine, reports):
+    """Guards against work that waits inside an engine, where nothing orders it by deadline."""
+    clock = SystemClock()
+    limit = ConcurrencyLimit.adaptive(initial=12, minimum=1, maximum=12)
+    queue = AdmissionQueue(clock, limit, ClassShares())
+    core = AgentCore(clock, None, queue, None, Revisions(), reports.log, 2000, None)
+    engine.running, engine.waiting = 1, 7
+    core.handle(reports.read(), None)
+    assert limit.value == 12
+    engine.running, engine.waiting = 8, 4
+    core.handle(reports.read(), None)
+    assert limit.value == 8
+    for answer in ({"running": "x"}, {"running": 1, "waiting": -1, "measured_ms_ago": 0}, [], None):
+        assert parse_load(answer) is None
+
+
 def test_an_engine_without_reports_is_noted_once(engine, reports):
     engine.cache = None  # the stand-in fails each request for its events
     assert [reports.read().cache for _ in range(3)] == [None] * 3
