--- /dev/null
+++ b/src/pistachionotch/agent/engine_reports.py
@@ -0,0 +1,119 @@
+"""Reports of the engine beside the agent, read once a second."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+from geventhttpclient import HTTPClient
+
+from ..clock import Clock
+from ..prefixes.view import CachePage, parse_page
+from .upstream import EngineUpstream
+
+PERIOD_MS = 1000
+TIMEOUT_S = 2.0
+
+
+@attrs.frozen
+class EngineLoad:
+    """Carry the load that the engine measured some time ago."""
+
+    running: int
+    waiting: int
+    measured_ms_ago: int
+
+
+@attrs.frozen
+class EngineReport:
+    """Report what the engine said of its cache and its load; none where it did not say."""
+
+    cache: CachePage | None
+    load: EngineLoad | None
+
+
+def parse_load(answer: Any) -> EngineLoad | None:
+    """Read an engine's answer, none if it is not a report."""
+    try:
+        values = [int(answer[name]) for name in ("running", "waiting", "measured_ms_ago")]
+    except (TypeError, KeyError, ValueError):
+        return None
+    return EngineLoad(*values) if min(values) >= 0 else None
+
+
+@attrs.define
+class EngineReports:
+    """Read the engine's reports and hand them to the agent's core.
+
+    An engine without these reports is only asked in vain: placement then works without them.
+    """
+
+    upstream: EngineUpstream
+    clock: Clock
+    log: Any
+    on_report: Callable[[EngineReport], None]
+    # The newest cache event that was read.
+    sequence: int = 0
+    load: EngineLoad | None = None
+    silent: set[str] = attrs.field(factory=set)
+    client: HTTPClient = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.client = HTTPClient(
+            self.upstream.host,
+            self.upstream.port,
+            concurrency=1,
+            connection_timeout=TIMEOUT_S,
+            network_timeout=TIMEOUT_S,
+        )
+
+    def run(self) -> None:
+        """Read until the greenlet is killed."""
+        while True:
+            self.on_report(self.read())
+            self.clock.sleep_ms(PERIOD_MS)
+
+    def read(self) -> EngineReport:
+        """Read what the engine reports now."""
+        answer = self._get(f"/cache/events?after={self.sequence}")
+        page = parse_page(answer).value_or(None)
+        if page is not None:
+            self.sequence = page.last
+        return EngineReport(page, self._read_load())
+
+    def _read_load(self) -> EngineLoad | None:
+        """Return what two reports in a row agree on.
+
+        Requests also wait for a moment while an engine forms a batch; a limit that falls at that
+        moment takes a minute to recover.
+        """
+        before, now = self.load, parse_load(self._get("/load"))
+        self.load = now
+        if before is None or now is None:
+            return None
+        running, waiting = max(before.running, now.running), min(before.waiting, now.waiting)
+        return EngineLoad(running, waiting, now.measured_ms_ago)
+
+    def _get(self, path: str) -> Any:
+        """Return the JSON answer, none if there is no usable one."""
+        try:
+            response = self.client.get(path)
+            body = response.read()
+            answer = json.loads(body) if response.status_code == 200 else None
+        except Exception as error:  # the client raises parser, socket and time-out types of its own
+            self.client.close()
+            self._note(path, repr(error))
+            return None
+        self._note(path, "" if answer is not None else f"status {response.status_code}")
+        return answer
+
+    def _note(self, path: str, fault: str) -> None:
+        """Log the first of several failures in a row."""
+        report = path.partition("?")[0]
+        if not fault:
+            self.silent.discard(report)
+        elif report not in self.silent:
+            self.silent.add(report)
+            self.log.info("engine does not report", path=report, reason=fault)
--- a/src/pistachionotch/bench/central.py
+++ b/src/pistachionotch/bench/central.py
@@ -127,7 +127,7 @@
         start_ms = now_ms + hop_ms
         attempt.started_ms = start_ms
         job.note_start(start_ms)
-        prefill_ms = upstream.prefill_ms(job.kind.prompt_tokens, job.prefix)
+        prefill_ms = upstream.prefill_ms(job.kind.prompt_tokens, job.prefix, now_ms)
         done_ms = upstream.finish_ms(start_ms, prefill_ms + job.stream_ms)
         attempt.version = self.world.versions.serving(start_ms, upstream.name)
         self.busy_until[upstream.name][job.name] = done_ms
--- a/src/pistachionotch/entry/calls.py
+++ b/src/pistachionotch/entry/calls.py
@@ -41,6 +41,8 @@
     epoch: int = 0
     # The body already holds the first part of the response.
     continues: bool = False
+    # Name of the prompt's prefix; empty for calls of plain services.
+    prefix: bytes = b""
 
     def routed(self, excluded: frozenset[str]) -> RoutedRequest:
         """Return what placement needs to know."""
@@ -54,6 +56,7 @@
             transfer_bytes=len(self.body),
             idempotent=self.idempotent,
             excluded=excluded | self.avoid,
+            prefix=self.prefix,
         )
 
     def submit(self, attempt: str, remaining_ms: int) -> Submit:
@@ -75,6 +78,7 @@
             self.retain,
             self.epoch,
             self.continues,
+            self.prefix,
         )
 
     def resumed(self, text: bytes, tokens: int) -> Call | None:
--- a/src/pistachionotch/wire/codec.py
+++ b/src/pistachionotch/wire/codec.py
@@ -11,6 +11,7 @@
 
 from ..admission.load import LoadFacts
 from ..outcomes import Execution, RequestClass
+from ..prefixes.facts import CacheChange, CacheReport
 from ..samples.spans import VersionSpan
 from . import messages
 
@@ -85,7 +86,7 @@
     converter.register_structure_hook(Execution, _enumeration)
     converter.register_structure_hook(RequestClass, _request_class)
     converter.register_unstructure_hook(RequestClass, _CLASS_NUMBERS.__getitem__)
-    for record in (*_TYPES.values(), LoadFacts, VersionSpan):
+    for record in (*_TYPES.values(), LoadFacts, VersionSpan, CacheChange, CacheReport):
         # Annotations are strings in every module; the converter needs the types themselves.
         attrs.resolve_types(record)
     return converter
