Do not continue a stream whose end may be waiting

Cause, found by reading: the last piece of a slow stream can be handled before its Finished message, which waits in the same channel. Continuing the stream at that moment would generate on after the end of the response.

The check of a slow stream is now left out while a message waits. The window in which the end is still on its way from the agent remains; it also exists for streams that break off.

Unit tests and the behave scenarios pass.

--- a/src/pistachionotch/entry/router.py
+++ b/src/pistachionotch/entry/router.py
@@ -145,8 +145,7 @@
             yield from self._continue_elsewhere(attempt)
             return
         left = left_tokens(self.call, attempt)
-        projected_ms = now_ms - self.started_ms + round(left * 1000 / speed)
-        facts = self._hedge_facts(projected_ms)
+        facts = self._hedge_facts(now_ms - self.started_ms + round(left * 1000 / speed))
         whole = attrs.evolve(self.call, expected_tokens=attempt.tokens + left)
         self._hedge(facts, self.state.total_tail(self.call), whole)
 
@@ -228,7 +227,8 @@
             yield Delivered(message.data, message.version, message.tokens)
             return
         yield Progress(message.version, message.tokens, link.member.node)
-        if self.race.winner == attempt.identifier:
+        # A message that waits may be the end of the stream, which must not be continued.
+        if self.race.winner == attempt.identifier and self.channel.empty():
             yield from self._check_slow_stream(attempt)
 
     def _note_piece(self, attempt: Attempt, message: Piece) -> None:
--- a/tests/unit/admission/test_queue.py
+++ b/tests/unit/admission/test_queue.py
@@ -288,7 +288,7 @@
 
 
 def test_training_starts_before_long_work_that_has_time():
-    """Guards against trainers that idle behind work with minutes of time, and against its misses."""
+    """Guards against trainers that idle behind patient work, and against its misses."""
     clock, queue = make_queue(limit=8)
     queue.offer(make_work(clock, "patient", RequestClass.LONG, remaining_ms=300_000))
     queue.offer(make_work(clock, "urgent", RequestClass.LONG, remaining_ms=20_000))
