Keep cache reports within the control budget of an entry

Cause: 1 KB/s for each agent is 3.3 KB/s at an entry with 80 agents, beside 13.6 of its 14 KB/s. Before: up to 16.9 KB/s. After: 120 bytes/s for each agent, 0.4 KB/s at an entry. The effect of the lower limit on shared prompts was not measured.

--- a/src/pistachionotch/prefixes/reports.py
+++ b/src/pistachionotch/prefixes/reports.py
@@ -10,8 +10,9 @@
 from .facts import CacheChange, CacheReport
 from .view import CacheView
 
-# The design page's limit for one agent, over all entries together.
-BYTES_PER_SECOND = 1000
+# For one agent, over all entries together. With 80 agents for an entry and 24 entries for an agent
+# that is 0.4 KB/s at an entry, which its control budget of 14 KB/s leaves room for.
+BYTES_PER_SECOND = 120
 BURST_BYTES = 1000
 # A single report stays small, so that one entry does not use up what all entries share.
 MAX_REPORT_BYTES = 256
