Show the progress of weight roll-outs and name engines that were given up

Cause: the planner reports agents that it no longer orders, and nothing showed them: an operator saw only single failed swaps in the log. After: /v1/status and 'status' of the entry that leads a roll-out, and one warning for each agent that is given up.

--- a/src/pistachionotch/cli/status.py
+++ b/src/pistachionotch/cli/status.py
@@ -104,6 +104,8 @@
                 f"queued {agent['queued']} running {agent['running']} "
                 f"serves {', '.join(agent['serves'])}"
             )
+        for rollout in state.get("rollouts", ()):
+            print(f"       {_rollout(rollout)}")
         for name, value in state.get("measures", {}).items():
             print(f"       {name:26} {_measure(value)}")
     for zone, revisions in _revisions(states).items():
@@ -112,6 +114,12 @@
         complain(f"no answer: {reason}")
 
 
+def _rollout(rollout: dict[str, Any]) -> str:
+    text = f"{rollout['model']} in {rollout['zone']}: version {rollout['version']}"
+    text += f" on {rollout['done']}, {rollout['waiting']} to go"
+    return f"{text}, given up: {', '.join(rollout['failed'])}" if rollout["failed"] else text
+
+
 def _measure(value: Any) -> str:
     if not isinstance(value, dict):
         return str(value)
--- a/src/pistachionotch/entry/daemon.py
+++ b/src/pistachionotch/entry/daemon.py
@@ -264,6 +264,7 @@
             "config_revision": self.revisions.revision,
             "open_requests": self.open_requests,
             "measures": measures(self.steps.measures, self.routing),
+            "rollouts": self.rollouts.status(),
             "late_messages": sum(link.late_messages for link in links),
             "agents": [
                 {
--- a/src/pistachionotch/entry/rollouts.py
+++ b/src/pistachionotch/entry/rollouts.py
@@ -19,7 +19,7 @@
 from ..objects.api import ObjectStore
 from ..weights.gate import LOAD_VERSION
 from ..weights.publish import read_desired
-from ..weights.rollout import RolloutLimits
+from ..weights.rollout import RolloutLimits, Wave
 from ..weights.tracker import AgentReport, RolloutTracker
 from ..wire.messages import Order, OrderResult
 from .links import AgentLink, LinkLost
@@ -56,6 +56,7 @@
     tracker: RolloutTracker = attrs.field(factory=RolloutTracker)
     read_back: dict[str, _ReadVersion] = attrs.field(factory=dict)
     orders: dict[str, str] = attrs.field(factory=dict)
+    wave: Wave | None = None
 
     def run(self) -> None:
         """Hold the lease if possible and work while it is held."""
@@ -97,12 +98,39 @@
         reports = [self._report(member) for member in members]
         now_ms = self.clock.now_ms()
         wave = self.tracker.plan(reports, self.limits(), now_ms)
+        self._note(wave)
         for order in wave.orders:
             self._order(order.agent, order.version, order.reason)
         for agent in wave.overdue:
             self._end(agent, None, "no result in time")
         return STEP_MS if wave.finished else BUSY_STEP_MS
 
+    def _note(self, wave: Wave) -> None:
+        """Keep the progress for operators, and warn once of each agent that is given up."""
+        known = set() if self.wave is None else set(self.wave.failed)
+        for failed in wave.failed:
+            if failed not in known:
+                self.log.warning(
+                    "agent given up for this version",
+                    agent=failed.agent,
+                    version=failed.version,
+                    failures=failed.failures,
+                )
+        self.wave = wave
+
+    def status(self) -> dict[str, Any] | None:
+        """Return the progress of the roll-out, or none while another entry holds the lease."""
+        if self.wave is None or not self.lease.held():
+            return None
+        return {
+            "model": self.model,
+            "zone": self.zone,
+            "version": self.wave.desired_version,
+            "done": self.wave.done,
+            "waiting": self.wave.waiting,
+            "failed": [failed.agent for failed in self.wave.failed],
+        }
+
     def _members(self) -> list[Member]:
         live = self.table.directory.live(self.model)
         return [member for member in live if member.zone == self.zone]
@@ -191,6 +219,11 @@
                         self._ensure(target, member.zone)
             self.clock.sleep_ms(STEP_MS)
 
+    def status(self) -> list[dict[str, Any]]:
+        """Return the progress of the roll-outs that this entry leads."""
+        found = [duty.status() for duty in self.duties.values()]
+        return [status for status in found if status is not None]
+
     def stop(self) -> None:
         """End all duties; their leases are still to be released."""
         gevent.killall(self.greenlets, block=False)
--- a/tests/unit/admission/test_queue.py
+++ b/tests/unit/admission/test_queue.py
@@ -202,6 +202,16 @@
     assert number <= ClassShares().passes_before_turn
 
 
+def serve(queue, count):
+    """Run as many attempts one after the other; return their trainers."""
+    served = []
+    for _ in range(count):
+        work, _ = queue.next()
+        served.append(work.tenant)
+        queue.finish(work.attempt, RUN)
+    return served
+
+
 def test_trainers_share_slots_by_tokens():
     """Guards against a trainer with a large backlog that starves a small one."""
     clock, queue = make_queue(limit=4)
@@ -209,12 +219,7 @@
         queue.offer(make_work(clock, f"big{number:02}", tenant="big", remaining_ms=FAR_MS - 1))
     for number in range(10):
         queue.offer(make_work(clock, f"small{number:02}", tenant="small"))
-    served = []
-    for _ in range(20):
-        work, _ = queue.next()
-        served.append(work.tenant)
-        queue.finish(work.attempt, RUN)
-    assert served.count("small") == 10
+    assert serve(queue, 20).count("small") == 10
 
 
 def test_returning_trainer_has_no_saved_up_credit():
@@ -226,12 +231,7 @@
         queue.finish(queue.next()[0].attempt, RUN)
     for number in range(10):
         queue.offer(make_work(clock, f"b{number:02}", tenant="b"))
-    served = []
-    for _ in range(8):
-        work, _ = queue.next()
-        served.append(work.tenant)
-        queue.finish(work.attempt, RUN)
-    assert 3 <= served.count("b") <= 5
+    assert 3 <= serve(queue, 8).count("b") <= 5
 
 
 def test_draining_refuses_new_work_and_serves_the_queue():
