Leave the settings of derandomised tests to their profile

The long fuzzing runs outside pytest and names them itself. Two checks of links to seeds are one test.

--- a/tests/unit/admission/test_queue.py
+++ b/tests/unit/admission/test_queue.py
@@ -134,9 +134,7 @@
 
 
 TestQueueMachine = QueueMachine.TestCase
-TestQueueMachine.settings = settings(
-    derandomize=True, database=None, deadline=None, max_examples=60, stateful_step_count=40
-)
+TestQueueMachine.settings = settings(max_examples=60, stateful_step_count=40)
 
 
 def test_earliest_feasible_deadline_goes_first():
--- a/tests/unit/calls/call_machine.py
+++ b/tests/unit/calls/call_machine.py
@@ -21,13 +21,7 @@
 GRACE_MS = 250
 QUIET_MS = 20_000
 SETTINGS = settings(
-    max_examples=40,
-    stateful_step_count=25,
-    derandomize=True,
-    deadline=None,
-    database=None,
-    report_multiple_bugs=False,
-    phases=[Phase.generate],
+    max_examples=40, stateful_step_count=25, report_multiple_bugs=False, phases=[Phase.generate]
 )
 FRAMES = ("Submit", "Started", "Piece", "Finished", "Refused", "KeyIssued", "Cancel", "IssueKey")
 UPSTREAM_FAULTS = ("refuse", "break", "break later", "slow")
--- a/tests/unit/calls/fuzz.py
+++ b/tests/unit/calls/fuzz.py
@@ -27,6 +27,8 @@
     longer = settings(
         SETTINGS,
         derandomize=False,
+        deadline=None,
+        database=None,
         max_examples=options.examples,
         stateful_step_count=options.steps,
         phases=phases,
--- a/tests/unit/config/test_apply.py
+++ b/tests/unit/config/test_apply.py
@@ -96,7 +96,7 @@
 )
 
 
-@settings(derandomize=True, max_examples=150, deadline=None)
+@settings(max_examples=150)
 @given(st.lists(STEPS, max_size=25))
 def test_no_racing_operator_replaces_a_text_that_it_has_not_read(steps):
     store = new_store()
--- a/tests/unit/config/test_check.py
+++ b/tests/unit/config/test_check.py
@@ -106,7 +106,7 @@
     assert time.monotonic() - started < 20
 
 
-@settings(derandomize=True, max_examples=300, deadline=None)
+@settings(max_examples=300)
 @given(damaged("configuration.jsonc"))
 def test_damaged_configurations_give_findings_with_places_and_no_exception(text):
     lines = text.split("\n")
--- a/tests/unit/config/test_generate.py
+++ b/tests/unit/config/test_generate.py
@@ -80,7 +80,7 @@
     assert on_line in text.split("\n")[matching[0].place.line - 1]
 
 
-@settings(derandomize=True, max_examples=200, deadline=None)
+@settings(max_examples=200)
 @given(damaged("answers.jsonc"))
 def test_damaged_answers_give_findings_inside_the_answers_file(text):
     lines = text.split("\n")
--- a/tests/unit/config/test_interview.py
+++ b/tests/unit/config/test_interview.py
@@ -66,7 +66,7 @@
     assert len(typed["regions"]) == 2
 
 
-@settings(derandomize=True, max_examples=100, deadline=None)
+@settings(max_examples=100)
 @given(st.lists(st.sampled_from(["", "y", "n", "a", "1", "-1", "1e999", "a,b", "{", "é"])))
 def test_any_input_ends_in_answers_or_in_a_clear_end(lines):
     try:
--- a/tests/unit/config/test_jsonc.py
+++ b/tests/unit/config/test_jsonc.py
@@ -11,7 +11,7 @@
 from pistachionotch.config.located import MAX_DEPTH, MAX_INPUT_BYTES, decode_text, plain, read_text
 from pistachionotch.config.plain import parse_valid
 
-DERANDOMISED = settings(derandomize=True, max_examples=300, deadline=None)
+DERANDOMISED = settings(max_examples=300)
 FRAGMENTS = st.sampled_from(
     [
         "{",
--- a/tests/unit/config/test_revisions.py
+++ b/tests/unit/config/test_revisions.py
@@ -81,7 +81,5 @@
             assert node.body == (self.published[highest] if highest else b"")
 
 
-RevisionExchange.TestCase.settings = settings(
-    derandomize=True, max_examples=60, stateful_step_count=30, deadline=None
-)
+RevisionExchange.TestCase.settings = settings(max_examples=60, stateful_step_count=30)
 TestRevisionExchange = RevisionExchange.TestCase
--- a/tests/unit/entry/test_bad_input.py
+++ b/tests/unit/entry/test_bad_input.py
@@ -19,13 +19,7 @@
 # Twice the whole budget of the control part of a node (section 1.4 of the design).
 MAX_GROWTH_BYTES = 64 * 1024 * 1024
 ANSWER_S = 10
-RUNS = settings(
-    derandomize=True,
-    deadline=None,
-    max_examples=150,
-    database=None,
-    suppress_health_check=list(HealthCheck),
-)
+RUNS = settings(max_examples=150, suppress_health_check=list(HealthCheck))
 
 
 @pytest.fixture(scope="module")
--- a/tests/unit/entry/test_http.py
+++ b/tests/unit/entry/test_http.py
@@ -12,6 +12,10 @@
 from pistachionotch.entry.policy import DEFAULT_TIMEOUTS_MS
 from pistachionotch.entry.requests import MAX_BODY_BYTES, CallDefaults
 
+WITH_AND_WITHOUT_KEY = pytest.mark.parametrize(
+    ("headers", "execution"), [({}, "not-run"), ({"HTTP_IDEMPOTENCY_KEY": "k"}, "unknown")]
+)
+
 
 class Interface:
     def __init__(self):
@@ -44,9 +48,7 @@
     assert (body, status, sent["Connection"]) == (b"done", "201 Created", "close")
 
 
-@pytest.mark.parametrize(
-    ("headers", "execution"), [({}, "not-run"), ({"HTTP_IDEMPOTENCY_KEY": "k"}, "unknown")]
-)
+@WITH_AND_WITHOUT_KEY
 def test_nothing_starts_once_the_entry_is_closed(headers, execution):
     interface = Interface()
     interface.http.closed = True
@@ -57,9 +59,7 @@
     assert not interface.routed
 
 
-@pytest.mark.parametrize(
-    ("headers", "execution"), [({}, "not-run"), ({"HTTP_IDEMPOTENCY_KEY": "k"}, "unknown")]
-)
+@WITH_AND_WITHOUT_KEY
 def test_bodies_of_open_requests_are_bounded(headers, execution):
     # Guards against memory that grows with the number of large requests held open at once.
     interface = Interface()
--- a/tests/unit/entry/test_table.py
+++ b/tests/unit/entry/test_table.py
@@ -21,7 +21,6 @@
     member: Member
     announced_leaving: bool = False
     listed_leaving: bool = False
-    stopped: bool = False
     channels: dict = attrs.field(factory=dict)
     session: None = None
     on_known: object = None
@@ -30,7 +29,7 @@
         """Do nothing."""
 
     def stop(self):
-        self.stopped = True
+        """Do nothing."""
 
     def learn(self, node):
         """Take over who the agent is, as from its hello."""
@@ -51,6 +50,8 @@
 def test_a_refresh_without_a_directory_keeps_the_links_to_known_seeds(table):
     # Guards against refusals while links are made anew because a configuration arrived.
     link = table.links[SEED]
+    table.refresh()
+    assert table.links == {SEED: link}
     link.learn("agent-1")
     table.refresh()
     gevent.sleep(0)
@@ -59,12 +60,6 @@
     assert link.member.models == ("fitting",)
 
 
-def test_a_seed_that_has_not_answered_stays_under_its_address(table):
-    link = table.links[SEED]
-    table.refresh()
-    assert table.links == {SEED: link}
-
-
 def test_the_directory_takes_over_the_link_of_a_seed(table):
     # Guards against a reconnect when the object API is back.
     link = table.links[SEED]
--- a/tests/unit/machine_runs.py
+++ b/tests/unit/machine_runs.py
@@ -9,9 +9,6 @@
     run_state_machine_as_test(
         type("Machine", (machine,), attributes),
         settings=settings(
-            derandomize=True,
-            database=None,
-            deadline=None,
             max_examples=examples,
             stateful_step_count=steps,
             phases=(Phase.generate,),
--- a/tests/unit/objects/test_settle.py
+++ b/tests/unit/objects/test_settle.py
@@ -128,7 +128,7 @@
     return writer, count
 
 
-@settings(derandomize=True, database=None, deadline=None, max_examples=200)
+@settings(max_examples=200)
 @given(st.lists(FAULTS, max_size=12))
 def test_single_losses_never_make_a_reported_count_differ_from_the_store(steps):
     writer, count = run_counter(steps, settle=True)
--- a/tests/unit/routing/test_retry.py
+++ b/tests/unit/routing/test_retry.py
@@ -53,9 +53,7 @@
 
 
 TestBudgetMachine = BudgetMachine.TestCase
-TestBudgetMachine.settings = settings(
-    derandomize=True, database=None, deadline=None, max_examples=60, stateful_step_count=40
-)
+TestBudgetMachine.settings = settings(max_examples=60, stateful_step_count=40)
 
 
 @pytest.mark.parametrize("execution", [Execution.UNKNOWN, Execution.FAILED, Execution.DONE])
--- a/tests/unit/samples/delivery_machine.py
+++ b/tests/unit/samples/delivery_machine.py
@@ -33,13 +33,7 @@
 REQUEST = {"trainer": "t", "step": 1, "model": "m", "deadline_ms": 9, "prompts": ["p"] * GROUPS}
 BODY = json.dumps({**REQUEST, **SHAPE, "staleness_bound": STALENESS_BOUND}).encode()
 SETTINGS = settings(
-    max_examples=400,
-    stateful_step_count=20,
-    derandomize=True,
-    deadline=None,
-    database=None,
-    report_multiple_bugs=False,
-    phases=[Phase.generate],
+    max_examples=400, stateful_step_count=20, report_multiple_bugs=False, phases=[Phase.generate]
 )
 EVENTS = ["publish", "agent_dies", "copies_lost", "both_lost", "body_lost", "late_write", "crash"]
 EVENTS += ["execute", "repeat", "pull", "next_attempt"] * 2 + ["respond", "record"]
--- a/tests/unit/samples/test_coordinator.py
+++ b/tests/unit/samples/test_coordinator.py
@@ -96,7 +96,7 @@
     assert shares == {"relaxed": 5, "tight": 55}
 
 
-@settings(derandomize=True, database=None, max_examples=200)
+@settings(max_examples=200)
 @given(st.dictionaries(st.text(max_size=2), st.integers(0, 50), max_size=6), st.integers(0, 200))
 def test_shares_use_the_capacity_and_are_max_min_fair(wishes, capacity):
     shares = max_min_shares(wishes, dict.fromkeys(wishes, 1), capacity)
--- a/tests/unit/samples/test_ledger.py
+++ b/tests/unit/samples/test_ledger.py
@@ -103,7 +103,7 @@
         StepLedger.create(attrs.evolve(PLAN, **changes))
 
 
-@settings(derandomize=True, database=None, max_examples=300, deadline=None)
+@settings(max_examples=300)
 @given(st.data())
 def test_damaged_ledgers_are_reported_and_never_raise(data):
     ledger = StepLedger.create(PLAN)
--- a/tests/unit/weights/test_gate_machine.py
+++ b/tests/unit/weights/test_gate_machine.py
@@ -16,14 +16,7 @@
     OrderGate,
 )
 
-SETTINGS = settings(
-    max_examples=500,
-    stateful_step_count=30,
-    derandomize=True,
-    deadline=None,
-    database=None,
-    phases=[Phase.generate],
-)
+SETTINGS = settings(max_examples=500, stateful_step_count=30, phases=[Phase.generate])
 EFFECT = st.sampled_from(["done", "done", "running", "failed", "late", "unreadable"])
 
 
--- a/tests/unit/weights/test_publish.py
+++ b/tests/unit/weights/test_publish.py
@@ -10,9 +10,7 @@
 from pistachionotch.objects.memory import Faults, MemoryStore
 from pistachionotch.weights import publish as p
 
-SETTINGS = settings(
-    max_examples=300, derandomize=True, deadline=None, database=None, phases=[Phase.generate]
-)
+SETTINGS = settings(max_examples=300, phases=[Phase.generate])
 VERSIONS = st.builds(p.DesiredVersion, st.just("m"), st.integers(1, 4), st.sampled_from("xy"))
 COUNTS = st.integers(0, 2)
 
--- a/tests/unit/weights/test_rollout.py
+++ b/tests/unit/weights/test_rollout.py
@@ -8,9 +8,7 @@
 
 from pistachionotch.weights import rollout as r
 
-SETTINGS = settings(
-    max_examples=80, derandomize=True, deadline=None, database=None, phases=[Phase.generate]
-)
+SETTINGS = settings(max_examples=80, phases=[Phase.generate])
 
 
 @SETTINGS
--- a/tests/unit/wire/test_assembly.py
+++ b/tests/unit/wire/test_assembly.py
@@ -35,7 +35,7 @@
     assert _assemble(*_response(parts)) == b"".join(parts)
 
 
-@settings(derandomize=True, deadline=None, max_examples=300)
+@settings(max_examples=300)
 @given(PARTS, PARTS, st.data())
 def test_disturbed_responses_are_never_complete_with_other_bytes(parts, others, data):
     """Pieces of two responses are dropped, repeated, crossed and reordered at will."""
--- a/tests/unit/wire/test_codec.py
+++ b/tests/unit/wire/test_codec.py
@@ -44,7 +44,7 @@
     assert codec.decode(cbor2.dumps(fields)) == FINISHED
 
 
-@settings(derandomize=True, max_examples=300, deadline=None)
+@settings(max_examples=300)
 @given(st.binary(max_size=200))
 def test_random_bytes_give_only_the_typed_error(frame):
     with contextlib.suppress(codec.MalformedMessageError):
@@ -58,7 +58,7 @@
 )
 
 
-@settings(derandomize=True, max_examples=500, deadline=None)
+@settings(max_examples=500)
 @given(st.integers(0, 25), st.lists(JSON_LIKE, max_size=14))
 def test_wrong_fields_are_refused_and_never_coerced(number, fields):
     try:
