--- a/tests/unit/entry/test_table.py
+++ b/tests/unit/entry/test_table.py
@@ -1,7 +1,6 @@
 """Tests of the table of links to agents."""
 
 import attrs
-import gevent
 import pytest
 
 from pistachionotch.config.revisions import Revisions
@@ -54,7 +53,6 @@
     assert table.links == {SEED: link}
     link.learn("agent-1")
     table.refresh()
-    gevent.sleep(0)
     assert table.links == {"agent-1": link}
     assert not (link.announced_leaving or link.listed_leaving)
     assert link.member.models == ("fitting",)
