Refuse a pull that names no part of a step that has several

Cause: the part was 0 by default, so a trainer that does not know of parts would have taken the first 256 samples for a whole step of 2,048. Before: 200 with the samples of part 0. After: 400 with the number of parts; the scenario of two parts checks it.

--- a/src/pistachionotch/entry/steps.py
+++ b/src/pistachionotch/entry/steps.py
@@ -88,6 +88,11 @@
         opened = self._ensure_coordinator(trainer, step, pull.part)
         if isinstance(opened, Failure):
             return opened.failure()
+        parts = opened.unwrap().plan.parts
+        if parts > 1 and "part" not in query:
+            # A trainer that does not know of parts would take part 0 for the whole step.
+            detail = f"the step has {parts} parts; name one of them with part"
+            return Answer(HTTPStatus.BAD_REQUEST, {"detail": detail, "parts": parts})
         outcome = self._pull(opened.unwrap(), pull)
         if isinstance(outcome, DeliveredSamples):
             self.measures.handed_over(outcome)
--- a/tests/features/steps/trainer_steps.py
+++ b/tests/features/steps/trainer_steps.py
@@ -24,6 +24,9 @@
     context.samples, context.pulls = [], {}
     for part in range(answer.json()["parts"]):
         context.pulls[part] = {"cursor": 0, "attempt": 1, "complete": False}
+    path = f"/v1/steps/{trainer}/{step}/samples?cursor=0"
+    if len(context.pulls) > 1:
+        assert context.deployment.caller(entry).send("GET", path).status == 400
 
 
 def _pull(context, entry, limit=64, part=0):
--- a/tests/unit/support/test_deployment.py
+++ b/tests/unit/support/test_deployment.py
@@ -1,17 +1,13 @@
 """Guards against two processes of one test deployment that are given the same port."""
 
-import random
+from types import SimpleNamespace
 
 from tests.support import deployment
 
 
 def test_a_port_is_given_once(monkeypatch):
-    class Repeating(random.Random):
-        drawn = [20_001, 20_001, 20_001, 20_002]
-
-        def randrange(self, *_bounds):
-            return self.drawn.pop(0)
-
-    monkeypatch.setattr(deployment.random, "SystemRandom", Repeating)
+    drawn = iter([20_001, 20_001, 20_001, 20_002])
+    repeating = SimpleNamespace(randrange=lambda *_bounds: next(drawn))
+    monkeypatch.setattr(deployment.random, "SystemRandom", lambda: repeating)
     monkeypatch.setattr(deployment, "GIVEN_PORTS", {20_001})
     assert deployment.free_port() == 20_002
