--- /dev/null
+++ b/src/pistachionotch/batches/dispatch.py
@@ -0,0 +1,121 @@
+"""Which items of which batch start now, and where; opens no sockets.
+
+Load pattern: every few seconds each trainer hands in some tens of items at once, in groups that are
+useful only when complete; output lengths differ by a factor of ten and more; the trainer wants nine
+groups in ten and waits for the last of them. So the batch that is due first comes first, within it
+the longest items, while the groups that the trainer can do without come last. Items of a group go
+to one engine if it has room, which reads their common prompt once.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable, Sequence
+
+import attrs
+
+# An engine whose events come this many times slower than the median takes only what others can't.
+SLOW_FACTOR = 1.8
+# Cost of crossing to another region, in events of a usual stream.
+REGION_EVENTS = 1.0
+
+
+@attrs.frozen(kw_only=True)
+class WaitingItem:
+    """Describe an item that may start."""
+
+    batch: str
+    item: str
+    group: str
+    due_ms: int
+    model: str
+    min_version: int
+    expected_tokens: int
+    # Whether a part of its text exists already.
+    started: bool = False
+    # Whether its trainer can do without its group.
+    optional: bool = False
+    # Engines to avoid, such as those that failed this item.
+    avoid: frozenset[str] = frozenset()
+
+
+@attrs.define(kw_only=True)
+class EngineView:
+    """Describe an engine as far as placing needs; ``free`` counts down while a plan is made."""
+
+    instance: str
+    free: int
+    slots: int
+    versions: dict[str, int]
+    # Time between two events; None before any was measured.
+    event_ms: float | None = None
+    other_region: bool = False
+
+
+@attrs.frozen
+class Start:
+    """Start an item at an engine."""
+
+    item: WaitingItem
+    instance: str
+    reason: str
+
+
+def optional_groups(expected_by_group: dict[str, int], wanted: int) -> frozenset[str]:
+    """Return the groups that a trainer can do without: the longest beyond those it wants."""
+    spare = len(expected_by_group) - wanted
+    if wanted <= 0 or spare <= 0:
+        return frozenset()
+    longest = sorted(expected_by_group, key=lambda group: (-expected_by_group[group], group))
+    return frozenset(longest[:spare])
+
+
+def plan_starts(
+    waiting: Iterable[WaitingItem],
+    engines: Sequence[EngineView],
+    homes: dict[tuple[str, str], str],
+) -> list[Start]:
+    """Return what starts now; ``homes`` names the engine that last read a group's prompt."""
+    starts = []
+    paces = sorted(engine.event_ms for engine in engines if engine.event_ms is not None)
+    usual_ms = paces[len(paces) // 2] if paces else 1.0
+    for item in sorted(waiting, key=_order):
+        engine, reason = _choose(item, engines, homes.get((item.batch, item.group)), usual_ms)
+        if engine is None:
+            continue
+        engine.free -= 1
+        homes[(item.batch, item.group)] = engine.instance
+        starts.append(Start(item, engine.instance, reason))
+    return starts
+
+
+def _order(item: WaitingItem) -> tuple[bool, int, bool, int, str, str]:
+    return (
+        item.optional,
+        item.due_ms,
+        not item.started,
+        -item.expected_tokens,
+        item.group,
+        item.item,
+    )
+
+
+def _choose(
+    item: WaitingItem, engines: Sequence[EngineView], home: str | None, usual_ms: float
+) -> tuple[EngineView | None, str]:
+    best = None
+    best_cost = math.inf
+    for engine in engines:
+        if engine.free <= 0 or engine.instance in item.avoid:
+            continue
+        version = engine.versions.get(item.model, -1)
+        if version < item.min_version:
+            continue
+        pace = 1.0 if engine.event_ms is None else engine.event_ms / usual_ms
+        if engine.instance == home and pace < SLOW_FACTOR:
+            return engine, "prompt read there"
+        cost = pace * (1.0 + (engine.slots - engine.free) / engine.slots)
+        cost += 0.1 * REGION_EVENTS if engine.other_region else 0.0
+        if cost < best_cost:
+            best, best_cost = engine, cost
+    return best, "least loaded"
--- /dev/null
+++ b/src/pistachionotch/batches/items.py
@@ -0,0 +1,145 @@
+"""One attempt to generate one item at one engine."""
+
+from __future__ import annotations
+
+import enum
+from typing import Any
+
+import attrs
+
+from ..clock import Clock
+from ..gateway.dialect import UpstreamDialect, UpstreamRequest
+from ..gateway.exchange import Exchange, UpstreamClient
+from ..gateway.upstreams import Upstream
+from ..http_client import ExchangeError
+from .model import Submission
+from .run import ItemProgress
+
+# Longest wait for the start of a response; the engine may have a queue of other senders.
+HEAD_TIMEOUT_MS = 3_000
+# Longest wait for an event before the engine counts as silent, and the same in usual gaps.
+EVENT_TIMEOUT_MS = 1_500
+EVENT_TIMEOUT_GAPS = 20
+NEVER_DONE = 422
+OK = 200
+SERVER_ERROR = 500
+
+
+class AttemptEnd(enum.Enum):
+    """Say how an attempt ended."""
+
+    DONE = "done"
+    # The item goes back to the waiting ones.
+    REFUSED = "refused"
+    BROKEN = "broken"
+    STALE = "stale weights"
+    FAILED = "generation failed"
+    # The item can never be done.
+    IMPOSSIBLE = "impossible"
+
+
+@attrs.define
+class ItemRunner:
+    """Run attempts."""
+
+    clock: Clock
+    client: UpstreamClient
+    dialect: UpstreamDialect
+    log: Any
+
+    def run(self, submission: Submission, state: ItemProgress, upstream: Upstream) -> AttemptEnd:
+        """Run one attempt; the text so far is kept in ``state``."""
+        upstream.in_flight += 1
+        exchange = None
+        try:
+            request = self._request(submission, state, upstream)
+            exchange = self.client.start(upstream, request, HEAD_TIMEOUT_MS, repeatable=True)
+            end = self._receive(submission, state, exchange)
+        except (ExchangeError, ValueError) as error:
+            upstream.note_failure(self.clock.now_ms())
+            end = AttemptEnd.BROKEN
+            self.log.warning(
+                "attempt broken",
+                batch=submission.id,
+                item=state.item.id,
+                upstream=upstream.record.instance,
+                reason=str(error),
+                last_event=state.last_event,
+            )
+        finally:
+            upstream.in_flight -= 1
+            if exchange is not None and not exchange.connection.body_ended:
+                exchange.connection.close()
+        return end
+
+    def _request(
+        self, submission: Submission, state: ItemProgress, upstream: Upstream
+    ) -> UpstreamRequest:
+        return UpstreamRequest(
+            request_id=state.item.id,
+            method="POST",
+            target=state.item.target,
+            host=submission.host,
+            headers=state.item.headers,
+            body=state.item.body,
+            instance=upstream.record.instance,
+            resume_after=state.last_event,
+        )
+
+    def _receive(
+        self, submission: Submission, state: ItemProgress, exchange: Exchange
+    ) -> AttemptEnd:
+        response = exchange.response
+        upstream = exchange.upstream
+        if response.not_run or response.head.status != OK:
+            exchange.connection.read_body(HEAD_TIMEOUT_MS)
+            self.client.finish(exchange)
+            return self._refused(state, exchange)
+        if not response.versions:
+            raise ExchangeError("no weight version in the response", sent=True)
+        version = response.versions[-1]
+        upstream.note_version(submission.model, version)
+        if version < submission.min_version:
+            exchange.connection.close()
+            return AttemptEnd.STALE
+        started_ms = self.clock.now_ms()
+        self._read_events(submission, state, exchange, version)
+        self.client.finish(exchange)
+        upstream.note_response(self.clock.now_ms() - started_ms)
+        return AttemptEnd.DONE
+
+    def _refused(self, state: ItemProgress, exchange: Exchange) -> AttemptEnd:
+        status = exchange.response.head.status
+        if exchange.response.not_run:
+            exchange.upstream.note_full(self.clock.now_ms())
+            return AttemptEnd.REFUSED
+        if status == NEVER_DONE:
+            return AttemptEnd.IMPOSSIBLE
+        if status == SERVER_ERROR:
+            state.failures += 1
+            return AttemptEnd.FAILED
+        raise ExchangeError(f"status {status}", sent=True)
+
+    def _read_events(
+        self, submission: Submission, state: ItemProgress, exchange: Exchange, version: int
+    ) -> None:
+        reader = self.dialect.event_reader()
+        upstream = exchange.upstream
+        previous_ms = None
+        while True:
+            usual_ms = upstream.event_ms or 0.0
+            timeout_ms = max(EVENT_TIMEOUT_MS, int(usual_ms * EVENT_TIMEOUT_GAPS))
+            part = exchange.connection.read_part(timeout_ms)
+            if not part:
+                return
+            now_ms = self.clock.now_ms()
+            events = reader.feed(part)
+            for event in events:
+                if event.version is not None:
+                    version = event.version
+                    upstream.note_version(submission.model, version)
+                state.note_event(event.number, event.data, version)
+            if events and previous_ms is not None:
+                upstream.note_event((now_ms - previous_ms) / len(events))
+            if events:
+                previous_ms = now_ms
--- /dev/null
+++ b/src/pistachionotch/batches/log.py
@@ -0,0 +1,143 @@
+"""A batch in the object API: its submission, and a log whose entries are only ever created.
+
+Entry n of a log is one object that is created if absent, so it has one writer for good. A process
+that was paused while another took the batch over fails to create its next entry, reads what stands
+there, and learns that it is no longer the owner. Nothing that a client has seen can change.
+"""
+
+from __future__ import annotations
+
+import json
+
+import attrs
+from returns.result import Failure, Result, Success
+
+from ..objects.api import (
+    ObjectStore,
+    StoredObject,
+    StoreError,
+    StoreUnavailable,
+    VersionConflict,
+)
+from ..objects.settle import put_settled
+from .model import BatchHead, BatchItem, LogEntry
+from .records import dump, entry_bytes, head_bytes, item_fields, read_entry, read_head, read_item
+
+HEADS = "batches/"
+PARTS = "batch-parts/"
+LOGS = "batch-log/"
+# Share of the store's value limit that the items of one object take; the rest is for its fields.
+PART_SHARE = 0.7
+
+
+def create_batch(
+    store: ObjectStore, head: BatchHead, max_value_bytes: int
+) -> Result[BatchHead, StoreError]:
+    """Store a batch; returns the stored one if another process has accepted it before."""
+    batch = head.submission.id
+    groups = _split(head.submission.items, int(max_value_bytes * PART_SHARE))
+    for number, items in enumerate(groups[1:], start=1):
+        # A part depends on the submission alone, so one that exists already is the same.
+        part = store.put(f"{PARTS}{batch}.{number}", dump(items), None)
+        if isinstance(part, Failure) and not isinstance(part.failure(), VersionConflict):
+            # Without its head a batch does not exist, whatever became of the part.
+            return Failure(StoreUnavailable(f"part {number}: {part.failure()}"))
+    value = head_bytes(head, groups[0] if groups else [], max(0, len(groups) - 1))
+    answer = put_settled(store, HEADS + batch, value, None, head.owner.incarnation)
+    if isinstance(answer, Success):
+        return Success(head)
+    error = answer.failure()
+    if isinstance(error, VersionConflict) and error.current is not None:
+        return _whole_head(store, error.current)
+    return Failure(error)
+
+
+def _split(items: tuple[BatchItem, ...], max_bytes: int) -> list[list[dict[str, object]]]:
+    groups: list[list[dict[str, object]]] = []
+    size = max_bytes
+    for item in items:
+        fields = item_fields(item)
+        length = len(dump(fields))
+        if size + length > max_bytes:
+            groups.append([])
+            size = 0
+        groups[-1].append(fields)
+        size += length
+    return groups
+
+
+def load_head(store: ObjectStore, batch: str) -> Result[BatchHead | None, StoreError]:
+    """Return a batch, or None if there is none."""
+    read = store.get(HEADS + batch)
+    if isinstance(read, Failure):
+        return read
+    stored = read.unwrap()
+    return Success(None) if stored is None else _whole_head(store, stored)
+
+
+def _whole_head(store: ObjectStore, stored: StoredObject) -> Result[BatchHead, StoreError]:
+    head, parts = read_head(stored.value)
+    items = list(head.submission.items)
+    for number in range(1, parts + 1):
+        read = store.get(f"{PARTS}{head.submission.id}.{number}")
+        if isinstance(read, Failure):
+            return read
+        part = read.unwrap()
+        if part is None:
+            return Failure(StoreUnavailable(f"part {number} is missing"))
+        items.extend(read_item(fields) for fields in _list(part))
+    submission = attrs.evolve(head.submission, items=tuple(items))
+    return Success(attrs.evolve(head, submission=submission))
+
+
+def _list(stored: StoredObject) -> list[object]:
+    found: list[object] = json.loads(stored.value)
+    return found
+
+
+@attrs.define
+class BatchLog:
+    """Read and extend the log of one batch."""
+
+    store: ObjectStore
+    batch: str
+    # Number of the next entry.
+    position: int = 0
+    # An entry whose creation has no known outcome; it is settled before any other.
+    pending: LogEntry | None = None
+
+    def read_next(self) -> Result[LogEntry | None, StoreUnavailable]:
+        """Return the next entry and step over it, or None at the end of the log."""
+        read = self.store.get(self._key())
+        if isinstance(read, Failure):
+            return read
+        stored = read.unwrap()
+        if stored is None:
+            return Success(None)
+        self.position += 1
+        return Success(read_entry(stored.value))
+
+    def append(self, entry: LogEntry) -> Result[LogEntry, StoreError]:
+        """Create the next entry; returns the one that stands there, which may be another's.
+
+        After a failure the same entry is still pending: the caller appends it again until the
+        outcome is known, and only then another one.
+        """
+        if self.pending is None:
+            self.pending = entry
+        value = entry_bytes(self.pending)
+        answer = put_settled(self.store, self._key(), value, None, self.pending.token)
+        if isinstance(answer, Success):
+            return Success(self._settled(self.pending))
+        error = answer.failure()
+        if isinstance(error, VersionConflict) and error.current is not None:
+            return Success(self._settled(read_entry(error.current.value)))
+        return Failure(error)
+
+    def _settled(self, entry: LogEntry) -> LogEntry:
+        self.pending = None
+        self.position += 1
+        return entry
+
+    def _key(self) -> str:
+        return f"{LOGS}{self.batch}.{self.position:05d}"
--- /dev/null
+++ b/src/pistachionotch/batches/model.py
@@ -0,0 +1,89 @@
+"""Submissions, their items and results."""
+
+from __future__ import annotations
+
+import attrs
+
+from ..config.spec import Address
+from ..http_client import Header
+
+
+@attrs.frozen(kw_only=True)
+class BatchItem:
+    """Describe one generation of a batch."""
+
+    id: str
+    target: str
+    headers: tuple[Header, ...]
+    body: bytes
+    # Prompt tokens plus the most output tokens.
+    max_tokens: int
+    # The client's estimate of the output tokens; 0 if it gave none.
+    expected_tokens: int = 0
+    # Items of one group share their prompt and are useful to a trainer only together.
+    group: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class Submission:
+    """Describe a batch as its client handed it in."""
+
+    id: str
+    host: str
+    # Path of the submission, which selects the batch's route.
+    target: str
+    items: tuple[BatchItem, ...]
+    # Of a trainer's step; empty and 0 otherwise.
+    model: str = ""
+    step: int = 0
+    min_version: int = 0
+    wanted_groups: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class Owner:
+    """Name the process that runs a batch; a restart makes another ``incarnation``."""
+
+    node: str
+    incarnation: str
+    address: Address
+
+
+@attrs.frozen(kw_only=True)
+class ItemResult:
+    """Hold the final state of an item."""
+
+    id: str
+    done: bool
+    text: str = ""
+    # Weight versions that generated an event of the text, in the order of their first event.
+    versions: tuple[int, ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class BatchHead:
+    """Hold what is stored when a batch is accepted."""
+
+    submission: Submission
+    owner: Owner
+    # Unix time of acceptance.
+    accepted_ms: int
+
+
+@attrs.frozen(kw_only=True)
+class LogEntry:
+    """Hold one entry of a batch's log: results at the next positions, a new owner, or the end."""
+
+    token: str
+    results: tuple[ItemResult, ...] = ()
+    owner: Owner | None = None
+    ended: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class ResultPage:
+    """Hold the results from one position on."""
+
+    total: int
+    results: tuple[ItemResult, ...]
+    next_position: int
--- /dev/null
+++ b/src/pistachionotch/batches/owner.py
@@ -0,0 +1,257 @@
+"""Runs the batches that this process owns: starts items, lists results, gives up."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import gevent
+from gevent.event import Event
+from returns.result import Failure
+
+from ..clock import Clock
+from ..gateway.catalog import Catalog, Route
+from ..gateway.upstreams import Upstream, UpstreamTable
+from .dispatch import EngineView, Start, WaitingItem, plan_starts
+from .items import AttemptEnd, ItemRunner
+from .listing import should_list
+from .model import LogEntry, Owner
+from .run import BatchRun, ItemProgress
+
+# Time between two looks at the batches when nothing wakes the task.
+TICK_MS = 50
+# Pause after the object API refused or lost an entry.
+LIST_RETRY_MS = 250
+
+
+@attrs.define
+class BatchOwner:
+    """Own batches."""
+
+    clock: Clock
+    rng: random.Random
+    me: Owner
+    region: str
+    regions: dict[str, str]
+    table: UpstreamTable
+    items: ItemRunner
+    catalog: Callable[[], Catalog | None]
+    log: Any
+    runs: dict[str, BatchRun] = attrs.field(factory=dict)
+    tasks: dict[tuple[str, str], Any] = attrs.field(factory=dict)
+    homes: dict[tuple[str, str], str] = attrs.field(factory=dict)
+    wake: Event = attrs.field(factory=Event)
+
+    def add(self, run: BatchRun) -> None:
+        """Run a batch."""
+        self.runs[run.id] = run
+        gevent.spawn(self._list_results, run)
+        self.wake.set()
+
+    def run(self) -> None:
+        """Start items for ever."""
+        while True:
+            self.wake.wait(TICK_MS / 1000)
+            self.wake.clear()
+            self.start_items()
+
+    def start_items(self) -> None:
+        """Start what can start now."""
+        catalog = self.catalog()
+        if catalog is None:
+            return
+        by_service: dict[str, list[WaitingItem]] = {}
+        for run in self.runs.values():
+            if not run.open:
+                continue
+            route = batch_route(catalog, run)
+            if route is None:
+                continue
+            waiting = self._waiting(run, route)
+            if waiting:
+                service = route.choose_service(self.rng)
+                by_service.setdefault(service, []).extend(waiting)
+        for service, waiting in by_service.items():
+            engines = self._engines(service)
+            for start in plan_starts(waiting, engines, self.homes):
+                self._start(start)
+
+    def _waiting(self, run: BatchRun, route: Route) -> list[WaitingItem]:
+        now_ms = self.clock.now_ms()
+        if run.give_up_ms is not None and now_ms >= run.give_up_ms:
+            for state in run.progress.values():
+                if not (state.running or state.finished):
+                    self._finish(run, state, False, "its time in the queue is up")
+            return []
+        return run.waiting()
+
+    def _engines(self, service: str) -> list[EngineView]:
+        now_ms = self.clock.now_ms()
+        engines = []
+        for upstream in self.table.of_service(service):
+            if max(upstream.full_until_ms, upstream.failed_until_ms) > now_ms:
+                continue
+            record = upstream.record
+            models = record.versions.keys() | upstream.seen_versions.keys()
+            engines.append(
+                EngineView(
+                    instance=record.instance,
+                    free=upstream.free_slots(),
+                    slots=record.slots,
+                    versions={model: upstream.version(model) for model in models},
+                    event_ms=upstream.event_ms,
+                    other_region=self.regions.get(record.zone) != self.region,
+                )
+            )
+        return engines
+
+    def _start(self, start: Start) -> None:
+        run = self.runs[start.item.batch]
+        state = run.progress[start.item.item]
+        upstream = self.table.upstreams[start.instance]
+        state.running = True
+        self.log.info(
+            "item placed",
+            batch=run.id,
+            item=state.item.id,
+            upstream=start.instance,
+            version=upstream.version(start.item.model),
+            min_version=start.item.min_version,
+            in_flight=upstream.in_flight,
+            listing=self.table.revision,
+            after_event=state.last_event,
+            reason=start.reason,
+        )
+        key = (run.id, state.item.id)
+        self.tasks[key] = gevent.spawn(self._run_item, run, state, upstream)
+
+    def _run_item(self, run: BatchRun, state: ItemProgress, upstream: Upstream) -> None:
+        try:
+            end = self.items.run(run.head.submission, state, upstream)
+        finally:
+            state.running = False
+            self.tasks.pop((run.id, state.item.id), None)
+            self.wake.set()
+        if not run.open or state.finished:
+            return
+        self._settle(run, state, upstream, end)
+
+    def _settle(
+        self, run: BatchRun, state: ItemProgress, upstream: Upstream, end: AttemptEnd
+    ) -> None:
+        catalog = self.catalog()
+        route = batch_route(catalog, run) if catalog else None
+        mixed = route is not None and route.one_version and len(state.versions) > 1
+        if end is AttemptEnd.DONE and not mixed:
+            self._finish(run, state, True, upstream.record.instance)
+            return
+        if end is AttemptEnd.IMPOSSIBLE:
+            self._finish(run, state, False, "the engine can never do it")
+            return
+        if route is not None and route.one_version:
+            # The rest might come from other weights than the part that exists.
+            state.restart()
+        if end is AttemptEnd.FAILED and route and state.failures >= route.max_attempts:
+            self._finish(run, state, False, f"failed {state.failures} times")
+            return
+        self.log.info(
+            "item waits again",
+            batch=run.id,
+            item=state.item.id,
+            upstream=upstream.record.instance,
+            reason=end.value,
+            failures=state.failures,
+            last_event=state.last_event,
+        )
+
+    def _finish(self, run: BatchRun, state: ItemProgress, done: bool, reason: str) -> None:
+        run.finish(state, done, self.clock.now_ms())
+        self.log.info(
+            "item finished",
+            batch=run.id,
+            item=state.item.id,
+            done=done,
+            versions=state.versions,
+            reason=reason,
+        )
+
+    def _list_results(self, run: BatchRun) -> None:
+        """Write finished items to the log until the batch is complete, ended or lost."""
+        while run.open:
+            if not should_list(run.listing_state(), self.clock.now_ms()):
+                if len(run.listed) == len(run.progress):
+                    return
+                self.clock.sleep_ms(TICK_MS)
+                continue
+            if not self.list_once(run):
+                self.clock.sleep_ms(LIST_RETRY_MS)
+
+    def list_once(self, run: BatchRun) -> bool:
+        """Write one entry; returns False if its outcome is not known."""
+        with run.writing:
+            # Another task may have written the results while this one waited.
+            if not (run.open and run.unlisted):
+                return True
+            return self._list_once(run)
+
+    def _list_once(self, run: BatchRun) -> bool:
+        entry = run.next_entry(f"{self.rng.getrandbits(64):016x}")
+        appended = run.log.append(entry)
+        if isinstance(appended, Failure):
+            self.log.warning("results not listed", batch=run.id, reason=str(appended.failure()))
+            return False
+        found = appended.unwrap()
+        run.apply(found)
+        self.log.info(
+            "results listed",
+            batch=run.id,
+            entry=run.log.position - 1,
+            results=len(found.results),
+            listed=len(run.listed),
+            total=len(run.progress),
+        )
+        self.check(run)
+        return True
+
+    def check(self, run: BatchRun) -> None:
+        """Stop a batch that has ended or has another owner."""
+        if run.owner != self.me and not run.stopped:
+            run.stopped = True
+            self.log.warning("batch lost to another owner", batch=run.id, owner=run.owner.node)
+        if not run.open:
+            self.stop_items(run)
+
+    def end(self, run: BatchRun) -> bool:
+        """End a batch for good; returns False if that is not certain."""
+        with run.writing:
+            while not run.ended and run.owner == self.me:
+                token = f"{self.rng.getrandbits(64):016x}"
+                # A results entry of unknown outcome may have to be settled before the end.
+                appended = run.log.append(LogEntry(token=token, ended=True))
+                if isinstance(appended, Failure):
+                    self.log.warning("end not stored", batch=run.id, reason=str(appended.failure()))
+                    return False
+                run.apply(appended.unwrap())
+        self.check(run)
+        return run.ended
+
+    def stop_items(self, run: BatchRun) -> None:
+        """Break off the running items of a batch."""
+        for (batch, _item), task in list(self.tasks.items()):
+            if batch == run.id:
+                gevent.spawn(task.kill)
+
+    def release(self, run: BatchRun) -> None:
+        """Stop running a batch, so that another process takes it over."""
+        while run.open and run.unlisted and self.list_once(run):
+            continue
+        run.stopped = True
+        self.stop_items(run)
+
+
+def batch_route(catalog: Catalog, run: BatchRun) -> Route | None:
+    """Return the route of a batch in this version of the configuration."""
+    submission = run.head.submission
+    return catalog.match(submission.host, submission.target)
--- /dev/null
+++ b/src/pistachionotch/batches/peers.py
@@ -0,0 +1,163 @@
+"""Reads and ends of batches between processes: HTTP with CBOR bodies."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from http import HTTPStatus
+from typing import Any, Protocol
+from urllib.parse import parse_qs, quote
+
+import attrs
+import cbor2
+
+from ..http_client import Connection, ConnectionPool, ExchangeError
+from .model import Owner, ResultPage
+from .records import read_result, result_fields
+
+PREFIX = "/batches/"
+CONNECT_TIMEOUT_MS = 400
+# An owner answers from memory, or with one write of its object API call.
+RESPONSE_TIMEOUT_MS = 1_200
+MEDIA_TYPE = "application/cbor"
+
+
+@attrs.frozen
+class NotHere:
+    """Say that the asked process does not own the batch."""
+
+
+@attrs.frozen
+class PeerUnreachable:
+    """Say that the owner did not answer; ``refused`` means that no process listens there."""
+
+    reason: str
+    refused: bool
+
+
+@attrs.frozen
+class PeerUnsure:
+    """Say that the owner could not do what was asked."""
+
+    reason: str
+
+
+@attrs.frozen
+class PeerAbsent:
+    """Say that the owner knows the batch but has no such item."""
+
+
+PeerProblem = NotHere | PeerUnreachable | PeerUnsure | PeerAbsent
+
+
+@attrs.define
+class PeerClient:
+    """Ask the owner of a batch."""
+
+    pool: ConnectionPool
+
+    def read(
+        self, owner: Owner, batch: str, position: int, wait_ms: int
+    ) -> ResultPage | PeerProblem:
+        """Return the results that the owner has listed."""
+        target = f"{_path(batch)}?position={position}&wait_ms={wait_ms}"
+        reply = self._ask(owner, "GET", target, wait_ms)
+        if not isinstance(reply, bytes):
+            return reply
+        fields = cbor2.loads(reply)
+        return ResultPage(
+            total=fields["total"],
+            results=tuple(read_result(result) for result in fields["results"]),
+            next_position=fields["next"],
+        )
+
+    def item_body(self, owner: Owner, batch: str, item: str) -> bytes | PeerProblem:
+        """Return the body of an item."""
+        return self._ask(owner, "GET", f"{_path(batch)}/{quote(item, safe='')}")
+
+    def end(self, owner: Owner, batch: str) -> None | PeerProblem:
+        """End a batch; None means ended for good."""
+        reply = self._ask(owner, "DELETE", _path(batch))
+        return None if isinstance(reply, bytes) else reply
+
+    def _ask(self, owner: Owner, method: str, target: str, wait_ms: int = 0) -> bytes | PeerProblem:
+        connection: Connection | None = None
+        try:
+            connection = self.pool.take(owner.address, owner.incarnation, CONNECT_TIMEOUT_MS)
+            headers = [("Host", str(owner.address)), ("X-Incarnation", owner.incarnation)]
+            connection.send(method, target, headers, b"", RESPONSE_TIMEOUT_MS)
+            head = connection.read_head(RESPONSE_TIMEOUT_MS + wait_ms)
+            body = connection.read_body(RESPONSE_TIMEOUT_MS)
+            self.pool.give_back(connection, owner.incarnation, head)
+            connection = None
+        except ExchangeError as error:
+            return PeerUnreachable(error.reason, "refused" in error.reason)
+        finally:
+            if connection is not None:
+                connection.close()
+        if head.status == HTTPStatus.NOT_FOUND:
+            return NotHere()
+        if head.status == HTTPStatus.GONE:
+            return PeerAbsent()
+        if head.status != HTTPStatus.OK:
+            return PeerUnsure(f"status {head.status} of the owner")
+        return body
+
+
+def _path(batch: str) -> str:
+    return PREFIX + quote(batch, safe="")
+
+
+class LocalBatches(Protocol):
+    """Answer for the batches that this process owns; None means not here."""
+
+    def local_page(self, batch: str, position: int, wait_ms: int) -> ResultPage | None:
+        """Return listed results."""
+
+    def local_body(self, batch: str, item: str) -> bytes | PeerAbsent | None:
+        """Return the body of an item."""
+
+    def local_end(self, batch: str) -> bool | None:
+        """End a batch; False if that is not certain."""
+
+
+@attrs.frozen
+class PeerApp:
+    """Serve other processes over WSGI."""
+
+    batches: LocalBatches
+    incarnation: str
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        """Serve one request."""
+        status, body = self._answer(environ)
+        headers = [("Content-Type", MEDIA_TYPE), ("Content-Length", str(len(body)))]
+        start_response(f"{status.value} {status.phrase}", headers)
+        return [body]
+
+    def _answer(self, environ: dict[str, Any]) -> tuple[HTTPStatus, bytes]:
+        # An earlier start of this process may have owned the batch; its memory is gone.
+        if environ.get("HTTP_X_INCARNATION") != self.incarnation:
+            return HTTPStatus.NOT_FOUND, b""
+        batch, _, item = environ["PATH_INFO"].removeprefix(PREFIX).partition("/")
+        if environ["REQUEST_METHOD"] == "DELETE":
+            ended = self.batches.local_end(batch)
+            if ended is None:
+                return HTTPStatus.NOT_FOUND, b""
+            return (HTTPStatus.OK if ended else HTTPStatus.SERVICE_UNAVAILABLE), b""
+        if item:
+            body = self.batches.local_body(batch, item)
+            if isinstance(body, PeerAbsent):
+                return HTTPStatus.GONE, b""
+            return (HTTPStatus.NOT_FOUND, b"") if body is None else (HTTPStatus.OK, body)
+        query = parse_qs(environ["QUERY_STRING"])
+        page = self.batches.local_page(batch, int(query["position"][0]), int(query["wait_ms"][0]))
+        if page is None:
+            return HTTPStatus.NOT_FOUND, b""
+        fields = {
+            "total": page.total,
+            "results": [result_fields(result) for result in page.results],
+            "next": page.next_position,
+        }
+        return HTTPStatus.OK, cbor2.dumps(fields)
--- /dev/null
+++ b/src/pistachionotch/batches/records.py
@@ -0,0 +1,141 @@
+"""Stored form of batches and their logs: JSON with sorted keys; equal records are equal bytes."""
+
+from __future__ import annotations
+
+import base64
+import json
+from typing import Any
+
+from ..config.spec import Address
+from .model import BatchHead, BatchItem, ItemResult, LogEntry, Owner, Submission
+
+
+def dump(fields: Any) -> bytes:
+    """Return the canonical JSON text."""
+    return json.dumps(fields, sort_keys=True, separators=(",", ":")).encode()
+
+
+def item_fields(item: BatchItem) -> dict[str, Any]:
+    """Return the stored form of an item."""
+    return {
+        "id": item.id,
+        "target": item.target,
+        "headers": [list(header) for header in item.headers],
+        "body": base64.b64encode(item.body).decode(),
+        "max_tokens": item.max_tokens,
+        "expected_tokens": item.expected_tokens,
+        "group": item.group,
+    }
+
+
+def read_item(fields: Any) -> BatchItem:
+    """Read the stored form of an item."""
+    return BatchItem(
+        id=fields["id"],
+        target=fields["target"],
+        headers=tuple((name, value) for name, value in fields["headers"]),
+        body=base64.b64decode(fields["body"]),
+        max_tokens=fields["max_tokens"],
+        expected_tokens=fields["expected_tokens"],
+        group=fields["group"],
+    )
+
+
+def head_bytes(head: BatchHead, items: list[Any], parts: int) -> bytes:
+    """Return the stored form of a batch; ``parts`` further objects hold the rest of its items."""
+    submission = head.submission
+    fields = {
+        "id": submission.id,
+        "host": submission.host,
+        "target": submission.target,
+        "model": submission.model,
+        "step": submission.step,
+        "min_version": submission.min_version,
+        "wanted_groups": submission.wanted_groups,
+        "items": items,
+        "parts": parts,
+        "owner": _owner_fields(head.owner),
+        "accepted_ms": head.accepted_ms,
+    }
+    return dump(fields)
+
+
+def read_head(value: bytes) -> tuple[BatchHead, int]:
+    """Read a batch with the items that its own object holds, and the number of further parts."""
+    fields = json.loads(value)
+    submission = Submission(
+        id=fields["id"],
+        host=fields["host"],
+        target=fields["target"],
+        items=tuple(read_item(item) for item in fields["items"]),
+        model=fields["model"],
+        step=fields["step"],
+        min_version=fields["min_version"],
+        wanted_groups=fields["wanted_groups"],
+    )
+    head = BatchHead(
+        submission=submission,
+        owner=_read_owner(fields["owner"]),
+        accepted_ms=fields["accepted_ms"],
+    )
+    return head, fields["parts"]
+
+
+def result_fields(result: ItemResult) -> dict[str, Any]:
+    """Return the stored form of a result."""
+    return {
+        "id": result.id,
+        "done": result.done,
+        "text": result.text,
+        "versions": list(result.versions),
+    }
+
+
+def read_result(fields: Any) -> ItemResult:
+    """Read the stored form of a result."""
+    return ItemResult(
+        id=fields["id"],
+        done=fields["done"],
+        text=fields["text"],
+        versions=tuple(fields["versions"]),
+    )
+
+
+def entry_bytes(entry: LogEntry) -> bytes:
+    """Return the stored form of a log entry."""
+    fields: dict[str, Any] = {"token": entry.token}
+    if entry.results:
+        fields["results"] = [result_fields(result) for result in entry.results]
+    if entry.owner is not None:
+        fields["owner"] = _owner_fields(entry.owner)
+    if entry.ended:
+        fields["ended"] = True
+    return dump(fields)
+
+
+def read_entry(value: bytes) -> LogEntry:
+    """Read the stored form of a log entry."""
+    fields = json.loads(value)
+    owner = fields.get("owner")
+    return LogEntry(
+        token=fields["token"],
+        results=tuple(read_result(result) for result in fields.get("results", ())),
+        owner=None if owner is None else _read_owner(owner),
+        ended=fields.get("ended", False),
+    )
+
+
+def _owner_fields(owner: Owner) -> dict[str, str]:
+    return {
+        "node": owner.node,
+        "incarnation": owner.incarnation,
+        "address": str(owner.address),
+    }
+
+
+def _read_owner(fields: Any) -> Owner:
+    return Owner(
+        node=fields["node"],
+        incarnation=fields["incarnation"],
+        address=Address.parse(fields["address"]),
+    )
--- /dev/null
+++ b/src/pistachionotch/batches/run.py
@@ -0,0 +1,195 @@
+"""State of one batch at its owner."""
+
+from __future__ import annotations
+
+import attrs
+from gevent.event import Event
+from gevent.lock import BoundedSemaphore
+
+from .dispatch import WaitingItem, optional_groups
+from .listing import ListingState
+from .log import BatchLog
+from .model import BatchHead, BatchItem, ItemResult, LogEntry, Owner, ResultPage
+
+# A page of results ends before it exceeds this many bytes of text.
+MAX_PAGE_BYTES = 900_000
+# An entry of the log stays well under the object API's value limit of 1 MB.
+MAX_ENTRY_BYTES = 600_000
+
+
+@attrs.define
+class ItemProgress:
+    """Track one item until it is finished."""
+
+    item: BatchItem
+    running: bool = False
+    finished: bool = False
+    # Data of the events received so far, and the number of the last one.
+    texts: list[str] = attrs.field(factory=list)
+    last_event: int | None = None
+    versions: list[int] = attrs.field(factory=list)
+    # Responses that said the generation failed; these count towards the route's limit.
+    failures: int = 0
+    avoid: set[str] = attrs.field(factory=set)
+
+    def note_event(self, number: int, data: str, version: int) -> None:
+        """Add an event; raises ``ValueError`` if one is missing or came twice."""
+        if self.last_event is not None and number != self.last_event + 1:
+            raise ValueError(f"event {number} after {self.last_event}")
+        self.last_event = number
+        self.texts.append(data)
+        if version not in self.versions:
+            self.versions.append(version)
+
+    def restart(self) -> None:
+        """Forget the text so far."""
+        self.texts.clear()
+        self.versions.clear()
+        self.last_event = None
+
+
+@attrs.define
+class BatchRun:
+    """Hold a batch, its listed results and, at its owner, its work in progress."""
+
+    head: BatchHead
+    log: BatchLog
+    owner: Owner
+    due_ms: int
+    give_up_ms: int | None
+    progress: dict[str, ItemProgress] = attrs.field(init=False)
+    listed: list[ItemResult] = attrs.field(factory=list)
+    unlisted: list[ItemResult] = attrs.field(factory=list)
+    oldest_unlisted_ms: int = 0
+    ended: bool = False
+    # Set while this process must not run the batch: another owner, or a drain.
+    stopped: bool = False
+    changed: Event = attrs.field(factory=Event)
+    # Held from the choice of the next log entry until its outcome is applied.
+    writing: BoundedSemaphore = attrs.field(factory=BoundedSemaphore)
+    optional: frozenset[str] = attrs.field(init=False)
+    group_sizes: dict[str, int] = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        submission = self.head.submission
+        self.progress = {item.id: ItemProgress(item) for item in submission.items}
+        expected: dict[str, int] = {}
+        self.group_sizes = {}
+        for item in submission.items:
+            expected[item.group] = max(expected.get(item.group, 0), item.expected_tokens)
+            self.group_sizes[item.group] = self.group_sizes.get(item.group, 0) + 1
+        self.optional = optional_groups(expected, submission.wanted_groups)
+
+    @property
+    def id(self) -> str:
+        """Return the batch's identifier."""
+        return self.head.submission.id
+
+    @property
+    def open(self) -> bool:
+        """Return whether items may start."""
+        return not (self.ended or self.stopped)
+
+    def waiting(self) -> list[WaitingItem]:
+        """Return the items that may start."""
+        if not self.open:
+            return []
+        submission = self.head.submission
+        return [
+            WaitingItem(
+                batch=self.id,
+                item=state.item.id,
+                group=state.item.group,
+                due_ms=self.due_ms,
+                model=submission.model,
+                min_version=submission.min_version,
+                expected_tokens=state.item.expected_tokens,
+                started=bool(state.texts),
+                optional=state.item.group in self.optional,
+                avoid=frozenset(state.avoid),
+            )
+            for state in self.progress.values()
+            if not (state.running or state.finished)
+        ]
+
+    def finish(self, state: ItemProgress, done: bool, now_ms: int) -> None:
+        """Note the final state of an item; it has no position yet."""
+        state.finished = True
+        result = ItemResult(id=state.item.id, done=False)
+        if done:
+            result = ItemResult(
+                id=state.item.id,
+                done=True,
+                text="\n".join(state.texts),
+                versions=tuple(state.versions),
+            )
+        state.texts.clear()
+        if not self.unlisted:
+            self.oldest_unlisted_ms = now_ms
+        self.unlisted.append(result)
+
+    def listing_state(self) -> ListingState:
+        """Return what decides whether to list now."""
+        return ListingState(
+            unlisted=len(self.unlisted),
+            oldest_unlisted_ms=self.oldest_unlisted_ms,
+            completes=self._completes(),
+        )
+
+    def _completes(self) -> bool:
+        if len(self.listed) + len(self.unlisted) == len(self.progress):
+            return True
+        wanted = self.head.submission.wanted_groups
+        if not wanted:
+            return False
+        listed = self._complete_groups(self.listed)
+        return listed < wanted <= self._complete_groups([*self.listed, *self.unlisted])
+
+    def _complete_groups(self, results: list[ItemResult]) -> int:
+        missing = dict(self.group_sizes)
+        for result in results:
+            missing[self.progress[result.id].item.group] -= 1
+        return sum(1 for count in missing.values() if count == 0)
+
+    def next_entry(self, token: str) -> LogEntry:
+        """Return an entry with as many unlisted results as fit."""
+        size = 0
+        count = 0
+        for result in self.unlisted:
+            size += len(result.text)
+            if count and size > MAX_ENTRY_BYTES:
+                break
+            count += 1
+        return LogEntry(token=token, results=tuple(self.unlisted[:count]))
+
+    def apply(self, entry: LogEntry) -> None:
+        """Take over an entry that stands in the log."""
+        for result in entry.results:
+            state = self.progress.get(result.id)
+            if state is not None:
+                state.finished = True
+            self.listed.append(result)
+        if entry.results:
+            ids = {result.id for result in entry.results}
+            self.unlisted = [result for result in self.unlisted if result.id not in ids]
+        if entry.owner is not None:
+            self.owner = entry.owner
+        if entry.ended:
+            self.ended = True
+        self.changed.set()
+        self.changed = Event()
+
+    def page(self, position: int) -> ResultPage:
+        """Return the listed results from a position on."""
+        size = 0
+        results: list[ItemResult] = []
+        for result in self.listed[position:]:
+            size += len(result.text)
+            if results and size > MAX_PAGE_BYTES:
+                break
+            results.append(result)
+        return ResultPage(
+            total=len(self.progress),
+            results=tuple(results),
+            next_position=position + len(results),
+        )
--- /dev/null
+++ b/src/pistachionotch/batches/service.py
@@ -0,0 +1,303 @@
+"""Batches as clients see them, at whichever process they ask."""
+
+from __future__ import annotations
+
+import enum
+import random
+import time
+from typing import Any
+
+import attrs
+from gevent.lock import BoundedSemaphore
+from returns.result import Failure
+
+from ..clock import MS_PER_SECOND, Clock
+from ..gateway.catalog import Route
+from ..objects.api import ObjectStore, StoreRejected, WriteAmbiguous
+from .log import BatchLog, create_batch, load_head
+from .model import BatchHead, LogEntry, Owner, ResultPage, Submission
+from .owner import BatchOwner
+from .peers import NotHere, PeerAbsent, PeerClient, PeerUnreachable, PeerUnsure
+from .run import BatchRun
+
+# An owner that does not answer for this long has its batch taken over; a restart of a process and a
+# lost connection are both known sooner.
+TAKE_OVER_AFTER_MS = 1_500
+# Retry-After while it is not known who owns a batch.
+UNSURE_RETRY_MS = 300
+# Retry-After of a submission that the object API did not take.
+REFUSED_RETRY_MS = 500
+
+
+class Trouble(enum.Enum):
+    """Say why there is no answer."""
+
+    ABSENT = "no such batch"
+    UNSURE = "not certain now"
+    NOT_RUN = "not accepted"
+    UNKNOWN = "may be accepted"
+    IMPOSSIBLE = "never acceptable"
+
+
+@attrs.frozen
+class BatchTrouble:
+    """Answer without the wanted result."""
+
+    trouble: Trouble
+    reason: str
+    retry_after_ms: int | None = None
+
+
+@attrs.define
+class _Elsewhere:
+    """Remember who owns a batch that runs elsewhere."""
+
+    owner: Owner
+    unreachable_since_ms: int | None = None
+
+
+@attrs.define
+class BatchService:
+    """Accept, read and end batches."""
+
+    clock: Clock
+    rng: random.Random
+    me: Owner
+    store: ObjectStore
+    max_value_bytes: int
+    owner: BatchOwner
+    peers: PeerClient
+    log: Any
+    elsewhere: dict[str, _Elsewhere] = attrs.field(factory=dict)
+    locks: dict[str, BoundedSemaphore] = attrs.field(factory=dict)
+    draining: bool = False
+
+    def submit(self, submission: Submission, route: Route) -> None | BatchTrouble:
+        """Accept a batch durably; None means accepted."""
+        if submission.id in self.owner.runs or submission.id in self.elsewhere:
+            return None
+        if self.draining:
+            return BatchTrouble(Trouble.NOT_RUN, "draining", 0)
+        head = BatchHead(submission=submission, owner=self.me, accepted_ms=_unix_ms())
+        created = create_batch(self.store, head, self.max_value_bytes)
+        if isinstance(created, Failure):
+            return self._not_accepted(submission, created.failure())
+        stored = created.unwrap()
+        self.log.info(
+            "batch accepted",
+            batch=submission.id,
+            route=route.name,
+            step=submission.step,
+            model=submission.model,
+            min_version=submission.min_version,
+            items=len(submission.items),
+            owner=stored.owner.node,
+        )
+        if stored.owner != self.me:
+            self.elsewhere[submission.id] = _Elsewhere(stored.owner)
+        elif submission.id not in self.owner.runs:
+            self.owner.add(self._new_run(stored, route))
+        return None
+
+    def _not_accepted(self, submission: Submission, error: Any) -> BatchTrouble:
+        unknown = isinstance(error, WriteAmbiguous)
+        trouble = Trouble.UNKNOWN if unknown else Trouble.NOT_RUN
+        if isinstance(error, StoreRejected):
+            trouble = Trouble.IMPOSSIBLE
+        self.log.warning(
+            "batch not accepted", batch=submission.id, cause=trouble.value, reason=str(error)
+        )
+        return BatchTrouble(trouble, str(error), REFUSED_RETRY_MS)
+
+    def _new_run(self, head: BatchHead, route: Route | None) -> BatchRun:
+        # The clocks of two nodes may differ; an age is never negative.
+        accepted_ms = self.clock.now_ms() - max(0, _unix_ms() - head.accepted_ms)
+        give_up_ms = accepted_ms + route.give_up_ms if route and route.give_up_ms else None
+        due_ms = accepted_ms + (route.due_ms if route else 0)
+        log = BatchLog(self.store, head.submission.id)
+        return BatchRun(head, log, head.owner, due_ms, give_up_ms)
+
+    def read(self, batch: str, position: int, wait_ms: int) -> ResultPage | BatchTrouble:
+        """Return listed results, waiting for the first if there is none yet."""
+        run = self._local(batch)
+        if run is not None:
+            return wait_for_page(run, position, wait_ms)
+        found = self._at_owner(
+            batch, lambda owner: self.peers.read(owner, batch, position, wait_ms)
+        )
+        if isinstance(found, BatchRun):
+            return wait_for_page(found, position, wait_ms)
+        return found
+
+    def item_body(self, batch: str, item: str) -> bytes | BatchTrouble:
+        """Return the body of an item that is not listed yet."""
+        run = self._local(batch)
+        if run is None:
+            found = self._at_owner(batch, lambda owner: self.peers.item_body(owner, batch, item))
+            if not isinstance(found, BatchRun):
+                return found
+            run = found
+        return body_of(run, item)
+
+    def end(self, batch: str) -> None | BatchTrouble:
+        """End a batch; None means ended for good."""
+        run = self._local(batch)
+        if run is None:
+            found = self._at_owner(batch, lambda owner: self.peers.end(owner, batch))
+            if not isinstance(found, BatchRun):
+                return found
+            run = found
+        if run.ended or self.owner.end(run):
+            self.log.info("batch ended", batch=batch, listed=len(run.listed))
+            return None
+        return BatchTrouble(Trouble.UNSURE, "the end is not stored", UNSURE_RETRY_MS)
+
+    def local_page(self, batch: str, position: int, wait_ms: int) -> ResultPage | None:
+        """Answer a peer with listed results of a batch that runs here."""
+        run = self._local(batch)
+        return None if run is None else wait_for_page(run, position, wait_ms)
+
+    def local_body(self, batch: str, item: str) -> bytes | PeerAbsent | None:
+        """Answer a peer with the body of an item of a batch that runs here."""
+        run = self._local(batch)
+        if run is None:
+            return None
+        body = body_of(run, item)
+        return body if isinstance(body, bytes) else PeerAbsent()
+
+    def local_end(self, batch: str) -> bool | None:
+        """End a batch that runs here for a peer."""
+        run = self._local(batch)
+        return None if run is None else run.ended or self.owner.end(run)
+
+    def _local(self, batch: str) -> BatchRun | None:
+        run = self.owner.runs.get(batch)
+        if run is None or (run.stopped and not run.ended):
+            return None
+        return run
+
+    def _at_owner(self, batch: str, ask: Any) -> Any:
+        """Return the owner's answer, or the batch itself once it was taken over."""
+        place = self._place(batch)
+        if isinstance(place, BatchTrouble):
+            return place
+        if place.owner.node == self.me.node:
+            # This process took it over or lost it, or an earlier start of this node owned it.
+            return self._take_over(batch, place.owner)
+        answer = ask(place.owner)
+        if isinstance(answer, NotHere):
+            return self._take_over(batch, place.owner)
+        if isinstance(answer, PeerUnreachable):
+            return self._after_silence(batch, place, answer)
+        place.unreachable_since_ms = None
+        if isinstance(answer, PeerAbsent):
+            return BatchTrouble(Trouble.ABSENT, "no such item")
+        if isinstance(answer, PeerUnsure):
+            return BatchTrouble(Trouble.UNSURE, answer.reason, UNSURE_RETRY_MS)
+        return answer
+
+    def _place(self, batch: str) -> _Elsewhere | BatchTrouble:
+        place = self.elsewhere.get(batch)
+        if place is not None:
+            return place
+        loaded = load_head(self.store, batch)
+        if isinstance(loaded, Failure):
+            return BatchTrouble(Trouble.UNSURE, str(loaded.failure()), UNSURE_RETRY_MS)
+        head = loaded.unwrap()
+        if head is None:
+            return BatchTrouble(Trouble.ABSENT, "no such batch")
+        return self.elsewhere.setdefault(batch, _Elsewhere(head.owner))
+
+    def _after_silence(self, batch: str, place: _Elsewhere, answer: PeerUnreachable) -> Any:
+        now_ms = self.clock.now_ms()
+        since_ms = place.unreachable_since_ms
+        if since_ms is None:
+            since_ms = place.unreachable_since_ms = now_ms
+        if answer.refused or now_ms - since_ms >= TAKE_OVER_AFTER_MS:
+            return self._take_over(batch, place.owner)
+        return BatchTrouble(Trouble.UNSURE, answer.reason, UNSURE_RETRY_MS)
+
+    def _take_over(self, batch: str, lost: Owner) -> Any:
+        """Become the owner unless another process already did."""
+        with self.locks.setdefault(batch, BoundedSemaphore()):
+            run = self._local(batch)
+            if run is not None:
+                return run
+            found = self._replay(batch)
+            if isinstance(found, BatchTrouble):
+                return found
+            if found.ended:
+                self.owner.runs[batch] = found
+                return found
+            if found.owner != lost and found.owner.node != self.me.node:
+                self.elsewhere[batch] = _Elsewhere(found.owner)
+                return BatchTrouble(Trouble.UNSURE, "the owner has changed", 0)
+            if self.draining:
+                return BatchTrouble(Trouble.UNSURE, "draining", 0)
+            return self._claim(found, lost)
+
+    def _replay(self, batch: str) -> BatchRun | BatchTrouble:
+        loaded = load_head(self.store, batch)
+        if isinstance(loaded, Failure):
+            return BatchTrouble(Trouble.UNSURE, str(loaded.failure()), UNSURE_RETRY_MS)
+        head = loaded.unwrap()
+        if head is None:
+            return BatchTrouble(Trouble.ABSENT, "no such batch")
+        submission = head.submission
+        catalog = self.owner.catalog()
+        route = catalog.match(submission.host, submission.target) if catalog else None
+        run = self._new_run(head, route)
+        while True:
+            read = run.log.read_next()
+            if isinstance(read, Failure):
+                return BatchTrouble(Trouble.UNSURE, str(read.failure()), UNSURE_RETRY_MS)
+            entry = read.unwrap()
+            if entry is None:
+                return run
+            run.apply(entry)
+
+    def _claim(self, run: BatchRun, lost: Owner) -> Any:
+        token = f"{self.rng.getrandbits(64):016x}"
+        while not run.ended:
+            appended = run.log.append(LogEntry(token=token, owner=self.me))
+            if isinstance(appended, Failure):
+                return BatchTrouble(Trouble.UNSURE, str(appended.failure()), UNSURE_RETRY_MS)
+            entry = appended.unwrap()
+            run.apply(entry)
+            if entry.token == token:
+                break
+            if entry.owner is not None:
+                self.elsewhere[run.id] = _Elsewhere(entry.owner)
+                return BatchTrouble(Trouble.UNSURE, "another process took it over", 0)
+        self.elsewhere.pop(run.id, None)
+        self.log.warning(
+            "batch taken over",
+            batch=run.id,
+            former=lost.node,
+            listed=len(run.listed),
+            total=len(run.progress),
+        )
+        if run.ended:
+            self.owner.runs[run.id] = run
+        else:
+            self.owner.add(run)
+        return run
+
+
+def wait_for_page(run: BatchRun, position: int, wait_ms: int) -> ResultPage:
+    """Return listed results, waiting for the first if there is none yet."""
+    if len(run.listed) <= position and not run.ended and wait_ms > 0:
+        run.changed.wait(wait_ms / MS_PER_SECOND)
+    return run.page(position)
+
+
+def body_of(run: BatchRun, item: str) -> bytes | BatchTrouble:
+    """Return the body of an item of a batch that has not ended."""
+    state = run.progress.get(item)
+    if state is None:
+        return BatchTrouble(Trouble.ABSENT, "no such item")
+    return state.item.body
+
+
+def _unix_ms() -> int:
+    return time.time_ns() // 1_000_000
--- a/src/pistachionotch/cli/commands.py
+++ b/src/pistachionotch/cli/commands.py
@@ -27,6 +27,8 @@
     "demo": Command(".demo", "demo", "show the whole path in one process"),
     "entry": Command(".daemons", "entry", "run an entry"),
     "agent": Command(".daemons", "agent", "run an agent beside an upstream"),
+    "gateway": Command("..platform.main", "gateway", "run a gateway on the users' platform"),
+    "disk": Command("..platform.main", "disk", "hold the place of a VM with a disk there"),
     "ask": Command(".configuration", "ask", "ask the questionnaire's questions, write the answers"),
     "generate": Command(".configuration", "generate", "generate the configuration from answers"),
     "check": Command(".configuration", "check", "report every finding of a configuration"),
--- a/src/pistachionotch/cli/daemons.py
+++ b/src/pistachionotch/cli/daemons.py
@@ -53,7 +53,12 @@
         print(f"{path}: these settings are for an {settings.role}")
         return ExitCode.USAGE
     configure_logs()
-    daemon = make_daemon(settings)
+    run_daemon(make_daemon(settings))
+    return ExitCode.DONE
+
+
+def run_daemon(daemon: Daemon) -> None:
+    """Run a daemon until a signal or an operator's request to drain."""
     stopping = Event()
     gevent.signal_handler(signal.SIGTERM, stopping.set)
     gevent.signal_handler(signal.SIGINT, stopping.set)
@@ -61,7 +66,6 @@
     _return_unused_memory()
     _wait(daemon, stopping)
     daemon.drain("signal")
-    return ExitCode.DONE
 
 
 def _return_unused_memory() -> None:
--- /dev/null
+++ b/src/pistachionotch/gateway/calls.py
@@ -0,0 +1,322 @@
+"""Calls of clients: attempts at upstreams until one answers or time is up."""
+
+from __future__ import annotations
+
+import enum
+import random
+from collections.abc import Iterator
+from typing import Any
+
+import attrs
+
+from ..clock import Clock
+from ..http_client import ExchangeError, Header
+from .catalog import Route
+from .dialect import UpstreamDialect, UpstreamRequest
+from .exchange import Exchange, UpstreamClient
+from .placing import NoRoom, choose_upstream
+from .upstreams import Upstream, UpstreamTable
+
+# An attempt with less time than this is not worth sending.
+MIN_ATTEMPT_MS = 10
+# Limit on a repeatable attempt without a first byte, in expected response times; a server that has
+# turned silent then costs one attempt instead of the whole budget.
+PATIENCE_FACTOR = 8
+MIN_PATIENCE_MS = 600
+# Wait of a stream's next event, until its server counts as silent.
+EVENT_PATIENCE_MS = 4_000
+EVENT_STREAM = "text/event-stream"
+SERVER_ERRORS = 500
+
+
+@attrs.frozen(kw_only=True)
+class ClientCall:
+    """Hold one request of a client."""
+
+    request_id: str
+    method: str
+    target: str
+    host: str
+    headers: tuple[Header, ...]
+    body: bytes
+    received_ms: int
+    budget_ms: int | None = None
+    resume_after: int | None = None
+
+
+@attrs.frozen
+class Reply:
+    """Answer with a complete body."""
+
+    status: int
+    headers: tuple[Header, ...] = ()
+    body: bytes = b""
+
+
+@attrs.frozen
+class StreamReply:
+    """Answer with parts that are sent as they come."""
+
+    status: int
+    headers: tuple[Header, ...]
+    parts: Iterator[bytes]
+
+
+class Cause(enum.Enum):
+    """Say why a call has no response of an upstream."""
+
+    NO_ROUTE = "no such route"
+    NOT_RUN = "not run"
+    UNKNOWN = "may have run"
+    TIMEOUT = "time is up"
+    INVALID = "invalid request"
+    TOO_LARGE = "the body is too large"
+
+
+@attrs.frozen
+class Refusal:
+    """Answer without an upstream's response."""
+
+    cause: Cause
+    reason: str
+    retry_after_ms: int | None = None
+
+
+Answer = Reply | StreamReply | Refusal
+
+
+@attrs.define
+class _Progress:
+    """Track the attempts of one call."""
+
+    call: ClientCall
+    route: Route
+    deadline_ms: int
+    tried: set[str] = attrs.field(factory=set)
+    # Whether an attempt may have run.
+    may_have_run: bool = False
+    failure: Reply | None = None
+    retry_after_ms: int | None = None
+    reason: str = ""
+
+
+@attrs.define
+class CallForwarder:
+    """Forward calls to the upstreams of their routes."""
+
+    clock: Clock
+    rng: random.Random
+    zone: str
+    regions: dict[str, str]
+    table: UpstreamTable
+    client: UpstreamClient
+    dialect: UpstreamDialect
+    log: Any
+
+    def forward(self, call: ClientCall, route: Route) -> Answer:
+        """Return the answer to a call."""
+        progress = _Progress(call, route, _deadline_ms(call, route))
+        service = route.choose_service(self.rng)
+        while len(progress.tried) < max(1, route.max_attempts):
+            if progress.deadline_ms - self.clock.now_ms() < MIN_ATTEMPT_MS:
+                return self._timed_out(progress)
+            upstream = self._choose(progress, service)
+            if upstream is None:
+                break
+            progress.tried.add(upstream.record.instance)
+            answer = self._attempt(progress, upstream)
+            if answer is not None:
+                return answer
+            if progress.may_have_run and not route.repeatable():
+                break
+        return self._give_up(progress)
+
+    def _choose(self, progress: _Progress, service: str) -> Upstream | None:
+        candidates = self.table.of_service(service)
+        now_ms = self.clock.now_ms()
+        choice = choose_upstream(
+            candidates, progress.tried, self.zone, self.regions, now_ms, self.rng
+        )
+        if isinstance(choice, NoRoom):
+            progress.reason = progress.reason or choice.reason
+            progress.retry_after_ms = choice.retry_after_ms
+            return None
+        self.log.info(
+            "call placed",
+            request=progress.call.request_id,
+            route=progress.route.name,
+            upstream=choice.upstream.record.instance,
+            expected_ms=round(choice.expected_ms),
+            in_flight=choice.upstream.in_flight,
+            listing=self.table.revision,
+            candidates=len(candidates),
+            left_ms=progress.deadline_ms - now_ms,
+            reason=choice.reason,
+        )
+        return choice.upstream
+
+    def _attempt(self, progress: _Progress, upstream: Upstream) -> Answer | None:
+        """Return the answer of an attempt, or None if another attempt may follow."""
+        upstream.in_flight += 1
+        streaming = False
+        try:
+            answer = self._exchange(progress, upstream)
+            streaming = isinstance(answer, StreamReply)
+            return answer
+        except ExchangeError as error:
+            upstream.note_failure(self.clock.now_ms())
+            progress.may_have_run = progress.may_have_run or error.sent
+            progress.reason = error.reason
+            progress.retry_after_ms = None
+            self._log_failure(progress, upstream, error.reason, error.sent)
+            return None
+        finally:
+            if not streaming:
+                upstream.in_flight -= 1
+
+    def _log_failure(
+        self, progress: _Progress, upstream: Upstream, reason: str, may_have_run: bool
+    ) -> None:
+        self.log.warning(
+            "attempt failed",
+            request=progress.call.request_id,
+            upstream=upstream.record.instance,
+            reason=reason,
+            may_have_run=may_have_run,
+            left_ms=progress.deadline_ms - self.clock.now_ms(),
+        )
+
+    def _exchange(self, progress: _Progress, upstream: Upstream) -> Answer | None:
+        started_ms = self.clock.now_ms()
+        left_ms = progress.deadline_ms - started_ms
+        request = _upstream_request(progress.call, upstream, left_ms)
+        repeatable = progress.route.repeatable()
+        patience_ms = self._patience_ms(progress, upstream, left_ms)
+        exchange = self.client.start(upstream, request, patience_ms, repeatable)
+        done = False
+        try:
+            response = exchange.response
+            if response.not_run:
+                exchange.connection.read_body(patience_ms)
+                self.client.finish(exchange)
+                done = True
+                upstream.note_full(self.clock.now_ms())
+                progress.reason = f"status {response.head.status}, not run"
+                progress.retry_after_ms = progress.retry_after_ms or 0
+                self._log_failure(progress, upstream, progress.reason, False)
+                return None
+            headers = tuple(self.dialect.response_headers(response.head))
+            if response.head.get("content-type").startswith(EVENT_STREAM):
+                done = True
+                parts = self._stream(progress, exchange, request)
+                return StreamReply(response.head.status, headers, parts)
+            left_ms = progress.deadline_ms - self.clock.now_ms()
+            body = exchange.connection.read_body(left_ms)
+            self.client.finish(exchange)
+            done = True
+        finally:
+            if not done:
+                exchange.connection.close()
+        upstream.note_response(self.clock.now_ms() - started_ms)
+        reply = Reply(response.head.status, headers, body)
+        progress.may_have_run = True
+        if reply.status >= SERVER_ERRORS and repeatable:
+            progress.failure = reply
+            progress.reason = f"status {reply.status}"
+            self._log_failure(progress, upstream, progress.reason, True)
+            return None
+        self._log_answer(progress, upstream, reply.status, started_ms)
+        return reply
+
+    def _log_answer(
+        self, progress: _Progress, upstream: Upstream, status: int, started_ms: int
+    ) -> None:
+        now_ms = self.clock.now_ms()
+        self.log.info(
+            "call answered",
+            request=progress.call.request_id,
+            upstream=upstream.record.instance,
+            status=status,
+            attempt_ms=now_ms - started_ms,
+            total_ms=now_ms - progress.call.received_ms,
+            attempts=len(progress.tried),
+        )
+
+    def _patience_ms(self, progress: _Progress, upstream: Upstream, left_ms: int) -> int:
+        more = len(progress.tried) < progress.route.max_attempts
+        if not (progress.route.repeatable() and more):
+            return left_ms
+        expected_ms = upstream.response_ms or 0.0
+        return min(left_ms, max(MIN_PATIENCE_MS, int(expected_ms * PATIENCE_FACTOR)))
+
+    def _stream(
+        self, progress: _Progress, exchange: Exchange, request: UpstreamRequest
+    ) -> Iterator[bytes]:
+        """Pass a stream on; one that may be resumed goes on at another upstream if it breaks."""
+        reader = self.dialect.event_reader()
+        last = progress.call.resume_after
+        upstream = exchange.upstream
+        try:
+            while True:
+                try:
+                    part = exchange.connection.read_part(EVENT_PATIENCE_MS)
+                except ExchangeError as error:
+                    upstream.note_failure(self.clock.now_ms())
+                    self._log_failure(progress, upstream, error.reason, True)
+                    raise
+                if not part:
+                    break
+                for event in reader.feed(part):
+                    last = event.number
+                yield part
+            self.client.finish(exchange)
+            self.log.info("stream ended", request=progress.call.request_id, last_event=last)
+        finally:
+            if not exchange.connection.body_ended:
+                exchange.connection.close()
+            upstream.in_flight -= 1
+
+    def _timed_out(self, progress: _Progress) -> Answer:
+        cause = Cause.TIMEOUT if progress.may_have_run else Cause.NOT_RUN
+        self._log_end(progress, cause)
+        return Refusal(cause, progress.reason or "time is up", 0)
+
+    def _give_up(self, progress: _Progress) -> Answer:
+        if progress.failure is not None:
+            return progress.failure
+        if progress.deadline_ms - self.clock.now_ms() < MIN_ATTEMPT_MS:
+            return self._timed_out(progress)
+        cause = Cause.UNKNOWN if progress.may_have_run else Cause.NOT_RUN
+        self._log_end(progress, cause)
+        return Refusal(cause, progress.reason, progress.retry_after_ms)
+
+    def _log_end(self, progress: _Progress, cause: Cause) -> None:
+        self.log.warning(
+            "call given up",
+            request=progress.call.request_id,
+            route=progress.route.name,
+            cause=cause.value,
+            reason=progress.reason,
+            attempts=len(progress.tried),
+            listing=self.table.revision,
+            total_ms=self.clock.now_ms() - progress.call.received_ms,
+        )
+
+
+def _deadline_ms(call: ClientCall, route: Route) -> int:
+    limits = [limit for limit in (call.budget_ms, route.timeout_ms) if limit]
+    return call.received_ms + min(limits, default=EVENT_PATIENCE_MS)
+
+
+def _upstream_request(call: ClientCall, upstream: Upstream, left_ms: int) -> UpstreamRequest:
+    return UpstreamRequest(
+        request_id=call.request_id,
+        method=call.method,
+        target=call.target,
+        host=call.host,
+        headers=call.headers,
+        body=call.body,
+        instance=upstream.record.instance,
+        budget_ms=left_ms,
+        resume_after=call.resume_after,
+    )
--- /dev/null
+++ b/src/pistachionotch/gateway/catalog.py
@@ -0,0 +1,112 @@
+"""Configuration of routes and services, as one version of it says."""
+
+from __future__ import annotations
+
+import enum
+import random
+
+import attrs
+
+
+class RouteKind(enum.StrEnum):
+    """Say what may be repeated on a route."""
+
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    STREAM = "stream"
+    BATCH = "batch"
+
+
+@attrs.frozen
+class ServiceShare:
+    """Give a service its share of a route's requests."""
+
+    service: str
+    weight: int
+
+
+@attrs.frozen(kw_only=True)
+class Route:
+    """Describe one route; times are in milliseconds, 0 means no limit."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    shares: tuple[ServiceShare, ...]
+    timeout_ms: int
+    objective_ms: int
+    priority: int
+    max_attempts: int
+    resumable: bool = False
+    # Of batches: when all results are due and when an item may be given up, after submission.
+    due_ms: int = 0
+    give_up_ms: int = 0
+    # Whether a result may mix weight versions.
+    one_version: bool = False
+
+    def repeatable(self) -> bool:
+        """Return whether a request may run more than once."""
+        return self.kind is RouteKind.SAFE or self.resumable
+
+    def choose_service(self, rng: random.Random) -> str:
+        """Return the service of one request, by weight."""
+        if len(self.shares) == 1:
+            return self.shares[0].service
+        weights = [share.weight for share in self.shares]
+        return rng.choices(self.shares, weights)[0].service
+
+
+@attrs.frozen(kw_only=True)
+class Service:
+    """Describe one service; ``models`` is empty unless its upstreams are model engines."""
+
+    name: str
+    max_connections: int
+    models: tuple[str, ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class ClientLimits:
+    """Bound what a client may send and how long it may stay idle."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 33_554_432
+    header_timeout_ms: int = 3_000
+    idle_timeout_ms: int = 15_000
+
+
+@attrs.define
+class Catalog:
+    """Hold one version of the configuration."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: dict[str, Service]
+    limits: ClientLimits
+    by_host: dict[str, list[Route]] = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.by_host = {}
+        for route in self.routes:
+            self.by_host.setdefault(route.host, []).append(route)
+        for routes in self.by_host.values():
+            routes.sort(key=lambda route: -len(route.prefix))
+
+    def match(self, host: str, target: str) -> Route | None:
+        """Return the route with the longest prefix of the path."""
+        path = target.partition("?")[0]
+        for route in self.by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def batch_routes(self, model_service: str) -> list[Route]:
+        """Return the batch routes that a service serves."""
+        found = []
+        for route in self.routes:
+            if route.kind is not RouteKind.BATCH:
+                continue
+            if any(share.service == model_service for share in route.shares):
+                found.append(route)
+        return found
--- /dev/null
+++ b/src/pistachionotch/gateway/exchange.py
@@ -0,0 +1,73 @@
+"""One request to one upstream, up to the start of its response."""
+
+from __future__ import annotations
+
+import attrs
+
+from ..clock import Clock
+from ..http_client import Connection, ConnectionPool, ExchangeError
+from .dialect import UpstreamDialect, UpstreamRequest, UpstreamResponse
+from .upstreams import Upstream
+
+# Longest time to connect; the platform's links take at most 24 ms for a round trip.
+CONNECT_TIMEOUT_MS = 500
+
+
+@attrs.frozen
+class Exchange:
+    """Hold an open response together with its connection."""
+
+    connection: Connection
+    response: UpstreamResponse
+    upstream: Upstream
+
+
+@attrs.define
+class UpstreamClient:
+    """Send requests to upstreams over kept connections."""
+
+    clock: Clock
+    dialect: UpstreamDialect
+    pool: ConnectionPool
+
+    def start(
+        self, upstream: Upstream, request: UpstreamRequest, timeout_ms: int, repeatable: bool
+    ) -> Exchange:
+        """Send a request and wait for the start of its response; raises ``ExchangeError``.
+
+        A kept connection may have been closed by its server a moment ago. A repeatable request is
+        then sent again on a new connection; any other one uses a new connection at once.
+        """
+        started_ms = self.clock.now_ms()
+        record = upstream.record
+        connect_ms = min(timeout_ms, CONNECT_TIMEOUT_MS)
+        connection = self.pool.take(record.address, record.peer, connect_ms, not repeatable)
+        kept = connection.exchanges > 0
+        try:
+            return self._send(connection, upstream, request, timeout_ms)
+        except ExchangeError:
+            closed_early = self.clock.now_ms() - started_ms < timeout_ms
+            if not (kept and closed_early and connection.parser.get_code() == 0):
+                raise
+        left_ms = timeout_ms - (self.clock.now_ms() - started_ms)
+        connection = self.pool.take(record.address, record.peer, connect_ms, fresh=True)
+        return self._send(connection, upstream, request, left_ms)
+
+    def _send(
+        self, connection: Connection, upstream: Upstream, request: UpstreamRequest, timeout_ms: int
+    ) -> Exchange:
+        try:
+            headers = self.dialect.request_headers(request)
+            connection.send(request.method, request.target, headers, request.body, timeout_ms)
+            response = self.dialect.read_response(request, connection.read_head(timeout_ms))
+            if not response.matches:
+                raise ExchangeError("the response belongs to another request", sent=True)
+        except BaseException:
+            connection.close()
+            raise
+        return Exchange(connection, response, upstream)
+
+    def finish(self, exchange: Exchange) -> None:
+        """Keep the connection of a complete exchange."""
+        record = exchange.upstream.record
+        self.pool.give_back(exchange.connection, record.peer, exchange.response.head)
--- /dev/null
+++ b/src/pistachionotch/gateway/orders.py
@@ -0,0 +1,210 @@
+"""Duty of ordering new weights, done by the one gateway that holds the lease."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import gevent
+
+from ..clock import Clock
+from ..http_client import ExchangeError
+from ..lease.lease import Lease
+from ..weights.assignment import EngineWeights, Load, plan_loads
+from .catalog import Catalog
+from .dialect import EngineReport, LoadOrder, OrderAnswer, UpstreamDialect, UpstreamRequest
+from .exchange import UpstreamClient
+from .upstreams import Upstream, UpstreamTable
+
+STEP_MS = 100
+LEASE_STEP_MS = 500
+# Longest wait for an answer to a report or an order.
+CONTROL_TIMEOUT_MS = 800
+# A change of weights takes 0.9 s; the first look comes after that, and the next ones soon after.
+FIRST_CHECK_MS = 900
+CHECK_MS = 250
+# A load that takes longer is looked at again by the next plan.
+LOAD_TIMEOUT_MS = 4_000
+# Pause of an engine after an order that it did not accept or did not answer.
+RETRY_MS = 600
+OLDEST_VERSION = 1
+
+
+@attrs.define
+class OrderDuty:
+    """Bring the engines to the versions that trainers name."""
+
+    clock: Clock
+    node: str
+    lease: Lease
+    # Time between the acquisition of the lease and the first order.
+    handover_ms: int
+    table: UpstreamTable
+    client: UpstreamClient
+    dialect: UpstreamDialect
+    catalog: Callable[[], Catalog | None]
+    log: Any
+    named: dict[str, int] = attrs.field(factory=dict)
+    loading: set[str] = attrs.field(factory=set)
+    resume_ms: dict[str, int] = attrs.field(factory=dict)
+    held_since_ms: int | None = None
+    # Fence of the last order; none was given before.
+    ordered_fence: int | None = None
+
+    def holds(self) -> bool:
+        """Return whether this process is the one that gives orders, or is about to be."""
+        return self.lease.held()
+
+    def keep_lease(self) -> None:
+        """Acquire and renew the lease for ever."""
+        while True:
+            self.lease.step()
+            held = self.lease.held()
+            if not held:
+                self.held_since_ms = None
+            elif self.held_since_ms is None:
+                self.held_since_ms = self.clock.now_ms()
+            self.clock.sleep_ms(LEASE_STEP_MS)
+
+    def run(self) -> None:
+        """Give orders for ever."""
+        while True:
+            if self.may_order():
+                self.order_loads()
+            self.clock.sleep_ms(STEP_MS)
+
+    def may_order(self) -> bool:
+        """Return whether orders of this process cannot meet those of the former holder."""
+        since_ms = self.held_since_ms
+        if since_ms is None or not self.lease.held():
+            return False
+        # A lease that lapsed and came back with the same fence had no other holder meanwhile.
+        if self.lease.fence == self.ordered_fence:
+            return True
+        return self.clock.now_ms() - since_ms >= self.handover_ms
+
+    def order_loads(self) -> None:
+        """Start the loads that are due."""
+        catalog = self.catalog()
+        if catalog is None:
+            return
+        now_ms = self.clock.now_ms()
+        for service in catalog.services.values():
+            if not service.models:
+                continue
+            named = {model: self.named.get(model, OLDEST_VERSION) for model in service.models}
+            keep = not any(route.one_version for route in catalog.batch_routes(service.name))
+            engines = [_weights(u, named) for u in self.table.of_service(service.name)]
+            paused = {name for name, until_ms in self.resume_ms.items() if until_ms > now_ms}
+            for load in plan_loads(engines, named, self.loading | paused):
+                self.loading.add(load.instance)
+                gevent.spawn(self._load, load, keep)
+
+    def _load(self, load: Load, keep: bool) -> None:
+        try:
+            upstream = self.table.upstreams.get(load.instance)
+            if upstream is None:
+                return
+            if not self._order(upstream, load, keep):
+                self.resume_ms[load.instance] = self.clock.now_ms() + RETRY_MS
+        finally:
+            self.loading.discard(load.instance)
+
+    def _order(self, upstream: Upstream, load: Load, keep: bool) -> bool:
+        """Give one order and wait until it is carried out; returns whether that was seen."""
+        report = self._report(upstream)
+        if report is None or report.busy:
+            return False
+        for model, version in report.versions.items():
+            upstream.note_version(model, version)
+        if upstream.version(load.model) >= load.version:
+            return True
+        order = LoadOrder(
+            model=load.model,
+            version=load.version,
+            keep_running=keep,
+            holder=self.node,
+            fence=self.lease.fence,
+            expected_orders=report.orders,
+        )
+        if not self.may_order() or self.lease.fence != order.fence:
+            return False
+        self.ordered_fence = order.fence
+        answer = self._send(upstream, self.dialect.order_request(load.instance, order))
+        self.log.info(
+            "weights ordered",
+            upstream=load.instance,
+            model=load.model,
+            version=load.version,
+            former=upstream.version(load.model),
+            fence=order.fence,
+            expected_orders=order.expected_orders,
+            listing=self.table.revision,
+            answer=answer.value if answer is not None else "none",
+        )
+        if answer not in (OrderAnswer.ACCEPTED, OrderAnswer.HOLDS_ALREADY):
+            return False
+        return self._wait_loaded(upstream, load)
+
+    def _wait_loaded(self, upstream: Upstream, load: Load) -> bool:
+        started_ms = self.clock.now_ms()
+        self.clock.sleep_ms(FIRST_CHECK_MS)
+        while self.clock.now_ms() - started_ms < LOAD_TIMEOUT_MS:
+            if upstream.version(load.model) >= load.version:
+                return True
+            report = self._report(upstream)
+            if report is not None and report.versions.get(load.model, 0) >= load.version:
+                upstream.note_version(load.model, report.versions[load.model])
+                return True
+            self.clock.sleep_ms(CHECK_MS)
+        self.log.warning(
+            "weights not loaded", upstream=load.instance, model=load.model, version=load.version
+        )
+        return False
+
+    def _report(self, upstream: Upstream) -> EngineReport | None:
+        request = self.dialect.report_request(upstream.record.instance)
+        reply = self._exchange(upstream, request, repeatable=True)
+        if reply is None or reply[0] != 200:
+            return None
+        try:
+            return self.dialect.read_report(reply[1])
+        except (KeyError, TypeError, ValueError) as error:
+            self.log.warning(
+                "malformed report", upstream=upstream.record.instance, error=repr(error)
+            )
+            return None
+
+    def _send(self, upstream: Upstream, request: UpstreamRequest) -> OrderAnswer | None:
+        reply = self._exchange(upstream, request, repeatable=False)
+        return None if reply is None else self.dialect.read_order_answer(reply[0])
+
+    def _exchange(
+        self, upstream: Upstream, request: UpstreamRequest, repeatable: bool
+    ) -> tuple[int, bytes] | None:
+        exchange = None
+        try:
+            exchange = self.client.start(upstream, request, CONTROL_TIMEOUT_MS, repeatable)
+            body = exchange.connection.read_body(CONTROL_TIMEOUT_MS)
+            self.client.finish(exchange)
+            return exchange.response.head.status, body
+        except ExchangeError as error:
+            if exchange is not None:
+                exchange.connection.close()
+            self.log.warning(
+                "no answer to control request",
+                upstream=upstream.record.instance,
+                target=request.target,
+                reason=error.reason,
+            )
+            return None
+
+
+def _weights(upstream: Upstream, named: dict[str, int]) -> EngineWeights:
+    record = upstream.record
+    return EngineWeights(
+        instance=record.instance,
+        zone=record.zone,
+        versions={model: upstream.version(model) for model in named},
+    )
--- /dev/null
+++ b/src/pistachionotch/gateway/placing.py
@@ -0,0 +1,91 @@
+"""Choice of the upstream for one call, and what to do after an attempt; opens no sockets.
+
+Load pattern: three plain upstreams of different speed in different zones, a wave of short calls,
+one upstream that turns several times slower. Expected time, not number of calls, decides.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Collection, Sequence
+
+import attrs
+
+from .upstreams import Upstream
+
+# Assumed response time of an upstream that has answered nothing yet.
+UNKNOWN_RESPONSE_MS = 30.0
+# Round trips of a call to an upstream in another zone of this region, and in another region.
+OTHER_ZONE_MS = 2.0
+OTHER_REGION_MS = 24.0
+# An upstream with this many times its slots in calls of this process is full.
+FULL_FACTOR = 2
+# Retry-After of a call that found no room: about the time in which a slot becomes free.
+BUSY_RETRY_MS = 250
+# Retry-After of a call without any known upstream: the time that a listing takes to change.
+ABSENT_RETRY_MS = 1_000
+
+
+@attrs.frozen
+class Chosen:
+    """Name the upstream to try."""
+
+    upstream: Upstream
+    expected_ms: float
+    reason: str
+
+
+@attrs.frozen
+class NoRoom:
+    """Say that no upstream can take the call now."""
+
+    reason: str
+    retry_after_ms: int
+
+
+def distance_ms(zone: str, other: str, regions: dict[str, str]) -> float:
+    """Return the round trip between two zones."""
+    if zone == other:
+        return 0.0
+    if regions.get(zone) == regions.get(other):
+        return OTHER_ZONE_MS
+    return OTHER_REGION_MS
+
+
+def choose_upstream(
+    candidates: Sequence[Upstream],
+    tried: Collection[str],
+    zone: str,
+    regions: dict[str, str],
+    now_ms: int,
+    rng: random.Random,
+) -> Chosen | NoRoom:
+    """Return the upstream that is expected to answer first."""
+    fresh = [upstream for upstream in candidates if upstream.record.instance not in tried]
+    if not fresh:
+        return NoRoom("no upstream is left", ABSENT_RETRY_MS if not candidates else BUSY_RETRY_MS)
+    open_ones = [
+        upstream
+        for upstream in fresh
+        if upstream.full_until_ms <= now_ms
+        and upstream.in_flight < upstream.record.slots * FULL_FACTOR
+    ]
+    if not open_ones:
+        return NoRoom("all upstreams are full", BUSY_RETRY_MS)
+    sound = [upstream for upstream in open_ones if upstream.failed_until_ms <= now_ms]
+    best = None
+    best_ms = 0.0
+    for upstream in sound or open_ones:
+        expected_ms = _expected_ms(upstream) + distance_ms(zone, upstream.record.zone, regions)
+        # A small random part spreads equal candidates.
+        expected_ms += rng.random()
+        if best is None or expected_ms < best_ms:
+            best, best_ms = upstream, expected_ms
+    assert best is not None
+    return Chosen(best, best_ms, "soonest" if sound else "all have failed lately")
+
+
+def _expected_ms(upstream: Upstream) -> float:
+    work_ms = UNKNOWN_RESPONSE_MS if upstream.response_ms is None else upstream.response_ms
+    waiting = max(0, upstream.in_flight + 1 - upstream.record.slots)
+    return work_ms * (1.0 + waiting / upstream.record.slots + upstream.in_flight * 0.05)
--- /dev/null
+++ b/src/pistachionotch/gateway/upstreams.py
@@ -0,0 +1,135 @@
+"""What this process knows of the upstreams: their registrations and its own experience."""
+
+from __future__ import annotations
+
+import statistics
+from collections.abc import Iterable
+
+import attrs
+
+from ..config.spec import Address
+
+# Weight of a new sample in a moving average.
+AVERAGE_SHARE = 0.2
+# After a refusal for lack of room, an upstream is tried again this much later.
+FULL_PAUSE_MS = 80
+# After a broken exchange, an upstream is used only if no other is left, for this long; doubled by
+# each further failure up to the maximum.
+FAILURE_PAUSE_MS = 400
+MAX_FAILURE_PAUSE_MS = 4_000
+
+
+@attrs.frozen(kw_only=True)
+class UpstreamRecord:
+    """Hold the registration of one upstream, as the platform lists it."""
+
+    instance: str
+    service: str
+    address: Address
+    zone: str
+    slots: int
+    leaving: bool
+    # Time of its start; an instance may start again under the same name.
+    started_ms: int
+    # Weight version in use by model; empty for plain services.
+    versions: dict[str, int]
+
+    @property
+    def peer(self) -> str:
+        """Return what names one start of this upstream."""
+        return f"{self.instance}@{self.started_ms}"
+
+
+@attrs.define
+class Upstream:
+    """Join a registration with what this process saw of the upstream itself."""
+
+    record: UpstreamRecord
+    in_flight: int = 0
+    # Moving averages; None before the first sample.
+    response_ms: float | None = None
+    event_ms: float | None = None
+    full_until_ms: int = 0
+    failed_until_ms: int = 0
+    failures: int = 0
+    # Highest versions that its responses named; registrations lag behind.
+    seen_versions: dict[str, int] = attrs.field(factory=dict)
+
+    def version(self, model: str) -> int:
+        """Return the newest known weight version of a model, -1 if it serves none."""
+        return max(self.record.versions.get(model, -1), self.seen_versions.get(model, -1))
+
+    def free_slots(self) -> int:
+        """Return how many more requests of this process run at once."""
+        return self.record.slots - self.in_flight
+
+    def note_response(self, duration_ms: int) -> None:
+        """Count a complete response."""
+        self.response_ms = _average(self.response_ms, duration_ms)
+        self.failures = 0
+        self.failed_until_ms = 0
+
+    def note_event(self, gap_ms: float) -> None:
+        """Count the time between two events of a stream."""
+        self.event_ms = _average(self.event_ms, gap_ms)
+
+    def note_full(self, now_ms: int) -> None:
+        """Count a refusal for lack of room."""
+        self.full_until_ms = now_ms + FULL_PAUSE_MS
+
+    def note_failure(self, now_ms: int) -> None:
+        """Count a broken or missing response."""
+        pause_ms = min(MAX_FAILURE_PAUSE_MS, FAILURE_PAUSE_MS << min(self.failures, 6))
+        self.failures += 1
+        self.failed_until_ms = now_ms + pause_ms
+
+    def note_version(self, model: str, version: int) -> None:
+        """Remember a version that a response named."""
+        self.seen_versions[model] = max(version, self.seen_versions.get(model, -1))
+
+
+def _average(average: float | None, sample: float) -> float:
+    return sample if average is None else average + AVERAGE_SHARE * (sample - average)
+
+
+@attrs.define
+class UpstreamTable:
+    """Hold all upstreams by instance."""
+
+    upstreams: dict[str, Upstream] = attrs.field(factory=dict)
+    # Grows with each change of the registrations.
+    revision: int = -1
+
+    def replace(self, records: Iterable[UpstreamRecord], revision: int) -> list[UpstreamRecord]:
+        """Take over a newer listing; returns the registrations that are gone."""
+        if revision < self.revision:
+            return []
+        self.revision = revision
+        listed = {record.instance: record for record in records}
+        gone = []
+        for instance, upstream in list(self.upstreams.items()):
+            record = listed.get(instance)
+            if record is not None and record.peer == upstream.record.peer:
+                continue
+            gone.append(upstream.record)
+            del self.upstreams[instance]
+        for record in listed.values():
+            known = self.upstreams.get(record.instance)
+            if known is None:
+                self.upstreams[record.instance] = Upstream(record)
+                continue
+            known.record = record
+        return gone
+
+    def of_service(self, service: str) -> list[Upstream]:
+        """Return the upstreams of a service that may get new work."""
+        return [
+            upstream
+            for upstream in self.upstreams.values()
+            if upstream.record.service == service and not upstream.record.leaving
+        ]
+
+    def median_event_ms(self, service: str) -> float | None:
+        """Return the usual time between two events, None before any was measured."""
+        paces = [u.event_ms for u in self.of_service(service) if u.event_ms is not None]
+        return statistics.median(paces) if paces else None
--- /dev/null
+++ b/src/pistachionotch/http_client.py
@@ -0,0 +1,240 @@
+"""HTTP/1.1 client connections that never send a request twice by themselves."""
+
+from __future__ import annotations
+
+import socket
+from collections import deque
+from collections.abc import Iterable
+from typing import Any
+
+import attrs
+import gevent
+import gevent.socket
+from geventhttpclient.response import HTTPParseError, HTTPResponse
+
+from .clock import MS_PER_SECOND, Clock
+from .config.spec import Address
+
+READ_BYTES = 64 * 1024
+# A peer that does not acknowledge data for this long is unreachable; shorter than the 4 s after
+# which the platform expects a node to act on a restored path.
+USER_TIMEOUT_MS = 3_000
+# Probes of a silent connection: the first after this idle time, then at this interval.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+# A kept connection is not used in the last second before its server may close it.
+IDLE_MARGIN_MS = 1_000
+# Idle time after which a connection is not used again if the server names no limit.
+DEFAULT_IDLE_MS = 4_000
+
+Header = tuple[str, str]
+
+
+class ExchangeError(Exception):
+    """Report an exchange without a complete response; ``sent`` means the request may have run."""
+
+    def __init__(self, reason: str, sent: bool) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.sent = sent
+
+
+@attrs.frozen
+class ResponseHead:
+    """Hold the status and the headers of a response, names in lower case."""
+
+    status: int
+    headers: tuple[Header, ...]
+
+    def get(self, name: str) -> str:
+        """Return a header's value by its lower-case name, empty if absent."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return ""
+
+
+class _Parser(HTTPResponse):  # type: ignore[misc, unused-ignore]
+    """Stop at the end of one response, where the base class would go on with the next."""
+
+    surplus = False
+
+    def _on_message_begin(self) -> None:
+        if self.message_complete and self.get_code() >= 200:
+            self.surplus = True
+            raise HTTPParseError("bytes after the end of the response")
+        super()._on_message_begin()
+
+
+def _limited(sock: Any, timeout_ms: int) -> None:
+    sock.settimeout(max(1, timeout_ms) / MS_PER_SECOND)
+
+
+class Connection:
+    """One connection, for one exchange at a time."""
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self.sock: Any = None
+        self.parser: Any = None
+        self.exchanges = 0
+        self.idle_since_ms = 0
+        self.idle_limit_ms = DEFAULT_IDLE_MS
+        self.body_ended = False
+
+    def open(self, timeout_ms: int) -> None:
+        """Connect; raises ``ExchangeError`` with ``sent`` False."""
+        try:
+            self.sock = gevent.socket.create_connection(
+                (self.address.host, self.address.port), timeout=max(1, timeout_ms) / MS_PER_SECOND
+            )
+            _set_options(self.sock)
+        except OSError as error:
+            self.close()
+            raise ExchangeError(f"connect: {error}", sent=False) from error
+
+    def send(
+        self, method: str, target: str, headers: Iterable[Header], body: bytes, timeout_ms: int
+    ) -> None:
+        """Send one request."""
+        self.parser = _Parser(method)
+        self.body_ended = False
+        lines = [f"{method} {target} HTTP/1.1"]
+        lines.extend(f"{name}: {value}" for name, value in headers)
+        if body or method not in ("GET", "DELETE"):
+            lines.append(f"Content-Length: {len(body)}")
+        head = "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
+        self.exchanges += 1
+        try:
+            _limited(self.sock, timeout_ms)
+            self.sock.sendall(head + body)
+        except OSError as error:
+            raise ExchangeError(f"send: {error}", sent=True) from error
+
+    def read_head(self, timeout_ms: int) -> ResponseHead:
+        """Wait for the status and headers of the final response."""
+        try:
+            _limited(self.sock, timeout_ms)
+            with gevent.Timeout(max(1, timeout_ms) / MS_PER_SECOND, TimeoutError("no response")):
+                while not self.parser.headers_complete or self.parser.get_code() < 200:
+                    self._feed()
+        except (OSError, HTTPParseError) as error:
+            raise ExchangeError(f"response: {error}", sent=True) from error
+        headers = tuple(
+            (str(name).lower(), str(value)) for name, value in self.parser.info().items()
+        )
+        return ResponseHead(self.parser.get_code(), headers)
+
+    def read_part(self, timeout_ms: int) -> bytes:
+        """Return the next bytes of the body, empty at its end."""
+        try:
+            _limited(self.sock, timeout_ms)
+            while not self.parser._body_buffer and not self.parser.message_complete:
+                self._feed()
+        except (OSError, HTTPParseError) as error:
+            raise ExchangeError(f"body: {error}", sent=True) from error
+        part = bytes(self.parser._body_buffer)
+        self.parser._body_buffer.clear()
+        self.body_ended = not part
+        return part
+
+    def read_body(self, timeout_ms: int) -> bytes:
+        """Return the whole rest of the body."""
+        parts = []
+        try:
+            with gevent.Timeout(max(1, timeout_ms) / MS_PER_SECOND, TimeoutError("body is late")):
+                while part := self.read_part(timeout_ms):
+                    parts.append(part)
+        except TimeoutError as error:
+            raise ExchangeError(f"body: {error}", sent=True) from error
+        return b"".join(parts)
+
+    def _feed(self) -> None:
+        data = self.sock.recv(READ_BYTES)
+        try:
+            self.parser.feed(data)
+        except HTTPParseError:
+            # What follows a complete response belongs to no request; the response itself stands.
+            if not self.parser.surplus:
+                raise
+        if not data and not self.parser.message_complete:
+            raise HTTPParseError("connection closed before the end of the response")
+
+    def keepable(self) -> bool:
+        """Return whether the connection can carry a further exchange."""
+        if self.sock is None or self.parser is None or self.parser.surplus:
+            return False
+        return self.body_ended and not self.parser.should_close()
+
+    def note_idle(self, head: ResponseHead, now_ms: int) -> None:
+        """Remember when the connection became idle and how long its server keeps it."""
+        self.idle_since_ms = now_ms
+        for part in head.get("keep-alive").split(","):
+            name, _, value = part.strip().partition("=")
+            if name == "timeout" and value.isdigit():
+                self.idle_limit_ms = max(0, int(value) * MS_PER_SECOND - IDLE_MARGIN_MS)
+
+    def stale(self, now_ms: int) -> bool:
+        """Return whether an idle connection was closed, sent bytes or may be closed soon."""
+        if now_ms - self.idle_since_ms >= self.idle_limit_ms:
+            return True
+        try:
+            self.sock.setblocking(False)
+            # Anything that is readable here belongs to no request.
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
+
+    def close(self) -> None:
+        """Close the connection; a response in progress is abandoned."""
+        if self.sock is not None:
+            self.sock.close()
+            self.sock = None
+
+
+def _set_options(sock: socket.socket) -> None:
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+
+
+@attrs.define
+class ConnectionPool:
+    """Keep idle connections by peer; a peer is an address together with who answers there."""
+
+    clock: Clock
+    idle: dict[tuple[Address, str], deque[Connection]] = attrs.field(factory=dict)
+    opened: int = 0
+
+    def take(self, address: Address, peer: str, timeout_ms: int, fresh: bool = False) -> Connection:
+        """Return a kept connection, or a new one if there is none or ``fresh`` asks for it."""
+        kept = self.idle.get((address, peer))
+        while kept and not fresh:
+            connection = kept.pop()
+            if not connection.stale(self.clock.now_ms()):
+                return connection
+            connection.close()
+        connection = Connection(address)
+        connection.open(timeout_ms)
+        self.opened += 1
+        return connection
+
+    def give_back(self, connection: Connection, peer: str, head: ResponseHead) -> None:
+        """Keep the connection for the next exchange, or close it if it cannot carry one."""
+        if not connection.keepable():
+            connection.close()
+            return
+        connection.note_idle(head, self.clock.now_ms())
+        self.idle.setdefault((connection.address, peer), deque()).append(connection)
+
+    def forget(self, address: Address, peer: str) -> None:
+        """Close the idle connections to a peer that is gone."""
+        for connection in self.idle.pop((address, peer), ()):
+            connection.close()
--- a/src/pistachionotch/objects/follow.py
+++ b/src/pistachionotch/objects/follow.py
@@ -18,15 +18,21 @@
     revision: int = -1
     # Counts the refreshes that changed the copy.
     changes: int = 0
+    # Why the last refresh failed.
+    error: str = ""
 
-    def refresh(self) -> bool:
-        """Make the copy as recent as this call with one read; False if the store did not answer."""
+    def refresh(self, wait_ms: int = 0) -> bool:
+        """Bring the copy up to date with one read; False if the store did not answer.
+
+        The read waits up to ``wait_ms`` for a change if there is none yet.
+        """
         if self.revision < 0:
             return self._list()
-        batch = self.store.watch(self.prefix, self.revision, 0)
+        batch = self.store.watch(self.prefix, self.revision, wait_ms)
         if isinstance(batch, Failure):
             if isinstance(batch.failure(), WatchExpired):
                 return self._list()
+            self.error = str(batch.failure())
             return False
         if batch.unwrap().changes:
             self.changes += 1
@@ -41,6 +47,7 @@
     def _list(self) -> bool:
         snapshot = self.store.snapshot(self.prefix)
         if isinstance(snapshot, Failure):
+            self.error = str(snapshot.failure())
             return False
         self.changes += 1
         self.objects = {stored.key: stored for stored in snapshot.unwrap().objects}
--- /dev/null
+++ b/src/pistachionotch/platform/boot.py
@@ -0,0 +1,118 @@
+"""The platform's settings file: lines of the form ``a.b=value``, lists joined by commas."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from pathlib import Path
+
+import attrs
+
+from ..config.spec import Address
+from ..findings import Findings, Place
+from ..gateway.settings import GatewaySettings
+
+PATH_VARIABLE = "PISTACHIONOTCH_BOOT"
+MS_PER_SECOND = 1000
+
+
+@attrs.define
+class _Fields:
+    """Read fields and collect what is wrong with them."""
+
+    file: str
+    values: dict[str, str] = attrs.field(factory=dict)
+    lines: dict[str, int] = attrs.field(factory=dict)
+    findings: Findings = attrs.field(factory=Findings)
+
+    def place(self, name: str) -> Place:
+        return Place(self.file, self.lines.get(name, 0), 1 if name in self.lines else 0)
+
+    def text(self, name: str) -> str:
+        value = self.values.get(name, "")
+        if not value:
+            self.findings.add(self.place(name), f"'{name}' is missing or empty")
+        return value
+
+    def address(self, name: str, required: bool = True) -> Address | None:
+        if name not in self.values and not required:
+            return None
+        try:
+            return Address.parse(self.text(name))
+        except ValueError as error:
+            self.findings.add(self.place(name), f"'{name}': {error}")
+            return None
+
+    def number(self, name: str) -> float:
+        try:
+            number = float(self.text(name))
+        except ValueError:
+            self.findings.add(self.place(name), f"'{name}' is not a number")
+            return 0.0
+        if number < 0:
+            self.findings.add(self.place(name), f"'{name}' is negative")
+        return number
+
+    def ports(self, name: str) -> tuple[int, int]:
+        first, _, last = self.text(name).partition(",")
+        if first.isdigit() and last.isdigit() and int(first) <= int(last):
+            return int(first), int(last)
+        self.findings.add(self.place(name), f"'{name}' is not a range of ports")
+        return 0, 0
+
+
+def read_settings(text: str, file: str) -> GatewaySettings:
+    """Read a settings file; raises ``InvalidInputError`` with all findings.
+
+    Fields that are not named here are ignored, since the platform may add some at any time.
+    """
+    fields = _Fields(file)
+    for number, line in enumerate(text.splitlines(), start=1):
+        name, separator, value = line.partition("=")
+        if not line.strip() or line.startswith("#"):
+            continue
+        if not separator:
+            fields.findings.add(Place(file, number, 1), "a line without '='")
+            continue
+        fields.values[name.strip()] = value.strip()
+        fields.lines[name.strip()] = number
+    serves_clients = "edge" in fields.values.get("serves", "").split(",")
+    first_port, _last_port = fields.ports("port_range")
+    object_api = fields.address("platform.address")
+    settings = GatewaySettings(
+        node=fields.text("node_name"),
+        zone=fields.text("zone"),
+        region=fields.text("region"),
+        zone_regions=_zone_regions(fields.values),
+        object_api=object_api or Address("0.0.0.0", 0),
+        max_value_bytes=int(fields.number("platform.value_bytes")),
+        listen_clients=fields.address("listen.frontend", serves_clients),
+        listen_probes=fields.address("listen.ready_addr", serves_clients),
+        listen_peers=Address(fields.text("ip"), first_port),
+        drain_grace_ms=int(fields.number("bounds.grace_s") * MS_PER_SECOND),
+        # "lease_ms" is no time to live: it keeps the orders of two holders apart.
+        order_handover_ms=int(fields.number("bounds.lease_ms")),
+        batch_retention_ms=int(fields.number("bounds.status_s") * MS_PER_SECOND),
+    )
+    fields.findings.raise_if_any()
+    return settings
+
+
+def _zone_regions(values: Mapping[str, str]) -> dict[str, str]:
+    prefix = "zones."
+    return {
+        name.removeprefix(prefix): region
+        for name, region in values.items()
+        if name.startswith(prefix)
+    }
+
+
+def load_settings(path: str) -> GatewaySettings:
+    """Read the settings file at a path; raises ``InvalidInputError`` with all findings."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        findings = Findings()
+        findings.add(Place(path), str(error))
+        findings.raise_if_any()
+        raise AssertionError from error
+    return read_settings(text, path)
--- /dev/null
+++ b/src/pistachionotch/platform/decode.py
@@ -0,0 +1,102 @@
+"""Objects that the operator, the servers and the trainers keep in the platform's store."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from typing import Any
+
+from ..config.spec import Address
+from ..gateway.catalog import Catalog, ClientLimits, Route, RouteKind, Service, ServiceShare
+from ..gateway.upstreams import UpstreamRecord
+from ..objects.api import StoredObject
+
+CONFIG_PREFIX = "config/"
+CONFIG_KEY = "config/main"
+SERVERS_PREFIX = "servers/"
+VERSIONS_PREFIX = "versions/"
+RETIREMENTS_PREFIX = "retirements/"
+MS_PER_SECOND = 1000
+
+_KINDS = {
+    "safe": RouteKind.SAFE,
+    "unsafe": RouteKind.UNSAFE,
+    "stream": RouteKind.STREAM,
+    # Their items are run by the system; clients hand in and read whole batches.
+    "rollout": RouteKind.BATCH,
+}
+
+
+def read_catalog(stored: StoredObject) -> Catalog:
+    """Read the configuration; raises ``ValueError``, ``KeyError`` or ``TypeError``."""
+    fields = json.loads(stored.value)
+    routes = tuple(_route(item) for item in fields["routes"])
+    services = {item["name"]: _service(item) for item in fields["services"]}
+    return Catalog(int(fields["version"]), routes, services, _limits(fields.get("limits") or {}))
+
+
+def _route(item: Mapping[str, Any]) -> Route:
+    split = item.get("split") or [{"service": item["service"], "weight": 1}]
+    return Route(
+        name=str(item["name"]),
+        host=str(item["hostname"]).lower(),
+        prefix=str(item["path_prefix"]),
+        # A kind that this version does not know is never repeated.
+        kind=_KINDS.get(str(item["route_kind"]), RouteKind.UNSAFE),
+        shares=tuple(ServiceShare(str(part["service"]), int(part["weight"])) for part in split),
+        timeout_ms=int(item.get("timeout_ms") or 0),
+        objective_ms=int(item.get("target_latency_ms") or 0),
+        priority=int(item.get("priority") or 0),
+        max_attempts=int(item.get("max_attempts") or 1),
+        resumable=bool(item.get("resumable")),
+        due_ms=int(item.get("due_ms") or 0),
+        # Counted from the submission, not from when the item started to wait.
+        give_up_ms=int(float(item.get("max_queue_s") or 0) * MS_PER_SECOND),
+        one_version=bool(item.get("single_version")),
+    )
+
+
+def _service(item: Mapping[str, Any]) -> Service:
+    engine = item.get("engine") or {}
+    return Service(
+        name=str(item["name"]),
+        max_connections=int(item.get("max_conns") or 0),
+        models=tuple(str(model["name"]) for model in engine.get("models") or ()),
+    )
+
+
+def _limits(item: Mapping[str, Any]) -> ClientLimits:
+    known = {name: int(item[name]) for name in item if hasattr(ClientLimits, name)}
+    return ClientLimits(**known)
+
+
+def read_upstream(stored: StoredObject) -> UpstreamRecord:
+    """Read a server's registration; raises if it names no server that may be used."""
+    fields = json.loads(stored.value)
+    state = fields["state"]
+    if state not in ("ready", "draining"):
+        raise ValueError(f"unknown state {state!r}")
+    slots = fields["slots"]
+    if not isinstance(slots, int) or slots < 1:
+        raise ValueError(f"invalid number of slots {slots!r}")
+    texts = [fields[name] for name in ("service", "address", "zone")]
+    if not all(isinstance(text, str) and text for text in texts):
+        raise ValueError("service, address and zone must be texts")
+    return UpstreamRecord(
+        # The platform knows a server only by the name of its entry.
+        instance=stored.key.partition("/")[2],
+        service=texts[0],
+        address=Address.parse(texts[1]),
+        zone=texts[2],
+        slots=slots,
+        leaving=state == "draining",
+        started_ms=int(fields.get("born") or 0),
+        # The field "version" of an entry is that of the server's software, not of any weights.
+        versions={str(m["name"]): int(m["version"]) for m in fields.get("models") or ()},
+    )
+
+
+def read_named_version(stored: StoredObject) -> tuple[str, int]:
+    """Read the newest weight version that a trainer has named, with its model."""
+    fields = json.loads(stored.value)
+    return str(fields["model"]), int(fields["version"])
--- /dev/null
+++ b/src/pistachionotch/platform/ingress.py
@@ -0,0 +1,232 @@
+"""HTTP interface for the platform's clients."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Iterable, Iterator
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import parse_qs
+
+import attrs
+import gevent
+
+from ..batches.model import ResultPage
+from ..batches.service import BatchService, BatchTrouble, Trouble
+from ..clock import MS_PER_SECOND, Clock
+from ..gateway.calls import (
+    Answer,
+    CallForwarder,
+    Cause,
+    ClientCall,
+    Refusal,
+    Reply,
+    StreamReply,
+)
+from ..gateway.catalog import Catalog, RouteKind
+from ..gateway.departure import ClientGoneError, watch_client
+from ..http_client import Header
+from ..server import CLIENT_SOCKET, RAW_HEADERS, RAW_TARGET
+from .batches import page_body, read_submission
+from .upstream import BUDGET, REQUEST_ID, RESUME_AFTER
+
+BATCH_PREFIX = "/api/lots/"
+ITEM_PREFIX = "/api/items/"
+MAX_WAIT_MS = 1_000
+# Retry-After while no configuration is known yet.
+STARTING_RETRY_MS = 500
+JSON_TYPE = ("Content-Type", "application/json")
+
+_STATUS = {
+    Cause.NO_ROUTE: HTTPStatus.NOT_FOUND,
+    Cause.NOT_RUN: HTTPStatus.SERVICE_UNAVAILABLE,
+    # 503 would promise that the request has not run.
+    Cause.UNKNOWN: HTTPStatus.BAD_GATEWAY,
+    Cause.TIMEOUT: HTTPStatus.GATEWAY_TIMEOUT,
+    Cause.INVALID: HTTPStatus.BAD_REQUEST,
+    Cause.TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+}
+_TROUBLE = {
+    Trouble.ABSENT: Cause.NO_ROUTE,
+    Trouble.UNSURE: Cause.NOT_RUN,
+    Trouble.NOT_RUN: Cause.NOT_RUN,
+    Trouble.UNKNOWN: Cause.TIMEOUT,
+    Trouble.IMPOSSIBLE: Cause.TOO_LARGE,
+}
+
+
+@attrs.define
+class IngressApp:
+    """Serve clients over WSGI."""
+
+    clock: Clock
+    catalog: Callable[[], Catalog | None]
+    forwarder: CallForwarder
+    batches: BatchService
+    closing: Callable[[], bool]
+    count_open: Callable[[int], None]
+    log: Any
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        """Serve one request."""
+        self.count_open(1)
+        watch = None
+        answer: Answer
+        try:
+            call = self._read_call(environ)
+            if isinstance(call, ClientCall):
+                watch = watch_client(environ[CLIENT_SOCKET])
+                answer = self._answer(call)
+            else:
+                answer = call
+        except ClientGoneError:
+            self.log.info("client left", request=_header(environ, REQUEST_ID))
+            answer = Refusal(Cause.UNKNOWN, "the client left")
+        except BaseException:
+            self.count_open(-1)
+            raise
+        finally:
+            if watch is not None and not isinstance(answer, StreamReply):
+                watch.kill(block=False)
+        return self._send(answer, start_response, watch)
+
+    def _send(
+        self, answer: Answer, start_response: Callable[..., Any], watch: Any
+    ) -> Iterable[bytes]:
+        if isinstance(answer, Refusal):
+            answer = _refusal_reply(answer)
+        headers = list(answer.headers)
+        if self.closing():
+            headers.append(("Connection", "close"))
+        if isinstance(answer, Reply):
+            self.count_open(-1)
+            headers.append(("Content-Length", str(len(answer.body))))
+            start_response(_status_line(answer.status), headers)
+            return [answer.body]
+        start_response(_status_line(answer.status), headers)
+        return _StreamBody(answer.parts, watch, self.count_open)
+
+    def _read_call(self, environ: dict[str, Any]) -> ClientCall | Refusal:
+        received_ms = self.clock.now_ms()
+        headers: tuple[Header, ...] = environ[RAW_HEADERS]
+        names = [name.lower() for name, _value in headers]
+        # Two ways to delimit a body are how a request is hidden inside another.
+        if "transfer-encoding" in names and "content-length" in names:
+            return Refusal(Cause.INVALID, "both a length and a transfer encoding")
+        catalog = self.catalog()
+        limit = catalog.limits.max_body_bytes if catalog else None
+        body = environ["wsgi.input"].read(-1 if limit is None else limit + 1)
+        if limit is not None and len(body) > limit:
+            return Refusal(Cause.TOO_LARGE, "the body is too large")
+        return ClientCall(
+            request_id=_header(environ, REQUEST_ID),
+            method=environ["REQUEST_METHOD"],
+            target=environ[RAW_TARGET],
+            host=environ.get("HTTP_HOST", ""),
+            headers=headers,
+            body=body,
+            received_ms=received_ms,
+            budget_ms=_number(_header(environ, BUDGET)),
+            resume_after=_number(_header(environ, RESUME_AFTER)),
+        )
+
+    def _answer(self, call: ClientCall) -> Answer:
+        path, _, query = call.target.partition("?")
+        if path.startswith(BATCH_PREFIX):
+            return self._batch(call, path.removeprefix(BATCH_PREFIX), query)
+        if path.startswith(ITEM_PREFIX) and call.method == "GET":
+            return self._item(path.removeprefix(ITEM_PREFIX), query)
+        catalog = self.catalog()
+        if catalog is None:
+            return Refusal(Cause.NOT_RUN, "no configuration yet", STARTING_RETRY_MS)
+        route = catalog.match(call.host.lower(), call.target)
+        if route is None:
+            self.log.info(
+                "no route", request=call.request_id, target=call.target, catalog=catalog.version
+            )
+            return Refusal(Cause.NO_ROUTE, "no such route")
+        if route.kind is RouteKind.BATCH and call.method == "POST":
+            try:
+                submission = read_submission(
+                    call.request_id, call.host.lower(), call.target, call.body
+                )
+            except ValueError as error:
+                self.log.warning("submission refused", request=call.request_id, reason=str(error))
+                return Refusal(Cause.INVALID, str(error))
+            trouble = self.batches.submit(submission, route)
+            return Reply(HTTPStatus.ACCEPTED) if trouble is None else _trouble(trouble)
+        return self.forwarder.forward(call, route)
+
+    def _batch(self, call: ClientCall, batch: str, query: str) -> Answer:
+        if call.method == "DELETE":
+            trouble = self.batches.end(batch)
+            return Reply(HTTPStatus.OK) if trouble is None else _trouble(trouble)
+        if call.method != "GET":
+            return Refusal(Cause.INVALID, "unknown method for a batch")
+        position = _number(parse_qs(query).get("after", ["0"])[0]) or 0
+        wait_ms = _number(_of(call.headers, "wait-ms")) or 0
+        page = self.batches.read(batch, position, min(wait_ms, MAX_WAIT_MS))
+        if isinstance(page, ResultPage):
+            return Reply(HTTPStatus.OK, (JSON_TYPE,), page_body(page))
+        return _trouble(page)
+
+    def _item(self, batch: str, query: str) -> Answer:
+        body = self.batches.item_body(batch, parse_qs(query).get("id", [""])[0])
+        if isinstance(body, bytes):
+            return Reply(HTTPStatus.OK, (), body)
+        return _trouble(body)
+
+
+class _StreamBody:
+    """Pass on the parts of a stream and clean up after it."""
+
+    def __init__(
+        self, parts: Iterator[bytes], watch: Any, count_open: Callable[[int], None]
+    ) -> None:
+        self.parts = parts
+        self.watch = watch
+        self.count_open = count_open
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self.parts
+
+    def close(self) -> None:
+        """Stop the stream; the server calls this however it ended."""
+        self.count_open(-1)
+        if self.watch is not None:
+            self.watch.kill(block=False)
+        gevent.spawn(self.parts.close)  # type: ignore[attr-defined]
+
+
+def _trouble(trouble: BatchTrouble) -> Refusal:
+    return Refusal(_TROUBLE[trouble.trouble], trouble.reason, trouble.retry_after_ms)
+
+
+def _refusal_reply(refusal: Refusal) -> Reply:
+    headers = [JSON_TYPE]
+    if refusal.retry_after_ms is not None:
+        headers.append(("Retry-After", f"{refusal.retry_after_ms / MS_PER_SECOND:.3f}"))
+    body = json.dumps({"error": refusal.cause.value, "reason": refusal.reason}).encode()
+    return Reply(_STATUS[refusal.cause], tuple(headers), body)
+
+
+def _status_line(status: int) -> str:
+    try:
+        return f"{status} {HTTPStatus(status).phrase}"
+    except ValueError:
+        # An upstream may answer with a status that has no standard phrase.
+        return f"{status} Status"
+
+
+def _header(environ: dict[str, Any], name: str) -> str:
+    return str(environ.get("HTTP_" + name.upper().replace("-", "_"), ""))
+
+
+def _of(headers: tuple[Header, ...], name: str) -> str:
+    return next((value for key, value in headers if key.lower() == name), "")
+
+
+def _number(text: str) -> int | None:
+    return int(text) if text.isdigit() else None
--- /dev/null
+++ b/src/pistachionotch/platform/listings.py
@@ -0,0 +1,71 @@
+"""What the operator, the servers and the trainers keep in the platform's store."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from typing import Any, TypeVar
+
+import attrs
+from returns.result import Result
+
+from ..gateway.catalog import Catalog
+from ..gateway.upstreams import UpstreamRecord
+from ..objects.api import StoredObject, StoreError
+from .decode import (
+    CONFIG_KEY,
+    CONFIG_PREFIX,
+    RETIREMENTS_PREFIX,
+    SERVERS_PREFIX,
+    VERSIONS_PREFIX,
+    read_catalog,
+    read_named_version,
+    read_upstream,
+)
+from .store import PlatformStore
+
+T = TypeVar("T")
+
+
+@attrs.define
+class PlatformListings:
+    """Read the platform's kinds of objects."""
+
+    store: PlatformStore
+    log: Any
+    # Keys and versions of objects that were reported as unreadable, so that each is logged once.
+    reported: set[tuple[str, int]] = attrs.field(factory=set)
+    catalog_prefix: str = CONFIG_PREFIX
+    upstreams_prefix: str = SERVERS_PREFIX
+    versions_prefix: str = VERSIONS_PREFIX
+    # A "retirement" asks for a VM to be emptied.
+    evacuations_prefix: str = RETIREMENTS_PREFIX
+
+    def catalog(self, objects: Mapping[str, StoredObject]) -> Catalog | None:
+        """Return the newest configuration, None if there is none that can be read."""
+        stored = objects.get(CONFIG_KEY)
+        return None if stored is None else self._read(read_catalog, stored)
+
+    def upstreams(self, objects: Mapping[str, StoredObject]) -> list[UpstreamRecord]:
+        """Return the registrations that name a usable server."""
+        records = (self._read(read_upstream, stored) for stored in objects.values())
+        return [record for record in records if record is not None]
+
+    def versions(self, objects: Mapping[str, StoredObject]) -> dict[str, int]:
+        """Return the newest named weight version by model."""
+        named = (self._read(read_named_version, stored) for stored in objects.values())
+        return dict(pair for pair in named if pair is not None)
+
+    def confirm_evacuation(self, key: str) -> Result[StoredObject, StoreError]:
+        """Tell the operator that a VM with a disk holds nothing that would be lost."""
+        return self.store.put_status(key, {"state": "done"})
+
+    def _read(self, read: Callable[[StoredObject], T], stored: StoredObject) -> T | None:
+        try:
+            return read(stored)
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            if (stored.key, stored.version) not in self.reported:
+                self.reported.add((stored.key, stored.version))
+                self.log.warning(
+                    "unreadable object", key=stored.key, version=stored.version, error=repr(error)
+                )
+            return None
--- /dev/null
+++ b/src/pistachionotch/platform/main.py
@@ -0,0 +1,95 @@
+"""Programs that run on the platform's machines."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+from typing import Any
+
+from ..findings import InvalidInputError
+
+EXIT_SETTINGS = 2
+
+
+def gateway() -> int:
+    """Run a gateway until SIGTERM; the platform names the settings file in the environment."""
+    from .boot import PATH_VARIABLE, load_settings
+
+    try:
+        settings = load_settings(os.environ.get(PATH_VARIABLE, ""))
+    except InvalidInputError as error:
+        print(error, file=sys.stderr)
+        return EXIT_SETTINGS
+    import gevent
+
+    from ..cli.daemons import run_daemon
+    from ..logs import BoundedStream, configure_logs
+
+    stream = BoundedStream(sys.stdout.fileno())
+    configure_logs(stream)
+    gevent.spawn(stream.run)
+    daemon = make_gateway(settings)
+    gevent.signal_handler(signal.SIGHUP, _reload, daemon)
+    run_daemon(daemon)
+    stream.write_out()
+    return 0
+
+
+def _reload(daemon: Any) -> None:
+    """Read the settings file again; invalid settings change nothing."""
+    from ..logs import logger
+    from .boot import PATH_VARIABLE, load_settings
+
+    try:
+        settings = load_settings(os.environ.get(PATH_VARIABLE, ""))
+    except InvalidInputError as error:
+        logger("gateway").warning("settings not reloaded", findings=str(error))
+        return
+    daemon.reload(settings)
+
+
+def make_gateway(settings: Any) -> Any:
+    """Return the gateway for these settings."""
+    from ..clock import SystemClock
+    from ..gateway.daemon import GatewayDaemon
+    from ..http_client import ConnectionPool
+    from ..logs import logger
+    from .ingress import IngressApp
+    from .listings import PlatformListings
+    from .store import PlatformStore
+    from .upstream import ServerDialect
+
+    clock = SystemClock()
+    pool = ConnectionPool(clock)
+    store = PlatformStore(settings.object_api, pool)
+
+    def ingress(daemon: GatewayDaemon) -> IngressApp:
+        return IngressApp(
+            daemon.clock,
+            lambda: daemon.catalog,
+            daemon.forwarder,
+            daemon.batches,
+            daemon.closing,
+            daemon.count_open,
+            logger("clients"),
+        )
+
+    return GatewayDaemon(
+        settings,
+        store,
+        pool,
+        ServerDialect(),
+        PlatformListings(store, logger("listings")),
+        ingress,
+        "/api/readyz",
+        clock,
+    )
+
+
+def disk() -> int:
+    """Hold the place of a VM with a disk; nothing is kept there, so there is nothing to do."""
+    # SIGTERM ends the process, which has nothing to finish, and no setting concerns it.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    while True:
+        signal.pause()
--- /dev/null
+++ b/src/pistachionotch/platform/store.py
@@ -0,0 +1,221 @@
+"""The platform's metadata store behind the product's ``ObjectStore`` protocol.
+
+A key ``kind/name`` names the platform's object of that kind; further slashes become tildes. The
+value is the JSON text of the platform's ``spec``; its ``status`` is written by ``put_status`` only.
+"""
+
+from __future__ import annotations
+
+import json
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import quote, urlencode
+
+import attrs
+from returns.result import Failure, Result, Success
+
+from ..config.spec import Address
+from ..http_client import Connection, ConnectionPool, ExchangeError
+from ..objects.api import (
+    Change,
+    Snapshot,
+    StoredObject,
+    StoreError,
+    StoreRejected,
+    StoreUnavailable,
+    VersionConflict,
+    WatchBatch,
+    WatchExpired,
+    WriteAmbiguous,
+)
+
+CONNECT_TIMEOUT_MS = 500
+# A hundred times the platform's usual answer of 4 ms is a slow store; beyond this it is down.
+RESPONSE_TIMEOUT_MS = 2_000
+OBJECTS_PATH = "/api/objects/"
+PEER = "object-api"
+# The store states for these that nothing was done.
+NOTHING_DONE = frozenset({HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE})
+NO_SPEC = b"null"
+
+
+@attrs.frozen
+class _Reply:
+    status: int
+    fields: Any
+
+
+@attrs.frozen
+class _NoReply:
+    reason: str
+    sent: bool
+
+
+@attrs.define
+class PlatformStore:
+    """Use the platform's store at one address."""
+
+    address: Address
+    pool: ConnectionPool
+    calls: int = 0
+
+    def get(self, key: str) -> Result[StoredObject | None, StoreUnavailable]:
+        """Return the object, or None when there is none."""
+        reply = self._call("GET", _path(key))
+        if isinstance(reply, _NoReply):
+            return Failure(StoreUnavailable(reply.reason))
+        if reply.status == HTTPStatus.NOT_FOUND:
+            return Success(None)
+        if reply.status != HTTPStatus.OK:
+            return Failure(StoreUnavailable(f"status {reply.status}"))
+        return _parsed(lambda: _stored(key.partition("/")[0], reply.fields))
+
+    def list(self, prefix: str) -> Result[tuple[StoredObject, ...], StoreUnavailable]:
+        """Return all objects under ``prefix``, by key."""
+        return self.snapshot(prefix).map(lambda snapshot: snapshot.objects)
+
+    def snapshot(self, prefix: str) -> Result[Snapshot, StoreUnavailable]:
+        """Return all objects of a kind with the revision to watch from."""
+        kind = prefix.partition("/")[0]
+        objects: list[StoredObject] = []
+        after = ""
+        while True:
+            query = "?" + urlencode({"after": after}) if after else ""
+            reply = self._call("GET", OBJECTS_PATH + quote(kind) + query)
+            if isinstance(reply, _NoReply):
+                return Failure(StoreUnavailable(reply.reason))
+            if reply.status != HTTPStatus.OK:
+                return Failure(StoreUnavailable(f"status {reply.status}"))
+            try:
+                page = [_stored(kind, item) for item in reply.fields["items"]]
+                more = bool(reply.fields["has_more"])
+                revision = int(reply.fields["current_rev"])
+            except (KeyError, TypeError, ValueError) as error:
+                return Failure(StoreUnavailable(f"malformed answer: {error!r}"))
+            objects.extend(page)
+            if not (more and page):
+                # Objects that changed during later pages are read again by the first watch.
+                return Success(Snapshot(revision, tuple(objects)))
+            after = _name(page[-1].key.partition("/")[2])
+
+    def put(
+        self, key: str, value: bytes, expected_version: int | None
+    ) -> Result[StoredObject, StoreError]:
+        """Write if the object has ``expected_version``; None means create only."""
+        kind, _, name = key.partition("/")
+        metadata: dict[str, Any] = {"name": _name(name)}
+        body = {"metadata": metadata, "spec": json.loads(value)}
+        if expected_version is None:
+            reply = self._call("POST", OBJECTS_PATH + quote(kind), body)
+        else:
+            metadata["revision"] = expected_version
+            reply = self._call("PUT", _path(key), body)
+        return self._written(key, reply)
+
+    def put_status(self, key: str, status: Any) -> Result[StoredObject, StoreError]:
+        """Replace the status of an object that another writer owns."""
+        return self._written(key, self._call("PUT", _path(key) + "/status", {"status": status}))
+
+    def delete(self, key: str, expected_version: int) -> Result[None, StoreError]:
+        """Delete the object if it has ``expected_version``."""
+        query = "?" + urlencode({"revision": expected_version})
+        reply = self._call("DELETE", _path(key) + query)
+        return self._written(key, reply).map(lambda _stored: None)
+
+    def watch(self, prefix: str, since: int, timeout_ms: int) -> Result[WatchBatch, StoreError]:
+        """Wait until something of a kind is newer than the revision ``since``."""
+        kind = prefix.partition("/")[0]
+        query = urlencode({"watch": since, "wait_ms": timeout_ms})
+        reply = self._call("GET", f"{OBJECTS_PATH}{quote(kind)}?{query}", wait_ms=timeout_ms)
+        if isinstance(reply, _NoReply):
+            return Failure(StoreUnavailable(reply.reason))
+        if reply.status == HTTPStatus.GONE:
+            return Failure(WatchExpired(since))
+        if reply.status != HTTPStatus.OK:
+            return Failure(StoreUnavailable(f"status {reply.status}"))
+        try:
+            changes = tuple(_change(kind, event) for event in reply.fields["events"])
+            return Success(WatchBatch(int(reply.fields["current_rev"]), changes))
+        except (KeyError, TypeError, ValueError) as error:
+            return Failure(StoreUnavailable(f"malformed answer: {error!r}"))
+
+    def _written(self, key: str, reply: _Reply | _NoReply) -> Result[StoredObject, StoreError]:
+        kind = key.partition("/")[0]
+        if isinstance(reply, _NoReply):
+            if reply.sent:
+                return Failure(WriteAmbiguous(reply.reason))
+            return Failure(StoreUnavailable(reply.reason))
+        if reply.status in (HTTPStatus.OK, HTTPStatus.CREATED):
+            return _parsed(lambda: _stored(kind, reply.fields)).lash(
+                lambda error: Failure(WriteAmbiguous(error.reason))
+            )
+        if reply.status == HTTPStatus.CONFLICT:
+            return _parsed(lambda: _stored(kind, reply.fields)).bind(
+                lambda current: Failure(VersionConflict(current))
+            )
+        if reply.status == HTTPStatus.NOT_FOUND:
+            return Failure(VersionConflict(None))
+        if reply.status in NOTHING_DONE:
+            return Failure(StoreUnavailable(f"status {reply.status}"))
+        if HTTPStatus.BAD_REQUEST <= reply.status < HTTPStatus.INTERNAL_SERVER_ERROR:
+            return Failure(StoreRejected(reply.status, str(reply.fields)))
+        return Failure(WriteAmbiguous(f"status {reply.status}"))
+
+    def _call(self, method: str, target: str, body: Any = None, wait_ms: int = 0) -> Any:
+        """Return the reply; a lost one is not asked for again."""
+        self.calls += 1
+        data = b"" if body is None else json.dumps(body, separators=(",", ":")).encode()
+        headers = [("Host", str(self.address))]
+        if body is not None:
+            headers.append(("Content-Type", "application/json"))
+        connection: Connection | None = None
+        try:
+            connection = self.pool.take(self.address, PEER, CONNECT_TIMEOUT_MS)
+            connection.send(method, target, headers, data, RESPONSE_TIMEOUT_MS)
+            head = connection.read_head(RESPONSE_TIMEOUT_MS + wait_ms)
+            text = connection.read_body(RESPONSE_TIMEOUT_MS)
+            self.pool.give_back(connection, PEER, head)
+            connection = None
+            return _Reply(head.status, _json_or_none(text))
+        except ExchangeError as error:
+            return _NoReply(error.reason, error.sent)
+        finally:
+            if connection is not None:
+                connection.close()
+
+
+def _json_or_none(text: bytes) -> Any:
+    try:
+        return json.loads(text)
+    except ValueError:
+        # The status decides; a caller that needs the fields reports the answer as malformed.
+        return None
+
+
+def _parsed(read: Any) -> Any:
+    try:
+        return Success(read())
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        return Failure(StoreUnavailable(f"malformed answer: {error!r}"))
+
+
+def _name(name: str) -> str:
+    return name.replace("/", "~")
+
+
+def _path(key: str) -> str:
+    kind, _, name = key.partition("/")
+    return f"{OBJECTS_PATH}{quote(kind)}/{quote(_name(name), safe='')}"
+
+
+def _stored(kind: str, fields: Any) -> StoredObject:
+    metadata = fields["metadata"]
+    spec = fields.get("spec")
+    value = json.dumps(spec, separators=(",", ":")).encode()
+    name = str(metadata["name"]).replace("~", "/")
+    return StoredObject(f"{kind}/{name}", int(metadata["revision"]), value)
+
+
+def _change(kind: str, event: Any) -> Change:
+    stored = _stored(kind, event["object"])
+    return Change(stored.key, stored.version, None if event["removed"] else stored.value)
--- /dev/null
+++ b/src/pistachionotch/platform/upstream.py
@@ -0,0 +1,178 @@
+"""Headers, events, reports and orders of the platform's servers."""
+
+from __future__ import annotations
+
+import json
+from http import HTTPStatus
+
+from ..gateway.dialect import (
+    EngineReport,
+    LoadOrder,
+    OrderAnswer,
+    StreamEvent,
+    UpstreamRequest,
+    UpstreamResponse,
+)
+from ..http_client import Header, ResponseHead
+
+REQUEST_ID = "Request-Id"
+BUDGET = "Deadline-Ms"
+INSTANCE = "Expect-Instance"
+RESUME_AFTER = "Last-Event-Id"
+URGENCY = "Priority-Class"
+NOT_RUN = "not-run"
+PROOF = "server-stamp"
+VERSIONS = "weight-versions"
+REPORT_PATH = "/api/report"
+ORDER_PATH = "/api/order"
+MISDIRECTED = 421
+_ORDER_ANSWERS: dict[int, OrderAnswer] = {
+    HTTPStatus.ACCEPTED: OrderAnswer.ACCEPTED,
+    HTTPStatus.OK: OrderAnswer.HOLDS_ALREADY,
+    HTTPStatus.CONFLICT: OrderAnswer.CONFLICT,
+    HTTPStatus.PRECONDITION_FAILED: OrderAnswer.OUTDATED_FENCE,
+}
+# Headers that concern one connection, or that the dialect sets itself.
+_DROPPED_REQUEST = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "transfer-encoding",
+        "te",
+        "trailer",
+        "upgrade",
+        "content-length",
+        "expect",
+        "host",
+        "request-id",
+        "deadline-ms",
+        "expect-instance",
+        "last-event-id",
+        "priority-class",
+    }
+)
+_DROPPED_RESPONSE = frozenset(
+    {"connection", "keep-alive", "transfer-encoding", "trailer", "upgrade", "content-length"}
+)
+
+
+class EventReader:
+    """Split the bytes of an event stream."""
+
+    def __init__(self) -> None:
+        self.rest = b""
+
+    def feed(self, data: bytes) -> list[StreamEvent]:
+        """Return the events that are complete now."""
+        *blocks, self.rest = (self.rest + data).split(b"\n\n")
+        return [_event(block.decode()) for block in blocks if block]
+
+
+def _event(block: str) -> StreamEvent:
+    number = None
+    version = None
+    data = []
+    for line in block.split("\n"):
+        name, _, value = line.partition(":")
+        value = value.removeprefix(" ")
+        if name == "id":
+            number = int(value)
+        elif name == "data":
+            data.append(value)
+        elif name == VERSIONS:
+            version = int(value)
+    if number is None:
+        raise ValueError("event without a number")
+    return StreamEvent(number=number, data="\n".join(data), version=version)
+
+
+class ServerDialect:
+    """Translate requests and responses."""
+
+    def request_headers(self, request: UpstreamRequest) -> list[Header]:
+        """Return all headers of a request."""
+        headers = [("Host", request.host)]
+        if request.request_id:
+            headers.append((REQUEST_ID, request.request_id))
+        headers.append((INSTANCE, request.instance))
+        if request.budget_ms is not None:
+            headers.append((BUDGET, str(request.budget_ms)))
+        if request.resume_after is not None:
+            headers.append((RESUME_AFTER, str(request.resume_after)))
+        if request.urgency is not None:
+            headers.append((URGENCY, str(request.urgency)))
+        for name, value in request.headers:
+            if name.lower() not in _DROPPED_REQUEST:
+                headers.append((name, value))
+        return headers
+
+    def read_response(self, request: UpstreamRequest, head: ResponseHead) -> UpstreamResponse:
+        """Interpret the headers of a response."""
+        echoed = head.get("request-id")
+        misdirected = head.status == MISDIRECTED
+        return UpstreamResponse(
+            head=head,
+            # A refusal on the way into the server may lack the echo; a success never does.
+            matches=echoed == request.request_id or (not echoed and head.status >= 400),
+            not_run=bool(head.get(NOT_RUN)) or misdirected,
+            wrong_instance=misdirected,
+            proved=bool(head.get(PROOF)),
+            versions=_versions(head.get(VERSIONS)),
+        )
+
+    def event_reader(self) -> EventReader:
+        """Return a reader for one stream."""
+        return EventReader()
+
+    def report_request(self, instance: str) -> UpstreamRequest:
+        """Return the request for a server's report."""
+        return _control_request("GET", REPORT_PATH, b"", instance)
+
+    def read_report(self, body: bytes) -> EngineReport:
+        """Read a server's report; raises ``ValueError``, ``KeyError`` or ``TypeError``."""
+        fields = json.loads(body)
+        return EngineReport(
+            busy=bool(fields["busy"]),
+            # In other calls "seq" counts other things; here it is the orders accepted.
+            orders=int(fields["seq"]),
+            versions={str(m["name"]): int(m["version"]) for m in fields["models"]},
+        )
+
+    def order_request(self, instance: str, order: LoadOrder) -> UpstreamRequest:
+        """Return the request that gives an order."""
+        fields = {
+            "op": "version",
+            "model": order.model,
+            "version": order.version,
+            # "keep" means that the running requests go on, under the new version.
+            "mode": "keep" if order.keep_running else "wait",
+            "holder": order.holder,
+            "fencing_token": order.fence,
+            "expected": order.expected_orders,
+        }
+        return _control_request("POST", ORDER_PATH, json.dumps(fields).encode(), instance)
+
+    def read_order_answer(self, status: int) -> OrderAnswer:
+        """Interpret the status of an answer to an order."""
+        return _ORDER_ANSWERS.get(status, OrderAnswer.REJECTED)
+
+    def response_headers(self, head: ResponseHead) -> list[Header]:
+        """Return the headers that go back to the client."""
+        return [header for header in head.headers if header[0] not in _DROPPED_RESPONSE]
+
+
+def _control_request(method: str, target: str, body: bytes, instance: str) -> UpstreamRequest:
+    return UpstreamRequest(
+        request_id="",
+        method=method,
+        target=target,
+        host="",
+        headers=(("Content-Type", "application/json"),) if body else (),
+        body=body,
+        instance=instance,
+    )
+
+
+def _versions(text: str) -> tuple[int, ...]:
+    return tuple(int(part) for part in text.replace(",", " ").split() if part.isdigit())
--- a/src/pistachionotch/server.py
+++ b/src/pistachionotch/server.py
@@ -19,6 +19,10 @@
 IDLE_TIMEOUT_S = 30.0
 HEADER_TIMEOUT_S = 10.0
 BODY_TIMEOUT_S = 30.0
+# Keys of the WSGI environment.
+RAW_TARGET = "pistachionotch.target"
+RAW_HEADERS = "pistachionotch.headers"
+CLIENT_SOCKET = "pistachionotch.socket"
 
 
 @contextmanager
@@ -45,6 +49,14 @@
         with time_limit(HEADER_TIMEOUT_S):
             return super().read_request(raw_requestline)
 
+    def get_environ(self) -> dict[str, Any]:
+        """Add what a forwarding application needs as the client sent it, and the socket."""
+        environ: dict[str, Any] = super().get_environ()
+        environ[RAW_TARGET] = self.path
+        environ[RAW_HEADERS] = tuple(self.headers.items())
+        environ[CLIENT_SOCKET] = self.socket
+        return environ
+
 
 def make_server(host: str, port: int, application: Any) -> WSGIServer:
     """Return a server with these limits."""
--- /dev/null
+++ b/src/pistachionotch/weights/assignment.py
@@ -0,0 +1,97 @@
+"""Which engines load which model's new weights, and when; opens no sockets.
+
+Load pattern: each trainer names a version every few seconds and asks for its next step at that
+moment; the step accepts the version before as well. So each model has its own share of the engines,
+which load its versions one after the other while the rest goes on serving, and no engine loads the
+versions of a model that it does not serve.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Collection, Mapping, Sequence
+
+import attrs
+
+# Of a model's engines, this share loads at the same time.
+LOADING_SHARE = 1 / 3
+# The same if no engine has a version that the newest step accepts.
+URGENT_SHARE = 2 / 3
+
+
+@attrs.frozen(kw_only=True)
+class EngineWeights:
+    """Describe what an engine has loaded."""
+
+    instance: str
+    zone: str
+    versions: Mapping[str, int]
+
+
+@attrs.frozen
+class Load:
+    """Let an engine load a version of a model."""
+
+    instance: str
+    model: str
+    version: int
+
+
+def assign_models(
+    engines: Sequence[EngineWeights], named: Mapping[str, int]
+) -> dict[str, list[EngineWeights]]:
+    """Divide the engines among the models; each keeps the model whose weights are newest there."""
+    assigned: dict[str, list[EngineWeights]] = {model: [] for model in named}
+    if not named:
+        return assigned
+    room = math.ceil(len(engines) / len(named))
+    ranks = _ranks_in_zones(engines)
+    pairs = []
+    for engine in engines:
+        lags = {model: named[model] - engine.versions.get(model, 0) for model in named}
+        for model in named:
+            others = [lag for other, lag in lags.items() if other != model]
+            preference = lags[model] - min(others, default=lags[model])
+            pairs.append((preference, ranks[engine.instance], engine.instance, model, engine))
+    taken = set()
+    for _preference, _rank, instance, model, engine in sorted(pairs, key=lambda pair: pair[:4]):
+        if instance in taken or len(assigned[model]) >= room:
+            continue
+        taken.add(instance)
+        assigned[model].append(engine)
+    return assigned
+
+
+def _ranks_in_zones(engines: Sequence[EngineWeights]) -> dict[str, int]:
+    """Return each engine's number in its zone, so that a model's engines stand in several zones."""
+    counts: dict[str, int] = {}
+    ranks = {}
+    for engine in sorted(engines, key=lambda engine: engine.instance):
+        ranks[engine.instance] = counts.get(engine.zone, 0)
+        counts[engine.zone] = ranks[engine.instance] + 1
+    return ranks
+
+
+def plan_loads(
+    engines: Sequence[EngineWeights],
+    named: Mapping[str, int],
+    loading: Collection[str],
+) -> list[Load]:
+    """Return the loads to order now; ``loading`` names the engines that still load something."""
+    loads = []
+    for model, group in assign_models(engines, named).items():
+        version = named[model]
+        current = [engine for engine in group if engine.versions.get(model, 0) >= version - 1]
+        share = LOADING_SHARE if current else URGENT_SHARE
+        room = max(1, int(len(group) * share))
+        room -= sum(1 for engine in group if engine.instance in loading)
+        behind = [engine for engine in group if engine.versions.get(model, 0) < version]
+        # The oldest first: they serve the fewest steps.
+        for engine in sorted(behind, key=lambda engine: engine.versions.get(model, 0)):
+            if room <= 0:
+                break
+            if engine.instance in loading:
+                continue
+            loads.append(Load(engine.instance, model, version))
+            room -= 1
+    return loads
