--- a/src/pistachionotch/gateway/daemon.py
+++ b/src/pistachionotch/gateway/daemon.py
@@ -25,13 +25,15 @@
 from ..metrics import METRICS_MEDIA_TYPE, render_metrics
 from ..objects.api import ObjectStore, StoredObject
 from ..objects.follow import FollowedPrefix
+from ..objects.relay import RelayedStore
 from ..server import make_server
 from .calls import CallForwarder
 from .catalog import Catalog
 from .dialect import Listings, UpstreamDialect
 from .exchange import UpstreamClient
-from .following import Follower
+from .following import WATCH_WAIT_MS, Follower
 from .orders import OrderDuty
+from .peers import GATEWAYS_PREFIX, Gateways, PeerInterface
 from .settings import GatewaySettings
 from .upstreams import UpstreamTable
 
@@ -42,6 +44,9 @@
 DRAIN_POLL_MS = 50
 # Without a holder no weights change, and a trainer asks for a new version every few seconds.
 LEASE_TTL_MS = 3_000
+# Other gateways are needed only when the object API is lost, so news of them may wait.
+PEERS_WATCH_MS = 15_000
+REGISTER_RETRY_MS = 1_000
 IngressFactory = Callable[["GatewayDaemon"], Any]
 
 
@@ -50,7 +55,7 @@
     """Run one gateway."""
 
     settings: GatewaySettings
-    store: ObjectStore
+    direct_store: ObjectStore
     pool: ConnectionPool
     dialect: UpstreamDialect
     listings: Listings
@@ -65,6 +70,8 @@
     open_requests: int = 0
     confirmed: dict[str, bytes] = attrs.field(factory=dict)
     servers: list[WSGIServer] = attrs.field(factory=list)
+    store: RelayedStore = attrs.field(init=False)
+    gateways: Gateways = attrs.field(init=False)
     client: UpstreamClient = attrs.field(init=False)
     forwarder: CallForwarder = attrs.field(init=False)
     owner: BatchOwner = attrs.field(init=False)
@@ -87,6 +94,15 @@
         me = Owner(
             node=settings.node, incarnation=secrets.token_hex(8), address=settings.listen_peers
         )
+        self.store = RelayedStore(
+            self.direct_store,
+            self.pool,
+            self.clock,
+            self.rng,
+            logger("objects"),
+            lambda: self.gateways.others(),
+        )
+        self.gateways = Gateways(me, self.store, logger("gateway"))
         items = ItemRunner(self.clock, self.client, self.dialect, logger("items"))
         self.owner = BatchOwner(
             self.clock,
@@ -141,7 +157,12 @@
         for address, application in (
             (settings.listen_clients, self.make_ingress(self)),
             (settings.listen_probes, self._serve_probe),
-            (settings.listen_peers, PeerApp(self.batches, self.batches.me.incarnation)),
+            (
+                settings.listen_peers,
+                PeerInterface(
+                    PeerApp(self.batches, self.batches.me.incarnation), self.direct_store
+                ),
+            ),
         ):
             server = make_server(address.host, address.port, application)
             server.start()
@@ -151,6 +172,8 @@
             self._follower(self.listings.upstreams_prefix, self._take_upstreams).run,
             self._duty_follower(self.listings.versions_prefix, self._take_versions).run,
             self._duty_follower(self.listings.evacuations_prefix, self._take_evacuations).run,
+            self._follower(GATEWAYS_PREFIX, self.gateways.take, PEERS_WATCH_MS).run,
+            self._register,
             self.owner.run,
             self.orders.keep_lease,
             self.orders.run,
@@ -164,11 +187,18 @@
             incarnation=self.batches.me.incarnation,
         )
 
+    def _register(self) -> None:
+        while not self.gateways.register():
+            self.clock.sleep_ms(REGISTER_RETRY_MS)
+
     def _follower(
-        self, prefix: str, changed: Callable[[dict[str, StoredObject], int], None]
+        self,
+        prefix: str,
+        changed: Callable[[dict[str, StoredObject], int], None],
+        wait_ms: int = WATCH_WAIT_MS,
     ) -> Follower:
         followed = FollowedPrefix(self.store, prefix)
-        return Follower(followed, self.clock, changed, logger("gateway"))
+        return Follower(followed, self.clock, changed, logger("gateway"), wait_ms=wait_ms)
 
     def _duty_follower(
         self, prefix: str, changed: Callable[[dict[str, StoredObject], int], None]
--- a/src/pistachionotch/gateway/following.py
+++ b/src/pistachionotch/gateway/following.py
@@ -32,6 +32,7 @@
     # When the copy was last known to be current.
     current_ms: int | None = None
     active: Callable[[], bool] = lambda: True
+    wait_ms: int = WATCH_WAIT_MS
 
     def run(self) -> None:
         """Follow for ever."""
@@ -45,7 +46,7 @@
         """Wait for the next change, or for one waiting read to end."""
         changes = self.followed.changes
         started_ms = self.clock.now_ms()
-        if not self.followed.refresh(WATCH_WAIT_MS):
+        if not self.followed.refresh(self.wait_ms):
             self._note(False)
             self.clock.sleep_ms(RETRY_PAUSE_MS)
             return
--- /dev/null
+++ b/src/pistachionotch/gateway/peers.py
@@ -0,0 +1,83 @@
+"""Which other gateways there are, and what this one serves to them."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Iterable
+from http import HTTPStatus
+from typing import Any
+
+import attrs
+from returns.result import Failure
+
+from ..batches.model import Owner
+from ..batches.peers import PeerApp
+from ..batches.records import dump
+from ..config.spec import Address
+from ..objects.api import ObjectStore, StoredObject, VersionConflict
+from ..objects.relay import RELAY_PATH, relay
+
+GATEWAYS_PREFIX = "gateways/"
+
+
+@attrs.define
+class Gateways:
+    """Register this gateway and know the others."""
+
+    me: Owner
+    store: ObjectStore
+    log: Any
+    addresses: dict[str, Address] = attrs.field(factory=dict)
+    registered: bool = False
+
+    def others(self) -> list[Address]:
+        """Return the addresses of the other gateways."""
+        return list(self.addresses.values())
+
+    def register(self) -> bool:
+        """Write where this gateway listens; returns whether that is certain."""
+        key = GATEWAYS_PREFIX + self.me.node
+        value = dump({"address": str(self.me.address), "incarnation": self.me.incarnation})
+        written = self.store.put(key, value, None)
+        if isinstance(written, Failure):
+            error = written.failure()
+            if isinstance(error, VersionConflict) and error.current is not None:
+                written = self.store.put(key, value, error.current.version)
+        self.registered = not isinstance(written, Failure)
+        if not self.registered:
+            self.log.warning("gateway not registered", reason=str(written.failure()))
+        return self.registered
+
+    def take(self, objects: dict[str, StoredObject], revision: int) -> None:
+        """Take over a newer listing."""
+        found = {}
+        for key, stored in objects.items():
+            node = key.removeprefix(GATEWAYS_PREFIX)
+            if node == self.me.node:
+                continue
+            try:
+                found[node] = Address.parse(json.loads(stored.value)["address"])
+            except (ValueError, KeyError, TypeError) as error:
+                self.log.warning("unreadable gateway", key=key, error=repr(error))
+        self.addresses = found
+        self.log.info("gateways listed", revision=revision, others=sorted(found))
+
+
+@attrs.frozen
+class PeerInterface:
+    """Serve other gateways: batches, and calls to the object API."""
+
+    batches: PeerApp
+    # The direct store: a call that was relayed once is not relayed again.
+    store: ObjectStore
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        """Serve one request."""
+        if environ["PATH_INFO"] != RELAY_PATH:
+            return self.batches(environ, start_response)
+        body = relay(self.store, environ["wsgi.input"].read())
+        headers = [("Content-Type", "application/cbor"), ("Content-Length", str(len(body)))]
+        start_response(f"{HTTPStatus.OK.value} OK", headers)
+        return [body]
--- /dev/null
+++ b/src/pistachionotch/objects/relay.py
@@ -0,0 +1,267 @@
+"""Object API through another process, for a process whose own path to it is cut.
+
+The platform cuts off single VMs from the object API, or refuses their calls, while it serves the
+others. A call by way of a peer has the same conditions and the same effect as a direct one. After a
+direct call was lost, calls go through peers until a direct watch succeeds again.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Sequence
+from functools import singledispatch
+from http import HTTPStatus
+from typing import Any, TypeVar
+
+import attrs
+import cbor2
+from returns.result import Failure, Result, Success
+
+from ..clock import Clock
+from ..config.spec import Address
+from ..http_client import Connection, ConnectionPool, ExchangeError
+from .api import (
+    Change,
+    ObjectStore,
+    Snapshot,
+    StoredObject,
+    StoreError,
+    StoreRejected,
+    StoreUnavailable,
+    VersionConflict,
+    WatchBatch,
+    WatchExpired,
+    WriteAmbiguous,
+)
+
+T = TypeVar("T")
+RELAY_PATH = "/objects"
+CONNECT_TIMEOUT_MS = 400
+# A peer's own call may take the object API's time limit.
+RESPONSE_TIMEOUT_MS = 1_500
+# Peers that are asked before the object API counts as out.
+MAX_PEERS = 2
+# While no peer reaches the object API either, the next call tries that again after this time.
+PEERS_PAUSE_MS = 500
+# While calls go through peers, a watch tries the direct path this often.
+DIRECT_RETRY_MS = 1_000
+
+
+@attrs.frozen
+class RelayCall:
+    """Hold one call to the object API as it travels between processes."""
+
+    operation: str
+    key: str
+    value: bytes = b""
+    version: int | None = None
+    wait_ms: int = 0
+
+
+def perform(store: ObjectStore, call: RelayCall) -> Result[Any, StoreError]:
+    """Make a call at a store."""
+    if call.operation == "get":
+        return store.get(call.key)
+    if call.operation == "snapshot":
+        return store.snapshot(call.key)
+    if call.operation == "put":
+        return store.put(call.key, call.value, call.version)
+    if call.operation == "delete" and call.version is not None:
+        return store.delete(call.key, call.version)
+    if call.operation == "watch" and call.version is not None:
+        return store.watch(call.key, call.version, call.wait_ms)
+    return Failure(StoreRejected(HTTPStatus.BAD_REQUEST, f"unknown operation {call.operation}"))
+
+
+@attrs.define
+class RelayedStore:
+    """Call the object API directly, or through a peer while the direct path is lost."""
+
+    direct: ObjectStore
+    pool: ConnectionPool
+    clock: Clock
+    rng: random.Random
+    log: Any
+    # Addresses of the other processes that may have a path.
+    peers: Callable[[], Sequence[Address]]
+    direct_lost: bool = False
+    direct_retry_ms: int = 0
+    peers_retry_ms: int = 0
+    relayed: int = 0
+
+    def get(self, key: str) -> Result[StoredObject | None, StoreUnavailable]:
+        """Return the object, or None when there is none."""
+        return self._call(RelayCall("get", key))
+
+    def list(self, prefix: str) -> Result[tuple[StoredObject, ...], StoreUnavailable]:
+        """Return all objects under ``prefix``, by key."""
+        return self.snapshot(prefix).map(lambda snapshot: snapshot.objects)
+
+    def snapshot(self, prefix: str) -> Result[Snapshot, StoreUnavailable]:
+        """Return what ``list`` returns, with the revision to pass to ``watch``."""
+        return self._call(RelayCall("snapshot", prefix))
+
+    def put(
+        self, key: str, value: bytes, expected_version: int | None
+    ) -> Result[StoredObject, StoreError]:
+        """Write if the object has ``expected_version``; None means create only."""
+        return self._call(RelayCall("put", key, value, expected_version))
+
+    def delete(self, key: str, expected_version: int) -> Result[None, StoreError]:
+        """Delete the object if it has ``expected_version``."""
+        return self._call(RelayCall("delete", key, b"", expected_version))
+
+    def watch(self, prefix: str, since: int, timeout_ms: int) -> Result[WatchBatch, StoreError]:
+        """Wait until something under ``prefix`` is newer than the revision ``since``."""
+        return self._call(RelayCall("watch", prefix, b"", since, timeout_ms))
+
+    def _call(self, call: RelayCall) -> Result[Any, Any]:
+        if self.direct_lost and not self._probes(call):
+            return self._through_peers(call)
+        answer = perform(self.direct, call)
+        lost = isinstance(answer, Failure) and _is_lost(answer.failure())
+        self._note(lost, answer)
+        # A write without an answer may have happened; its caller settles that before it repeats it.
+        if lost and isinstance(answer.failure(), StoreUnavailable):
+            return self._through_peers(call)
+        return answer
+
+    def _probes(self, call: RelayCall) -> bool:
+        now_ms = self.clock.now_ms()
+        if call.operation != "watch" or now_ms < self.direct_retry_ms:
+            return False
+        self.direct_retry_ms = now_ms + DIRECT_RETRY_MS
+        return True
+
+    def _note(self, lost: bool, answer: Result[Any, Any]) -> None:
+        if lost and not self.direct_lost:
+            self.direct_retry_ms = self.clock.now_ms() + DIRECT_RETRY_MS
+            self.log.warning("direct path lost", reason=str(answer.failure()))
+        if self.direct_lost and not lost:
+            self.log.warning("direct path regained", relayed=self.relayed)
+        self.direct_lost = lost
+
+    def _through_peers(self, call: RelayCall) -> Result[Any, Any]:
+        """Return the first answer of a peer that reaches the object API."""
+        if self.clock.now_ms() < self.peers_retry_ms:
+            return Failure(StoreUnavailable("no path, directly or through a peer"))
+        peers = list(self.peers())
+        self.rng.shuffle(peers)
+        reason = "no peer is known"
+        for peer in peers[:MAX_PEERS]:
+            answer = self._ask(peer, call)
+            if isinstance(answer, ExchangeError):
+                reason = f"{peer}: {answer.reason}"
+                if answer.sent and call.operation in ("put", "delete"):
+                    return Failure(WriteAmbiguous(reason))
+                continue
+            if isinstance(answer, Failure) and isinstance(answer.failure(), StoreUnavailable):
+                reason = f"{peer}: {answer.failure().reason}"
+                continue
+            self.relayed += 1
+            return answer
+        self.peers_retry_ms = self.clock.now_ms() + PEERS_PAUSE_MS
+        return Failure(StoreUnavailable(reason))
+
+    def _ask(self, peer: Address, call: RelayCall) -> Result[Any, Any] | ExchangeError:
+        connection: Connection | None = None
+        timeout_ms = RESPONSE_TIMEOUT_MS + call.wait_ms
+        body = cbor2.dumps(attrs.astuple(call))
+        headers = [("Host", str(peer)), ("Content-Type", "application/cbor")]
+        try:
+            connection = self.pool.take(peer, RELAY_PATH, CONNECT_TIMEOUT_MS)
+            connection.send("POST", RELAY_PATH, headers, body, RESPONSE_TIMEOUT_MS)
+            head = connection.read_head(timeout_ms)
+            reply = connection.read_body(RESPONSE_TIMEOUT_MS)
+            self.pool.give_back(connection, RELAY_PATH, head)
+            connection = None
+        except ExchangeError as error:
+            return error
+        finally:
+            if connection is not None:
+                connection.close()
+        if head.status != HTTPStatus.OK:
+            return ExchangeError(f"status {head.status}", sent=True)
+        return load_result(reply)
+
+
+def _is_lost(error: StoreError) -> bool:
+    return isinstance(error, StoreUnavailable | WriteAmbiguous)
+
+
+def relay(store: ObjectStore, body: bytes) -> bytes:
+    """Make the call of another process and return the encoded result."""
+    operation, key, value, version, wait_ms = cbor2.loads(body)
+    call = RelayCall(str(operation), str(key), bytes(value), version, int(wait_ms))
+    answer = perform(store, call)
+    if isinstance(answer, Failure):
+        return cbor2.dumps(["error", _dump(answer.failure())])
+    return cbor2.dumps(["ok", _dump(answer.unwrap())])
+
+
+def load_result(body: bytes) -> Result[Any, Any]:
+    """Decode what ``relay`` returned."""
+    kind, fields = cbor2.loads(body)
+    value = _load(fields)
+    return Success(value) if kind == "ok" else Failure(value)
+
+
+@singledispatch
+def _dump(value: Any) -> Any:
+    raise TypeError(type(value))
+
+
+@_dump.register
+def _(value: None) -> Any:
+    return None
+
+
+@_dump.register(StoredObject)
+@_dump.register(Change)
+@_dump.register(StoreUnavailable)
+@_dump.register(WriteAmbiguous)
+@_dump.register(WatchExpired)
+@_dump.register(StoreRejected)
+def _(value: Any) -> Any:
+    return [type(value).__name__, *attrs.astuple(value, recurse=False)]
+
+
+@_dump.register
+def _(value: Snapshot) -> Any:
+    return ["Snapshot", value.revision, [_dump(stored) for stored in value.objects]]
+
+
+@_dump.register
+def _(value: WatchBatch) -> Any:
+    return ["WatchBatch", value.revision, [_dump(change) for change in value.changes]]
+
+
+@_dump.register
+def _(value: VersionConflict) -> Any:
+    return ["VersionConflict", _dump(value.current), value.own_write_unknown]
+
+
+_PLAIN: dict[str, Callable[..., Any]] = {
+    kind.__name__: kind
+    for kind in (
+        StoredObject,
+        Change,
+        StoreUnavailable,
+        WriteAmbiguous,
+        WatchExpired,
+        StoreRejected,
+    )
+}
+
+
+def _load(fields: Any) -> Any:
+    if fields is None:
+        return None
+    name, *values = fields
+    if name == "Snapshot":
+        return Snapshot(values[0], tuple(_load(stored) for stored in values[1]))
+    if name == "WatchBatch":
+        return WatchBatch(values[0], tuple(_load(change) for change in values[1]))
+    if name == "VersionConflict":
+        return VersionConflict(_load(values[0]), values[1])
+    return _PLAIN[name](*values)
--- a/src/pistachionotch/platform/store.py
+++ b/src/pistachionotch/platform/store.py
@@ -30,8 +30,8 @@
 )
 
 CONNECT_TIMEOUT_MS = 500
-# A hundred times the platform's usual answer of 4 ms is a slow store; beyond this it is down.
-RESPONSE_TIMEOUT_MS = 2_000
+# A slow store takes a hundred times its usual 4 ms; one that takes longer is down.
+RESPONSE_TIMEOUT_MS = 1_000
 OBJECTS_PATH = "/api/objects/"
 PEER = "object-api"
 # The store states for these that nothing was done.
