--- /dev/null
+++ b/src/pistachionotch/standins/platform_servers.py
@@ -0,0 +1,168 @@
+"""Stand-ins for the model servers and plain servers of the users' platform.
+
+``PUT /faults`` sets the switches of ``ServerFaults``; ``GET /runs`` lists what was run, with the
+event after which each run went on.
+"""
+
+from __future__ import annotations
+
+import errno
+import json
+from collections.abc import Iterable, Iterator
+from http import HTTPStatus
+from typing import Any
+
+import attrs
+import gevent
+
+from ..clock import MS_PER_SECOND
+from .http import Environ, StartResponse, read_body, respond_json
+
+NOT_RUN = ("Not-Run", "1")
+
+
+@attrs.define
+class ServerFaults:
+    """Switch faults on; the counts are of requests still to be hit."""
+
+    # Refuse as full, answer 500, or close without an answer after the run.
+    refuse: int = 0
+    fail: int = 0
+    lose_answers: int = 0
+    # Break a stream off in the middle of the event after this one.
+    break_after: int | None = None
+    # Send a second response after a complete one.
+    surplus: int = 0
+    # Accept an order but carry out nothing and say nothing.
+    ignore_orders: int = 0
+
+
+@attrs.define
+class PlatformServerStandIn:
+    """Serve requests of one server; with ``versions`` it is a model server."""
+
+    instance: str
+    versions: dict[str, int] = attrs.field(factory=dict)
+    events: int = 5
+    event_ms: int = 5
+    load_ms: int = 200
+    faults: ServerFaults = attrs.field(factory=ServerFaults)
+    runs: list[dict[str, Any]] = attrs.field(factory=list)
+    orders: list[dict[str, Any]] = attrs.field(factory=list)
+    loading: bool = False
+
+    def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        """Answer one request."""
+        path = environ["PATH_INFO"]
+        if path == "/faults":
+            for name, value in json.loads(read_body(environ)).items():
+                setattr(self.faults, name, value)
+            return respond_json(start_response, 200, attrs.asdict(self.faults))
+        if path == "/runs":
+            found = {"runs": self.runs, "orders": self.orders, "versions": self.versions}
+            return respond_json(start_response, 200, found)
+        wanted = environ.get("HTTP_EXPECT_INSTANCE", self.instance)
+        if wanted != self.instance:
+            headers = [NOT_RUN, ("Instance", self.instance)]
+            return respond_json(start_response, HTTPStatus.MISDIRECTED_REQUEST, None, headers)
+        if path == "/api/report":
+            return respond_json(start_response, 200, self._report())
+        if path == "/api/order":
+            return self._order(json.loads(read_body(environ)), start_response)
+        return self._run(environ, start_response)
+
+    def _report(self) -> dict[str, Any]:
+        models = [{"name": name, "version": self.versions[name]} for name in self.versions]
+        return {
+            "stage": "both",
+            "models": models,
+            "busy": self.loading,
+            "seq": len(self.orders),
+            "queued": 0,
+            "active": 0,
+        }
+
+    def _order(self, order: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
+        if "holder" not in order or "fencing_token" not in order:
+            return respond_json(start_response, HTTPStatus.BAD_REQUEST, None)
+        if self.loading or order.get("expected", len(self.orders)) != len(self.orders):
+            return respond_json(start_response, HTTPStatus.CONFLICT, None)
+        if self.versions.get(order["model"]) == order["version"]:
+            return respond_json(start_response, HTTPStatus.OK, None)
+        if self.faults.ignore_orders > 0:
+            self.faults.ignore_orders -= 1
+            raise ConnectionResetError(errno.ECONNRESET, "stand-in loses the order")
+        self.orders.append(order)
+        self.loading = True
+        gevent.spawn_later(self.load_ms / MS_PER_SECOND, self._loaded, order)
+        return respond_json(start_response, HTTPStatus.ACCEPTED, None)
+
+    def _loaded(self, order: dict[str, Any]) -> None:
+        self.versions[order["model"]] = order["version"]
+        self.loading = False
+
+    def _run(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        request = environ.get("HTTP_REQUEST_ID", "")
+        body = read_body(environ)
+        headers = [("Request-Id", request)]
+        if not request:
+            return respond_json(start_response, HTTPStatus.BAD_REQUEST, None, [NOT_RUN])
+        if self.loading or self._hit("refuse"):
+            status = HTTPStatus.SERVICE_UNAVAILABLE
+            return respond_json(start_response, status, None, [*headers, NOT_RUN])
+        after = int(environ.get("HTTP_LAST_EVENT_ID", "0"))
+        self.runs.append(
+            {
+                "request": request,
+                "target": environ["PATH_INFO"],
+                "body": body.decode(),
+                "after": after,
+                "model": environ.get("HTTP_MODEL", ""),
+            }
+        )
+        headers.append(("Server-Stamp", f"{self.instance}.{len(self.runs)}"))
+        if self._hit("fail"):
+            status = HTTPStatus.INTERNAL_SERVER_ERROR
+            return respond_json(start_response, status, {"error": "failed"}, headers)
+        if self._hit("lose_answers"):
+            raise ConnectionResetError(errno.ECONNRESET, "stand-in loses the answer")
+        if self.versions:
+            model = environ.get("HTTP_MODEL", "")
+            version = self.versions.get(model, 0)
+            headers += [("Weight-Versions", str(version)), ("Content-Type", "text/event-stream")]
+            start_response("200 OK", headers)
+            return self._stream(model, after)
+        return self._plain(environ, start_response, headers, body)
+
+    def _plain(
+        self, environ: Environ, start_response: StartResponse, headers: Any, body: bytes
+    ) -> Iterable[bytes]:
+        answer = json.dumps({"server": self.instance, "received": body.decode()}).encode()
+        start_response("200 OK", [*headers, ("Content-Length", str(len(answer)))])
+        if self._hit("surplus"):
+            sock = environ["pistachionotch.socket"]
+            text = answer.decode()
+            late = f"HTTP/1.1 200 OK\r\nContent-Length: {len(text)}\r\nRequest-Id: x\r\n\r\n{text}"
+            gevent.spawn_later(0.05, sock.sendall, late.encode())
+        return [answer]
+
+    def _hit(self, fault: str) -> bool:
+        left = getattr(self.faults, fault)
+        if left > 0:
+            setattr(self.faults, fault, left - 1)
+        return bool(left > 0)
+
+    def _stream(self, model: str, after: int) -> Iterator[bytes]:
+        version = self.versions.get(model, 0)
+        for number in range(after + 1, self.events + 1):
+            gevent.sleep(self.event_ms / MS_PER_SECOND)
+            first = ""
+            if self.versions.get(model, 0) != version:
+                version = self.versions[model]
+                first = f"weight-versions: {version}\n"
+            event = f"{first}id: {number}\ndata: {number}-of-{self.events}\n\n".encode()
+            if self.faults.break_after == number - 1 and after < number - 1:
+                self.faults.break_after = None
+                yield event[: len(event) // 2]
+                raise ConnectionResetError(errno.ECONNRESET, "stand-in breaks off")
+            yield event
--- /dev/null
+++ b/tests/unit/batches/test_dispatch.py
@@ -0,0 +1,104 @@
+"""Guards against stragglers that start late, stale weights and queues behind a slow engine.
+
+The load is the worst that the users' trainers bring: a step of 13 groups of 4 at once on three
+engines, with output lengths that differ by a factor of twenty.
+"""
+
+import random
+
+from pistachionotch.batches.dispatch import EngineView, WaitingItem, optional_groups, plan_starts
+from pistachionotch.batches.listing import GATHER_MS, ListingState, should_list
+
+
+def engine(name, free=12, version=5, event_ms=None, other_region=False):
+    return EngineView(
+        instance=name,
+        free=free,
+        slots=12,
+        versions={"m": version},
+        event_ms=event_ms,
+        other_region=other_region,
+    )
+
+
+def waiting(name, group="g", expected=10, due_ms=0, **more):
+    fields = {"batch": "b", "model": "m", "min_version": 5}
+    return WaitingItem(
+        item=name, group=group, expected_tokens=expected, due_ms=due_ms, **{**fields, **more}
+    )
+
+
+def step(seed=1):
+    rng = random.Random(seed)
+    items = []
+    for group in range(13):
+        for number in range(4):
+            items.append(waiting(f"{group}-{number}", f"g{group}", rng.choice((10, 20, 200))))
+    return items
+
+
+def test_a_burst_fills_all_engines_and_starts_the_longest_first():
+    engines = [engine("e1"), engine("e2"), engine("e3")]
+    items = step()
+    starts = plan_starts(items, engines, {})
+    assert len(starts) == 36
+    assert all(view.free == 0 for view in engines)
+    left = {item.item for item in items} - {start.item.item for start in starts}
+    longest_left = max(item.expected_tokens for item in items if item.item in left)
+    shortest_started = min(start.item.expected_tokens for start in starts)
+    assert longest_left <= shortest_started
+
+
+def test_groups_that_the_trainer_can_do_without_start_last():
+    expected = {"g1": 10, "g2": 300, "g3": 20}
+    assert optional_groups(expected, 2) == {"g2"}
+    assert optional_groups(expected, 3) == frozenset()
+    assert optional_groups(expected, 0) == frozenset()
+    items = [waiting("a", "g2", 300, optional=True), waiting("b", "g1", 10)]
+    assert [start.item.item for start in plan_starts(items, [engine("e", free=1)], {})] == ["b"]
+
+
+def test_the_batch_that_is_due_first_comes_first():
+    items = [waiting("late", expected=500, due_ms=9), waiting("soon", due_ms=1)]
+    assert plan_starts(items, [engine("e", free=1)], {})[0].item.item == "soon"
+
+
+def test_no_item_starts_on_weights_that_its_step_does_not_accept():
+    engines = [engine("old", version=4), engine("new", free=1, version=6)]
+    starts = plan_starts([waiting("a"), waiting("b")], engines, {})
+    assert [start.instance for start in starts] == ["new"]
+
+
+def test_a_slow_engine_gets_work_only_when_the_others_are_full():
+    engines = [engine("slow", event_ms=140), engine("e2", event_ms=40), engine("e3", event_ms=40)]
+    starts = plan_starts(step()[:30], engines, {})
+    on_slow = [start for start in starts if start.instance == "slow"]
+    assert len(on_slow) <= 6
+    assert len(starts) == 30
+
+
+def test_items_of_a_group_share_an_engine_that_has_room():
+    engines = [engine("e1"), engine("e2")]
+    starts = plan_starts([waiting(f"i{n}", f"g{n % 2}") for n in range(8)], engines, {})
+    homes = {(start.item.group, start.instance) for start in starts}
+    assert len(homes) == 2
+
+
+def test_a_group_leaves_an_engine_that_turned_slow():
+    engines = [engine("home", event_ms=200), engine("e2", event_ms=40), engine("e3", event_ms=40)]
+    start = plan_starts([waiting("a")], engines, {("b", "g"): "home"})[0]
+    assert start.instance != "home"
+
+
+def test_an_engine_that_failed_an_item_is_avoided():
+    assert plan_starts([waiting("a", avoid=frozenset({"e"}))], [engine("e")], {}) == []
+
+
+def test_results_gather_unless_they_complete_what_is_waited_for():
+    def state(unlisted, completes=False):
+        return ListingState(unlisted=unlisted, oldest_unlisted_ms=1_000, completes=completes)
+
+    assert not should_list(state(0), 99_000)
+    assert not should_list(state(2), 1_000 + GATHER_MS - 1)
+    assert should_list(state(2), 1_000 + GATHER_MS)
+    assert should_list(state(1, completes=True), 1_000)
--- /dev/null
+++ b/tests/unit/weights/test_assignment.py
@@ -0,0 +1,58 @@
+"""Guards against a model without engines, loads for nobody, and all engines loading at once."""
+
+from pistachionotch.weights.assignment import EngineWeights, assign_models, plan_loads
+
+
+def engine(name, zone="z1", **versions):
+    return EngineWeights(instance=name, zone=zone, versions=versions)
+
+
+def fresh(count):
+    return [engine(f"e{number}", f"z{number % 3}", m0=1, m1=1) for number in range(count)]
+
+
+def test_models_share_the_engines_and_stand_in_several_zones():
+    assigned = assign_models(fresh(6), {"m0": 1, "m1": 1})
+    assert [len(group) for group in assigned.values()] == [3, 3]
+    assert all(len({engine.zone for engine in group}) > 1 for group in assigned.values())
+
+
+def test_engines_keep_the_model_whose_weights_are_newest():
+    engines = [engine("a", m0=7, m1=1), engine("b", m0=1, m1=5), engine("c", m0=6, m1=1)]
+    assigned = assign_models(engines, {"m0": 7, "m1": 5})
+    assert {e.instance for e in assigned["m0"]} == {"a", "c"}
+    assert {e.instance for e in assigned["m1"]} == {"b"}
+
+
+def test_a_lost_engine_moves_no_more_engines_than_needed():
+    engines = [engine(f"a{n}", m0=7, m1=2) for n in range(3)] + [engine("b", m0=2, m1=5)]
+    assigned = assign_models(engines, {"m0": 7, "m1": 5})
+    assert len(assigned["m0"]) == 2 and len(assigned["m1"]) == 2
+
+
+def test_one_engine_of_a_model_loads_while_the_others_serve():
+    engines = [engine(f"a{n}", m0=3) for n in range(3)]
+    loads = plan_loads(engines, {"m0": 4}, set())
+    assert len(loads) == 1
+    assert loads[0].version == 4
+    assert plan_loads(engines, {"m0": 4}, {loads[0].instance}) == []
+
+
+def test_the_oldest_engine_loads_first():
+    engines = [engine("a", m0=4), engine("b", m0=2), engine("c", m0=4)]
+    assert [load.instance for load in plan_loads(engines, {"m0": 5}, set())] == ["b"]
+
+
+def test_several_load_if_none_can_serve_the_newest_step():
+    engines = [engine(f"a{n}", m0=1) for n in range(3)]
+    assert len(plan_loads(engines, {"m0": 4}, set())) == 2
+
+
+def test_nothing_is_loaded_for_a_model_that_an_engine_does_not_serve():
+    engines = [engine("a", m0=4, m1=1), engine("b", m0=1, m1=6)]
+    assert plan_loads(engines, {"m0": 4, "m1": 6}, set()) == []
+
+
+def test_engines_without_models_and_models_without_engines_do_no_harm():
+    assert plan_loads([], {"m0": 4}, set()) == []
+    assert plan_loads(fresh(2), {}, set()) == []
