Ask the new owner of a batch within the same read

A read that found the owner changed was answered 503; now it goes to the new owner. Adds tests of the gateway's calls, the platform's store, settings and objects.

--- a/src/pistachionotch/batches/service.py
+++ b/src/pistachionotch/batches/service.py
@@ -56,6 +56,11 @@
     unreachable_since_ms: int | None = None
 
 
+@attrs.frozen
+class _Moved:
+    """Say that another process has become the owner meanwhile."""
+
+
 @attrs.define
 class BatchService:
     """Accept, read and end batches."""
@@ -178,6 +183,14 @@
 
     def _at_owner(self, batch: str, ask: Any) -> Any:
         """Return the owner's answer, or the batch itself once it was taken over."""
+        answer = self._ask_owner(batch, ask)
+        if isinstance(answer, _Moved):
+            answer = self._ask_owner(batch, ask)
+        if isinstance(answer, _Moved):
+            return BatchTrouble(Trouble.UNSURE, "the owner changes", UNSURE_RETRY_MS)
+        return answer
+
+    def _ask_owner(self, batch: str, ask: Any) -> Any:
         place = self._place(batch)
         if isinstance(place, BatchTrouble):
             return place
@@ -231,7 +244,7 @@
                 return found
             if found.owner != lost and found.owner.node != self.me.node:
                 self.elsewhere[batch] = _Elsewhere(found.owner)
-                return BatchTrouble(Trouble.UNSURE, "the owner has changed", 0)
+                return _Moved()
             if self.draining:
                 return BatchTrouble(Trouble.UNSURE, "draining", 0)
             return self._claim(found, lost)
@@ -268,7 +281,7 @@
                 break
             if entry.owner is not None:
                 self.elsewhere[run.id] = _Elsewhere(entry.owner)
-                return BatchTrouble(Trouble.UNSURE, "another process took it over", 0)
+                return _Moved()
         self.elsewhere.pop(run.id, None)
         self.log.warning(
             "batch taken over",
--- a/src/pistachionotch/standins/platform_servers.py
+++ b/src/pistachionotch/standins/platform_servers.py
@@ -33,6 +33,8 @@
     break_after: int | None = None
     # Send a second response after a complete one.
     surplus: int = 0
+    # Work this much longer.
+    slow_ms: int = 0
     # Accept an order but carry out nothing and say nothing.
     ignore_orders: int = 0
 
@@ -137,6 +139,7 @@
     def _plain(
         self, environ: Environ, start_response: StartResponse, headers: Any, body: bytes
     ) -> Iterable[bytes]:
+        gevent.sleep(self.faults.slow_ms / MS_PER_SECOND)
         answer = json.dumps({"server": self.instance, "received": body.decode()}).encode()
         start_response("200 OK", [*headers, ("Content-Length", str(len(answer)))])
         if self._hit("surplus"):
--- /dev/null
+++ b/tests/unit/batches/test_batch_service.py
@@ -0,0 +1,267 @@
+"""Guards against batches that are lost, run by two owners, or refused although they may run."""
+
+import random
+
+import attrs
+import pytest
+import structlog
+from test_batch_log import done, entry, head, owner
+
+from pistachionotch.batches.log import BatchLog, create_batch
+from pistachionotch.batches.model import ResultPage
+from pistachionotch.batches.owner import BatchOwner
+from pistachionotch.batches.peers import NotHere, PeerAbsent, PeerUnreachable, PeerUnsure
+from pistachionotch.batches.service import (
+    TAKE_OVER_AFTER_MS,
+    BatchService,
+    BatchTrouble,
+    Trouble,
+)
+from pistachionotch.clock import ManualClock
+from pistachionotch.gateway.catalog import Catalog, ClientLimits, Route, RouteKind, ServiceShare
+from pistachionotch.gateway.upstreams import UpstreamTable
+from pistachionotch.objects.memory import MemoryStore
+
+ROUTE = Route(
+    name="r",
+    host="h",
+    prefix="/p/",
+    kind=RouteKind.BATCH,
+    shares=(ServiceShare("s", 1),),
+    timeout_ms=0,
+    objective_ms=400,
+    priority=0,
+    max_attempts=3,
+    due_ms=7_500,
+    give_up_ms=40_000,
+)
+CATALOG = Catalog(1, (ROUTE,), {}, ClientLimits())
+
+
+class Network:
+    """Carry questions between services, which can be cut off or killed."""
+
+    def __init__(self):
+        self.services = {}
+        self.cut = set()
+
+    def ask(self, asked, question):
+        service = self.services.get(asked.node)
+        if service is None:
+            return PeerUnreachable("connect: refused", True)
+        if asked.node in self.cut:
+            return PeerUnreachable("no response", False)
+        if service.me != asked:
+            return NotHere()
+        return question(service)
+
+    def read(self, asked, batch, position, wait_ms):
+        page = self.ask(asked, lambda service: service.local_page(batch, position, 0))
+        return NotHere() if page is None else page
+
+    def item_body(self, asked, batch, item):
+        body = self.ask(asked, lambda service: service.local_body(batch, item))
+        return NotHere() if body is None else body
+
+    def end(self, asked, batch):
+        ended = self.ask(asked, lambda service: service.local_end(batch))
+        if ended is None:
+            return NotHere()
+        if isinstance(ended, bool):
+            return None if ended else PeerUnsure("not stored")
+        return ended
+
+
+class PassiveOwner(BatchOwner):
+    """Start no tasks: the tests list results themselves."""
+
+    def add(self, run):
+        self.runs[run.id] = run
+
+
+class World:
+    def __init__(self):
+        self.store = MemoryStore()
+        self.clock = ManualClock()
+        self.network = Network()
+
+    def start(self, node, incarnation="1"):
+        me = attrs.evolve(owner(node), incarnation=f"{node}-{incarnation}")
+        log = structlog.get_logger()
+        batches = PassiveOwner(
+            self.clock, random.Random(1), me, "r", {}, UpstreamTable(), None, lambda: CATALOG, log
+        )
+        service = BatchService(
+            self.clock, random.Random(1), me, self.store, 1_000_000, batches, self.network, log
+        )
+        self.network.services[node] = service
+        return service
+
+
+@pytest.fixture
+def world():
+    return World()
+
+
+def submission():
+    return head().submission
+
+
+def finish(service, name):
+    run = service.owner.runs["b1"]
+    run.progress[name].note_event(1, "t", 3)
+    run.finish(run.progress[name], True, 0)
+    assert service.owner.list_once(run)
+
+
+def ids(page):
+    assert isinstance(page, ResultPage), page
+    return [result.id for result in page.results]
+
+
+def test_a_batch_can_be_read_at_every_node(world):
+    first, second = world.start("a"), world.start("b")
+    assert first.submit(submission(), ROUTE) is None
+    finish(first, "i1")
+    assert ids(first.read("b1", 0, 0)) == ids(second.read("b1", 0, 0)) == ["i1"]
+    assert second.item_body("b1", "i2") == b"x" * 10
+    assert second.item_body("b1", "none").trouble is Trouble.ABSENT
+    assert second.read("other", 0, 0).trouble is Trouble.ABSENT
+
+
+def test_a_repeated_submission_is_accepted_once(world):
+    first, second = world.start("a"), world.start("b")
+    assert first.submit(submission(), ROUTE) is None
+    assert first.submit(submission(), ROUTE) is None
+    assert second.submit(submission(), ROUTE) is None
+    assert "b1" in first.owner.runs and "b1" not in second.owner.runs
+
+
+def test_a_refused_submission_is_not_stored_and_an_uncertain_one_is_not_refused(world):
+    service = world.start("a")
+    world.store.faults.outage = True
+    assert service.submit(submission(), ROUTE).trouble is Trouble.NOT_RUN
+    world.store.faults.outage = False
+    assert service.read("b1", 0, 0).trouble is Trouble.ABSENT
+    world.store.faults.delay_writes = 2
+    assert service.submit(submission(), ROUTE).trouble is Trouble.UNKNOWN
+    world.store.deliver_delayed()
+    assert ids(service.read("b1", 0, 0)) == [], "the late acceptance is taken up by the first read"
+    assert service.owner.runs["b1"].open
+
+
+def test_a_batch_without_a_listed_object_is_not_called_absent_in_an_outage(world):
+    service = world.start("b")
+    world.store.faults.outage = True
+    assert service.read("b1", 0, 0).trouble is Trouble.UNSURE
+
+
+def test_a_killed_owner_s_batch_goes_on_where_it_is_read(world):
+    first, second = world.start("a"), world.start("b")
+    first.submit(submission(), ROUTE)
+    finish(first, "i1")
+    del world.network.services["a"]
+    assert ids(second.read("b1", 0, 0)) == ["i1"]
+    run = second.owner.runs["b1"]
+    assert run.owner == second.me
+    assert {item.item for item in run.waiting()} == {"i0", "i2"}
+
+
+def test_a_restarted_owner_takes_its_batch_up_again(world):
+    world.start("a").submit(submission(), ROUTE)
+    again = world.start("a", incarnation="2")
+    assert ids(again.read("b1", 0, 0)) == []
+    assert again.owner.runs["b1"].owner == again.me
+
+
+def test_a_silent_owner_keeps_its_batch_for_a_moment(world):
+    first, second = world.start("a"), world.start("b")
+    first.submit(submission(), ROUTE)
+    world.network.cut.add("a")
+    assert second.read("b1", 0, 0).trouble is Trouble.UNSURE
+    world.clock.advance(TAKE_OVER_AFTER_MS - 1)
+    assert second.read("b1", 0, 0).trouble is Trouble.UNSURE
+    world.clock.advance(1)
+    assert ids(second.read("b1", 0, 0)) == []
+
+
+def test_a_former_owner_lists_nothing_more_and_reads_what_the_new_one_listed(world):
+    first, second = world.start("a"), world.start("b")
+    first.submit(submission(), ROUTE)
+    finish(first, "i0")
+    world.network.cut.add("a")
+    second.read("b1", 0, 0)
+    world.clock.advance(TAKE_OVER_AFTER_MS)
+    second.read("b1", 0, 0)
+    finish(second, "i2")
+    run = first.owner.runs["b1"]
+    run.progress["i1"].note_event(1, "mine", 3)
+    run.finish(run.progress["i1"], True, 0)
+    first.owner.list_once(run)
+    assert run.stopped
+    world.network.cut.clear()
+    assert ids(first.read("b1", 0, 0)) == ["i0", "i2"]
+
+
+def test_of_two_nodes_that_take_over_one_becomes_the_owner(world):
+    world.start("a").submit(submission(), ROUTE)
+    del world.network.services["a"]
+    second, third = world.start("b"), world.start("c")
+    assert ids(second.read("b1", 0, 0)) == []
+    assert "b1" not in third.owner.runs
+    assert ids(third.read("b1", 0, 0)) == []
+    assert "b1" not in third.owner.runs
+
+
+def test_an_end_holds_at_all_nodes_and_after_a_loss(world):
+    first, second = world.start("a"), world.start("b")
+    first.submit(submission(), ROUTE)
+    finish(first, "i1")
+    assert second.end("b1") is None
+    assert first.end("b1") is None
+    assert not first.owner.runs["b1"].open
+    del world.network.services["a"]
+    assert second.end("b1") is None
+    assert ids(second.read("b1", 0, 0)) == ["i1"]
+    assert not second.owner.runs["b1"].open
+
+
+def test_an_end_that_is_not_stored_is_not_confirmed(world):
+    first, second = world.start("a"), world.start("b")
+    first.submit(submission(), ROUTE)
+    second.read("b1", 0, 0)
+    world.store.faults.outage = True
+    for service in (first, second):
+        assert isinstance(service.end("b1"), BatchTrouble)
+    world.store.faults.outage = False
+    assert second.end("b1") is None
+
+
+def test_a_drained_node_hands_its_batches_over(world):
+    first, second = world.start("a"), world.start("b")
+    first.submit(submission(), ROUTE)
+    run = first.owner.runs["b1"]
+    run.progress["i0"].note_event(1, "t", 3)
+    run.finish(run.progress["i0"], True, 0)
+    first.draining = True
+    first.owner.release(run)
+    assert ids(second.read("b1", 0, 0)) == ["i0"]
+    assert second.owner.runs["b1"].open
+
+
+def test_a_log_with_a_foreign_end_stops_a_take_over(world):
+    create_batch(world.store, head(), 1_000_000)
+    log = BatchLog(world.store, "b1")
+    log.append(entry("t1", done("i1")))
+    log.append(entry("t2", ended=True))
+    service = world.start("b")
+    assert ids(service.read("b1", 0, 0)) == ["i1"]
+    assert not service.owner.runs["b1"].open
+
+
+def test_an_item_of_another_batch_is_absent_without_a_change_of_owner(world):
+    first, second = world.start("a"), world.start("b")
+    first.submit(submission(), ROUTE)
+    assert isinstance(first.local_body("b1", "none"), PeerAbsent)
+    assert second.item_body("b1", "none").trouble is Trouble.ABSENT
+    assert first.owner.runs["b1"].open
--- /dev/null
+++ b/tests/unit/gateway/test_calls.py
@@ -0,0 +1,237 @@
+"""Guards against repeated runs, false refusals and answers that belong to another request.
+
+Each call goes over loopback to stand-ins that speak the platform's published protocol.
+"""
+
+import json
+import random
+
+import gevent
+import pytest
+import structlog
+
+from pistachionotch.clock import SystemClock
+from pistachionotch.config.spec import Address
+from pistachionotch.gateway.calls import (
+    CallForwarder,
+    Cause,
+    ClientCall,
+    Refusal,
+    Reply,
+    StreamReply,
+)
+from pistachionotch.gateway.catalog import Route, RouteKind, ServiceShare
+from pistachionotch.gateway.exchange import UpstreamClient
+from pistachionotch.gateway.upstreams import UpstreamRecord, UpstreamTable
+from pistachionotch.http_client import ConnectionPool, ExchangeError
+from pistachionotch.platform.upstream import ServerDialect
+from pistachionotch.server import make_server
+from pistachionotch.standins.platform_servers import PlatformServerStandIn, ServerFaults
+
+CLOCK = SystemClock()
+
+
+class Servers:
+    """Two servers of one service and a gateway's forwarder in front of them."""
+
+    def __init__(self, **more):
+        self.standins = [PlatformServerStandIn(f"i-{number}", **more) for number in (1, 2)]
+        self.listeners = [make_server("127.0.0.1", 0, standin) for standin in self.standins]
+        for listener in self.listeners:
+            listener.start()
+        self.table = UpstreamTable()
+        self.list_servers()
+        pool = ConnectionPool(CLOCK)
+        client = UpstreamClient(CLOCK, ServerDialect(), pool)
+        self.forwarder = CallForwarder(
+            CLOCK,
+            random.Random(1),
+            "a",
+            {"a": "r"},
+            self.table,
+            client,
+            ServerDialect(),
+            structlog.get_logger(),
+        )
+        self.pool = pool
+
+    def list_servers(self, leaving=()):
+        records = [
+            UpstreamRecord(
+                instance=standin.instance,
+                service="s",
+                address=Address("127.0.0.1", listener.server_port),
+                zone="a",
+                slots=6,
+                leaving=standin.instance in leaving,
+                started_ms=1,
+                versions={},
+            )
+            for standin, listener in zip(self.standins, self.listeners, strict=True)
+        ]
+        self.table.replace(records, self.table.revision + 1)
+
+    def set(self, **faults):
+        for standin in self.standins:
+            standin.faults = ServerFaults(**faults)
+
+    def runs(self):
+        return [run["request"] for standin in self.standins for run in standin.runs]
+
+    def call(self, kind=RouteKind.SAFE, request="q1", budget_ms=1_000, **more):
+        call = ClientCall(
+            request_id=request,
+            method="POST",
+            target="/p/x?y=%20z",
+            host="h.example",
+            headers=(("X-More", "1"), ("Connection", "keep-alive"), ("Deadline-Ms", "99999")),
+            body=b"body",
+            received_ms=CLOCK.now_ms(),
+            budget_ms=budget_ms,
+        )
+        fields = {"resumable": False, "max_attempts": 2, "timeout_ms": 800, **more}
+        route = Route(
+            name="r",
+            host="h.example",
+            prefix="/p/",
+            kind=kind,
+            shares=(ServiceShare("s", 1),),
+            objective_ms=200,
+            priority=1,
+            **fields,
+        )
+        return self.forwarder.forward(call, route)
+
+    def stop(self):
+        for listener in self.listeners:
+            listener.stop(timeout=0)
+
+
+@pytest.fixture
+def servers():
+    found = Servers()
+    yield found
+    found.stop()
+
+
+def test_an_answer_passes_unchanged(servers):
+    answer = servers.call()
+    assert isinstance(answer, Reply) and answer.status == 200
+    assert json.loads(answer.body)["received"] == "body"
+    headers = dict(answer.headers)
+    assert headers["server-stamp"] and headers["request-id"] == "q1"
+    run = (servers.standins[0].runs + servers.standins[1].runs)[0]
+    assert run["target"] == "/p/x"
+
+
+def test_a_safe_call_is_repeated_after_a_lost_answer(servers):
+    servers.set(lose_answers=1)
+    answer = servers.call(max_attempts=3)
+    assert isinstance(answer, Refusal) and answer.cause is Cause.UNKNOWN
+    assert len(servers.runs()) == 2
+    assert servers.call(request="q2").status == 200
+
+
+def test_an_unsafe_call_with_a_lost_answer_is_not_repeated_and_not_called_unrun(servers):
+    servers.set(lose_answers=1)
+    answer = servers.call(RouteKind.UNSAFE)
+    assert answer.cause is Cause.UNKNOWN
+    assert servers.runs() == ["q1"]
+
+
+def test_an_unsafe_call_that_a_server_did_not_run_goes_to_another(servers):
+    servers.standins[0].faults.refuse = servers.standins[1].faults.refuse = 1
+    answer = servers.call(RouteKind.UNSAFE)
+    assert answer.cause is Cause.NOT_RUN and answer.retry_after_ms is not None
+    assert servers.runs() == []
+    gevent.sleep(0.1)
+    assert servers.call(RouteKind.UNSAFE).status == 200
+
+
+def test_a_failure_of_one_server_is_tried_at_another(servers):
+    servers.standins[0].faults.fail = 9
+    for number in range(6):
+        assert servers.call(request=f"q{number}").status == 200
+
+
+def test_a_failure_of_all_servers_passes_unchanged(servers):
+    servers.set(fail=9)
+    answer = servers.call()
+    assert answer.status == 500 and dict(answer.headers)["server-stamp"]
+
+
+def test_a_server_that_has_taken_over_an_address_runs_nothing(servers):
+    for standin in servers.standins:
+        standin.instance += "-new"
+    answer = servers.call(RouteKind.UNSAFE)
+    assert answer.cause is Cause.NOT_RUN
+    assert servers.runs() == []
+
+
+def test_a_leaving_server_gets_nothing_new(servers):
+    servers.list_servers(leaving={"i-1"})
+    for number in range(5):
+        servers.call(request=f"q{number}")
+    assert not servers.standins[0].runs
+    servers.list_servers(leaving={"i-1", "i-2"})
+    assert servers.call().cause is Cause.NOT_RUN
+
+
+@pytest.mark.parametrize("kind", [RouteKind.SAFE, RouteKind.UNSAFE])
+def test_time_that_is_up_gives_a_final_answer_at_once(servers, kind):
+    servers.set(slow_ms=5_000)
+    started_ms = CLOCK.now_ms()
+    answer = servers.call(kind, timeout_ms=200)
+    assert answer.cause is Cause.TIMEOUT
+    assert 190 <= CLOCK.now_ms() - started_ms < 600
+
+
+def test_bytes_after_a_response_belong_to_no_other_request(servers):
+    servers.set(surplus=1)
+    for number in range(4):
+        answer = servers.call(request=f"q{number}")
+        assert dict(answer.headers)["request-id"] == f"q{number}"
+        gevent.sleep(0.08)
+
+
+def test_connections_are_kept_for_calls_that_may_be_repeated(servers):
+    for number in range(5):
+        servers.call(request=f"q{number}")
+    assert servers.pool.opened <= 2
+    opened = servers.pool.opened
+    servers.call(RouteKind.UNSAFE, request="u1")
+    assert servers.pool.opened == opened + 1
+
+
+def test_a_stream_passes_event_by_event_and_a_broken_one_does_not_look_complete():
+    servers = Servers(versions={"": 1})
+    answer = servers.call(RouteKind.STREAM)
+    assert isinstance(answer, StreamReply)
+    text = b"".join(answer.parts)
+    assert text.count(b"id: ") == 5
+    servers.set(break_after=2)
+    broken = servers.call(RouteKind.STREAM, request="q2")
+    with pytest.raises(ExchangeError):
+        list(broken.parts)
+    assert all(upstream.in_flight == 0 for upstream in servers.table.upstreams.values())
+    servers.stop()
+
+
+def test_headers_of_the_connection_and_of_the_client_s_budget_are_replaced():
+    from pistachionotch.gateway.dialect import UpstreamRequest
+
+    request = UpstreamRequest(
+        request_id="q",
+        method="POST",
+        target="/",
+        host="h",
+        headers=(("Connection", "close"), ("DEADLINE-MS", "9"), ("Model", "m")),
+        body=b"",
+        instance="i-1",
+        budget_ms=70,
+        resume_after=3,
+    )
+    headers = ServerDialect().request_headers(request)
+    assert ("Deadline-Ms", "70") in headers and ("Last-Event-Id", "3") in headers
+    assert ("Expect-Instance", "i-1") in headers and ("Model", "m") in headers
+    assert not [name for name, _value in headers if name in ("Connection", "DEADLINE-MS")]
--- /dev/null
+++ b/tests/unit/platform/test_boot.py
@@ -0,0 +1,69 @@
+"""Guards against a start with half of the settings, and against a stop for fields of tomorrow."""
+
+import pytest
+
+from pistachionotch.config.spec import Address
+from pistachionotch.findings import InvalidInputError
+from pistachionotch.platform.boot import load_settings, read_settings
+
+EDGE = """\
+node_name=edge-a-1
+serves=edge,control
+ip=10.1.0.10
+zone=a
+region=r
+zones.a=r
+zones.b=r
+listen.frontend=10.1.0.10:8161
+listen.ready_addr=10.1.0.10:8167
+port_range=7720,7735
+platform.address=10.200.1.7:8169
+platform.value_bytes=1048576
+bounds.grace_s=8
+bounds.lease_ms=3000
+bounds.status_s=120
+"""
+
+
+def test_fields_are_decoded_with_their_units():
+    settings = read_settings(EDGE, "boot.conf")
+    assert settings.node == "edge-a-1"
+    assert settings.listen_clients == Address("10.1.0.10", 8161)
+    assert settings.listen_peers == Address("10.1.0.10", 7720)
+    assert settings.zone_regions == {"a": "r", "b": "r"}
+    assert settings.drain_grace_ms == 8_000
+    assert settings.order_handover_ms == 3_000
+    assert settings.batch_retention_ms == 120_000
+
+
+def test_unknown_fields_are_ignored():
+    text = EDGE + "bounds.of_tomorrow=1\nsomething=else\n\n# a comment\n"
+    assert read_settings(text, "f") == read_settings(EDGE, "f")
+
+
+def test_all_findings_come_at_once_with_their_places():
+    text = EDGE.replace("zone=a\n", "").replace("8161", "http").replace("=8\n", "=soon\n")
+    text += "no separator\n"
+    with pytest.raises(InvalidInputError) as caught:
+        read_settings(text, "boot.conf")
+    messages = [str(finding) for finding in caught.value.findings]
+    assert len(messages) == 4
+    assert any("'zone' is missing" in message for message in messages)
+    assert any(message.startswith("boot.conf:7:1: 'listen.frontend'") for message in messages)
+    assert any("'bounds.grace_s' is not a number" in message for message in messages)
+
+
+@pytest.mark.parametrize("ports", ["", "7720", "b,c", "9,8"])
+def test_a_range_of_ports_has_two_ends(ports):
+    with pytest.raises(InvalidInputError, match="port_range"):
+        read_settings(EDGE.replace("7720,7735", ports), "f")
+
+
+def test_a_missing_file_is_a_finding(tmp_path):
+    with pytest.raises(InvalidInputError, match="No such file"):
+        load_settings(str(tmp_path / "none"))
+
+
+def test_only_a_process_for_clients_needs_their_addresses():
+    text = EDGE.replace("edge,control", "storage").replace("listen.frontend=10.1.0.10:8161\n", "")
+    assert read_settings(text, "f").listen_clients is None
--- /dev/null
+++ b/tests/unit/platform/test_decode.py
@@ -0,0 +1,174 @@
+"""Guards against entries by other writers, and against routes that lose what may be repeated."""
+
+import json
+
+import pytest
+import structlog
+
+from pistachionotch.config.spec import Address
+from pistachionotch.gateway.catalog import RouteKind
+from pistachionotch.objects.api import StoredObject
+from pistachionotch.platform.batches import page_body, read_submission
+from pistachionotch.platform.decode import read_catalog, read_upstream
+from pistachionotch.platform.listings import PlatformListings
+
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1",
+            "hostname": "H.example",
+            "path_prefix": "/a/",
+            "route_kind": "safe",
+            "timeout_ms": 3000,
+            "target_latency_ms": 239,
+            "priority": 2,
+            "split": [{"service": "s1", "weight": 90}, {"service": "s2", "weight": 10}],
+            "max_attempts": 2,
+        },
+        {
+            "name": "r2",
+            "hostname": "h.example",
+            "path_prefix": "/a/b/",
+            "route_kind": "rollout",
+            "service": "s1",
+            "max_queue_s": 40.0,
+            "due_ms": 7500,
+            "single_version": True,
+            "resumable": True,
+        },
+        {"name": "r3", "hostname": "h", "path_prefix": "/", "route_kind": "new", "service": "s1"},
+    ],
+    "services": [
+        {"name": "s1", "max_conns": 150, "engine": {"models": [{"name": "m0"}, {"name": "m1"}]}},
+        {"name": "s2", "max_conns": 100},
+    ],
+    "limits": {"max_body_bytes": 1000, "idle_timeout_ms": 15000, "of_tomorrow": 1},
+}
+SERVER = {
+    "service": "s1",
+    "address": "10.128.0.9:8080",
+    "zone": "a",
+    "version": "v9",
+    "slots": 12,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "models": [{"name": "m0", "version": 3, "adapters": []}],
+    "seq": 4,
+    "born": 1700,
+}
+
+
+def stored(key, fields, version=1):
+    value = fields if isinstance(fields, bytes) else json.dumps(fields).encode()
+    return StoredObject(key, version, value)
+
+
+def server(**changes):
+    return stored("servers/i-1", {**SERVER, **changes})
+
+
+def test_the_longest_prefix_of_a_host_selects_the_route():
+    catalog = read_catalog(stored("config/main", CONFIG))
+    assert catalog.match("h.example", "/a/x?b=/a/b/").name == "r1"
+    assert catalog.match("h.example", "/a/b/x").name == "r2"
+    assert catalog.match("h.example", "/other") is None
+    assert catalog.match("none.example", "/a/") is None
+    assert catalog.limits.max_body_bytes == 1000
+
+
+def test_routes_keep_what_may_be_repeated():
+    catalog = read_catalog(stored("config/main", CONFIG))
+    safe, batch, unknown = catalog.routes
+    assert safe.repeatable() and safe.max_attempts == 2
+    assert batch.kind is RouteKind.BATCH and batch.give_up_ms == 40_000 and batch.one_version
+    assert unknown.kind is RouteKind.UNSAFE and not unknown.repeatable()
+    assert catalog.services["s1"].models == ("m0", "m1")
+
+
+def test_a_registration_is_decoded():
+    record = read_upstream(server(state="draining"))
+    assert record.instance == "i-1" and record.address == Address("10.128.0.9", 8080)
+    assert record.leaving and record.versions == {"m0": 3} and record.peer == "i-1@1700"
+
+
+def test_a_restart_under_the_same_name_is_another_peer():
+    assert read_upstream(server()).peer != read_upstream(server(born=1800)).peer
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        b"\xff\xfe",
+        b"[]",
+        b"null",
+        {**SERVER, "state": "sleeping"},
+        {**SERVER, "slots": "many"},
+        {**SERVER, "slots": 0},
+        {**SERVER, "address": 5},
+        {**SERVER, "address": "nowhere"},
+        {**SERVER, "models": "m0"},
+        {key: value for key, value in SERVER.items() if key != "zone"},
+    ],
+)
+def test_an_unreadable_registration_names_no_upstream_and_hides_no_other(fields):
+    with structlog.testing.capture_logs() as logs:
+        listings = PlatformListings(None, structlog.get_logger())
+        objects = {"servers/x": stored("servers/x", fields), "servers/i-1": server()}
+        for _ in range(2):
+            assert [record.instance for record in listings.upstreams(objects)] == ["i-1"]
+    assert len(logs) == 1, "an unreadable object is logged once"
+
+
+def submission(**changes):
+    item = {
+        "id": "i1",
+        "path": "/p/1",
+        "headers": {"Model": "m", "Length-Hint": "33"},
+        "body": "q83vEjRWeJA=",
+        "token_count": 940,
+        "group_id": "g1",
+    }
+    fields = {"train_step": 7, "model": "m", "min_version": 6, "desired": 1, "items": [item]}
+    return {**fields, **changes}
+
+
+def test_a_submission_is_decoded():
+    read = read_submission("b", "h", "/p/b", json.dumps(submission()).encode())
+    assert (read.step, read.min_version, read.wanted_groups) == (7, 6, 1)
+    assert read.items[0].expected_tokens == 33
+    assert read.items[0].body.hex() == "abcdef1234567890"
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"[]",
+        b'{"items": []}',
+        b'{"items": 3}',
+        json.dumps(submission(items=submission()["items"] * 2)).encode(),
+        json.dumps(submission(items=[{**submission()["items"][0], "body": "?"}])).encode(),
+    ],
+)
+def test_a_malformed_submission_is_refused(body):
+    with pytest.raises(ValueError):
+        read_submission("b", "h", "/p/b", body)
+
+
+def test_a_page_names_its_next_position():
+    from pistachionotch.batches.model import ItemResult, ResultPage
+
+    results = (
+        ItemResult(id="i1", done=True, text="a\nb", versions=(6, 7)),
+        ItemResult(id="i2", done=False),
+    )
+    page = json.loads(page_body(ResultPage(total=3, results=results, next_position=2)))
+    assert page["total"] == 3 and page["next_token"] == 2
+    assert page["results"][0] == {
+        "id": "i1",
+        "state": "done",
+        "text": "a\nb",
+        "weight_versions": [6, 7],
+    }
+    assert page["results"][1]["state"] == "dead"
--- /dev/null
+++ b/tests/unit/platform/test_platform_store.py
@@ -0,0 +1,106 @@
+"""Guards against conditions that get lost in translation, and lost answers reported as failures."""
+
+import pytest
+from returns.result import Failure, Success
+
+from pistachionotch.clock import SystemClock
+from pistachionotch.config.spec import Address
+from pistachionotch.http_client import ConnectionPool
+from pistachionotch.objects.api import (
+    StoreUnavailable,
+    VersionConflict,
+    WatchExpired,
+    WriteAmbiguous,
+)
+from pistachionotch.objects.follow import FollowedPrefix
+from pistachionotch.platform.store import PlatformStore
+from pistachionotch.standins.http import start_server
+from pistachionotch.standins.platform_store import PlatformStoreStandIn
+
+
+@pytest.fixture
+def standin():
+    return PlatformStoreStandIn()
+
+
+@pytest.fixture
+def store(standin):
+    server = start_server(standin, "127.0.0.1", 0)
+    address = Address("127.0.0.1", server.server_port)
+    yield PlatformStore(address, ConnectionPool(SystemClock()))
+    server.stop(timeout=0)
+
+
+def test_objects_are_created_once_and_replaced_conditionally(store):
+    created = store.put("things/a", b"[1]", None).unwrap()
+    assert store.get("things/a") == Success(created)
+    assert store.put("things/a", b"[2]", None) == Failure(VersionConflict(created))
+    replaced = store.put("things/a", b"[2]", created.version).unwrap()
+    assert store.put("things/a", b"[3]", created.version) == Failure(VersionConflict(replaced))
+    assert isinstance(store.delete("things/a", created.version).failure(), VersionConflict)
+    assert store.delete("things/a", replaced.version) == Success(None)
+    assert store.get("things/a") == Success(None)
+    assert store.put("things/a", b"[4]", 1) == Failure(VersionConflict(None))
+
+
+def test_keys_with_several_parts_come_back_as_they_were_written(store):
+    store.put("leases/orders/all", b"[]", None)
+    assert [stored.key for stored in store.list("leases/").unwrap()] == ["leases/orders/all"]
+    assert store.get("leases/orders/all").unwrap().key == "leases/orders/all"
+
+
+def test_a_listing_of_several_pages_is_complete(store, standin):
+    standin.page_objects = 2
+    for name in ("a", "b", "c/d", "e", "f"):
+        store.put(f"things/{name}", b"{}", None)
+    snapshot = store.snapshot("things/").unwrap()
+    assert [stored.key for stored in snapshot.objects] == [
+        f"things/{name}" for name in ("a", "b", "c/d", "e", "f")
+    ]
+    assert snapshot.revision == standin.store.revision
+
+
+def test_a_watch_tells_changes_removals_and_a_lost_history(store, standin):
+    followed = FollowedPrefix(store, "things/")
+    assert followed.refresh()
+    created = store.put("things/a", b"[1]", None).unwrap()
+    store.put("other/b", b"[1]", None)
+    assert followed.refresh(1_000)
+    assert list(followed.objects) == ["things/a"]
+    store.delete("things/a", created.version)
+    assert followed.refresh(1_000)
+    assert followed.objects == {}
+    store.put("things/c", b"[1]", None)
+    standin._faults({"forget": True})
+    assert isinstance(store.watch("things/", 1, 0).failure(), WatchExpired)
+    assert followed.refresh()
+    assert list(followed.objects) == ["things/c"]
+
+
+def test_a_write_without_an_answer_may_have_happened(store, standin):
+    standin._faults({"lose_answers": 1})
+    assert isinstance(store.put("things/a", b"[1]", None).failure(), WriteAmbiguous)
+    assert store.get("things/a").unwrap().value == b"[1]"
+
+
+def test_a_refusing_store_has_done_nothing(store, standin):
+    standin.busy_peers = {"127.0.0.1"}
+    assert isinstance(store.put("things/a", b"[1]", None).failure(), StoreUnavailable)
+    assert isinstance(store.get("things/a").failure(), StoreUnavailable)
+    assert isinstance(store.snapshot("things/").failure(), StoreUnavailable)
+    standin.busy_peers = set()
+    assert store.get("things/a") == Success(None)
+
+
+def test_an_unreachable_store_has_done_nothing():
+    store = PlatformStore(Address("127.0.0.1", 1), ConnectionPool(SystemClock()))
+    assert isinstance(store.put("things/a", b"[1]", None).failure(), StoreUnavailable)
+
+
+def test_a_status_leaves_the_rest_of_the_object(store, standin):
+    store.put("retirements/vm", b'{"by":1}', None)
+    written = store.put_status("retirements/vm", {"state": "done"}).unwrap()
+    assert written.value == b'{"by":1}'
+    assert b"done" in standin.store.objects["retirements/vm"].value
+    again = store.put_status("retirements/vm", {"state": "done"}).unwrap()
+    assert again.version == written.version
