Show the whole path on the platform's protocol between processes

Nine scenarios with stand-ins of the store, the model servers and the plain servers: killed and drained gateways, lost answers, broken streams, outages, a leaving server.

--- /dev/null
+++ b/tests/features/platform.feature
@@ -0,0 +1,67 @@
+Feature: The whole path on the users' platform, with gateways as separate processes
+
+  Scenario: Calls, steps and new weights
+    Given a platform with 2 gateways
+    When a client sends 4 "safe" calls to each gateway
+    Then each call was answered by the server that ran it
+    When a trainer submits step "s1" to gateway-1
+    Then every result of step "s1" is complete and names the versions that made it
+    When the trainer names version 2
+    Then one holder's orders bring every engine to version 2 within 8 seconds
+    When a trainer submits step "s2" on version 2 and newer to gateway-2
+    Then every result of step "s2" is complete and names the versions that made it
+
+  Scenario: The gateway that runs a step is killed
+    Given a platform with 2 gateways
+    When a trainer submits step "s1" to gateway-1
+    And gateway-1 is killed
+    Then every result of step "s1" is complete and names the versions that made it
+
+  Scenario: The gateway that runs a step is told to stop
+    Given a platform with 2 gateways
+    When a trainer submits step "s1" to gateway-1
+    And gateway-1 is terminated
+    Then every result of step "s1" is complete and names the versions that made it
+    And gateway-1 ended by itself without cutting a request off
+
+  Scenario: An unsafe call whose answer is lost is not run again
+    Given a platform with 2 gateways
+    When every shop loses its next answer
+    And a client sends an "unsafe" call to gateway-1
+    Then the client is not told that the call was not run
+    And the call was run once
+
+  Scenario: A broken stream goes on at the next event
+    Given a platform with 1 gateway
+    When every engine breaks its next stream off in the middle
+    And a trainer submits step "s1" to gateway-1
+    Then every result of step "s1" is complete and names the versions that made it
+    And some run went on after an event that was already received
+
+  Scenario: The store loses answers and is out for a while
+    Given a platform with 2 gateways
+    When the store loses 4 answers
+    And a trainer submits step "s1" at any gateway until one accepts it
+    And the store is out for 2 seconds
+    Then every result of step "s1" is complete and names the versions that made it
+
+  Scenario: A submission in an outage is refused at once and never runs
+    Given a platform with 2 gateways
+    When the store is out
+    And a trainer submits step "s1" to gateway-1, which is refused
+    And the store is back
+    Then step "s1" is known to no gateway and none of its items has run
+
+  Scenario: A leaving server gets nothing new
+    Given a platform with 2 gateways
+    When shop-1 is registered as leaving
+    And 3 seconds pass
+    And a client sends 4 "safe" calls to each gateway
+    Then shop-1 has run nothing
+
+  Scenario: An ended step starts no more items
+    Given a platform with 2 gateways
+    When a trainer submits step "s1" to gateway-1
+    And step "s1" is ended at gateway-2
+    And 1 second passes
+    Then no item of step "s1" starts within 1 second
--- /dev/null
+++ b/tests/support/platform.py
@@ -0,0 +1,275 @@
+"""A small copy of the users' platform on loopback, with gateways as separate processes."""
+
+import json
+import random
+import secrets
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+from pistachionotch.clock import SystemClock
+from pistachionotch.config.spec import Address
+from pistachionotch.http_client import ConnectionPool, ExchangeError
+from tests.support.deployment import HOST, Deployment, free_port
+
+READY_S = 15.0
+STEP_MS = 50
+MODEL = "m0"
+ENGINES = 3
+HOSTNAME = "shop.example"
+
+
+class Client:
+    """Speak the platform's protocol as its clients do: one channel for each request."""
+
+    def __init__(self, address):
+        self.address = address
+        self.pool = ConnectionPool(SystemClock())
+
+    def ask(self, method, target, headers=(), body=b"", timeout_ms=5_000):
+        """Return status, headers and body; raises ``ExchangeError`` without a whole answer."""
+        connection = self.pool.take(self.address, "", 1_000, fresh=True)
+        try:
+            pairs = [("Host", HOSTNAME), *headers]
+            connection.send(method, target, pairs, body, timeout_ms)
+            head = connection.read_head(timeout_ms)
+            return head.status, dict(head.headers), connection.read_body(timeout_ms)
+        finally:
+            connection.close()
+
+
+class Platform:
+    """Run stand-ins of the platform and gateways in front of them."""
+
+    def __init__(self, gateways=2):
+        self.deployment = Deployment()
+        self.folder = Path(tempfile.mkdtemp(prefix="pistachionotch-platform-"))
+        self.ports = {}
+        self.names = [f"gateway-{number}" for number in range(1, gateways + 1)]
+        self.servers = [f"engine-{number}" for number in range(1, ENGINES + 1)] + [
+            "shop-1",
+            "shop-2",
+        ]
+        self.start_standin("store", "store")
+        for name in self.servers:
+            self.start_standin(name, "engine" if name.startswith("engine") else "plain")
+        self.wait(lambda: self.fetch("store", "/calls") is not None)
+        self.version = 0
+        self.write_config()
+        for name in self.servers:
+            self.register(name)
+        for name in self.names:
+            self.start_gateway(name)
+        self.wait(lambda: all(self.ready(name) for name in self.names))
+
+    # Processes
+
+    def start_standin(self, name, kind):
+        self.ports[name] = free_port()
+        script = "tests.support.platform_process"
+        command = [sys.executable, "-m", script, kind, name, str(self.ports[name])]
+        self.deployment.spawn(name, command)
+
+    def start_gateway(self, name):
+        ports = self.ports.setdefault(name, [free_port() for _ in range(3)])
+        path = self.folder / f"{name}.conf"
+        path.write_text(f"""node_name={name}
+serves=edge
+ip={HOST}
+zone=cebu
+region=visayas
+zones.cebu=visayas
+listen.frontend={HOST}:{ports[0]}
+listen.ready_addr={HOST}:{ports[1]}
+port_range={ports[2]},{ports[2]}
+platform.address={HOST}:{self.ports["store"]}
+platform.value_bytes=1048576
+bounds.grace_s=8
+bounds.lease_ms=300
+bounds.status_s=120
+""")
+        command = [
+            "env",
+            f"PISTACHIONOTCH_BOOT={path}",
+            "python",
+            "-m",
+            "pistachionotch",
+            "gateway",
+        ]
+        self.deployment.spawn(name, command)
+
+    def signal(self, name, number):
+        self.deployment.send_signal(name, number)
+
+    def log_lines(self, name):
+        text = (self.deployment.folder / f"{name}.log").read_text()
+        return [json.loads(line) for line in text.splitlines() if line.startswith("{")]
+
+    def stop(self):
+        self.deployment.stop()
+
+    # The platform's side
+
+    def address(self, name, which=0):
+        port = self.ports[name]
+        return Address(HOST, port if isinstance(port, int) else port[which])
+
+    def fetch(self, name, path, method="GET", fields=None, which=0):
+        body = b"" if fields is None else json.dumps(fields).encode()
+        try:
+            answer = Client(self.address(name, which)).ask(method, path, (), body)
+        except ExchangeError:
+            return None
+        return json.loads(answer[2]) if answer[0] < 400 and answer[2] else None
+
+    def ready(self, name):
+        try:
+            return Client(self.address(name, 1)).ask("GET", "/api/readyz")[0] == 200
+        except ExchangeError:
+            return False
+
+    def write(self, kind, name, spec):
+        """Create or replace an object of the store, as the operator and the servers do."""
+        body = {"metadata": {"name": name}, "spec": spec}
+        created = self.fetch("store", f"/api/objects/{kind}", "POST", body)
+        if created is None:
+            created = self.fetch("store", f"/api/objects/{kind}/{name}", "PUT", body)
+        assert created is not None, (kind, name)
+
+    def write_config(self, **changes):
+        self.version += 1
+        batch = {
+            "name": "batches",
+            "hostname": HOSTNAME,
+            "path_prefix": "/steps/",
+            "route_kind": "rollout",
+            "timeout_ms": 10000,
+            "target_latency_ms": 400,
+            "priority": 0,
+            "service": "engines",
+            "max_attempts": 3,
+            "max_queue_s": 40.0,
+            "due_ms": 7500,
+            "resumable": True,
+        }
+        routes = [batch]
+        for kind in ("safe", "unsafe"):
+            routes.append(
+                {
+                    "name": kind,
+                    "hostname": HOSTNAME,
+                    "path_prefix": f"/{kind}/",
+                    "route_kind": kind,
+                    "timeout_ms": 3000,
+                    "target_latency_ms": 200,
+                    "priority": 2,
+                    "service": "shop",
+                    "max_attempts": 2,
+                }
+            )
+        engine = {"slots": 4, "models": [{"name": MODEL}]}
+        services = [
+            {"name": "engines", "max_conns": 100, "engine": engine},
+            {"name": "shop", "max_conns": 100},
+        ]
+        spec = {"version": self.version, "routes": routes, "services": services, "limits": {}}
+        self.write("config", "main", {**spec, **changes})
+
+    def register(self, name, state="ready"):
+        engine = name.startswith("engine")
+        spec = {
+            "service": "engines" if engine else "shop",
+            "address": str(self.address(name)),
+            "zone": "cebu",
+            "version": "v1",
+            "slots": 4,
+            "state": state,
+            "cold_left_ms": 0,
+            "seq": 1,
+            "born": 1,
+        }
+        if engine:
+            versions = (self.fetch(name, "/runs") or {"versions": {MODEL: 1}})["versions"]
+            spec["models"] = [{"name": model, "version": versions[model]} for model in versions]
+        self.write("servers", name, spec)
+
+    def runs(self, kind):
+        """Return the runs of all servers of a kind, and which server made each."""
+        found = []
+        for name in self.servers:
+            if name.startswith(kind):
+                found.extend({**run, "server": name} for run in self.fetch(name, "/runs")["runs"])
+        return found
+
+    def faults(self, name, **switches):
+        assert self.fetch(name, "/faults", "PUT", switches) is not None
+
+    # Clients
+
+    def call(self, gateway, target, request, body=b"order", budget_ms=3_000):
+        headers = [("Request-Id", request), ("Deadline-Ms", str(budget_ms))]
+        return Client(self.address(gateway)).ask("POST", target, headers, body)
+
+    def submit(self, gateway, batch, groups=3, size=2, min_version=1):
+        items = []
+        for group in range(groups):
+            for number in range(size):
+                items.append(
+                    {
+                        "id": f"{batch}-{group}-{number}",
+                        "path": f"/steps/{batch}/{group}",
+                        "headers": {"Model": MODEL, "Token-Usage": "10,10"},
+                        "body": "aGVsbG8=",
+                        "token_count": 20,
+                        "group_id": f"{batch}-{group}",
+                    }
+                )
+        fields = {
+            "train_step": 0,
+            "model": MODEL,
+            "min_version": min_version,
+            "desired": groups,
+            "items": items,
+        }
+        headers = [("Request-Id", batch), ("Content-Type", "application/json")]
+        body = json.dumps(fields).encode()
+        return Client(self.address(gateway)).ask("POST", f"/steps/{batch}", headers, body)[0]
+
+    def read(self, gateway, batch, after=0):
+        target = f"/api/lots/{batch}?after={after}"
+        status, _headers, body = Client(self.address(gateway)).ask("GET", target)
+        return json.loads(body) if status == 200 else status
+
+    def read_all(self, batch, timeout_s=15.0):
+        """Read at changing gateways until all results are there, as a trainer does."""
+        results = []
+        end = time.monotonic() + timeout_s
+        while time.monotonic() < end:
+            name = random.choice(self.names)
+            try:
+                page = self.read(name, batch, len(results))
+            except ExchangeError:
+                page = None
+            if isinstance(page, dict):
+                results.extend(page["results"])
+                if len(results) == page["total"]:
+                    return results
+            time.sleep(0.1)
+        raise AssertionError(f"{len(results)} results of {batch} after {timeout_s} s")
+
+    def end(self, gateway, batch):
+        return Client(self.address(gateway)).ask("DELETE", f"/api/lots/{batch}")[0]
+
+    @staticmethod
+    def wait(condition, timeout_s=READY_S):
+        end = time.monotonic() + timeout_s
+        while time.monotonic() < end:
+            if condition():
+                return
+            time.sleep(STEP_MS / 1000)
+        raise AssertionError("the condition did not come true")
+
+
+def new_id():
+    return secrets.token_hex(8)
