--- a/src/pistachionotch/batches/dispatch.py
+++ b/src/pistachionotch/batches/dispatch.py
@@ -16,6 +16,8 @@
 
 # An engine whose events come this many times slower than the median takes only what others can't.
 SLOW_FACTOR = 1.8
+# An item stays this long where it started before it may move, which bounds the moves of one item.
+MIN_STAY_MS = 600
 # Cost of crossing to another region, in events of a usual stream.
 REGION_EVENTS = 1.0
 
@@ -52,6 +54,28 @@
     other_region: bool = False
 
 
+@attrs.frozen(kw_only=True)
+class RunningItem:
+    """Describe an item that runs."""
+
+    batch: str
+    item: str
+    instance: str
+    model: str
+    min_version: int
+    due_ms: int
+    started_ms: int
+    optional: bool = False
+
+
+@attrs.frozen
+class Move:
+    """Break an item off where it runs; it goes on elsewhere after the events it has."""
+
+    item: RunningItem
+    reason: str
+
+
 @attrs.frozen
 class Start:
     """Start an item at an engine."""
@@ -119,3 +143,36 @@
         if cost < best_cost:
             best, best_cost = engine, cost
     return best, "least loaded"
+
+
+def plan_moves(
+    running: Iterable[RunningItem], engines: Sequence[EngineView], now_ms: int
+) -> list[Move]:
+    """Return the items to take away from engines that have turned slow.
+
+    A step waits for its last groups, and a stream on a slowed engine takes several times as long.
+    Each move has a free slot at an engine of usual speed; reading prompt and text again there takes
+    a few milliseconds.
+    """
+    moves = []
+    paces = {engine.instance: engine.event_ms for engine in engines}
+    room = {engine.instance: engine.free for engine in engines}
+    for item in sorted(running, key=lambda item: (item.optional, item.due_ms, item.item)):
+        pace = paces.get(item.instance)
+        if pace is None or now_ms - item.started_ms < MIN_STAY_MS:
+            continue
+        target = None
+        for engine in engines:
+            if room[engine.instance] <= 0 or engine.event_ms is None:
+                continue
+            if engine.versions.get(item.model, -1) < item.min_version:
+                continue
+            if engine.event_ms * SLOW_FACTOR > pace:
+                continue
+            if target is None or engine.event_ms < (target.event_ms or 0.0):
+                target = engine
+        if target is None:
+            continue
+        room[target.instance] -= 1
+        moves.append(Move(item, f"{pace:.0f} ms an event, {target.event_ms:.0f} elsewhere"))
+    return moves
--- a/src/pistachionotch/batches/items.py
+++ b/src/pistachionotch/batches/items.py
@@ -140,6 +140,6 @@
                     upstream.note_version(submission.model, version)
                 state.note_event(event.number, event.data, version)
             if events and previous_ms is not None:
-                upstream.note_event((now_ms - previous_ms) / len(events))
+                upstream.note_event((now_ms - previous_ms) / len(events), now_ms)
             if events:
                 previous_ms = now_ms
--- a/src/pistachionotch/batches/owner.py
+++ b/src/pistachionotch/batches/owner.py
@@ -14,7 +14,15 @@
 from ..clock import Clock
 from ..gateway.catalog import Catalog, Route
 from ..gateway.upstreams import Upstream, UpstreamTable
-from .dispatch import EngineView, Start, WaitingItem, plan_starts
+from .dispatch import (
+    EngineView,
+    Move,
+    RunningItem,
+    Start,
+    WaitingItem,
+    plan_moves,
+    plan_starts,
+)
 from .items import AttemptEnd, ItemRunner
 from .listing import should_list
 from .model import LogEntry, Owner
@@ -63,20 +71,23 @@
         if catalog is None:
             return
         by_service: dict[str, list[WaitingItem]] = {}
+        running: dict[str, list[RunningItem]] = {}
         for run in self.runs.values():
             if not run.open:
                 continue
             route = batch_route(catalog, run)
             if route is None:
                 continue
-            waiting = self._waiting(run, route)
-            if waiting:
-                service = route.choose_service(self.rng)
-                by_service.setdefault(service, []).extend(waiting)
+            service = route.choose_service(self.rng)
+            by_service.setdefault(service, []).extend(self._waiting(run, route))
+            if not route.one_version:
+                running.setdefault(service, []).extend(run.running())
         for service, waiting in by_service.items():
             engines = self._engines(service)
             for start in plan_starts(waiting, engines, self.homes):
                 self._start(start)
+            for move in plan_moves(running.get(service, ()), engines, self.clock.now_ms()):
+                self._move(move)
 
     def _waiting(self, run: BatchRun, route: Route) -> list[WaitingItem]:
         now_ms = self.clock.now_ms()
@@ -101,7 +112,7 @@
                     free=upstream.free_slots(),
                     slots=record.slots,
                     versions={model: upstream.version(model) for model in models},
-                    event_ms=upstream.event_ms,
+                    event_ms=upstream.pace_ms(now_ms),
                     other_region=self.regions.get(record.zone) != self.region,
                 )
             )
@@ -112,6 +123,8 @@
         state = run.progress[start.item.item]
         upstream = self.table.upstreams[start.instance]
         state.running = True
+        state.instance = start.instance
+        state.started_ms = self.clock.now_ms()
         self.log.info(
             "item placed",
             batch=run.id,
@@ -127,6 +140,22 @@
         key = (run.id, state.item.id)
         self.tasks[key] = gevent.spawn(self._run_item, run, state, upstream)
 
+    def _move(self, move: Move) -> None:
+        """Break an item off; it waits again and goes on where there is room."""
+        key = (move.item.batch, move.item.item)
+        task = self.tasks.get(key)
+        if task is None:
+            return
+        self.log.info(
+            "item moved",
+            batch=key[0],
+            item=key[1],
+            upstream=move.item.instance,
+            last_event=self.runs[key[0]].progress[key[1]].last_event,
+            reason=move.reason,
+        )
+        task.kill(block=False)
+
     def _run_item(self, run: BatchRun, state: ItemProgress, upstream: Upstream) -> None:
         try:
             end = self.items.run(run.head.submission, state, upstream)
--- a/src/pistachionotch/batches/run.py
+++ b/src/pistachionotch/batches/run.py
@@ -6,7 +6,7 @@
 from gevent.event import Event
 from gevent.lock import BoundedSemaphore
 
-from .dispatch import WaitingItem, optional_groups
+from .dispatch import RunningItem, WaitingItem, optional_groups
 from .listing import ListingState
 from .log import BatchLog
 from .model import BatchHead, BatchItem, ItemResult, LogEntry, Owner, ResultPage
@@ -23,6 +23,9 @@
 
     item: BatchItem
     running: bool = False
+    # Where and since when it runs.
+    instance: str = ""
+    started_ms: int = 0
     finished: bool = False
     # Data of the events received so far, and the number of the last one.
     texts: list[str] = attrs.field(factory=list)
@@ -112,6 +115,24 @@
             if not (state.running or state.finished)
         ]
 
+    def running(self) -> list[RunningItem]:
+        """Return the items that run."""
+        submission = self.head.submission
+        return [
+            RunningItem(
+                batch=self.id,
+                item=state.item.id,
+                instance=state.instance,
+                model=submission.model,
+                min_version=submission.min_version,
+                due_ms=self.due_ms,
+                started_ms=state.started_ms,
+                optional=state.item.group in self.optional,
+            )
+            for state in self.progress.values()
+            if state.running
+        ]
+
     def finish(self, state: ItemProgress, done: bool, now_ms: int) -> None:
         """Note the final state of an item; it has no position yet."""
         state.finished = True
--- a/src/pistachionotch/gateway/upstreams.py
+++ b/src/pistachionotch/gateway/upstreams.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import statistics
 from collections.abc import Iterable
 
 import attrs
@@ -17,6 +16,8 @@
 # each further failure up to the maximum.
 FAILURE_PAUSE_MS = 400
 MAX_FAILURE_PAUSE_MS = 4_000
+# What is known of an engine's speed is out of date after this time; engines turn slow for seconds.
+PACE_AGE_MS = 2_000
 
 
 @attrs.frozen(kw_only=True)
@@ -49,6 +50,7 @@
     # Moving averages; None before the first sample.
     response_ms: float | None = None
     event_ms: float | None = None
+    event_seen_ms: int = 0
     full_until_ms: int = 0
     failed_until_ms: int = 0
     failures: int = 0
@@ -69,9 +71,16 @@
         self.failures = 0
         self.failed_until_ms = 0
 
-    def note_event(self, gap_ms: float) -> None:
+    def note_event(self, gap_ms: float, now_ms: int) -> None:
         """Count the time between two events of a stream."""
+        if now_ms - self.event_seen_ms > PACE_AGE_MS:
+            self.event_ms = None
         self.event_ms = _average(self.event_ms, gap_ms)
+        self.event_seen_ms = now_ms
+
+    def pace_ms(self, now_ms: int) -> float | None:
+        """Return the usual time between two events, None if that is not known any more."""
+        return self.event_ms if now_ms - self.event_seen_ms <= PACE_AGE_MS else None
 
     def note_full(self, now_ms: int) -> None:
         """Count a refusal for lack of room."""
@@ -128,8 +137,3 @@
             for upstream in self.upstreams.values()
             if upstream.record.service == service and not upstream.record.leaving
         ]
-
-    def median_event_ms(self, service: str) -> float | None:
-        """Return the usual time between two events, None before any was measured."""
-        paces = [u.event_ms for u in self.of_service(service) if u.event_ms is not None]
-        return statistics.median(paces) if paces else None
--- a/tests/unit/batches/test_dispatch.py
+++ b/tests/unit/batches/test_dispatch.py
@@ -6,7 +6,14 @@
 
 import random
 
-from pistachionotch.batches.dispatch import EngineView, WaitingItem, optional_groups, plan_starts
+from pistachionotch.batches.dispatch import (
+    EngineView,
+    RunningItem,
+    WaitingItem,
+    optional_groups,
+    plan_moves,
+    plan_starts,
+)
 from pistachionotch.batches.listing import GATHER_MS, ListingState, should_list
 
 
@@ -102,3 +109,32 @@
     assert not should_list(state(2), 1_000 + GATHER_MS - 1)
     assert should_list(state(2), 1_000 + GATHER_MS)
     assert should_list(state(1, completes=True), 1_000)
+
+
+def running(name, instance, started_ms=0, **more):
+    fields = {"batch": "b", "model": "m", "min_version": 5, "due_ms": 0}
+    return RunningItem(item=name, instance=instance, started_ms=started_ms, **{**fields, **more})
+
+
+def test_items_leave_an_engine_that_turned_slow_as_far_as_there_is_room():
+    engines = [engine("slow", 0, event_ms=140), engine("e2", 2, event_ms=40), engine("e3", 0)]
+    items = [running(f"i{number}", "slow") for number in range(12)]
+    items += [running(f"j{number}", "e2") for number in range(10)]
+    moves = plan_moves(items, engines, 5_000)
+    assert [move.item.item for move in moves] == ["i0", "i1"]
+
+
+def test_items_do_not_move_at_once_again_or_to_where_nothing_is_gained():
+    slow, quick = engine("slow", 0, event_ms=140), engine("quick", event_ms=40)
+    assert plan_moves([running("i", "slow", 4_500)], [slow, quick], 5_000) == []
+    assert plan_moves([running("i", "slow")], [slow, engine("e", event_ms=100)], 5_000) == []
+    assert plan_moves([running("i", "slow")], [slow, engine("e")], 5_000) == []
+    stale = engine("stale", version=4, event_ms=40)
+    assert plan_moves([running("i", "slow")], [slow, stale], 5_000) == []
+    assert plan_moves([running("i", "gone")], [slow, quick], 5_000) == []
+
+
+def test_groups_that_are_waited_for_leave_a_slow_engine_first():
+    engines = [engine("slow", 0, event_ms=140), engine("e2", 1, event_ms=40)]
+    items = [running("a", "slow", optional=True), running("b", "slow")]
+    assert [move.item.item for move in plan_moves(items, engines, 5_000)] == ["b"]
