Load new weights after a step's items have started

The items of a step were refused 16 to 96 times in their first second, while the engines loaded the version named with the step.

--- a/src/pistachionotch/batches/owner.py
+++ b/src/pistachionotch/batches/owner.py
@@ -135,6 +135,7 @@
             in_flight=upstream.in_flight,
             listing=self.table.revision,
             after_event=state.last_event,
+            expected_tokens=start.item.expected_tokens,
             reason=start.reason,
         )
         key = (run.id, state.item.id)
--- a/src/pistachionotch/gateway/daemon.py
+++ b/src/pistachionotch/gateway/daemon.py
@@ -238,10 +238,10 @@
 
     def _take_versions(self, objects: dict[str, StoredObject], revision: int) -> None:
         for model, version in self.listings.versions(objects).items():
-            if version <= self.orders.named.get(model, 0):
-                continue
-            self.orders.named[model] = version
-            logger("orders").info("version named", model=model, version=version, revision=revision)
+            if self.orders.take_version(model, version):
+                logger("orders").info(
+                    "version named", model=model, version=version, revision=revision
+                )
 
     def _take_evacuations(self, objects: dict[str, StoredObject], revision: int) -> None:
         for key, stored in objects.items():
--- a/src/pistachionotch/gateway/orders.py
+++ b/src/pistachionotch/gateway/orders.py
@@ -11,7 +11,7 @@
 from ..clock import Clock
 from ..http_client import ExchangeError
 from ..lease.lease import Lease
-from ..weights.assignment import EngineWeights, Load, plan_loads
+from ..weights.assignment import EngineWeights, Load, NamedVersion, plan_loads
 from .catalog import Catalog
 from .dialect import EngineReport, LoadOrder, OrderAnswer, UpstreamDialect, UpstreamRequest
 from .exchange import UpstreamClient
@@ -28,7 +28,8 @@
 LOAD_TIMEOUT_MS = 4_000
 # Pause of an engine after an order that it did not accept or did not answer.
 RETRY_MS = 600
-OLDEST_VERSION = 1
+# Engines start with this version before a trainer names any.
+UNNAMED = NamedVersion(version=1, named_ms=0)
 
 
 @attrs.define
@@ -45,7 +46,7 @@
     dialect: UpstreamDialect
     catalog: Callable[[], Catalog | None]
     log: Any
-    named: dict[str, int] = attrs.field(factory=dict)
+    named: dict[str, NamedVersion] = attrs.field(factory=dict)
     loading: set[str] = attrs.field(factory=set)
     resume_ms: dict[str, int] = attrs.field(factory=dict)
     held_since_ms: int | None = None
@@ -74,6 +75,13 @@
                 self.order_loads()
             self.clock.sleep_ms(STEP_MS)
 
+    def take_version(self, model: str, version: int) -> bool:
+        """Take over a version that a trainer has named; returns whether it is news."""
+        if version <= self.named.get(model, UNNAMED).version:
+            return False
+        self.named[model] = NamedVersion(version=version, named_ms=self.clock.now_ms())
+        return True
+
     def may_order(self) -> bool:
         """Return whether orders of this process cannot meet those of the former holder."""
         since_ms = self.held_since_ms
@@ -93,11 +101,11 @@
         for service in catalog.services.values():
             if not service.models:
                 continue
-            named = {model: self.named.get(model, OLDEST_VERSION) for model in service.models}
+            named = {model: self.named.get(model, UNNAMED) for model in service.models}
             keep = not any(route.one_version for route in catalog.batch_routes(service.name))
             engines = [_weights(u, named) for u in self.table.of_service(service.name)]
             paused = {name for name, until_ms in self.resume_ms.items() if until_ms > now_ms}
-            for load in plan_loads(engines, named, self.loading | paused):
+            for load in plan_loads(engines, named, self.loading | paused, now_ms):
                 self.loading.add(load.instance)
                 gevent.spawn(self._load, load, keep)
 
@@ -201,7 +209,7 @@
             return None
 
 
-def _weights(upstream: Upstream, named: dict[str, int]) -> EngineWeights:
+def _weights(upstream: Upstream, named: dict[str, NamedVersion]) -> EngineWeights:
     record = upstream.record
     return EngineWeights(
         instance=record.instance,
--- a/src/pistachionotch/weights/assignment.py
+++ b/src/pistachionotch/weights/assignment.py
@@ -3,7 +3,8 @@
 Load pattern: each trainer names a version every few seconds and asks for its next step at that
 moment; the step accepts the version before as well. So each model has its own share of the engines,
 which load its versions one after the other while the rest goes on serving, and no engine loads the
-versions of a model that it does not serve.
+versions of a model that it does not serve. An engine refuses new requests while it loads, so one
+that may serve the step as it is waits until the step's items have started.
 """
 
 from __future__ import annotations
@@ -17,6 +18,8 @@
 LOADING_SHARE = 1 / 3
 # The same if no engine has a version that the newest step accepts.
 URGENT_SHARE = 2 / 3
+# The items of a step have started after about this time.
+BURST_MS = 1_200
 
 
 @attrs.frozen(kw_only=True)
@@ -28,6 +31,15 @@
     versions: Mapping[str, int]
 
 
+@attrs.frozen(kw_only=True)
+class NamedVersion:
+    """Hold the newest version of a model that its trainer has named."""
+
+    version: int
+    # When this process learned of it.
+    named_ms: int
+
+
 @attrs.frozen
 class Load:
     """Let an engine load a version of a model."""
@@ -74,13 +86,16 @@
 
 def plan_loads(
     engines: Sequence[EngineWeights],
-    named: Mapping[str, int],
+    named: Mapping[str, NamedVersion],
     loading: Collection[str],
+    now_ms: int,
 ) -> list[Load]:
     """Return the loads to order now; ``loading`` names the engines that still load something."""
     loads = []
-    for model, group in assign_models(engines, named).items():
-        version = named[model]
+    newest = {model: found.version for model, found in named.items()}
+    for model, group in assign_models(engines, newest).items():
+        version = newest[model]
+        in_burst = now_ms - named[model].named_ms < BURST_MS
         current = [engine for engine in group if engine.versions.get(model, 0) >= version - 1]
         share = LOADING_SHARE if current else URGENT_SHARE
         room = max(1, int(len(group) * share))
@@ -92,6 +107,8 @@
                 break
             if engine.instance in loading:
                 continue
+            if in_burst and engine.versions.get(model, 0) >= version - 1:
+                continue
             loads.append(Load(engine.instance, model, version))
             room -= 1
     return loads
--- a/tests/unit/weights/test_assignment.py
+++ b/tests/unit/weights/test_assignment.py
@@ -1,12 +1,23 @@
 """Guards against a model without engines, loads for nobody, and all engines loading at once."""
 
-from pistachionotch.weights.assignment import EngineWeights, assign_models, plan_loads
+from pistachionotch.weights.assignment import (
+    BURST_MS,
+    EngineWeights,
+    NamedVersion,
+    assign_models,
+    plan_loads,
+)
 
 
 def engine(name, zone="z1", **versions):
     return EngineWeights(instance=name, zone=zone, versions=versions)
 
 
+def plan(engines, named, loading, now_ms=BURST_MS):
+    versions = {model: NamedVersion(version=v, named_ms=0) for model, v in named.items()}
+    return plan_loads(engines, versions, loading, now_ms)
+
+
 def fresh(count):
     return [engine(f"e{number}", f"z{number % 3}", m0=1, m1=1) for number in range(count)]
 
@@ -32,27 +43,38 @@
 
 def test_one_engine_of_a_model_loads_while_the_others_serve():
     engines = [engine(f"a{n}", m0=3) for n in range(3)]
-    loads = plan_loads(engines, {"m0": 4}, set())
+    loads = plan(engines, {"m0": 4}, set())
     assert len(loads) == 1
     assert loads[0].version == 4
-    assert plan_loads(engines, {"m0": 4}, {loads[0].instance}) == []
+    assert plan(engines, {"m0": 4}, {loads[0].instance}) == []
 
 
 def test_the_oldest_engine_loads_first():
     engines = [engine("a", m0=4), engine("b", m0=2), engine("c", m0=4)]
-    assert [load.instance for load in plan_loads(engines, {"m0": 5}, set())] == ["b"]
+    assert [load.instance for load in plan(engines, {"m0": 5}, set())] == ["b"]
 
 
 def test_several_load_if_none_can_serve_the_newest_step():
     engines = [engine(f"a{n}", m0=1) for n in range(3)]
-    assert len(plan_loads(engines, {"m0": 4}, set())) == 2
+    assert len(plan(engines, {"m0": 4}, set())) == 2
 
 
 def test_nothing_is_loaded_for_a_model_that_an_engine_does_not_serve():
     engines = [engine("a", m0=4, m1=1), engine("b", m0=1, m1=6)]
-    assert plan_loads(engines, {"m0": 4, "m1": 6}, set()) == []
+    assert plan(engines, {"m0": 4, "m1": 6}, set()) == []
 
 
 def test_engines_without_models_and_models_without_engines_do_no_harm():
-    assert plan_loads([], {"m0": 4}, set()) == []
-    assert plan_loads(fresh(2), {}, set()) == []
+    assert plan([], {"m0": 4}, set()) == []
+    assert plan(fresh(2), {}, set()) == []
+
+
+def test_engines_that_may_serve_a_step_load_after_its_items_have_started():
+    engines = [engine(f"a{n}", m0=3) for n in range(3)]
+    assert plan(engines, {"m0": 4}, set(), BURST_MS - 1) == []
+    assert len(plan(engines, {"m0": 4}, set(), BURST_MS)) == 1
+
+
+def test_an_engine_that_cannot_serve_the_step_loads_at_once():
+    engines = [engine("a", m0=3), engine("b", m0=2), engine("c", m0=3)]
+    assert [load.instance for load in plan(engines, {"m0": 4}, set(), 0)] == ["b"]
