--- a/src/pistachionotch/batches/owner.py
+++ b/src/pistachionotch/batches/owner.py
@@ -14,6 +14,7 @@
 from ..clock import Clock
 from ..gateway.catalog import Catalog, Route
 from ..gateway.upstreams import Upstream, UpstreamTable
+from ..measures import Measures
 from .dispatch import (
     EngineView,
     Move,
@@ -47,6 +48,7 @@
     items: ItemRunner
     catalog: Callable[[], Catalog | None]
     log: Any
+    measures: Measures = attrs.field(factory=Measures)
     runs: dict[str, BatchRun] = attrs.field(factory=dict)
     tasks: dict[tuple[str, str], Any] = attrs.field(factory=dict)
     homes: dict[tuple[str, str], str] = attrs.field(factory=dict)
@@ -147,6 +149,7 @@
         task = self.tasks.get(key)
         if task is None:
             return
+        self.measures.count("items_again", "moved")
         self.log.info(
             "item moved",
             batch=key[0],
@@ -186,6 +189,7 @@
         if end is AttemptEnd.FAILED and route and state.failures >= route.max_attempts:
             self._finish(run, state, False, f"failed {state.failures} times")
             return
+        self.measures.count("items_again", end.value)
         self.log.info(
             "item waits again",
             batch=run.id,
@@ -197,6 +201,7 @@
         )
 
     def _finish(self, run: BatchRun, state: ItemProgress, done: bool, reason: str) -> None:
+        self.measures.time("items", "done" if done else "given up", self._age_ms(run))
         run.finish(state, done, self.clock.now_ms())
         self.log.info(
             "item finished",
@@ -207,6 +212,9 @@
             reason=reason,
         )
 
+    def _age_ms(self, run: BatchRun) -> int:
+        return max(0, self.clock.now_ms() - run.accepted_ms)
+
     def _list_results(self, run: BatchRun) -> None:
         """Write finished items to the log until the batch is complete, ended or lost."""
         while run.open:
@@ -230,6 +238,7 @@
         entry = run.next_entry(f"{self.rng.getrandbits(64):016x}")
         appended = run.log.append(entry)
         if isinstance(appended, Failure):
+            self.measures.count("listings", "failed")
             self.log.warning("results not listed", batch=run.id, reason=str(appended.failure()))
             return False
         found = appended.unwrap()
--- a/src/pistachionotch/batches/run.py
+++ b/src/pistachionotch/batches/run.py
@@ -58,6 +58,8 @@
     head: BatchHead
     log: BatchLog
     owner: Owner
+    # Times of this process's clock.
+    accepted_ms: int
     due_ms: int
     give_up_ms: int | None
     progress: dict[str, ItemProgress] = attrs.field(init=False)
--- a/src/pistachionotch/batches/service.py
+++ b/src/pistachionotch/batches/service.py
@@ -13,6 +13,7 @@
 
 from ..clock import MS_PER_SECOND, Clock
 from ..gateway.catalog import Route
+from ..measures import Measures
 from ..objects.api import ObjectStore, StoreRejected, WriteAmbiguous
 from .log import BatchLog, create_batch, load_head
 from .model import BatchHead, LogEntry, Owner, ResultPage, Submission
@@ -73,6 +74,7 @@
     owner: BatchOwner
     peers: PeerClient
     log: Any
+    measures: Measures = attrs.field(factory=Measures)
     elsewhere: dict[str, _Elsewhere] = attrs.field(factory=dict)
     locks: dict[str, BoundedSemaphore] = attrs.field(factory=dict)
     draining: bool = False
@@ -84,10 +86,12 @@
         if self.draining:
             return BatchTrouble(Trouble.NOT_RUN, "draining", 0)
         head = BatchHead(submission=submission, owner=self.me, accepted_ms=_unix_ms())
+        started_ms = self.clock.now_ms()
         created = create_batch(self.store, head, self.max_value_bytes)
         if isinstance(created, Failure):
             return self._not_accepted(submission, created.failure())
         stored = created.unwrap()
+        self.measures.time("submissions", "accepted", self.clock.now_ms() - started_ms)
         self.log.info(
             "batch accepted",
             batch=submission.id,
@@ -109,6 +113,7 @@
         trouble = Trouble.UNKNOWN if unknown else Trouble.NOT_RUN
         if isinstance(error, StoreRejected):
             trouble = Trouble.IMPOSSIBLE
+        self.measures.count("submissions_not_accepted", trouble.value)
         self.log.warning(
             "batch not accepted", batch=submission.id, cause=trouble.value, reason=str(error)
         )
@@ -120,7 +125,7 @@
         give_up_ms = accepted_ms + route.give_up_ms if route and route.give_up_ms else None
         due_ms = accepted_ms + (route.due_ms if route else 0)
         log = BatchLog(self.store, head.submission.id)
-        return BatchRun(head, log, head.owner, due_ms, give_up_ms)
+        return BatchRun(head, log, head.owner, accepted_ms, due_ms, give_up_ms)
 
     def read(self, batch: str, position: int, wait_ms: int) -> ResultPage | BatchTrouble:
         """Return listed results, waiting for the first if there is none yet."""
@@ -283,6 +288,7 @@
                 self.elsewhere[run.id] = _Elsewhere(entry.owner)
                 return _Moved()
         self.elsewhere.pop(run.id, None)
+        self.measures.count("take_overs", "batch")
         self.log.warning(
             "batch taken over",
             batch=run.id,
--- a/src/pistachionotch/cli/commands.py
+++ b/src/pistachionotch/cli/commands.py
@@ -37,6 +37,9 @@
     "bench": Command(".bench", "bench", "measure the placement and admission policy"),
     "status": Command(".status", "status", "show processes, members, queues and revisions"),
     "explain": Command(".status", "explain", "show the decisions for one request"),
+    "trace": Command(
+        ".trace", "trace", "show one request's lines in the logs of several processes"
+    ),
     "slopes": Command(".slopes", "slopes", "measure what duties and stored objects cost"),
     "drain": Command(".status", "drain", "tell a process to finish its work and stop"),
 }
--- a/src/pistachionotch/gateway/calls.py
+++ b/src/pistachionotch/gateway/calls.py
@@ -11,6 +11,7 @@
 
 from ..clock import Clock
 from ..http_client import ExchangeError, Header
+from ..measures import Measures
 from .catalog import Route
 from .dialect import UpstreamDialect, UpstreamRequest
 from .exchange import Exchange, UpstreamClient
@@ -112,6 +113,7 @@
     client: UpstreamClient
     dialect: UpstreamDialect
     log: Any
+    measures: Measures = attrs.field(factory=Measures)
 
     def forward(self, call: ClientCall, route: Route) -> Answer:
         """Return the answer to a call."""
@@ -177,6 +179,7 @@
     def _log_failure(
         self, progress: _Progress, upstream: Upstream, reason: str, may_have_run: bool
     ) -> None:
+        self.measures.count("attempts_failed", "may have run" if may_have_run else "not run")
         self.log.warning(
             "attempt failed",
             request=progress.call.request_id,
@@ -232,6 +235,7 @@
         self, progress: _Progress, upstream: Upstream, status: int, started_ms: int
     ) -> None:
         now_ms = self.clock.now_ms()
+        self.measures.time("calls", progress.route.kind, now_ms - progress.call.received_ms)
         self.log.info(
             "call answered",
             request=progress.call.request_id,
@@ -291,6 +295,7 @@
         return Refusal(cause, progress.reason, progress.retry_after_ms)
 
     def _log_end(self, progress: _Progress, cause: Cause) -> None:
+        self.measures.count("calls_given_up", cause.value)
         self.log.warning(
             "call given up",
             request=progress.call.request_id,
--- a/src/pistachionotch/gateway/daemon.py
+++ b/src/pistachionotch/gateway/daemon.py
@@ -22,6 +22,7 @@
 from ..lease.lease import Lease
 from ..lease.reading import LeaseReads
 from ..logs import logger
+from ..measures import Measures
 from ..metrics import METRICS_MEDIA_TYPE, render_metrics
 from ..objects.api import ObjectStore, StoredObject
 from ..objects.follow import FollowedPrefix
@@ -69,6 +70,7 @@
     state: str = "starting"
     open_requests: int = 0
     confirmed: dict[str, bytes] = attrs.field(factory=dict)
+    measures: Measures = attrs.field(factory=Measures)
     servers: list[WSGIServer] = attrs.field(factory=list)
     store: RelayedStore = attrs.field(init=False)
     gateways: Gateways = attrs.field(init=False)
@@ -90,6 +92,7 @@
             self.client,
             self.dialect,
             logger("calls"),
+            self.measures,
         )
         me = Owner(
             node=settings.node, incarnation=secrets.token_hex(8), address=settings.listen_peers
@@ -101,6 +104,7 @@
             self.rng,
             logger("objects"),
             lambda: self.gateways.others(),
+            self.measures,
         )
         self.gateways = Gateways(me, self.store, logger("gateway"))
         items = ItemRunner(self.clock, self.client, self.dialect, logger("items"))
@@ -114,6 +118,7 @@
             items,
             lambda: self.catalog,
             logger("batches"),
+            self.measures,
         )
         self.batches = BatchService(
             self.clock,
@@ -124,6 +129,7 @@
             self.owner,
             PeerClient(self.pool),
             logger("batches"),
+            self.measures,
         )
         self.orders = OrderDuty(
             self.clock,
@@ -135,6 +141,7 @@
             self.dialect,
             lambda: self.catalog,
             logger("orders"),
+            self.measures,
         )
 
     def _lease(self) -> Lease:
@@ -292,7 +299,7 @@
             body = b"ready\n" if self.ready() else b"not ready\n"
         elif path == "/metrics":
             status, media_type = "200 OK", METRICS_MEDIA_TYPE
-            body = render_metrics(self.status())
+            body = render_metrics(self.status(), self.measures)
         start_response(status, [("Content-Type", media_type), ("Content-Length", str(len(body)))])
         return [body]
 
--- a/src/pistachionotch/gateway/orders.py
+++ b/src/pistachionotch/gateway/orders.py
@@ -11,6 +11,7 @@
 from ..clock import Clock
 from ..http_client import ExchangeError
 from ..lease.lease import Lease
+from ..measures import Measures
 from ..weights.assignment import EngineWeights, Load, NamedVersion, plan_loads
 from .catalog import Catalog
 from .dialect import EngineReport, LoadOrder, OrderAnswer, UpstreamDialect, UpstreamRequest
@@ -46,6 +47,7 @@
     dialect: UpstreamDialect
     catalog: Callable[[], Catalog | None]
     log: Any
+    measures: Measures = attrs.field(factory=Measures)
     named: dict[str, NamedVersion] = attrs.field(factory=dict)
     loading: set[str] = attrs.field(factory=set)
     resume_ms: dict[str, int] = attrs.field(factory=dict)
@@ -140,6 +142,7 @@
             return False
         self.ordered_fence = order.fence
         answer = self._send(upstream, self.dialect.order_request(load.instance, order))
+        self.measures.count("orders", answer.value if answer is not None else "no answer")
         self.log.info(
             "weights ordered",
             upstream=load.instance,
--- a/src/pistachionotch/logs.py
+++ b/src/pistachionotch/logs.py
@@ -69,13 +69,22 @@
             data = data[gevent_os.nb_write(self.descriptor, data) :]
 
 
-def configure_logs(stream: TextIO | BoundedStream | None = None) -> None:
-    """Send log lines as JSON to ``stream``, standard error by default."""
+def configure_logs(stream: TextIO | BoundedStream | None = None, node: str = "") -> None:
+    """Send log lines as JSON to ``stream``, standard error by default; each names the node."""
+
+    def add_node(
+        _logger: Any, _method: str, event: MutableMapping[str, Any]
+    ) -> MutableMapping[str, Any]:
+        if node:
+            event["node"] = node
+        return event
+
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             _add_prefix,
+            add_node,
             structlog.processors.JSONRenderer(),
         ],
         logger_factory=structlog.WriteLoggerFactory(stream or sys.stderr),  # type: ignore[arg-type]
--- a/src/pistachionotch/objects/relay.py
+++ b/src/pistachionotch/objects/relay.py
@@ -20,6 +20,7 @@
 from ..clock import Clock
 from ..config.spec import Address
 from ..http_client import Connection, ConnectionPool, ExchangeError
+from ..measures import Measures
 from .api import (
     Change,
     ObjectStore,
@@ -84,6 +85,7 @@
     log: Any
     # Addresses of the other processes that may have a path.
     peers: Callable[[], Sequence[Address]]
+    measures: Measures = attrs.field(factory=Measures)
     direct_lost: bool = False
     direct_retry_ms: int = 0
     peers_retry_ms: int = 0
@@ -118,7 +120,10 @@
     def _call(self, call: RelayCall) -> Result[Any, Any]:
         if self.direct_lost and not self._probes(call):
             return self._through_peers(call)
+        started_ms = self.clock.now_ms()
         answer = perform(self.direct, call)
+        if call.operation != "watch":
+            self.measures.time("object_api", call.operation, self.clock.now_ms() - started_ms)
         lost = isinstance(answer, Failure) and _is_lost(answer.failure())
         self._note(lost, answer)
         # A write without an answer may have happened; its caller settles that before it repeats it.
@@ -159,6 +164,7 @@
                 reason = f"{peer}: {answer.failure().reason}"
                 continue
             self.relayed += 1
+            self.measures.count("relayed_calls", call.operation)
             return answer
         self.peers_retry_ms = self.clock.now_ms() + PEERS_PAUSE_MS
         return Failure(StoreUnavailable(reason))
--- a/src/pistachionotch/platform/main.py
+++ b/src/pistachionotch/platform/main.py
@@ -27,7 +27,7 @@
     from ..logs import BoundedStream, configure_logs
 
     stream = BoundedStream(sys.stdout.fileno())
-    configure_logs(stream)
+    configure_logs(stream, settings.node)
     gevent.spawn(stream.run)
     daemon = make_gateway(settings)
     gevent.signal_handler(signal.SIGHUP, _reload, daemon)
--- a/tests/unit/batches/test_batch_run.py
+++ b/tests/unit/batches/test_batch_run.py
@@ -27,7 +27,7 @@
 def make_run(store, items=3, me="a"):
     found = head(items)
     create_batch(store, found, 1_000_000)
-    return BatchRun(found, BatchLog(store, "b1"), owner(me), 1_000, None)
+    return BatchRun(found, BatchLog(store, "b1"), owner(me), 0, 1_000, None)
 
 
 def make_owner(me="a"):
