--- a/src/pistachionotch/batches/dispatch.py
+++ b/src/pistachionotch/batches/dispatch.py
@@ -16,6 +16,9 @@
 
 # An engine whose events come this many times slower than the median takes only what others can't.
 SLOW_FACTOR = 1.8
+# An item leaves an engine that is this many times slower than another. Engines that share their
+# machine with others slow down 2.5 times for moments, which the average of their pace hides.
+MOVE_FACTOR = 2.2
 # An item stays this long where it started before it may move, which bounds the moves of one item.
 MIN_STAY_MS = 600
 # Cost of crossing to another region, in events of a usual stream.
@@ -167,7 +170,7 @@
                 continue
             if engine.versions.get(item.model, -1) < item.min_version:
                 continue
-            if engine.event_ms * SLOW_FACTOR > pace:
+            if engine.event_ms * MOVE_FACTOR > pace:
                 continue
             if target is None or engine.event_ms < (target.event_ms or 0.0):
                 target = engine
--- a/src/pistachionotch/gateway/upstreams.py
+++ b/src/pistachionotch/gateway/upstreams.py
@@ -18,6 +18,9 @@
 MAX_FAILURE_PAUSE_MS = 4_000
 # What is known of an engine's speed is out of date after this time; engines turn slow for seconds.
 PACE_AGE_MS = 2_000
+# Time constant of an engine's pace. Neighbours slow an engine for about 600 ms now and then, which
+# is over before a move pays; faults do so for seconds.
+PACE_TIME_MS = 700
 
 
 @attrs.frozen(kw_only=True)
@@ -73,10 +76,13 @@
 
     def note_event(self, gap_ms: float, now_ms: int) -> None:
         """Count the time between two events of a stream."""
-        if now_ms - self.event_seen_ms > PACE_AGE_MS:
-            self.event_ms = None
-        self.event_ms = _average(self.event_ms, gap_ms)
+        since_ms = now_ms - self.event_seen_ms
         self.event_seen_ms = now_ms
+        if self.event_ms is None or since_ms > PACE_AGE_MS:
+            self.event_ms = gap_ms
+            return
+        # Weighed by time, since an engine's events come from a dozen streams or from one.
+        self.event_ms += min(1.0, since_ms / PACE_TIME_MS) * (gap_ms - self.event_ms)
 
     def pace_ms(self, now_ms: int) -> float | None:
         """Return the usual time between two events, None if that is not known any more."""
--- /dev/null
+++ b/tests/unit/gateway/test_upstreams.py
@@ -0,0 +1,84 @@
+"""Guards against engines that count as slow for a moment's noise, and as quick or slow for ever."""
+
+from pistachionotch.config.spec import Address
+from pistachionotch.gateway.upstreams import (
+    MAX_FAILURE_PAUSE_MS,
+    PACE_AGE_MS,
+    Upstream,
+    UpstreamRecord,
+    UpstreamTable,
+)
+
+USUAL_MS = 36
+
+
+def record(instance="i", started_ms=1, version=1, **more):
+    fields = {"zone": "z", "slots": 12, "leaving": False, "service": "s", **more}
+    return UpstreamRecord(
+        instance=instance,
+        address=Address("10.0.0.1", 80),
+        started_ms=started_ms,
+        versions={"m": version},
+        **fields,
+    )
+
+
+def feed(upstream, start_ms, end_ms, gap_ms):
+    """Let twelve streams with one gap end an event each ``gap_ms`` / 12."""
+    now_ms = start_ms
+    while now_ms < end_ms:
+        upstream.note_event(gap_ms, now_ms)
+        now_ms += max(1, gap_ms // 12)
+    return upstream.pace_ms(end_ms)
+
+
+def test_a_moment_of_noise_is_no_slow_engine_but_a_fault_is_one_within_a_second():
+    upstream = Upstream(record())
+    feed(upstream, 0, 3_000, USUAL_MS)
+    assert feed(upstream, 3_000, 3_600, USUAL_MS * 2.5) < USUAL_MS * 2.2
+    assert feed(upstream, 3_600, 8_000, USUAL_MS) < USUAL_MS * 1.1
+    assert feed(upstream, 8_000, 9_000, USUAL_MS * 3.5) > USUAL_MS * 2.2
+
+
+def test_a_pace_is_forgotten_when_it_is_out_of_date():
+    upstream = Upstream(record())
+    feed(upstream, 0, 1_000, USUAL_MS * 4)
+    assert upstream.pace_ms(1_000 + PACE_AGE_MS + 99) is None
+    upstream.note_event(USUAL_MS, 9_000)
+    assert upstream.pace_ms(9_000) == USUAL_MS
+
+
+def test_failures_pause_an_upstream_longer_and_longer_until_it_answers():
+    upstream = Upstream(record())
+    pauses = []
+    for _ in range(9):
+        upstream.note_failure(0)
+        pauses.append(upstream.failed_until_ms)
+    assert pauses == sorted(pauses) and pauses[0] < pauses[1]
+    assert pauses[-1] == MAX_FAILURE_PAUSE_MS
+    upstream.note_response(30)
+    assert upstream.failed_until_ms == 0
+
+
+def test_an_older_listing_changes_nothing():
+    table = UpstreamTable()
+    table.replace([record()], 5)
+    assert table.replace([], 4) == []
+    assert list(table.upstreams) == ["i"]
+    assert table.replace([], 6) == [record()]
+
+
+def test_experience_ends_with_a_restart_and_outlasts_an_update():
+    table = UpstreamTable()
+    table.replace([record()], 1)
+    table.upstreams["i"].note_version("m", 7)
+    table.replace([record(version=6)], 2)
+    assert table.upstreams["i"].version("m") == 7
+    assert table.replace([record(started_ms=2, version=6)], 3) == [record(version=6)]
+    assert table.upstreams["i"].version("m") == 6
+
+
+def test_only_upstreams_that_stay_get_work():
+    table = UpstreamTable()
+    table.replace([record("a"), record("b", leaving=True), record("c", service="other")], 1)
+    assert [upstream.record.instance for upstream in table.of_service("s")] == ["a"]
