--- /dev/null
+++ b/src/pistachionotch/batches/cleanup.py
@@ -0,0 +1,83 @@
+"""Removal of batches that nobody may read any more."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+from returns.result import Failure
+
+from ..clock import Clock
+from ..objects.api import ObjectStore, StoredObject
+from .log import HEADS, LOGS, PARTS
+from .records import read_entry, read_head
+
+# Batches are looked through this often; they pile up over minutes.
+PERIOD_MS = 60_000
+# An ended batch is kept this much longer than it may be read, for clocks that differ.
+MARGIN_MS = 30_000
+# A batch that its client never ended is kept this many times as long.
+OPEN_FACTOR = 30
+
+
+@attrs.define
+class BatchCleaner:
+    """Remove batches that are past their time, while this process has the duty."""
+
+    store: ObjectStore
+    clock: Clock
+    unix_ms: Callable[[], int]
+    retention_ms: int
+    log: Any
+
+    def run(self, active: Callable[[], bool]) -> None:
+        """Look through the batches for ever."""
+        while True:
+            self.clock.sleep_ms(PERIOD_MS)
+            if active():
+                self.clean()
+
+    def clean(self) -> int:
+        """Remove what is past its time; returns the number of batches removed."""
+        listed = self.store.list(HEADS)
+        if isinstance(listed, Failure):
+            self.log.warning("batches not listed", reason=str(listed.failure()))
+            return 0
+        removed = 0
+        for stored in listed.unwrap():
+            head, parts = read_head(stored.value)
+            age_ms = self.unix_ms() - head.accepted_ms
+            if age_ms < self.retention_ms + MARGIN_MS:
+                continue
+            if self._remove(stored, head.submission.id, parts, age_ms):
+                removed += 1
+        return removed
+
+    def _remove(self, stored: StoredObject, batch: str, parts: int, age_ms: int) -> bool:
+        entries: list[StoredObject] = []
+        ended = age_ms >= self.retention_ms * OPEN_FACTOR
+        while True:
+            read = self.store.get(f"{LOGS}{batch}.{len(entries):05d}")
+            if isinstance(read, Failure):
+                return False
+            entry = read.unwrap()
+            if entry is None:
+                break
+            entries.append(entry)
+            ended = ended or read_entry(entry.value).ended
+        if not ended:
+            return False
+        for number in range(1, parts + 1):
+            part = self.store.get(f"{PARTS}{batch}.{number}").value_or(None)
+            if part is not None:
+                entries.append(part)
+        # The batch's own object goes last: while it is there, an interrupted removal is taken up
+        # again. The last entries of a log go first, so that what is left is still found.
+        for entry in [*reversed(entries), stored]:
+            gone = self.store.delete(entry.key, entry.version)
+            if isinstance(gone, Failure):
+                self.log.warning("batch not removed", batch=batch, reason=str(gone.failure()))
+                return False
+        self.log.info("batch removed", batch=batch, age_ms=age_ms, entries=len(entries))
+        return True
--- a/src/pistachionotch/batches/service.py
+++ b/src/pistachionotch/batches/service.py
@@ -54,6 +54,7 @@
     """Remember who owns a batch that runs elsewhere."""
 
     owner: Owner
+    learned_ms: int
     unreachable_since_ms: int | None = None
 
 
@@ -85,7 +86,7 @@
             return None
         if self.draining:
             return BatchTrouble(Trouble.NOT_RUN, "draining", 0)
-        head = BatchHead(submission=submission, owner=self.me, accepted_ms=_unix_ms())
+        head = BatchHead(submission=submission, owner=self.me, accepted_ms=unix_ms())
         started_ms = self.clock.now_ms()
         created = create_batch(self.store, head, self.max_value_bytes)
         if isinstance(created, Failure):
@@ -103,7 +104,7 @@
             owner=stored.owner.node,
         )
         if stored.owner != self.me:
-            self.elsewhere[submission.id] = _Elsewhere(stored.owner)
+            self.elsewhere[submission.id] = _Elsewhere(stored.owner, self.clock.now_ms())
         elif submission.id not in self.owner.runs:
             self.owner.add(self._new_run(stored, route))
         return None
@@ -121,7 +122,7 @@
 
     def _new_run(self, head: BatchHead, route: Route | None) -> BatchRun:
         # The clocks of two nodes may differ; an age is never negative.
-        accepted_ms = self.clock.now_ms() - max(0, _unix_ms() - head.accepted_ms)
+        accepted_ms = self.clock.now_ms() - max(0, unix_ms() - head.accepted_ms)
         give_up_ms = accepted_ms + route.give_up_ms if route and route.give_up_ms else None
         due_ms = accepted_ms + (route.due_ms if route else 0)
         log = BatchLog(self.store, head.submission.id)
@@ -162,6 +163,20 @@
             return None
         return BatchTrouble(Trouble.UNSURE, "the end is not stored", UNSURE_RETRY_MS)
 
+    def forget(self, retention_ms: int) -> None:
+        """Drop from memory what has been accepted longer ago than batches may be read.
+
+        A later question is answered from the object API.
+        """
+        now_ms = self.clock.now_ms()
+        for run in list(self.owner.runs.values()):
+            if not run.open and now_ms - run.accepted_ms >= retention_ms:
+                del self.owner.runs[run.id]
+        for batch, place in list(self.elsewhere.items()):
+            if now_ms - place.learned_ms >= retention_ms:
+                del self.elsewhere[batch]
+                self.locks.pop(batch, None)
+
     def local_page(self, batch: str, position: int, wait_ms: int) -> ResultPage | None:
         """Answer a peer with listed results of a batch that runs here."""
         run = self._local(batch)
@@ -224,7 +239,7 @@
         head = loaded.unwrap()
         if head is None:
             return BatchTrouble(Trouble.ABSENT, "no such batch")
-        return self.elsewhere.setdefault(batch, _Elsewhere(head.owner))
+        return self.elsewhere.setdefault(batch, _Elsewhere(head.owner, self.clock.now_ms()))
 
     def _after_silence(self, batch: str, place: _Elsewhere, answer: PeerUnreachable) -> Any:
         now_ms = self.clock.now_ms()
@@ -248,7 +263,7 @@
                 self.owner.runs[batch] = found
                 return found
             if found.owner != lost and found.owner.node != self.me.node:
-                self.elsewhere[batch] = _Elsewhere(found.owner)
+                self.elsewhere[batch] = _Elsewhere(found.owner, self.clock.now_ms())
                 return _Moved()
             if self.draining:
                 return BatchTrouble(Trouble.UNSURE, "draining", 0)
@@ -285,7 +300,7 @@
             if entry.token == token:
                 break
             if entry.owner is not None:
-                self.elsewhere[run.id] = _Elsewhere(entry.owner)
+                self.elsewhere[run.id] = _Elsewhere(entry.owner, self.clock.now_ms())
                 return _Moved()
         self.elsewhere.pop(run.id, None)
         self.measures.count("take_overs", "batch")
@@ -318,5 +333,6 @@
     return state.item.body
 
 
-def _unix_ms() -> int:
+def unix_ms() -> int:
+    """Return the time of day, which may jump and differ between nodes."""
     return time.time_ns() // 1_000_000
--- a/src/pistachionotch/gateway/daemon.py
+++ b/src/pistachionotch/gateway/daemon.py
@@ -12,11 +12,12 @@
 from gevent.pywsgi import WSGIServer
 from returns.result import Failure
 
+from ..batches.cleanup import PERIOD_MS, BatchCleaner
 from ..batches.items import ItemRunner
 from ..batches.model import Owner
 from ..batches.owner import BatchOwner
 from ..batches.peers import PeerApp, PeerClient
-from ..batches.service import BatchService
+from ..batches.service import BatchService, unix_ms
 from ..clock import SystemClock
 from ..http_client import ConnectionPool
 from ..lease.lease import Lease
@@ -181,6 +182,8 @@
             self._duty_follower(self.listings.evacuations_prefix, self._take_evacuations).run,
             self._follower(GATEWAYS_PREFIX, self.gateways.take, PEERS_WATCH_MS).run,
             self._register,
+            self._forget_batches,
+            self._clean_batches,
             self.owner.run,
             self.orders.keep_lease,
             self.orders.run,
@@ -194,6 +197,16 @@
             incarnation=self.batches.me.incarnation,
         )
 
+    def _forget_batches(self) -> None:
+        while True:
+            self.clock.sleep_ms(PERIOD_MS)
+            self.batches.forget(self.settings.batch_retention_ms)
+
+    def _clean_batches(self) -> None:
+        retention_ms = self.settings.batch_retention_ms
+        cleaner = BatchCleaner(self.store, self.clock, unix_ms, retention_ms, logger("batches"))
+        cleaner.run(self.orders.holds)
+
     def _register(self) -> None:
         while not self.gateways.register():
             self.clock.sleep_ms(REGISTER_RETRY_MS)
