--- a/tests/unit/gateway/test_calls.py
+++ b/tests/unit/gateway/test_calls.py
@@ -34,8 +34,11 @@
 class Servers:
     """Two servers of one service and a gateway's forwarder in front of them."""
 
-    def __init__(self, **more):
-        self.standins = [PlatformServerStandIn(f"i-{number}", **more) for number in (1, 2)]
+    def __init__(self, versions=None, **more):
+        self.standins = [
+            PlatformServerStandIn(f"i-{number}", versions=dict(versions or {}), **more)
+            for number in (1, 2)
+        ]
         self.listeners = [make_server("127.0.0.1", 0, standin) for standin in self.standins]
         for listener in self.listeners:
             listener.start()
--- /dev/null
+++ b/tests/unit/gateway/test_orders.py
@@ -0,0 +1,132 @@
+"""Guards against two holders that order one engine, and against orders that are given twice."""
+
+import gevent
+import pytest
+import structlog
+from test_calls import CLOCK, Servers
+
+from pistachionotch.gateway.catalog import Catalog, ClientLimits, Service
+from pistachionotch.gateway.orders import OrderDuty
+from pistachionotch.platform.upstream import ServerDialect
+
+CATALOG = Catalog(
+    1, (), {"s": Service(name="s", max_connections=9, models=("m0",))}, ClientLimits()
+)
+
+
+class FixedLease:
+    """Be held, with a fence, as the test says."""
+
+    def __init__(self):
+        self.fence = 4
+        self.is_held = True
+
+    def held(self):
+        return self.is_held
+
+
+class Duty:
+    def __init__(self, handover_ms=0):
+        self.servers = Servers(versions={"m0": 1}, load_ms=50)
+        self.lease = FixedLease()
+        self.duty = OrderDuty(
+            CLOCK,
+            "gateway-1",
+            self.lease,
+            handover_ms,
+            self.servers.table,
+            self.servers.forwarder.client,
+            ServerDialect(),
+            lambda: CATALOG,
+            structlog.get_logger(),
+        )
+        self.duty.held_since_ms = CLOCK.now_ms()
+
+    def name(self, version):
+        assert self.duty.take_version("m0", version)
+        # As if the burst of items that follows a name were over.
+        self.duty.named["m0"] = type(self.duty.named["m0"])(version=version, named_ms=-9_999)
+
+    def step_until(self, condition, timeout_s=4.0):
+        end_ms = CLOCK.now_ms() + int(timeout_s * 1000)
+        while not condition() and CLOCK.now_ms() < end_ms:
+            if self.duty.may_order():
+                self.duty.order_loads()
+            gevent.sleep(0.02)
+        assert condition()
+
+    def versions(self):
+        return [standin.versions["m0"] for standin in self.servers.standins]
+
+    def orders(self):
+        return [order for standin in self.servers.standins for order in standin.orders]
+
+
+@pytest.fixture
+def duty():
+    made = []
+
+    def make(**more):
+        made.append(Duty(**more))
+        return made[-1]
+
+    yield make
+    for each in made:
+        each.servers.stop()
+
+
+def test_each_engine_gets_one_order_for_a_named_version(duty):
+    found = duty()
+    found.name(2)
+    found.step_until(lambda: found.versions() == [2, 2])
+    gevent.sleep(0.2)
+    assert len(found.orders()) == 2
+    assert {order["fencing_token"] for order in found.orders()} == {4}
+    assert {order["holder"] for order in found.orders()} == {"gateway-1"}
+    assert not found.duty.take_version("m0", 2)
+
+
+def test_a_lost_order_is_given_again_with_the_count_that_the_engine_reports(duty):
+    found = duty()
+    for standin in found.servers.standins:
+        standin.faults.ignore_orders = 1
+    found.name(2)
+    found.step_until(lambda: found.versions() == [2, 2], 8.0)
+    assert [order["expected"] for order in found.orders()] == [0, 0]
+
+
+def test_a_new_holder_waits_until_orders_of_the_former_one_are_past(duty):
+    found = duty(handover_ms=400)
+    found.name(2)
+    assert not found.duty.may_order()
+    started_ms = CLOCK.now_ms()
+    found.step_until(lambda: len(found.orders()) == 1)
+    assert CLOCK.now_ms() - started_ms >= 380
+
+
+def test_a_holder_that_gets_its_lease_back_with_the_same_fence_need_not_wait(duty):
+    found = duty(handover_ms=60_000)
+    found.duty.ordered_fence = 4
+    assert found.duty.may_order()
+    found.lease.fence = 5
+    assert not found.duty.may_order()
+
+
+def test_no_order_is_sent_once_the_lease_is_lost(duty):
+    found = duty()
+    found.name(2)
+    found.lease.is_held = False
+    assert not found.duty.may_order()
+    found.duty.order_loads()
+    gevent.sleep(0.3)
+    assert found.orders() == []
+
+
+def test_an_engine_that_loads_already_is_left_alone(duty):
+    found = duty()
+    for standin in found.servers.standins:
+        standin.loading = True
+    found.name(2)
+    found.duty.order_loads()
+    gevent.sleep(0.2)
+    assert found.orders() == []
