--- a/src/pistachionotch/batches/service.py
+++ b/src/pistachionotch/batches/service.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import attrs
+import gevent
 from gevent.lock import BoundedSemaphore
 from returns.result import Failure
 
@@ -15,6 +16,7 @@
 from ..gateway.catalog import Route
 from ..measures import Measures
 from ..objects.api import ObjectStore, StoreRejected, WriteAmbiguous
+from ..weights.demand import Demands
 from .log import BatchLog, create_batch, load_head
 from .model import BatchHead, LogEntry, Owner, ResultPage, Submission
 from .owner import BatchOwner
@@ -74,6 +76,7 @@
     max_value_bytes: int
     owner: BatchOwner
     peers: PeerClient
+    demands: Demands
     log: Any
     measures: Measures = attrs.field(factory=Measures)
     elsewhere: dict[str, _Elsewhere] = attrs.field(factory=dict)
@@ -107,8 +110,14 @@
             self.elsewhere[submission.id] = _Elsewhere(stored.owner, self.clock.now_ms())
         elif submission.id not in self.owner.runs:
             self.owner.add(self._new_run(stored, route))
+            gevent.spawn(self._note_demand, submission)
         return None
 
+    def _note_demand(self, submission: Submission) -> None:
+        if submission.model:
+            tokens = sum(item.expected_tokens or item.max_tokens for item in submission.items)
+            self.demands.note(submission.model, tokens)
+
     def _not_accepted(self, submission: Submission, error: Any) -> BatchTrouble:
         unknown = isinstance(error, WriteAmbiguous)
         trouble = Trouble.UNKNOWN if unknown else Trouble.NOT_RUN
--- a/src/pistachionotch/gateway/daemon.py
+++ b/src/pistachionotch/gateway/daemon.py
@@ -29,6 +29,7 @@
 from ..objects.follow import FollowedPrefix
 from ..objects.relay import RelayedStore
 from ..server import make_server
+from ..weights.demand import DEMANDS_PREFIX, Demands
 from .calls import CallForwarder
 from .catalog import Catalog
 from .dialect import Listings, UpstreamDialect
@@ -75,6 +76,7 @@
     servers: list[WSGIServer] = attrs.field(factory=list)
     store: RelayedStore = attrs.field(init=False)
     gateways: Gateways = attrs.field(init=False)
+    demands: Demands = attrs.field(init=False)
     client: UpstreamClient = attrs.field(init=False)
     forwarder: CallForwarder = attrs.field(init=False)
     owner: BatchOwner = attrs.field(init=False)
@@ -107,6 +109,7 @@
             lambda: self.gateways.others(),
             self.measures,
         )
+        self.demands = Demands(self.store, logger("orders"))
         self.gateways = Gateways(me, self.store, logger("gateway"))
         items = ItemRunner(self.clock, self.client, self.dialect, logger("items"))
         self.owner = BatchOwner(
@@ -129,6 +132,7 @@
             settings.max_value_bytes,
             self.owner,
             PeerClient(self.pool),
+            self.demands,
             logger("batches"),
             self.measures,
         )
@@ -141,6 +145,7 @@
             self.client,
             self.dialect,
             lambda: self.catalog,
+            self.demands,
             logger("orders"),
             self.measures,
         )
@@ -181,6 +186,7 @@
             self._duty_follower(self.listings.versions_prefix, self._take_versions).run,
             self._duty_follower(self.listings.evacuations_prefix, self._take_evacuations).run,
             self._follower(GATEWAYS_PREFIX, self.gateways.take, PEERS_WATCH_MS).run,
+            self._duty_follower(DEMANDS_PREFIX, self.demands.take).run,
             self._register,
             self._forget_batches,
             self._clean_batches,
--- a/src/pistachionotch/gateway/orders.py
+++ b/src/pistachionotch/gateway/orders.py
@@ -13,6 +13,7 @@
 from ..lease.lease import Lease
 from ..measures import Measures
 from ..weights.assignment import EngineWeights, Load, NamedVersion, plan_loads
+from ..weights.demand import Demands
 from .catalog import Catalog
 from .dialect import EngineReport, LoadOrder, OrderAnswer, UpstreamDialect, UpstreamRequest
 from .exchange import UpstreamClient
@@ -46,6 +47,7 @@
     client: UpstreamClient
     dialect: UpstreamDialect
     catalog: Callable[[], Catalog | None]
+    demands: Demands
     log: Any
     measures: Measures = attrs.field(factory=Measures)
     named: dict[str, NamedVersion] = attrs.field(factory=dict)
@@ -107,7 +109,9 @@
             keep = not any(route.one_version for route in catalog.batch_routes(service.name))
             engines = [_weights(u, named) for u in self.table.of_service(service.name)]
             paused = {name for name, until_ms in self.resume_ms.items() if until_ms > now_ms}
-            for load in plan_loads(engines, named, self.loading | paused, now_ms):
+            for load in plan_loads(
+                engines, named, self.loading | paused, now_ms, self.demands.tokens
+            ):
                 self.loading.add(load.instance)
                 gevent.spawn(self._load, load, keep)
 
--- a/src/pistachionotch/weights/assignment.py
+++ b/src/pistachionotch/weights/assignment.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Collection, Mapping, Sequence
 
 import attrs
@@ -49,14 +48,38 @@
     version: int
 
 
+def divide_engines(count: int, demands: Mapping[str, int]) -> dict[str, int]:
+    """Return the number of engines of each model: in proportion to its work, but at least one.
+
+    Without a known demand all models share alike.
+    """
+    models = sorted(demands)
+    whole = sum(demands.values())
+    if not models:
+        return {}
+    if min(demands.values()) <= 0:
+        wanted = {model: count / len(models) for model in models}
+    else:
+        wanted = {model: count * demands[model] / whole for model in models}
+    shares = {model: min(count, max(1, int(wanted[model]))) for model in models}
+    by_rest = sorted(models, key=lambda model: (shares[model] - wanted[model], model))
+    for model in by_rest:
+        if sum(shares.values()) >= count:
+            break
+        shares[model] += 1
+    return shares
+
+
 def assign_models(
-    engines: Sequence[EngineWeights], named: Mapping[str, int]
+    engines: Sequence[EngineWeights],
+    named: Mapping[str, int],
+    demands: Mapping[str, int] | None = None,
 ) -> dict[str, list[EngineWeights]]:
     """Divide the engines among the models; each keeps the model whose weights are newest there."""
     assigned: dict[str, list[EngineWeights]] = {model: [] for model in named}
     if not named:
         return assigned
-    room = math.ceil(len(engines) / len(named))
+    room = divide_engines(len(engines), {model: (demands or {}).get(model, 0) for model in named})
     ranks = _ranks_in_zones(engines)
     pairs = []
     for engine in engines:
@@ -67,7 +90,7 @@
             pairs.append((preference, ranks[engine.instance], engine.instance, model, engine))
     taken = set()
     for _preference, _rank, instance, model, engine in sorted(pairs, key=lambda pair: pair[:4]):
-        if instance in taken or len(assigned[model]) >= room:
+        if instance in taken or len(assigned[model]) >= room[model]:
             continue
         taken.add(instance)
         assigned[model].append(engine)
@@ -89,11 +112,12 @@
     named: Mapping[str, NamedVersion],
     loading: Collection[str],
     now_ms: int,
+    demands: Mapping[str, int] | None = None,
 ) -> list[Load]:
     """Return the loads to order now; ``loading`` names the engines that still load something."""
     loads = []
     newest = {model: found.version for model, found in named.items()}
-    for model, group in assign_models(engines, newest).items():
+    for model, group in assign_models(engines, newest, demands).items():
         version = newest[model]
         in_burst = now_ms - named[model].named_ms < BURST_MS
         current = [engine for engine in group if engine.versions.get(model, 0) >= version - 1]
--- a/tests/unit/batches/test_batch_service.py
+++ b/tests/unit/batches/test_batch_service.py
@@ -21,6 +21,7 @@
 from pistachionotch.gateway.catalog import Catalog, ClientLimits, Route, RouteKind, ServiceShare
 from pistachionotch.gateway.upstreams import UpstreamTable
 from pistachionotch.objects.memory import MemoryStore
+from pistachionotch.weights.demand import Demands
 
 ROUTE = Route(
     name="r",
@@ -92,7 +93,15 @@
             self.clock, random.Random(1), me, "r", {}, UpstreamTable(), None, lambda: CATALOG, log
         )
         service = BatchService(
-            self.clock, random.Random(1), me, self.store, 1_000_000, batches, self.network, log
+            self.clock,
+            random.Random(1),
+            me,
+            self.store,
+            1_000_000,
+            batches,
+            self.network,
+            Demands(self.store, log),
+            log,
         )
         self.network.services[node] = service
         return service
--- a/tests/unit/gateway/test_orders.py
+++ b/tests/unit/gateway/test_orders.py
@@ -7,7 +7,9 @@
 
 from pistachionotch.gateway.catalog import Catalog, ClientLimits, Service
 from pistachionotch.gateway.orders import OrderDuty
+from pistachionotch.objects.memory import MemoryStore
 from pistachionotch.platform.upstream import ServerDialect
+from pistachionotch.weights.demand import Demands
 
 CATALOG = Catalog(
     1, (), {"s": Service(name="s", max_connections=9, models=("m0",))}, ClientLimits()
@@ -38,6 +40,7 @@
             self.servers.forwarder.client,
             ServerDialect(),
             lambda: CATALOG,
+            Demands(MemoryStore(), structlog.get_logger()),
             structlog.get_logger(),
         )
         self.duty.held_since_ms = CLOCK.now_ms()
--- a/tests/unit/weights/test_assignment.py
+++ b/tests/unit/weights/test_assignment.py
@@ -5,6 +5,7 @@
     EngineWeights,
     NamedVersion,
     assign_models,
+    divide_engines,
     plan_loads,
 )
 
@@ -78,3 +79,17 @@
 def test_an_engine_that_cannot_serve_the_step_loads_at_once():
     engines = [engine("a", m0=3), engine("b", m0=2), engine("c", m0=3)]
     assert [load.instance for load in plan(engines, {"m0": 4}, set(), 0)] == ["b"]
+
+
+def test_engines_are_divided_by_the_work_of_each_model():
+    assert divide_engines(6, {"wide": 200, "deep": 100}) == {"wide": 4, "deep": 2}
+    assert divide_engines(23, {"a": 1120, "b": 800, "c": 880}) == {"a": 9, "b": 7, "c": 7}
+    assert divide_engines(6, {"large": 10_000, "tiny": 1}) == {"large": 5, "tiny": 1}
+    assert divide_engines(5, {"known": 100, "unknown": 0}) == {"known": 3, "unknown": 2}
+    assert divide_engines(1, {"a": 1, "b": 1}) == {"a": 1, "b": 1}
+    assert divide_engines(3, {}) == {}
+
+
+def test_a_larger_model_gets_more_engines():
+    assigned = assign_models(fresh(6), {"m0": 1, "m1": 1}, {"m0": 200, "m1": 100})
+    assert [len(group) for group in assigned.values()] == [4, 2]
