Let a restarted holder have its lease back at once

After a loss of all gateways no weights were ordered for 6 s: the time to live of the former start's lease, and the pause between two holders. An engine counts the orders of one VM as those of one holder, so neither is needed if the same VM goes on. Also adds the fault soak of gateways and the test of its oracle.

--- a/src/pistachionotch/gateway/daemon.py
+++ b/src/pistachionotch/gateway/daemon.py
@@ -161,6 +161,7 @@
             LEASE_TTL_MS,
             self.rng,
             reads,
+            reclaims=True,
         )
 
     def start(self) -> None:
--- a/src/pistachionotch/gateway/orders.py
+++ b/src/pistachionotch/gateway/orders.py
@@ -94,6 +94,9 @@
         # A lease that lapsed and came back with the same fence had no other holder meanwhile.
         if self.lease.fence == self.ordered_fence:
             return True
+        # Engines count the orders of one VM as those of one holder, whichever process gave them.
+        if self.lease.former_holder == self.node:
+            return True
         return self.clock.now_ms() - since_ms >= self.handover_ms
 
     def order_loads(self) -> None:
--- a/src/pistachionotch/lease/lease.py
+++ b/src/pistachionotch/lease/lease.py
@@ -61,6 +61,7 @@
         reads: LeaseReads | None = None,
         held: set[str] | None = None,
         prefix: str = "leases",
+        reclaims: bool = False,
     ) -> None:
         self.store = store
         # Serves the reads of a waiting process that has no write of unknown outcome.
@@ -68,6 +69,11 @@
         # Keys of the leases that this process holds, which decide how long it leaves a free one to
         # other processes; without them it takes a free one at once.
         self.held_keys = reads.held if held is None and reads is not None else held
+        # Whether no two processes with this holder's name ever run at once. What an earlier start of
+        # this process held is then free: it need not run out first.
+        self.reclaims = reclaims
+        # Who held the lease before this process, empty if that is not known.
+        self.former_holder = ""
         self.clock = clock
         self.key = f"{prefix}/{duty}/{shard}"
         self.holder = holder
@@ -154,9 +160,11 @@
             self._write(record.fence, self.seen.version)
             return
         expires_ms = self.first_seen_ms + record.time_to_live_ms
-        if record.session and self.clock.now_ms() < expires_ms:
+        own_earlier_start = self.reclaims and record.holder == self.holder
+        if record.session and self.clock.now_ms() < expires_ms and not own_earlier_start:
             self.next_call_ms = min(self.next_call_ms, expires_ms)
             return
+        self.former_holder = record.holder
         self._write(record.fence + 1, self.seen.version)
 
     def _leave_to_others(self, record: LeaseRecord | None) -> bool:
--- a/src/pistachionotch/standins/platform_servers.py
+++ b/src/pistachionotch/standins/platform_servers.py
@@ -8,6 +8,7 @@
 
 import errno
 import json
+import time
 from collections.abc import Iterable, Iterator
 from http import HTTPStatus
 from typing import Any
@@ -94,7 +95,7 @@
         if self.faults.ignore_orders > 0:
             self.faults.ignore_orders -= 1
             raise ConnectionResetError(errno.ECONNRESET, "stand-in loses the order")
-        self.orders.append(order)
+        self.orders.append({**order, "at": time.monotonic()})
         self.loading = True
         gevent.spawn_later(self.load_ms / MS_PER_SECOND, self._loaded, order)
         return respond_json(start_response, HTTPStatus.ACCEPTED, None)
@@ -115,6 +116,7 @@
         after = int(environ.get("HTTP_LAST_EVENT_ID", "0"))
         self.runs.append(
             {
+                "at": time.monotonic(),
                 "request": request,
                 "target": environ["PATH_INFO"],
                 "body": body.decode(),
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -42,7 +42,9 @@
 class Platform:
     """Run stand-ins of the platform and gateways in front of them."""
 
-    def __init__(self, gateways=2):
+    def __init__(self, gateways=2, path=None):
+        """Start all; ``path`` may put a proxy's port before a port, by who uses it and what for."""
+        self.path = path or (lambda _user, _target, port: port)
         self.deployment = Deployment()
         self.folder = Path(tempfile.mkdtemp(prefix="pistachionotch-platform-"))
         self.ports = {}
@@ -83,7 +85,7 @@
 listen.frontend={HOST}:{ports[0]}
 listen.ready_addr={HOST}:{ports[1]}
 port_range={ports[2]},{ports[2]}
-platform.address={HOST}:{self.ports["store"]}
+platform.address={HOST}:{self.path(name, "store", self.ports["store"])}
 platform.value_bytes=1048576
 bounds.grace_s=8
 bounds.lease_ms=300
@@ -180,7 +182,7 @@
         engine = name.startswith("engine")
         spec = {
             "service": "engines" if engine else "shop",
-            "address": str(self.address(name)),
+            "address": f"{HOST}:{self.path('gateways', name, self.ports[name])}",
             "zone": "cebu",
             "version": "v1",
             "slots": 4,
@@ -194,6 +196,9 @@
             spec["models"] = [{"name": model, "version": versions[model]} for model in versions]
         self.write("servers", name, spec)
 
+    def unregister(self, name):
+        self.fetch("store", f"/api/objects/servers/{name}", "DELETE")
+
     def runs(self, kind):
         """Return the runs of all servers of a kind, and which server made each."""
         found = []
--- /dev/null
+++ b/tests/support/soak.py
@@ -0,0 +1,208 @@
+"""Fault soak of gateways: ``python -m tests.support.soak [SEED...] [--seconds N]``.
+
+Gateways run as separate processes between stand-ins of the users' platform. Faults come from
+outside them, at random and overlapping: signals, and proxies before the object API and the servers.
+Clients and trainers go on all the while; ``soak_oracle`` compares what they saw with what ran.
+"""
+
+if __name__ == "__main__":
+    from gevent import monkey
+
+    monkey.patch_all()
+
+import argparse
+import random
+import signal
+import sys
+import time
+
+import attrs
+import gevent
+
+from tests.support.forwarder import Forwarder
+from tests.support.platform import MODEL, Platform
+from tests.support.soak_load import SoakLoad
+from tests.support.soak_oracle import check_all
+
+GATEWAYS = 3
+# What the faults delay is answered within this time after the last one.
+SETTLE_S = 12.0
+# A server that is registered as leaving gets nothing new after this time.
+LEAVING_BOUND_S = 2.5
+
+
+@attrs.define
+class Soak:
+    """Bring the faults of a seed about under load."""
+
+    seed: int
+    seconds: float
+    rng: random.Random = attrs.field(init=False)
+    proxies: dict = attrs.field(factory=dict)
+    departures: list = attrs.field(factory=list)
+    named: int = 1
+    platform: Platform = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        self.rng = random.Random(self.seed)
+
+    def proxy(self, user, target, port):
+        key = (user, target)
+        if key not in self.proxies:
+            self.proxies[key] = Forwarder(port, crosses=lambda _port: True)
+        return self.proxies[key].port
+
+    def run(self):
+        self.platform = Platform(GATEWAYS, self.proxy)
+        load = SoakLoad(self.platform, random.Random(self.seed + 1))
+        try:
+            tasks = load.start()
+            faults = [gevent.spawn(self._faults) for _ in range(2)]
+            gevent.joinall(faults, raise_error=True)
+            self._mend()
+            gevent.sleep(SETTLE_S)
+            load.stop()
+            gevent.joinall(tasks, timeout=20, raise_error=True)
+            problems = check_all(self.platform, load, self.departures, LEAVING_BOUND_S)
+            problems += [f"{name} did not recover" for name in self._dead()]
+            return problems
+        finally:
+            self.platform.stop()
+
+    def _dead(self):
+        return [name for name in self.platform.names if not self.platform.ready(name)]
+
+    def _faults(self):
+        end = time.monotonic() + self.seconds
+        kinds = [
+            self._kill,
+            self._terminate,
+            self._pause,
+            self._cut_store,
+            self._silence,
+            self._cut_server,
+            self._store_outage,
+            self._store_trouble,
+            self._server_trouble,
+            self._leave,
+            self._name_version,
+            self._name_version,
+            self._change_config,
+        ]
+        while time.monotonic() < end:
+            gevent.sleep(self.rng.uniform(0.2, 1.5))
+            fault = self.rng.choice(kinds)
+            print(f"  {time.monotonic():.2f} {fault.__name__}", file=sys.stderr)
+            fault()
+
+    def _gateway(self):
+        return self.rng.choice(self.platform.names)
+
+    def _kill(self):
+        name = self._gateway()
+        self.platform.deployment.kill(name)
+        gevent.sleep(self.rng.uniform(0.1, 2.0))
+        self.platform.deployment.restart(name)
+
+    def _terminate(self):
+        name = self._gateway()
+        process = self.platform.deployment.processes[name]
+        process.send_signal(signal.SIGTERM)
+        # A second signal must not end it sooner.
+        gevent.sleep(0.2)
+        process.send_signal(signal.SIGTERM)
+        process.wait(timeout=15)
+        self.platform.deployment.restart(name)
+
+    def _pause(self):
+        name = self._gateway()
+        self.platform.deployment.freeze(name)
+        gevent.sleep(self.rng.uniform(0.5, 4.0))
+        self.platform.deployment.thaw(name)
+
+    def _cut_store(self):
+        proxy = self.proxies[(self._gateway(), "store")]
+        proxy.cut()
+        gevent.sleep(self.rng.uniform(0.5, 5.0))
+        proxy.mend()
+
+    def _silence(self):
+        self.rng.choice(list(self.proxies.values())).silence_open()
+
+    def _cut_server(self):
+        proxy = self.proxies[("gateways", self.rng.choice(self.platform.servers))]
+        proxy.cut()
+        gevent.sleep(self.rng.uniform(0.5, 3.0))
+        proxy.mend()
+
+    def _store_outage(self):
+        self.platform.faults("store", outage=True)
+        gevent.sleep(self.rng.uniform(0.3, 3.0))
+        self.platform.faults("store", outage=False)
+
+    def _store_trouble(self):
+        trouble = self.rng.choice(
+            [{"lose_answers": 3}, {"lose_writes": 2}, {"slow_ms": 300}, {"forget": True}]
+        )
+        self.platform.faults("store", **trouble)
+        gevent.sleep(self.rng.uniform(0.3, 2.0))
+        self.platform.faults("store", slow_ms=0)
+
+    def _server_trouble(self):
+        trouble = self.rng.choice(
+            [
+                {"refuse": 5},
+                {"fail": 2},
+                {"lose_answers": 3},
+                {"break_after": 3},
+                {"surplus": 3},
+                {"ignore_orders": 1},
+                {"slow_ms": 400},
+            ]
+        )
+        name = self.rng.choice(self.platform.servers)
+        self.platform.faults(name, **trouble)
+        gevent.sleep(self.rng.uniform(0.3, 2.0))
+        self.platform.faults(name, slow_ms=0)
+
+    def _leave(self):
+        name = self.rng.choice(self.platform.servers)
+        left = time.monotonic()
+        self.platform.register(name, state="draining")
+        gevent.sleep(self.rng.uniform(3.0, 5.0))
+        self.departures.append((name, left, time.monotonic()))
+        self.platform.register(name)
+
+    def _name_version(self):
+        self.named += 1
+        self.platform.write("versions", MODEL, {"model": MODEL, "version": self.named})
+
+    def _change_config(self):
+        self.platform.write_config()
+
+    def _mend(self):
+        for proxy in self.proxies.values():
+            proxy.mend()
+        self.platform.faults("store", outage=False, lose_answers=0, lose_writes=0, slow_ms=0)
+        for name in self.platform.servers:
+            self.platform.register(name)
+
+
+def main():
+    """Run the seeds that are given, or a fresh one."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("seeds", nargs="*", type=int)
+    parser.add_argument("--seconds", type=float, default=20.0)
+    options = parser.parse_args()
+    failed = 0
+    for seed in options.seeds or [random.SystemRandom().randrange(1_000_000)]:
+        problems = Soak(seed, options.seconds).run()
+        print(f"seed {seed}: {len(problems)} problems", flush=True)
+        for problem in problems:
+            print(f"  {problem}", flush=True)
+        failed += bool(problems)
+    return failed
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/support/soak_load.py
@@ -0,0 +1,131 @@
+"""Clients and trainers of the soak, and what they saw."""
+
+import json
+import time
+
+import attrs
+import gevent
+
+from pistachionotch.http_client import ExchangeError
+from tests.support.platform import Client, new_id
+
+CALLERS = 4
+TRAINERS = 2
+# A step that is not complete after this time is ended by its trainer.
+STEP_S = 20.0
+READ_PAUSE_S = 0.3
+NOT_RUN = (408, 421, 429, 503)
+
+
+@attrs.define
+class Step:
+    """Hold what one trainer saw of one step."""
+
+    id: str
+    min_version: int
+    items: int
+    accepted: bool = False
+    # Whether every try to submit it was answered that it has not run.
+    refused: bool = True
+    results: dict = attrs.field(factory=dict)
+    ended_at: float | None = None
+
+
+@attrs.define
+class SoakLoad:
+    """Keep calls and steps going until told to stop."""
+
+    platform: object
+    rng: object
+    stopping: bool = False
+    # By request: kind, status (0 without an answer), headers, body.
+    calls: dict = attrs.field(factory=dict)
+    steps: list = attrs.field(factory=list)
+    problems: list = attrs.field(factory=list)
+
+    def start(self):
+        tasks = [gevent.spawn(self._call) for _ in range(CALLERS)]
+        return tasks + [gevent.spawn(self._train, number) for number in range(TRAINERS)]
+
+    def stop(self):
+        self.stopping = True
+
+    def _call(self):
+        while not self.stopping:
+            kind = self.rng.choice(("safe", "unsafe"))
+            request = new_id()
+            name = self.rng.choice(self.platform.names)
+            try:
+                answer = self.platform.call(name, f"/{kind}/x", request, request.encode(), 1_500)
+            except ExchangeError:
+                answer = (0, {}, b"")
+            self.calls[request] = (kind, *answer)
+            gevent.sleep(self.rng.uniform(0.02, 0.2))
+
+    def _train(self, number):
+        count = 0
+        while not self.stopping:
+            count += 1
+            step = Step(f"t{number}-{count}-{new_id()[:6]}", 1, 6)
+            self.steps.append(step)
+            self._submit(step)
+            if step.accepted:
+                self._collect(step)
+
+    def _ask(self, function, *arguments):
+        name = self.rng.choice(self.platform.names)
+        try:
+            return function(name, *arguments)
+        except ExchangeError:
+            return None
+
+    def _submit(self, step):
+        end = time.monotonic() + STEP_S
+        while time.monotonic() < end and not self.stopping:
+            status = self._ask(self.platform.submit, step.id)
+            if status == 202:
+                step.accepted = True
+                step.refused = False
+                return
+            if status not in NOT_RUN:
+                # No answer and other statuses promise nothing.
+                step.refused = False
+            gevent.sleep(READ_PAUSE_S)
+
+    def _collect(self, step):
+        end = time.monotonic() + STEP_S
+        position = 0
+        while time.monotonic() < end:
+            # Now and then a trainer reads from an earlier position.
+            after = position if self.rng.random() < 0.8 else self.rng.randrange(position + 1)
+            page = self._ask(self.platform.read, step.id, after)
+            if page == 404:
+                self.problems.append(f"{step.id}: an accepted step is called absent")
+            if isinstance(page, dict):
+                self._take(step, after, page)
+                position = max(position, page["next_token"])
+                if len(step.results) == step.items:
+                    break
+            gevent.sleep(READ_PAUSE_S)
+        for _ in range(40):
+            if self._ask(self.platform.end, step.id) == 200:
+                step.ended_at = time.monotonic()
+                return
+            gevent.sleep(READ_PAUSE_S)
+
+    def _take(self, step, after, page):
+        if page["total"] != step.items:
+            self.problems.append(f"{step.id}: total {page['total']}")
+        for place, result in enumerate(page["results"], start=after):
+            known = step.results.setdefault(place, result)
+            if known != result:
+                self.problems.append(f"{step.id}: position {place} has changed")
+
+    def read_again(self, step):
+        """Read a step from its start at every gateway, after the faults."""
+        for name in self.platform.names:
+            answer = Client(self.platform.address(name)).ask("GET", f"/api/lots/{step.id}?after=0")
+            if answer[0] != 200:
+                self.problems.append(f"{step.id}: status {answer[0]} at {name} after the faults")
+                continue
+            self._take(step, 0, json.loads(answer[2]))
--- /dev/null
+++ b/tests/support/soak_oracle.py
@@ -0,0 +1,118 @@
+"""Compares what clients and trainers of the soak saw with what the servers ran."""
+
+import json
+from collections import Counter
+
+from tests.support.platform import MODEL
+from tests.support.soak_load import NOT_RUN
+
+EVENTS = 8
+WHOLE = "\n".join(f"{number}-of-{EVENTS}" for number in range(1, EVENTS + 1))
+# No item starts later than this after the end of its step was acknowledged.
+CANCEL_BOUND_S = 3.0
+# Orders of two holders to one engine are at least this long apart (``bounds.lease_ms``).
+HANDOVER_S = 0.3
+
+
+def check_all(platform, load, departures, leaving_bound_s):
+    """Return the promises that were broken."""
+    runs = platform.runs("shop")
+    item_runs = platform.runs("engine")
+    for step in load.steps:
+        if step.accepted:
+            load.read_again(step)
+    problems = list(load.problems)
+    problems += check_calls(load.calls, runs)
+    problems += check_steps(load.steps, item_runs)
+    problems += check_departures(runs + item_runs, departures, leaving_bound_s)
+    for name in platform.servers:
+        problems += check_orders(name, platform.fetch(name, "/runs")["orders"])
+    return problems
+
+
+def check_calls(calls, runs):
+    """Check that unsafe calls run once, refusals are true and answers are one's own."""
+    problems = []
+    counts = Counter(run["request"] for run in runs)
+    for request in counts.keys() - calls.keys():
+        problems.append(f"{request}: run though nobody sent it")
+    for request, (kind, status, headers, body) in calls.items():
+        if kind == "unsafe" and counts[request] > 1:
+            problems.append(f"{request}: unsafe and run {counts[request]} times")
+        if kind == "unsafe" and status in NOT_RUN and counts[request]:
+            problems.append(f"{request}: answered {status} though it ran")
+        if status != 200:
+            continue
+        if headers.get("request-id") != request or json.loads(body)["received"] != request:
+            problems.append(f"{request}: got the answer of another call")
+        if not counts[request]:
+            problems.append(f"{request}: answered without a run")
+    return problems
+
+
+def check_steps(steps, runs):
+    """Check results against the events that were sent, and that refused and ended steps rest."""
+    by_step = {}
+    for run in runs:
+        by_step.setdefault(run["request"].rsplit("-", 2)[0], []).append(run)
+    problems = []
+    for step in steps:
+        problems += _check_runs(step, by_step.get(step.id, []))
+        problems += _check_results(step)
+    return problems
+
+
+def _check_runs(step, runs):
+    problems = []
+    if step.refused and runs:
+        problems.append(f"{step.id}: refused at every try though it ran")
+    for run in runs:
+        if step.ended_at is not None and run["at"] > step.ended_at + CANCEL_BOUND_S:
+            problems.append(f"{run['request']}: started after the end of its step")
+    return problems
+
+
+def _check_results(step):
+    problems = []
+    ids = [result["id"] for result in step.results.values()]
+    if len(set(ids)) != len(ids):
+        problems.append(f"{step.id}: an item has two positions")
+    for result in step.results.values():
+        if result["state"] != "done":
+            continue
+        if result["text"] != WHOLE:
+            problems.append(f"{result['id']}: text {result['text']!r}")
+        if not result["weight_versions"] or min(result["weight_versions"]) < step.min_version:
+            problems.append(f"{result['id']}: versions {result['weight_versions']}")
+    if step.accepted and step.ended_at is not None and len(step.results) != step.items:
+        problems.append(f"{step.id}: {len(step.results)} of {step.items} results")
+    return problems
+
+
+def check_departures(runs, departures, bound_s):
+    """Check that a leaving server gets nothing new after the bound."""
+    problems = []
+    for name, left, back in departures:
+        for run in runs:
+            if run["server"] == name and left + bound_s < run["at"] < back:
+                late = run["at"] - left
+                problems.append(f"{run['request']}: {name} got it {late:.1f} s after it left")
+    return problems
+
+
+def check_orders(name, orders):
+    """Check that fences never fall and holders do not take turns."""
+    problems = []
+    for former, latter in zip(orders, orders[1:], strict=False):
+        if latter["fencing_token"] < former["fencing_token"]:
+            problems.append(f"{name}: fence fell to {latter['fencing_token']}")
+        if latter["holder"] == former["holder"]:
+            continue
+        if latter["fencing_token"] == former["fencing_token"]:
+            problems.append(f"{name}: two holders with fence {latter['fencing_token']}")
+        if latter["at"] - former["at"] < HANDOVER_S:
+            problems.append(f"{name}: {former['holder']} and {latter['holder']} take turns")
+    versions = [order["version"] for order in orders if order["model"] == MODEL]
+    if versions != sorted(versions):
+        problems.append(f"{name}: versions ordered {versions}")
+    return problems
--- a/tests/unit/gateway/test_orders.py
+++ b/tests/unit/gateway/test_orders.py
@@ -21,6 +21,7 @@
 
     def __init__(self):
         self.fence = 4
+        self.former_holder = "gateway-2"
         self.is_held = True
 
     def held(self):
@@ -133,3 +134,10 @@
     found.duty.order_loads()
     gevent.sleep(0.2)
     assert found.orders() == []
+
+
+def test_a_restarted_holder_need_not_wait_for_itself(duty):
+    found = duty(handover_ms=60_000)
+    assert not found.duty.may_order()
+    found.lease.former_holder = "gateway-1"
+    assert found.duty.may_order()
--- /dev/null
+++ b/tests/unit/lease/test_reclaim.py
@@ -0,0 +1,62 @@
+"""Guards against a lease that lies idle although its holder has only been restarted."""
+
+import random
+
+import pytest
+import structlog
+
+from pistachionotch.clock import ManualClock
+from pistachionotch.lease.lease import Lease
+from pistachionotch.objects.memory import MemoryStore
+
+TIME_TO_LIVE_MS = 3_000
+
+
+@pytest.fixture(autouse=True, scope="module")
+def quiet_logs():
+    structlog.configure(processors=[], logger_factory=structlog.ReturnLoggerFactory())
+    yield
+    structlog.reset_defaults()
+
+
+class World:
+    def __init__(self):
+        self.store = MemoryStore()
+        self.clock = ManualClock()
+
+    def lease(self, holder, seed, reclaims=True):
+        rng = random.Random(seed)
+        clock, store = self.clock, self.store
+        return Lease(store, clock, "duty", "0", holder, TIME_TO_LIVE_MS, rng, reclaims=reclaims)
+
+
+@pytest.fixture
+def world():
+    found = World()
+    first = found.lease("a", 1)
+    first.step()
+    assert first.held()
+    found.clock.advance(100)
+    return found
+
+
+def test_a_restarted_holder_takes_its_lease_at_once_with_a_higher_fence(world):
+    again = world.lease("a", 2)
+    again.step()
+    assert again.held() and again.fence == 2 and again.former_holder == "a"
+
+
+def test_another_process_waits_for_the_time_to_live(world):
+    other = world.lease("b", 3)
+    other.step()
+    assert not other.held()
+    for _ in range(40):
+        world.clock.advance(100)
+        other.step()
+    assert other.held() and other.former_holder == "a"
+
+
+def test_without_the_promise_that_names_are_unique_a_restart_waits_too(world):
+    again = world.lease("a", 4, reclaims=False)
+    again.step()
+    assert not again.held()
