--- a/src/pistachionotch/lease/lease.py
+++ b/src/pistachionotch/lease/lease.py
@@ -69,8 +69,8 @@
         # Keys of the leases that this process holds, which decide how long it leaves a free one to
         # other processes; without them it takes a free one at once.
         self.held_keys = reads.held if held is None and reads is not None else held
-        # Whether no two processes with this holder's name ever run at once. What an earlier start of
-        # this process held is then free: it need not run out first.
+        # Whether no two processes with this holder's name ever run at once. What an earlier start
+        # of this process held is then free: it need not run out first.
         self.reclaims = reclaims
         # Who held the lease before this process, empty if that is not known.
         self.former_holder = ""
