--- a/scripts/model_check.sh
+++ b/scripts/model_check.sh
@@ -61,6 +61,10 @@
   "fail lease ORDERS WITHOUT_NEW_FENCE"
   "fail lease ORDERS WITHOUT_FENCE_CHECK"
   "fail lease ORDERS WITHOUT_READING_THE_FENCE"
+  "pass batch_log"
+  "fail batch_log FORGET_PENDING"
+  "fail batch_log OVERWRITE"
+  "fail batch_log AFTER_END"
 )
 
 jobs_started=()
