Share listings and the owners of batches among gateways

Two gateways now watch for all, the waiting ones look at the lease less often, and a batch is looked for at these two before the object API.

--- a/src/pistachionotch/batches/peers.py
+++ b/src/pistachionotch/batches/peers.py
@@ -5,16 +5,20 @@
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
 from typing import Any, Protocol
-from urllib.parse import parse_qs, quote
+from urllib.parse import parse_qs, quote, urlencode
 
 import attrs
 import cbor2
 
+from ..config.spec import Address
 from ..http_client import Connection, ConnectionPool, ExchangeError
 from .model import Owner, ResultPage
-from .records import read_result, result_fields
+from .records import owner_fields, read_owner, read_result, result_fields
 
 PREFIX = "/batches/"
+OWNERS_PREFIX = "/owners/"
+# Questions for owners go to any start of a process.
+OWNERS = "any"
 CONNECT_TIMEOUT_MS = 400
 # An owner answers from memory, or with one write of its object API call.
 RESPONSE_TIMEOUT_MS = 1_200
@@ -79,6 +83,18 @@
         reply = self._ask(owner, "DELETE", _path(batch))
         return None if isinstance(reply, bytes) else reply
 
+    def owner_of(self, address: Address, batch: str) -> Owner | None:
+        """Return the owner of a batch as another process knows it."""
+        asked = Owner(node="", incarnation=OWNERS, address=address)
+        reply = self._ask(asked, "GET", f"{OWNERS_PREFIX}{quote(batch, safe='')}")
+        return read_owner(cbor2.loads(reply)) if isinstance(reply, bytes) else None
+
+    def announce(self, address: Address, batch: str, owner: Owner) -> None:
+        """Tell another process who owns a batch; it is a hint and need not arrive."""
+        query = urlencode(owner_fields(owner))
+        asked = Owner(node="", incarnation=OWNERS, address=address)
+        self._ask(asked, "PUT", f"{OWNERS_PREFIX}{quote(batch, safe='')}?{query}")
+
     def _ask(self, owner: Owner, method: str, target: str, wait_ms: int = 0) -> bytes | PeerProblem:
         connection: Connection | None = None
         try:
@@ -119,6 +135,12 @@
     def local_end(self, batch: str) -> bool | None:
         """End a batch; False if that is not certain."""
 
+    def known_owner(self, batch: str) -> Owner | None:
+        """Return the owner of a batch, None if it is not known here."""
+
+    def note_owner(self, batch: str, owner: Owner) -> None:
+        """Remember the owner of a batch."""
+
 
 @attrs.frozen
 class PeerApp:
@@ -136,7 +158,20 @@
         start_response(f"{status.value} {status.phrase}", headers)
         return [body]
 
+    def _answer_owner(self, environ: dict[str, Any]) -> tuple[HTTPStatus, bytes]:
+        batch = environ["PATH_INFO"].removeprefix(OWNERS_PREFIX)
+        if environ["REQUEST_METHOD"] == "PUT":
+            query = {name: found[0] for name, found in parse_qs(environ["QUERY_STRING"]).items()}
+            self.batches.note_owner(batch, read_owner(query))
+            return HTTPStatus.OK, b""
+        owner = self.batches.known_owner(batch)
+        if owner is None:
+            return HTTPStatus.NOT_FOUND, b""
+        return HTTPStatus.OK, cbor2.dumps(owner_fields(owner))
+
     def _answer(self, environ: dict[str, Any]) -> tuple[HTTPStatus, bytes]:
+        if environ["PATH_INFO"].startswith(OWNERS_PREFIX):
+            return self._answer_owner(environ)
         # An earlier start of this process may have owned the batch; its memory is gone.
         if environ.get("HTTP_X_INCARNATION") != self.incarnation:
             return HTTPStatus.NOT_FOUND, b""
--- a/src/pistachionotch/batches/records.py
+++ b/src/pistachionotch/batches/records.py
@@ -54,7 +54,7 @@
         "wanted_groups": submission.wanted_groups,
         "items": items,
         "parts": parts,
-        "owner": _owner_fields(head.owner),
+        "owner": owner_fields(head.owner),
         "accepted_ms": head.accepted_ms,
     }
     return dump(fields)
@@ -75,7 +75,7 @@
     )
     head = BatchHead(
         submission=submission,
-        owner=_read_owner(fields["owner"]),
+        owner=read_owner(fields["owner"]),
         accepted_ms=fields["accepted_ms"],
     )
     return head, fields["parts"]
@@ -107,7 +107,7 @@
     if entry.results:
         fields["results"] = [result_fields(result) for result in entry.results]
     if entry.owner is not None:
-        fields["owner"] = _owner_fields(entry.owner)
+        fields["owner"] = owner_fields(entry.owner)
     if entry.ended:
         fields["ended"] = True
     return dump(fields)
@@ -120,12 +120,13 @@
     return LogEntry(
         token=fields["token"],
         results=tuple(read_result(result) for result in fields.get("results", ())),
-        owner=None if owner is None else _read_owner(owner),
+        owner=None if owner is None else read_owner(owner),
         ended=fields.get("ended", False),
     )
 
 
-def _owner_fields(owner: Owner) -> dict[str, str]:
+def owner_fields(owner: Owner) -> dict[str, str]:
+    """Return the stored form of an owner."""
     return {
         "node": owner.node,
         "incarnation": owner.incarnation,
@@ -133,7 +134,8 @@
     }
 
 
-def _read_owner(fields: Any) -> Owner:
+def read_owner(fields: Any) -> Owner:
+    """Read the stored form of an owner."""
     return Owner(
         node=fields["node"],
         incarnation=fields["incarnation"],
--- a/src/pistachionotch/batches/service.py
+++ b/src/pistachionotch/batches/service.py
@@ -5,6 +5,7 @@
 import enum
 import random
 import time
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -13,6 +14,7 @@
 from returns.result import Failure
 
 from ..clock import MS_PER_SECOND, Clock
+from ..config.spec import Address
 from ..gateway.catalog import Route
 from ..measures import Measures
 from ..objects.api import ObjectStore, StoreRejected, WriteAmbiguous
@@ -77,6 +79,8 @@
     owner: BatchOwner
     peers: PeerClient
     demands: Demands
+    # Gateways that are told and asked who owns a batch, before the object API.
+    guides: Callable[[], list[Address]]
     log: Any
     measures: Measures = attrs.field(factory=Measures)
     elsewhere: dict[str, _Elsewhere] = attrs.field(factory=dict)
@@ -111,8 +115,25 @@
         elif submission.id not in self.owner.runs:
             self.owner.add(self._new_run(stored, route))
             gevent.spawn(self._note_demand, submission)
+            gevent.spawn(self._announce, submission.id)
         return None
 
+    def _announce(self, batch: str) -> None:
+        for guide in self.guides():
+            self.peers.announce(guide, batch, self.me)
+
+    def known_owner(self, batch: str) -> Owner | None:
+        """Answer a peer with the owner of a batch, None if it is not known here."""
+        if self._local(batch) is not None:
+            return self.me
+        place = self.elsewhere.get(batch)
+        return None if place is None else place.owner
+
+    def note_owner(self, batch: str, owner: Owner) -> None:
+        """Remember the owner of a batch, as that owner says."""
+        if owner != self.me:
+            self.elsewhere[batch] = _Elsewhere(owner, self.clock.now_ms())
+
     def _note_demand(self, submission: Submission) -> None:
         if submission.model:
             tokens = sum(item.expected_tokens or item.max_tokens for item in submission.items)
@@ -242,6 +263,10 @@
         place = self.elsewhere.get(batch)
         if place is not None:
             return place
+        for guide in self.guides():
+            owner = self.peers.owner_of(guide, batch)
+            if owner is not None:
+                return self.elsewhere.setdefault(batch, _Elsewhere(owner, self.clock.now_ms()))
         loaded = load_head(self.store, batch)
         if isinstance(loaded, Failure):
             return BatchTrouble(Trouble.UNSURE, str(loaded.failure()), UNSURE_RETRY_MS)
@@ -312,6 +337,7 @@
                 self.elsewhere[run.id] = _Elsewhere(entry.owner, self.clock.now_ms())
                 return _Moved()
         self.elsewhere.pop(run.id, None)
+        gevent.spawn(self._announce, run.id)
         self.measures.count("take_overs", "batch")
         self.log.warning(
             "batch taken over",
--- a/src/pistachionotch/gateway/daemon.py
+++ b/src/pistachionotch/gateway/daemon.py
@@ -34,10 +34,11 @@
 from .catalog import Catalog
 from .dialect import Listings, UpstreamDialect
 from .exchange import UpstreamClient
-from .following import WATCH_WAIT_MS, Follower
+from .following import LONG_WAIT_MS, WATCH_WAIT_MS, Follower
 from .orders import OrderDuty
 from .peers import GATEWAYS_PREFIX, Gateways, PeerInterface
 from .settings import GatewaySettings
+from .sharing import CopiesApp, Copy, Watchers
 from .upstreams import UpstreamTable
 
 # The platform asks once a second and takes a process out after two misses.
@@ -50,6 +51,9 @@
 # Other gateways are needed only when the object API is lost, so news of them may wait.
 PEERS_WATCH_MS = 15_000
 REGISTER_RETRY_MS = 1_000
+# All waiting gateways together look at the lease about this often; a lapsed one is then taken over
+# little later than its time to live.
+LEASE_READ_SHARE_MS = 300
 IngressFactory = Callable[["GatewayDaemon"], Any]
 
 
@@ -77,6 +81,8 @@
     store: RelayedStore = attrs.field(init=False)
     gateways: Gateways = attrs.field(init=False)
     demands: Demands = attrs.field(init=False)
+    watchers: Watchers = attrs.field(init=False)
+    shared: dict[str, Follower] = attrs.field(factory=dict)
     client: UpstreamClient = attrs.field(init=False)
     forwarder: CallForwarder = attrs.field(init=False)
     owner: BatchOwner = attrs.field(init=False)
@@ -111,6 +117,13 @@
         )
         self.demands = Demands(self.store, logger("orders"))
         self.gateways = Gateways(me, self.store, logger("gateway"))
+        self.watchers = Watchers(
+            settings.node,
+            self.pool,
+            self.clock,
+            self.rng,
+            lambda: self.gateways.addresses,
+        )
         items = ItemRunner(self.clock, self.client, self.dialect, logger("items"))
         self.owner = BatchOwner(
             self.clock,
@@ -133,6 +146,7 @@
             self.owner,
             PeerClient(self.pool),
             self.demands,
+            lambda: self.watchers.addresses(),
             logger("batches"),
             self.measures,
         )
@@ -162,6 +176,7 @@
             self.rng,
             reads,
             reclaims=True,
+            waiting_ms=lambda: len(self.gateways.addresses) * LEASE_READ_SHARE_MS,
         )
 
     def start(self) -> None:
@@ -174,7 +189,9 @@
             (
                 settings.listen_peers,
                 PeerInterface(
-                    PeerApp(self.batches, self.batches.me.incarnation), self.direct_store
+                    PeerApp(self.batches, self.batches.me.incarnation),
+                    CopiesApp(self._copy_of),
+                    self.direct_store,
                 ),
             ),
         ):
@@ -182,8 +199,8 @@
             server.start()
             self.servers.append(server)
         for task in (
-            self._follower(self.listings.catalog_prefix, self._take_catalog).run,
-            self._follower(self.listings.upstreams_prefix, self._take_upstreams).run,
+            self._shared_follower(self.listings.catalog_prefix, self._take_catalog).run,
+            self._shared_follower(self.listings.upstreams_prefix, self._take_upstreams).run,
             self._duty_follower(self.listings.versions_prefix, self._take_versions).run,
             self._duty_follower(self.listings.evacuations_prefix, self._take_evacuations).run,
             self._follower(GATEWAYS_PREFIX, self.gateways.take, PEERS_WATCH_MS).run,
@@ -222,11 +239,24 @@
         self,
         prefix: str,
         changed: Callable[[dict[str, StoredObject], int], None],
-        wait_ms: int = WATCH_WAIT_MS,
+        wait_ms: int = LONG_WAIT_MS,
     ) -> Follower:
         followed = FollowedPrefix(self.store, prefix)
         return Follower(followed, self.clock, changed, logger("gateway"), wait_ms=wait_ms)
 
+    def _shared_follower(
+        self, prefix: str, changed: Callable[[dict[str, StoredObject], int], None]
+    ) -> Follower:
+        """Follow what every gateway needs, by way of the gateways that watch it."""
+        follower = self._follower(prefix, changed, WATCH_WAIT_MS)
+        follower.watchers = self.watchers
+        self.shared[prefix] = follower
+        return follower
+
+    def _copy_of(self, prefix: str, since: int, wait_ms: int) -> Copy | None:
+        follower = self.shared.get(prefix)
+        return None if follower is None else follower.copy(since, wait_ms)
+
     def _duty_follower(
         self, prefix: str, changed: Callable[[dict[str, StoredObject], int], None]
     ) -> Follower:
--- a/src/pistachionotch/gateway/peers.py
+++ b/src/pistachionotch/gateway/peers.py
@@ -16,6 +16,7 @@
 from ..config.spec import Address
 from ..objects.api import ObjectStore, StoredObject, VersionConflict
 from ..objects.relay import RELAY_PATH, relay
+from .sharing import COPIES_PREFIX, CopiesApp
 
 GATEWAYS_PREFIX = "gateways/"
 
@@ -68,6 +69,7 @@
     """Serve other gateways: batches, and calls to the object API."""
 
     batches: PeerApp
+    copies: CopiesApp
     # The direct store: a call that was relayed once is not relayed again.
     store: ObjectStore
 
@@ -75,9 +77,13 @@
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
         """Serve one request."""
-        if environ["PATH_INFO"] != RELAY_PATH:
+        status = HTTPStatus.OK
+        if environ["PATH_INFO"] == RELAY_PATH:
+            body = relay(self.store, environ["wsgi.input"].read())
+        elif environ["PATH_INFO"].startswith(COPIES_PREFIX):
+            status, body = self.copies.answer(environ)
+        else:
             return self.batches(environ, start_response)
-        body = relay(self.store, environ["wsgi.input"].read())
         headers = [("Content-Type", "application/cbor"), ("Content-Length", str(len(body)))]
-        start_response(f"{HTTPStatus.OK.value} OK", headers)
+        start_response(f"{status.value} {status.phrase}", headers)
         return [body]
--- a/src/pistachionotch/lease/lease.py
+++ b/src/pistachionotch/lease/lease.py
@@ -13,6 +13,7 @@
 
 import enum
 import random
+from collections.abc import Callable
 
 from returns.result import Failure, Success
 
@@ -62,6 +63,7 @@
         held: set[str] | None = None,
         prefix: str = "leases",
         reclaims: bool = False,
+        waiting_ms: Callable[[], int] = lambda: 0,
     ) -> None:
         self.store = store
         # Serves the reads of a waiting process that has no write of unknown outcome.
@@ -72,6 +74,8 @@
         # Whether no two processes with this holder's name ever run at once. What an earlier start
         # of this process held is then free: it need not run out first.
         self.reclaims = reclaims
+        # Least time between two reads of a waiting process; many of them read less often each.
+        self.waiting_ms = waiting_ms
         # Who held the lease before this process, empty if that is not known.
         self.former_holder = ""
         self.clock = clock
@@ -137,7 +141,8 @@
 
     def _read(self) -> None:
         if self.state is LeaseState.WAITING:
-            self._call_again_after(self.time_to_live_ms // READS_PER_TIME_TO_LIVE)
+            period_ms = self.time_to_live_ms // READS_PER_TIME_TO_LIVE
+            self._call_again_after(max(period_ms, self.waiting_ms()))
         shared = self.state is LeaseState.WAITING and not self.unsettled
         source = self.reads if shared and self.reads is not None else self.store
         read = source.get(self.key)
--- a/src/pistachionotch/objects/follow.py
+++ b/src/pistachionotch/objects/follow.py
@@ -44,6 +44,13 @@
         self.revision = batch.unwrap().revision
         return True
 
+    def replace(self, objects: dict[str, StoredObject] | None, revision: int) -> None:
+        """Take over a copy from elsewhere that is at least as recent; None keeps the objects."""
+        if objects is not None:
+            self.changes += 1
+            self.objects = objects
+        self.revision = revision
+
     def _list(self) -> bool:
         snapshot = self.store.snapshot(self.prefix)
         if isinstance(snapshot, Failure):
--- a/tests/unit/batches/test_batch_service.py
+++ b/tests/unit/batches/test_batch_service.py
@@ -101,6 +101,7 @@
             batches,
             self.network,
             Demands(self.store, log),
+            list,
             log,
         )
         self.network.services[node] = service
--- /dev/null
+++ b/tests/unit/gateway/test_sharing.py
@@ -0,0 +1,121 @@
+"""Guards against copies that are too old, that go back, and against a fleet that all watch."""
+
+import random
+
+import pytest
+import structlog
+
+from pistachionotch.clock import ManualClock
+from pistachionotch.config.spec import Address
+from pistachionotch.gateway.following import Follower
+from pistachionotch.gateway.sharing import AVOID_MS, MAX_AGE_MS, WATCHERS, CopiesApp, Copy, Watchers
+from pistachionotch.objects.follow import FollowedPrefix
+from pistachionotch.objects.memory import MemoryStore
+
+NODES = [f"gateway-{number}" for number in range(9)]
+
+
+class Fleet:
+    """Gateways that follow one prefix; copies travel by calls instead of connections."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.store = MemoryStore(clock=self.clock)
+        self.followers = {}
+        self.lost = set()
+        self.seen = {node: [] for node in NODES}
+        for number, node in enumerate(NODES):
+            self.followers[node] = self.make(number, node)
+
+    def make(self, number, node):
+        fleet = self
+
+        class CalledWatchers(Watchers):
+            def _ask(self, address, prefix, since):
+                asked = NODES[address.port]
+                if asked in fleet.lost:
+                    return None
+                return fleet.followers[asked].copy(since, 0)
+
+        def others():
+            return {each: Address("10.0.0.1", at) for at, each in enumerate(NODES) if each != node}
+
+        watchers = CalledWatchers(node, None, self.clock, random.Random(number), others)
+        return Follower(
+            FollowedPrefix(self.store, "servers/"),
+            self.clock,
+            lambda objects, revision: self.seen[node].append((revision, sorted(objects))),
+            structlog.get_logger(),
+            watchers=watchers,
+            wait_ms=0,
+        )
+
+    def watching(self):
+        any_watchers = self.followers[NODES[0]].watchers
+        return set(any_watchers.chosen())
+
+    def rounds(self, count=1):
+        for _ in range(count):
+            # Those that watch first, as they do while the others wait for them.
+            for node in sorted(NODES, key=lambda node: node not in self.watching()):
+                if node not in self.lost:
+                    self.followers[node].step()
+
+    def calls(self):
+        return sum(self.store.calls.values())
+
+
+@pytest.fixture
+def fleet():
+    return Fleet()
+
+
+def test_a_change_reaches_all_while_two_watch(fleet):
+    fleet.rounds(2)
+    fleet.store.put("servers/a", b"{}", None)
+    before = fleet.calls()
+    fleet.rounds(2)
+    assert all(seen[-1] == (1, ["servers/a"]) for seen in fleet.seen.values())
+    assert fleet.calls() - before <= 2 * WATCHERS
+    assert len(fleet.watching()) == WATCHERS
+
+
+def test_a_lost_watcher_is_replaced_by_the_next(fleet):
+    fleet.rounds(2)
+    fleet.lost.add(sorted(fleet.watching())[0])
+    fleet.store.put("servers/a", b"{}", None)
+    fleet.rounds(6)
+    for node in NODES:
+        if node not in fleet.lost:
+            assert fleet.seen[node][-1] == (1, ["servers/a"])
+
+
+def test_a_copy_that_is_too_old_is_not_used(fleet):
+    fleet.rounds(2)
+    node = next(node for node in NODES if node not in fleet.watching())
+    fleet.clock.advance(MAX_AGE_MS + 1)
+    fleet.store.put("servers/a", b"{}", None)
+    fleet.followers[node].step()
+    assert fleet.seen[node][-1] == (1, ["servers/a"]), "it asked the object API itself"
+
+
+def test_a_copy_from_before_the_own_one_is_not_used(fleet):
+    fleet.rounds(2)
+    watchers = fleet.followers[next(n for n in NODES if n not in fleet.watching())].watchers
+    watchers._ask = lambda *_arguments: Copy(revision=3, age_ms=0, objects={})
+    assert watchers.fetch("servers/", 4) is None
+    fleet.clock.advance(AVOID_MS + 1)
+    assert watchers.fetch("servers/", 3).revision == 3
+
+
+def test_what_is_not_known_is_not_served(fleet):
+    assert fleet.followers[NODES[0]].copy(-1, 0) is None
+    app = CopiesApp(lambda _prefix, _since, _wait_ms: None)
+    environ = {"PATH_INFO": "/copies/other/", "QUERY_STRING": "since=1&wait_ms=0"}
+    assert app.answer(environ)[0] == 404
+
+
+def test_a_gateway_alone_watches_itself():
+    watchers = Watchers("a", None, ManualClock(), random.Random(1), dict)
+    assert watchers.fetch("servers/", -1) is None
+    assert watchers.addresses() == []
