Start groups that are carried over with the others

The longest groups beyond those that a trainer wants start last. A group that was not complete in time comes back in the next step, is waited for, and is usually the longest, so it was left for last in each step.

--- a/src/pistachionotch/batches/dispatch.py
+++ b/src/pistachionotch/batches/dispatch.py
@@ -89,11 +89,16 @@
 
 
 def optional_groups(expected_by_group: dict[str, int], wanted: int) -> frozenset[str]:
-    """Return the groups that a trainer can do without: the longest beyond those it wants."""
+    """Return the groups that a trainer can do without: the longest beyond those it wants.
+
+    ``expected_by_group`` has the groups in the order of the step. Those that are carried over from
+    an earlier step come first and are at most half of the wanted ones; the trainer waits for them.
+    """
     spare = len(expected_by_group) - wanted
     if wanted <= 0 or spare <= 0:
         return frozenset()
-    longest = sorted(expected_by_group, key=lambda group: (-expected_by_group[group], group))
+    fresh = list(expected_by_group)[wanted // 2 :]
+    longest = sorted(fresh, key=lambda group: (-expected_by_group[group], group))
     return frozenset(longest[:spare])
 
 
--- a/tests/unit/batches/test_dispatch.py
+++ b/tests/unit/batches/test_dispatch.py
@@ -65,6 +65,13 @@
     assert [start.item.item for start in plan_starts(items, [engine("e", free=1)], {})] == ["b"]
 
 
+def test_groups_carried_over_from_an_earlier_step_are_never_left_for_last():
+    # They come first in a step, make up half of what it wants at most, and are waited for.
+    expected = {"carried": 900, "g1": 10, "g2": 20, "g3": 300, "g4": 5}
+    assert optional_groups(expected, 4) == {"g3"}
+    assert optional_groups({"carried": 900, "g1": 10}, 1) == {"carried"}
+
+
 def test_the_batch_that_is_due_first_comes_first():
     items = [waiting("late", expected=500, due_ms=9), waiting("soon", due_ms=1)]
     assert plan_starts(items, [engine("e", free=1)], {})[0].item.item == "soon"
