--- a/src/pistachionotch/gateway/daemon.py
+++ b/src/pistachionotch/gateway/daemon.py
@@ -208,6 +208,7 @@
             self._register,
             self._forget_batches,
             self._clean_batches,
+            self._prune_gateways,
             self.owner.run,
             self.orders.keep_lease,
             self.orders.run,
@@ -232,9 +233,17 @@
         cleaner.run(self.orders.holds)
 
     def _register(self) -> None:
-        while not self.gateways.register():
+        while True:
+            if not self.gateways.registered:
+                self.gateways.register()
             self.clock.sleep_ms(REGISTER_RETRY_MS)
 
+    def _prune_gateways(self) -> None:
+        while True:
+            self.clock.sleep_ms(PERIOD_MS)
+            if self.orders.holds():
+                self.gateways.prune(self.pool.answers)
+
     def _follower(
         self,
         prefix: str,
--- a/src/pistachionotch/gateway/peers.py
+++ b/src/pistachionotch/gateway/peers.py
@@ -19,6 +19,8 @@
 from .sharing import COPIES_PREFIX, CopiesApp
 
 GATEWAYS_PREFIX = "gateways/"
+# One probe a minute; a VM that is down for shorter comes back at its address.
+MISSES_UNTIL_LOST = 10
 
 
 @attrs.define
@@ -30,6 +32,9 @@
     log: Any
     addresses: dict[str, Address] = attrs.field(factory=dict)
     registered: bool = False
+    versions: dict[str, int] = attrs.field(factory=dict)
+    # Probes in a row that a gateway did not answer.
+    misses: dict[str, int] = attrs.field(factory=dict)
 
     def others(self) -> list[Address]:
         """Return the addresses of the other gateways."""
@@ -52,6 +57,9 @@
     def take(self, objects: dict[str, StoredObject], revision: int) -> None:
         """Take over a newer listing."""
         found = {}
+        # A gateway that was taken for lost registers again.
+        self.registered = self.registered and GATEWAYS_PREFIX + self.me.node in objects
+        self.versions = {key: stored.version for key, stored in objects.items()}
         for key, stored in objects.items():
             node = key.removeprefix(GATEWAYS_PREFIX)
             if node == self.me.node:
@@ -63,6 +71,20 @@
         self.addresses = found
         self.log.info("gateways listed", revision=revision, others=sorted(found))
 
+    def prune(self, answers: Callable[[Address], bool]) -> None:
+        """Probe the other gateways and delete those that have been silent for long."""
+        for node, address in list(self.addresses.items()):
+            if answers(address):
+                self.misses.pop(node, None)
+                continue
+            self.misses[node] = self.misses.get(node, 0) + 1
+            if self.misses[node] < MISSES_UNTIL_LOST:
+                continue
+            key = GATEWAYS_PREFIX + node
+            gone = self.store.delete(key, self.versions.get(key, 0))
+            self.misses.pop(node)
+            self.log.warning("gateway deleted", gateway=node, stored=not isinstance(gone, Failure))
+
 
 @attrs.frozen
 class PeerInterface:
--- a/src/pistachionotch/http_client.py
+++ b/src/pistachionotch/http_client.py
@@ -28,6 +28,9 @@
 # Idle time after which a connection is not used again if the server names no limit.
 DEFAULT_IDLE_MS = 4_000
 
+# Longest wait for the acceptance of a connection that is made to see whether a peer is there.
+PROBE_TIMEOUT_MS = 1_000
+
 Header = tuple[str, str]
 
 
@@ -234,6 +237,16 @@
         connection.note_idle(head, self.clock.now_ms())
         self.idle.setdefault((connection.address, peer), deque()).append(connection)
 
+    def answers(self, address: Address) -> bool:
+        """Return whether something accepts connections at an address."""
+        connection = Connection(address)
+        try:
+            connection.open(PROBE_TIMEOUT_MS)
+        except ExchangeError:
+            return False
+        connection.close()
+        return True
+
     def forget(self, address: Address, peer: str) -> None:
         """Close the idle connections to a peer that is gone."""
         for connection in self.idle.pop((address, peer), ()):
--- /dev/null
+++ b/tests/unit/gateway/test_gateways.py
@@ -0,0 +1,66 @@
+"""Guards against a list of gateways that only grows, and against one that is missing from it."""
+
+import structlog
+
+from pistachionotch.batches.model import Owner
+from pistachionotch.config.spec import Address
+from pistachionotch.gateway.peers import GATEWAYS_PREFIX, MISSES_UNTIL_LOST, Gateways
+from pistachionotch.objects.memory import MemoryStore
+
+
+class Fleet:
+    def __init__(self):
+        self.store = MemoryStore()
+        self.all = [self.start(number) for number in range(3)]
+        self.spread()
+
+    def start(self, number):
+        address = Address("10.0.0.1", 7_000 + number)
+        me = Owner(node=f"g{number}", incarnation="1", address=address)
+        gateways = Gateways(me, self.store, structlog.get_logger())
+        assert gateways.register()
+        return gateways
+
+    def spread(self):
+        for gateways in self.all:
+            gateways.take(dict(self.store.objects), self.store.revision)
+
+
+def test_each_gateway_knows_the_others_and_not_itself():
+    fleet = Fleet()
+    assert sorted(fleet.all[0].addresses) == ["g1", "g2"]
+    assert [address.port for address in fleet.all[1].others()] == [7_000, 7_002]
+
+
+def test_a_restarted_gateway_replaces_its_entry():
+    fleet = Fleet()
+    fleet.all[0] = fleet.start(0)
+    assert len(fleet.store.objects) == 3
+
+
+def test_a_gateway_that_stays_silent_is_deleted_and_registers_again_if_it_lives():
+    fleet = Fleet()
+    for _ in range(MISSES_UNTIL_LOST - 1):
+        fleet.all[0].prune(lambda address: address.port != 7_002)
+    assert GATEWAYS_PREFIX + "g2" in fleet.store.objects
+    fleet.all[0].prune(lambda address: address.port != 7_002)
+    assert GATEWAYS_PREFIX + "g2" not in fleet.store.objects
+    fleet.spread()
+    assert not fleet.all[2].registered and fleet.all[1].registered
+    assert fleet.all[2].register()
+
+
+def test_one_answer_starts_the_count_again():
+    fleet = Fleet()
+    for _ in range(3):
+        for _ in range(MISSES_UNTIL_LOST - 1):
+            fleet.all[0].prune(lambda _address: False)
+        fleet.all[0].prune(lambda _address: True)
+    assert len(fleet.store.objects) == 3
+
+
+def test_an_unreadable_entry_hides_no_other():
+    fleet = Fleet()
+    fleet.store.put(GATEWAYS_PREFIX + "x", b"[]", None)
+    fleet.spread()
+    assert sorted(fleet.all[0].addresses) == ["g1", "g2"]
