Try the direct path again if no peer helps

Its followers had listed nothing, so there was no watch, and only watches tried the direct path. Ruled out: the peers, which regained their paths. Tests fail before the change.

--- a/src/pistachionotch/objects/relay.py
+++ b/src/pistachionotch/objects/relay.py
@@ -118,8 +118,12 @@
         return self._call(RelayCall("watch", prefix, b"", since, timeout_ms))
 
     def _call(self, call: RelayCall) -> Result[Any, Any]:
-        if self.direct_lost and not self._probes(call):
-            return self._through_peers(call)
+        if self.direct_lost and not self._probes(call.operation == "watch"):
+            relayed = self._through_peers(call)
+            lost = isinstance(relayed, Failure) and isinstance(relayed.failure(), StoreUnavailable)
+            # Without a peer that helps there is nothing to lose by trying the direct path.
+            if not (lost and self._probes(True)):
+                return relayed
         started_ms = self.clock.now_ms()
         answer = perform(self.direct, call)
         if call.operation != "watch":
@@ -131,9 +135,10 @@
             return self._through_peers(call)
         return answer
 
-    def _probes(self, call: RelayCall) -> bool:
+    def _probes(self, may_wait: bool) -> bool:
+        """Return whether to try the direct path now, at the risk of a time-out."""
         now_ms = self.clock.now_ms()
-        if call.operation != "watch" or now_ms < self.direct_retry_ms:
+        if not may_wait or now_ms < self.direct_retry_ms:
             return False
         self.direct_retry_ms = now_ms + DIRECT_RETRY_MS
         return True
--- a/tests/support/soak.py
+++ b/tests/support/soak.py
@@ -65,6 +65,8 @@
             gevent.joinall(tasks, timeout=20, raise_error=True)
             problems = check_all(self.platform, load, self.departures, LEAVING_BOUND_S)
             problems += [f"{name} did not recover" for name in self._dead()]
+            if problems:
+                print(f"logs: {self.platform.deployment.folder}", file=sys.stderr)
             return problems
         finally:
             self.platform.stop()
@@ -167,8 +169,8 @@
 
     def _leave(self):
         name = self.rng.choice(self.platform.servers)
-        left = time.monotonic()
         self.platform.register(name, state="draining")
+        left = time.monotonic()
         gevent.sleep(self.rng.uniform(3.0, 5.0))
         self.departures.append((name, left, time.monotonic()))
         self.platform.register(name)
--- a/tests/unit/objects/test_relay.py
+++ b/tests/unit/objects/test_relay.py
@@ -120,6 +120,19 @@
     assert not relayed.direct_lost
 
 
+@pytest.mark.parametrize("operation", ["get", "snapshot"])
+def test_a_process_that_starts_in_an_outage_finds_its_path_afterwards(paths, operation):
+    # Nothing was listed yet, so there is no watch that could try the direct path.
+    paths[0].cut = True
+    alone = Relayed(paths[0], [])
+    alone.peers = list
+    getattr(alone, operation)("k/")
+    paths[0].cut = False
+    alone.clock.advance(relay_module.DIRECT_RETRY_MS)
+    assert isinstance(getattr(alone, operation)("k/"), Success)
+    assert not alone.direct_lost
+
+
 def test_a_write_whose_answer_was_lost_is_settled_through_a_peer(paths, relayed):
     paths[0].lose_next = True
     written = put_settled(relayed, "k/a", b'["t"]', None, "t")
