--- a/src/pistachionotch/gateway/dialect.py
+++ b/src/pistachionotch/gateway/dialect.py
@@ -44,8 +44,6 @@
     matches: bool
     # Whether the upstream states that it did not run the request.
     not_run: bool
-    # Whether another instance answered.
-    wrong_instance: bool
     # Whether an upstream's proof comes with the response.
     proved: bool
     # Weight versions of the response, newest last; empty for plain services.
--- a/src/pistachionotch/gateway/exchange.py
+++ b/src/pistachionotch/gateway/exchange.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from http import HTTPStatus
+
 import attrs
 
 from ..clock import Clock
@@ -62,6 +64,10 @@
             response = self.dialect.read_response(request, connection.read_head(timeout_ms))
             if not response.matches:
                 raise ExchangeError("the response belongs to another request", sent=True)
+            # Reports and orders have no request id and no proof.
+            success = HTTPStatus.OK <= response.head.status < HTTPStatus.MULTIPLE_CHOICES
+            if request.request_id and success and not response.proved:
+                raise ExchangeError("a success without the upstream's proof", sent=True)
         except BaseException:
             connection.close()
             raise
--- a/src/pistachionotch/platform/upstream.py
+++ b/src/pistachionotch/platform/upstream.py
@@ -116,7 +116,6 @@
             # A refusal on the way into the server may lack the echo; a success never does.
             matches=echoed == request.request_id or (not echoed and head.status >= 400),
             not_run=bool(head.get(NOT_RUN)) or misdirected,
-            wrong_instance=misdirected,
             proved=bool(head.get(PROOF)),
             versions=_versions(head.get(VERSIONS)),
         )
--- a/src/pistachionotch/standins/platform_servers.py
+++ b/src/pistachionotch/standins/platform_servers.py
@@ -34,6 +34,8 @@
     break_after: int | None = None
     # Send a second response after a complete one.
     surplus: int = 0
+    # Answer with a success that lacks the server's proof.
+    unproved: int = 0
     # Work this much longer.
     slow_ms: int = 0
     # Accept an order but carry out nothing and say nothing.
@@ -124,7 +126,8 @@
                 "model": environ.get("HTTP_MODEL", ""),
             }
         )
-        headers.append(("Server-Stamp", f"{self.instance}.{len(self.runs)}"))
+        if not self._hit("unproved"):
+            headers.append(("Server-Stamp", f"{self.instance}.{len(self.runs)}"))
         if self._hit("fail"):
             status = HTTPStatus.INTERNAL_SERVER_ERROR
             return respond_json(start_response, status, {"error": "failed"}, headers)
--- a/tests/unit/gateway/test_calls.py
+++ b/tests/unit/gateway/test_calls.py
@@ -189,6 +189,13 @@
     assert 190 <= CLOCK.now_ms() - started_ms < 600
 
 
+def test_a_success_without_proof_is_no_answer_of_the_server(servers):
+    servers.standins[0].faults.unproved = servers.standins[1].faults.unproved = 1
+    answer = servers.call(RouteKind.UNSAFE)
+    assert isinstance(answer, Refusal) and answer.cause is Cause.UNKNOWN
+    assert servers.call(request="q2").status == 200
+
+
 def test_bytes_after_a_response_belong_to_no_other_request(servers):
     servers.set(surplus=1)
     for number in range(4):
