Answer what is open before a drained gateway stops

The gateway now hands over first, for 1.5 s at most, and accepts nothing while it waits for its last answers. The scenario with a hanging store fails before the change.

--- a/src/pistachionotch/gateway/daemon.py
+++ b/src/pistachionotch/gateway/daemon.py
@@ -18,7 +18,7 @@
 from ..batches.owner import BatchOwner
 from ..batches.peers import PeerApp, PeerClient
 from ..batches.service import BatchService, unix_ms
-from ..clock import SystemClock
+from ..clock import MS_PER_SECOND, SystemClock
 from ..http_client import ConnectionPool
 from ..lease.lease import Lease
 from ..lease.reading import LeaseReads
@@ -46,6 +46,8 @@
 # Part of the grace time that is left for the last answers and the release of duties.
 DRAIN_RESERVE_MS = 1_500
 DRAIN_POLL_MS = 50
+# Longest wait for the object API when batches and the lease are handed over.
+RELEASE_LIMIT_MS = 1_500
 # Without a holder no weights change, and a trainer asks for a new version every few seconds.
 LEASE_TTL_MS = 3_000
 # Other gateways are needed only when the object API is lost, so news of them may wait.
@@ -75,6 +77,8 @@
     listed: bool = False
     state: str = "starting"
     open_requests: int = 0
+    # Whether a request that arrives now would be cut off.
+    ended: bool = False
     confirmed: dict[str, bytes] = attrs.field(factory=dict)
     measures: Measures = attrs.field(factory=Measures)
     servers: list[WSGIServer] = attrs.field(factory=list)
@@ -387,13 +391,21 @@
         logger("gateway").info("draining", reason=reason, open_requests=self.open_requests)
         self.clock.sleep_ms(BALANCER_NOTICE_MS)
         self.batches.draining = True
-        for run in list(self.owner.runs.values()):
-            self.owner.release(run)
+        self._release()
+        # Requests that are open now are answered; their connections close with the answer.
+        for server in self.servers:
+            server.stop_accepting()
         limit_ms = started_ms + self.settings.drain_grace_ms - DRAIN_RESERVE_MS
         while self.open_requests and self.clock.now_ms() < limit_ms:
             self.clock.sleep_ms(DRAIN_POLL_MS)
-        self.orders.lease.release()
+        self.ended = True
         for server in self.servers:
             server.stop(timeout=0)
         self.state = "stopped"
         logger("gateway").info("stopped", node=self.settings.node, cut_off=self.open_requests)
+
+    def _release(self) -> None:
+        """Hand over batches and the lease; a store that hangs is not waited for."""
+        jobs = [gevent.spawn(self.owner.release, run) for run in list(self.owner.runs.values())]
+        jobs.append(gevent.spawn(self.orders.lease.release))
+        gevent.joinall(jobs, timeout=RELEASE_LIMIT_MS / MS_PER_SECOND)
--- a/src/pistachionotch/platform/ingress.py
+++ b/src/pistachionotch/platform/ingress.py
@@ -64,6 +64,7 @@
     forwarder: CallForwarder
     batches: BatchService
     closing: Callable[[], bool]
+    ended: Callable[[], bool]
     count_open: Callable[[int], None]
     log: Any
 
@@ -73,8 +74,10 @@
         """Serve one request."""
         self.count_open(1)
         watch = None
-        answer: Answer
+        answer: Answer = Refusal(Cause.NOT_RUN, "the gateway has stopped", 0)
         try:
+            if self.ended():
+                return self._send(answer, start_response, None)
             call = self._read_call(environ)
             if isinstance(call, ClientCall):
                 watch = watch_client(environ[CLIENT_SOCKET])
--- a/src/pistachionotch/platform/main.py
+++ b/src/pistachionotch/platform/main.py
@@ -71,6 +71,7 @@
             daemon.forwarder,
             daemon.batches,
             daemon.closing,
+            lambda: daemon.ended,
             daemon.count_open,
             logger("clients"),
         )
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -24,6 +24,16 @@
     Then every result of step "s1" is complete and names the versions that made it
     And gateway-1 ended by itself without cutting a request off
 
+  Scenario: A gateway is told to stop while the store hangs, under load
+    Given a platform with 2 gateways
+    When a trainer submits step "s1" to gateway-1
+    And every shop takes 300 ms longer
+    And clients call gateway-1 over kept connections from now on
+    And the store takes 5000 ms longer
+    And gateway-1 is terminated
+    Then gateway-1 ended by itself without cutting a request off
+    And every call that was sent on a kept connection was answered or refused
+
   Scenario: An unsafe call whose answer is lost is not run again
     Given a platform with 2 gateways
     When every shop loses its next answer
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -5,10 +5,11 @@
 import signal
 import time
 
+import gevent
 from behave import given, then, when
 
-from pistachionotch.http_client import ExchangeError
-from tests.support.platform import MODEL, Platform, new_id
+from pistachionotch.http_client import Connection, ExchangeError
+from tests.support.platform import HOSTNAME, MODEL, Platform, new_id
 
 EVENTS = 8
 
@@ -121,6 +122,47 @@
         line for line in context.platform.log_lines(name) if line["event"].endswith("stopped")
     ]
     assert [line["cut_off"] for line in stopped] == [0]
+    assert "Traceback" not in context.platform.deployment.log(name)
+
+
+@when("clients call {gateway:Name} over kept connections from now on")
+def keep_calling(context, gateway):
+    context.lost = []
+    context.callers = [gevent.spawn(call_on, context, gateway) for _ in range(4)]
+
+
+def call_on(context, gateway):
+    """Use each connection until the gateway says that it closes; end when none is accepted."""
+    platform = context.platform
+    while True:
+        connection = Connection(platform.address(gateway))
+        try:
+            connection.open(500)
+        except ExchangeError:
+            return
+        closing = False
+        while not closing:
+            request = new_id()
+            headers = [("Host", HOSTNAME), ("Request-Id", request), ("Deadline-Ms", "2000")]
+            try:
+                connection.send("POST", "/safe/x", headers, b"order", 2_000)
+                head = connection.read_head(3_000)
+                connection.read_body(1_000)
+            except ExchangeError as error:
+                context.lost.append((request, error.reason))
+                break
+            closing = head.get("connection") == "close"
+            gevent.sleep(0.005)
+        connection.close()
+
+
+@then("every call that was sent on a kept connection was answered or refused")
+def check_kept(context):
+    gevent.joinall(context.callers, timeout=5)
+    # A connection that closes before its next request was read breaks no promise.
+    log = "\n".join(json.dumps(line) for line in context.platform.log_lines("gateway-1"))
+    read = [(request, reason) for request, reason in context.lost if request in log]
+    assert read == [], read
 
 
 @when("every shop loses its next answer")
@@ -140,6 +182,17 @@
     assert runs == list(context.answers)
 
 
+@when("every shop takes {slow_ms:d} ms longer")
+def slow_shops(context, slow_ms):
+    for name in ("shop-1", "shop-2"):
+        context.platform.faults(name, slow_ms=slow_ms)
+
+
+@when("the store takes {slow_ms:d} ms longer")
+def slow_store(context, slow_ms):
+    context.platform.faults("store", slow_ms=slow_ms)
+
+
 @when("every engine breaks its next stream off in the middle")
 def break_streams(context):
     for name in context.platform.servers:
