Keep registrations that lapsed in an outage for a moment

The platform removes a server's entry when it falls silent, also while the store is out, and the server writes it again within about 2 s of the store's return. Until then a gateway knew no upstreams and refused calls. What a gateway knows, with the tasks that keep it current, has moved into a module of its own.

--- a/src/pistachionotch/gateway/daemon.py
+++ b/src/pistachionotch/gateway/daemon.py
@@ -10,7 +10,6 @@
 import attrs
 import gevent
 from gevent.pywsgi import WSGIServer
-from returns.result import Failure
 
 from ..batches.cleanup import PERIOD_MS, BatchCleaner
 from ..batches.items import ItemRunner
@@ -25,21 +24,18 @@
 from ..logs import logger
 from ..measures import Measures
 from ..metrics import METRICS_MEDIA_TYPE, render_metrics
-from ..objects.api import ObjectStore, StoredObject
-from ..objects.follow import FollowedPrefix
+from ..objects.api import ObjectStore
 from ..objects.relay import RelayedStore
 from ..server import make_server
-from ..weights.demand import DEMANDS_PREFIX, Demands
+from ..weights.demand import Demands
 from .calls import CallForwarder
-from .catalog import Catalog
 from .dialect import Listings, UpstreamDialect
 from .exchange import UpstreamClient
-from .following import LONG_WAIT_MS, WATCH_WAIT_MS, Follower
+from .knowledge import Knowledge
 from .orders import OrderDuty
-from .peers import GATEWAYS_PREFIX, Gateways, PeerInterface
+from .peers import Gateways, PeerInterface
 from .settings import GatewaySettings
-from .sharing import CopiesApp, Copy, Watchers
-from .upstreams import UpstreamTable
+from .sharing import CopiesApp, Watchers
 
 # The platform asks once a second and takes a process out after two misses.
 BALANCER_NOTICE_MS = 2_500
@@ -50,8 +46,6 @@
 RELEASE_LIMIT_MS = 1_500
 # Without a holder no weights change, and a trainer asks for a new version every few seconds.
 LEASE_TTL_MS = 3_000
-# Other gateways are needed only when the object API is lost, so news of them may wait.
-PEERS_WATCH_MS = 15_000
 REGISTER_RETRY_MS = 1_000
 # All waiting gateways together look at the lease about this often; a lapsed one is then taken over
 # little later than its time to live.
@@ -72,21 +66,17 @@
     readiness_path: str
     clock: SystemClock = attrs.field(factory=SystemClock)
     rng: random.Random = attrs.field(factory=lambda: random.Random(secrets.randbits(64)))
-    table: UpstreamTable = attrs.field(factory=UpstreamTable)
-    catalog: Catalog | None = None
-    listed: bool = False
     state: str = "starting"
     open_requests: int = 0
     # Whether a request that arrives now would be cut off.
     ended: bool = False
-    confirmed: dict[str, bytes] = attrs.field(factory=dict)
     measures: Measures = attrs.field(factory=Measures)
     servers: list[WSGIServer] = attrs.field(factory=list)
     store: RelayedStore = attrs.field(init=False)
     gateways: Gateways = attrs.field(init=False)
     demands: Demands = attrs.field(init=False)
     watchers: Watchers = attrs.field(init=False)
-    shared: dict[str, Follower] = attrs.field(factory=dict)
+    knowledge: Knowledge = attrs.field(init=False)
     client: UpstreamClient = attrs.field(init=False)
     forwarder: CallForwarder = attrs.field(init=False)
     owner: BatchOwner = attrs.field(init=False)
@@ -95,18 +85,6 @@
 
     def __attrs_post_init__(self) -> None:
         settings = self.settings
-        self.client = UpstreamClient(self.clock, self.dialect, self.pool)
-        self.forwarder = CallForwarder(
-            self.clock,
-            self.rng,
-            settings.zone,
-            settings.zone_regions,
-            self.table,
-            self.client,
-            self.dialect,
-            logger("calls"),
-            self.measures,
-        )
         me = Owner(
             node=settings.node, incarnation=secrets.token_hex(8), address=settings.listen_peers
         )
@@ -128,6 +106,20 @@
             self.rng,
             lambda: self.gateways.addresses,
         )
+        self.knowledge = Knowledge(self.store, self.clock, self.listings, self.watchers, self.pool)
+        table = self.knowledge.table
+        self.client = UpstreamClient(self.clock, self.dialect, self.pool)
+        self.forwarder = CallForwarder(
+            self.clock,
+            self.rng,
+            settings.zone,
+            settings.zone_regions,
+            table,
+            self.client,
+            self.dialect,
+            logger("calls"),
+            self.measures,
+        )
         items = ItemRunner(self.clock, self.client, self.dialect, logger("items"))
         self.owner = BatchOwner(
             self.clock,
@@ -135,9 +127,9 @@
             me,
             settings.region,
             settings.zone_regions,
-            self.table,
+            table,
             items,
-            lambda: self.catalog,
+            lambda: self.knowledge.catalog,
             logger("batches"),
             self.measures,
         )
@@ -159,10 +151,10 @@
             settings.node,
             self._lease(),
             settings.order_handover_ms,
-            self.table,
+            table,
             self.client,
             self.dialect,
-            lambda: self.catalog,
+            lambda: self.knowledge.catalog,
             self.demands,
             logger("orders"),
             self.measures,
@@ -194,7 +186,7 @@
                 settings.listen_peers,
                 PeerInterface(
                     PeerApp(self.batches, self.batches.me.incarnation),
-                    CopiesApp(self._copy_of),
+                    CopiesApp(self.knowledge.copy_of),
                     self.direct_store,
                 ),
             ),
@@ -202,13 +194,9 @@
             server = make_server(address.host, address.port, application)
             server.start()
             self.servers.append(server)
+        followers = self.knowledge.followers(self.orders, self.demands, self.gateways)
         for task in (
-            self._shared_follower(self.listings.catalog_prefix, self._take_catalog).run,
-            self._shared_follower(self.listings.upstreams_prefix, self._take_upstreams).run,
-            self._duty_follower(self.listings.versions_prefix, self._take_versions).run,
-            self._duty_follower(self.listings.evacuations_prefix, self._take_evacuations).run,
-            self._follower(GATEWAYS_PREFIX, self.gateways.take, PEERS_WATCH_MS).run,
-            self._duty_follower(DEMANDS_PREFIX, self.demands.take).run,
+            *(follower.run for follower in followers),
             self._register,
             self._forget_batches,
             self._clean_batches,
@@ -248,87 +236,9 @@
             if self.orders.holds():
                 self.gateways.prune(self.pool.answers)
 
-    def _follower(
-        self,
-        prefix: str,
-        changed: Callable[[dict[str, StoredObject], int], None],
-        wait_ms: int = LONG_WAIT_MS,
-    ) -> Follower:
-        followed = FollowedPrefix(self.store, prefix)
-        return Follower(followed, self.clock, changed, logger("gateway"), wait_ms=wait_ms)
-
-    def _shared_follower(
-        self, prefix: str, changed: Callable[[dict[str, StoredObject], int], None]
-    ) -> Follower:
-        """Follow what every gateway needs, by way of the gateways that watch it."""
-        follower = self._follower(prefix, changed, WATCH_WAIT_MS)
-        follower.watchers = self.watchers
-        self.shared[prefix] = follower
-        return follower
-
-    def _copy_of(self, prefix: str, since: int, wait_ms: int) -> Copy | None:
-        follower = self.shared.get(prefix)
-        return None if follower is None else follower.copy(since, wait_ms)
-
-    def _duty_follower(
-        self, prefix: str, changed: Callable[[dict[str, StoredObject], int], None]
-    ) -> Follower:
-        """Follow what only the holder of the orders lease needs."""
-        follower = self._follower(prefix, changed)
-        follower.active = self.orders.holds
-        return follower
-
-    def _take_catalog(self, objects: dict[str, StoredObject], revision: int) -> None:
-        catalog = self.listings.catalog(objects)
-        if catalog is None or (self.catalog and catalog.version <= self.catalog.version):
-            return
-        former = self.catalog.version if self.catalog else None
-        self.catalog = catalog
-        logger("gateway").info(
-            "configuration in force",
-            version=catalog.version,
-            former=former,
-            routes=len(catalog.routes),
-            revision=revision,
-        )
-
-    def _take_upstreams(self, objects: dict[str, StoredObject], revision: int) -> None:
-        records = self.listings.upstreams(objects)
-        gone = self.table.replace(records, revision)
-        self.listed = True
-        for record in gone:
-            self.pool.forget(record.address, record.peer)
-        logger("gateway").info(
-            "upstreams listed",
-            revision=revision,
-            upstreams=len(records),
-            leaving=[record.instance for record in records if record.leaving],
-            gone=[record.instance for record in gone],
-        )
-
-    def _take_versions(self, objects: dict[str, StoredObject], revision: int) -> None:
-        for model, version in self.listings.versions(objects).items():
-            if self.orders.take_version(model, version):
-                logger("orders").info(
-                    "version named", model=model, version=version, revision=revision
-                )
-
-    def _take_evacuations(self, objects: dict[str, StoredObject], revision: int) -> None:
-        for key, stored in objects.items():
-            if self.confirmed.get(key) == stored.value:
-                continue
-            confirmed = self.listings.confirm_evacuation(key)
-            if isinstance(confirmed, Failure):
-                logger("gateway").warning(
-                    "evacuation not confirmed", key=key, reason=str(confirmed.failure())
-                )
-                continue
-            self.confirmed[key] = stored.value
-            logger("gateway").info("evacuation confirmed", key=key, revision=revision)
-
     def ready(self) -> bool:
         """Return whether clients should be sent here."""
-        return self.state == "serving" and self.catalog is not None and self.listed
+        return self.state == "serving" and self.knowledge.complete()
 
     def closing(self) -> bool:
         """Return whether clients should not use their connections again."""
@@ -340,13 +250,14 @@
 
     def status(self) -> dict[str, Any]:
         """Return what operators and metrics show."""
+        catalog = self.knowledge.catalog
         return {
             "node": self.settings.node,
             "role": "gateway",
             "ready": self.ready(),
             "state": self.state,
-            "config_version": self.catalog.version if self.catalog else 0,
-            "upstreams_known": len(self.table.upstreams),
+            "config_version": catalog.version if catalog else 0,
+            "upstreams_known": len(self.knowledge.table.upstreams),
             "open_requests": self.open_requests,
             "open_batches": sum(1 for run in self.owner.runs.values() if run.open),
             "running_items": len(self.owner.tasks),
--- a/src/pistachionotch/platform/main.py
+++ b/src/pistachionotch/platform/main.py
@@ -67,7 +67,7 @@
     def ingress(daemon: GatewayDaemon) -> IngressApp:
         return IngressApp(
             daemon.clock,
-            lambda: daemon.catalog,
+            lambda: daemon.knowledge.catalog,
             daemon.forwarder,
             daemon.batches,
             daemon.closing,
--- a/tests/unit/objects/test_follow.py
+++ b/tests/unit/objects/test_follow.py
@@ -44,3 +44,50 @@
     store.set_outage(True)
     assert not followed.refresh()
     assert values(followed) == {"members/a": b"1"}
+
+
+def test_entries_that_lapsed_in_an_outage_stay_for_a_moment():
+    # Their owners live and write them again as soon as they reach the store.
+    clock = ManualClock()
+    store = MemoryStore(clock=clock)
+    kept = store.put("servers/kept", b"{}", None).unwrap()
+    gone = store.put("servers/gone", b"{}", None).unwrap()
+    followed = FollowedPrefix(store, "servers/", clock=clock, lapse_ms=2_000)
+    assert followed.refresh()
+    store.faults.outage = True
+    assert not followed.refresh()
+    store.faults.outage = False
+    store.delete("servers/kept", kept.version)
+    store.delete("servers/gone", gone.version)
+    assert followed.refresh()
+    assert sorted(followed.objects) == ["servers/gone", "servers/kept"]
+    clock.advance(1_000)
+    store.put("servers/kept", b"{}", None)
+    assert followed.refresh()
+    clock.advance(1_000)
+    changes = followed.changes
+    assert followed.refresh()
+    assert sorted(followed.objects) == ["servers/kept"]
+    assert followed.changes > changes
+    store.delete("servers/kept", store.objects["servers/kept"].version)
+    assert followed.refresh()
+    assert followed.objects == {}, "without an outage what is deleted is gone"
+
+
+def test_entries_that_lapsed_stay_through_a_new_listing_too():
+    clock = ManualClock()
+    store = MemoryStore(clock=clock)
+    stored = store.put("servers/a", b"{}", None).unwrap()
+    followed = FollowedPrefix(store, "servers/", clock=clock, lapse_ms=2_000)
+    followed.refresh()
+    store.faults.outage = True
+    followed.refresh()
+    store.faults.outage = False
+    store.delete("servers/a", stored.version)
+    store.history.clear()
+    store.discarded_revision = store.revision
+    assert followed.refresh()
+    assert list(followed.objects) == ["servers/a"]
+    clock.advance(2_000)
+    assert followed.refresh()
+    assert followed.objects == {}
