--- a/src/pistachionotch/gateway/following.py
+++ b/src/pistachionotch/gateway/following.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import secrets
 from collections.abc import Callable
 from typing import Any
 
@@ -11,7 +12,7 @@
 from ..clock import MS_PER_SECOND, Clock
 from ..objects.api import StoredObject
 from ..objects.follow import FollowedPrefix
-from .sharing import Copy, Watchers
+from .sharing import ChangeLog, Copy, Watchers, apply_delta
 
 # A waiting read ends after this long: one on a silent connection delays news by no more than the
 # platform allows until a change takes effect, and what others copy from it is not too old.
@@ -41,8 +42,9 @@
     wait_ms: int = WATCH_WAIT_MS
     # Gateways whose copies are used, if this prefix is shared.
     watchers: Watchers | None = None
-    # Revision of the last change of the copy, and the notice of it.
-    changed_revision: int = -1
+    # Changes for those who copy from here, and the notice of them.
+    shared: dict[str, StoredObject] = attrs.field(factory=dict)
+    log_of_changes: ChangeLog = attrs.field(factory=lambda: ChangeLog(secrets.token_hex(4)))
     news: Event = attrs.field(factory=Event)
 
     def run(self) -> None:
@@ -78,26 +80,37 @@
             return False
         self._note(True)
         self.current_ms = self.clock.now_ms() - copy.age_ms
-        self.followed.replace(copy.objects, copy.revision)
-        if copy.objects is not None:
-            self._changed()
+        if not (copy.whole or copy.objects):
+            self.followed.replace(None, copy.revision)
+            return True
+        base = {} if copy.whole else self.followed.objects
+        self.followed.replace(apply_delta(base, copy.objects), copy.revision)
+        self._changed()
         return True
 
     def _changed(self) -> None:
-        self.changed_revision = self.followed.revision
+        # The watch changes the copy in place, so the state that was shared last is kept apart.
+        self.log_of_changes.add(self.shared, self.followed.objects)
+        self.shared = dict(self.followed.objects)
         self.changed(self.followed.objects, self.followed.revision)
         self.news.set()
         self.news = Event()
 
-    def copy(self, since: int, wait_ms: int) -> Copy | None:
-        """Return what is newer than a revision, after a wait if there is nothing yet."""
-        if self.changed_revision <= since and self.current_ms is not None:
+    def copy(self, token: str, wait_ms: int) -> Copy | None:
+        """Return what has changed since a state, after a wait if there is nothing yet."""
+        if token == self.log_of_changes.token and self.current_ms is not None:
             self.news.wait(wait_ms / MS_PER_SECOND)
         if self.current_ms is None:
             return None
-        objects = self.followed.objects if self.changed_revision > since else None
-        age_ms = self.clock.now_ms() - self.current_ms
-        return Copy(revision=self.followed.revision, age_ms=age_ms, objects=objects)
+        delta = self.log_of_changes.since(token)
+        whole = delta is None
+        return Copy(
+            revision=self.followed.revision,
+            age_ms=self.clock.now_ms() - self.current_ms,
+            token=self.log_of_changes.token,
+            whole=whole,
+            objects=dict(self.shared) if delta is None else delta,
+        )
 
     def _note(self, connected: bool) -> None:
         if connected == self.connected:
--- a/src/pistachionotch/gateway/knowledge.py
+++ b/src/pistachionotch/gateway/knowledge.py
@@ -71,10 +71,10 @@
             *duties,
         ]
 
-    def copy_of(self, prefix: str, since: int, wait_ms: int) -> Copy | None:
+    def copy_of(self, prefix: str, token: str, wait_ms: int) -> Copy | None:
         """Return this gateway's copy of a shared prefix for another one."""
         follower = self.shared.get(prefix)
-        return None if follower is None else follower.copy(since, wait_ms)
+        return None if follower is None else follower.copy(token, wait_ms)
 
     def _follower(self, prefix: str, changed: Changed, wait_ms: int = LONG_WAIT_MS) -> Follower:
         followed = FollowedPrefix(self.store, prefix, clock=self.clock)
--- a/src/pistachionotch/gateway/sharing.py
+++ b/src/pistachionotch/gateway/sharing.py
@@ -9,10 +9,11 @@
 
 import random
 import zlib
+from collections import deque
 from collections.abc import Callable, Mapping
 from http import HTTPStatus
 from typing import Any
-from urllib.parse import parse_qs
+from urllib.parse import parse_qs, urlencode
 
 import attrs
 import cbor2
@@ -32,17 +33,75 @@
 CONNECT_TIMEOUT_MS = 300
 # Oldest knowledge that is passed on: a watch of 1 s, the pause after it and a slow answer.
 MAX_AGE_MS = 2_000
+# Changes that are kept; an asker that knows none of these states gets the whole listing.
+KEPT_CHANGES = 200
 # A watcher that did not answer, or whose copy was too old, is not asked again for this time.
 AVOID_MS = 3_000
 
 
+Objects = dict[str, StoredObject]
+# An object of None was removed.
+Delta = dict[str, StoredObject | None]
+
+
 @attrs.frozen(kw_only=True)
 class Copy:
-    """Hold a listing; ``objects`` is None if it is the one that the asker has."""
+    """Hold a listing, or what has changed in it since the one that the asker has."""
 
     revision: int
     age_ms: int
-    objects: dict[str, StoredObject] | None
+    # Names this state of the copy; the asker sends it with its next question.
+    token: str
+    whole: bool
+    objects: Delta
+
+
+@attrs.define
+class ChangeLog:
+    """Keep the last changes of a copy, for askers that know an earlier state of it."""
+
+    # Tells the states of this process from those of its earlier starts.
+    incarnation: str
+    number: int = 0
+    changes: deque[Delta] = attrs.field(factory=lambda: deque(maxlen=KEPT_CHANGES))
+
+    @property
+    def token(self) -> str:
+        """Return the name of the present state."""
+        return f"{self.incarnation}:{self.number}"
+
+    def add(self, former: Objects, present: Objects) -> None:
+        """Note a change of the copy."""
+        delta: Delta = {key: None for key in former.keys() - present.keys()}
+        for key, stored in present.items():
+            if former.get(key) != stored:
+                delta[key] = stored
+        self.changes.append(delta)
+        self.number += 1
+
+    def since(self, token: str) -> Delta | None:
+        """Return all changes since a state, None if they are not known any more."""
+        incarnation, _, number = token.partition(":")
+        if incarnation != self.incarnation or not number.isdigit():
+            return None
+        missing = self.number - int(number)
+        if not 0 <= missing <= len(self.changes):
+            return None
+        merged: Delta = {}
+        for delta in list(self.changes)[len(self.changes) - missing :]:
+            merged.update(delta)
+        return merged
+
+
+def apply_delta(objects: Objects, delta: Delta) -> Objects:
+    """Return the objects after a change."""
+    changed = dict(objects)
+    for key, stored in delta.items():
+        if stored is None:
+            changed.pop(key, None)
+            continue
+        changed[key] = stored
+    return changed
 
 
 @attrs.define
@@ -56,6 +115,9 @@
     # Addresses of the other gateways by node.
     others: Callable[[], Mapping[str, Address]]
     avoided: dict[str, int] = attrs.field(factory=dict)
+    # The watcher that is asked as long as it answers, and the states known from it by prefix.
+    current: str = ""
+    tokens: dict[str, str] = attrs.field(factory=dict)
 
     def chosen(self) -> dict[str, Address | None]:
         """Return the watchers by node; this gateway itself has no address."""
@@ -72,22 +134,33 @@
         """Return the addresses of the watchers, without this gateway."""
         return [address for address in self.chosen().values() if address is not None]
 
-    def fetch(self, prefix: str, since: int) -> Copy | None:
-        """Return a watcher's copy, None if this gateway has to ask the object API itself."""
+    def fetch(self, prefix: str, revision: int) -> Copy | None:
+        """Return a watcher's copy, None if this gateway has to ask the object API itself.
+
+        A copy from before ``revision`` is not used.
+        """
         chosen = self.chosen()
         if self.node in chosen:
+            self.tokens.clear()
             return None
-        node, address = self.rng.choice(sorted(chosen.items()))
+        if self.current not in chosen:
+            self.current = self.rng.choice(sorted(chosen))
+            self.tokens.clear()
+        node = self.current
+        address = chosen[node]
         assert address is not None
-        copy = self._ask(address, prefix, since)
-        if copy is None or copy.age_ms > MAX_AGE_MS or copy.revision < since:
+        copy = self._ask(address, prefix, self.tokens.get(prefix, ""))
+        if copy is None or copy.age_ms > MAX_AGE_MS or copy.revision < revision:
             self.avoided[node] = self.clock.now_ms() + AVOID_MS
+            self.tokens.clear()
             return None
+        self.tokens[prefix] = copy.token
         return copy
 
-    def _ask(self, address: Address, prefix: str, since: int) -> Copy | None:
+    def _ask(self, address: Address, prefix: str, token: str) -> Copy | None:
         connection: Connection | None = None
-        target = f"{COPIES_PREFIX}{prefix}?since={since}&wait_ms={WAIT_MS}"
+        query = urlencode({"since": token, "wait_ms": WAIT_MS})
+        target = f"{COPIES_PREFIX}{prefix}?{query}"
         try:
             connection = self.pool.take(address, COPIES_PREFIX, CONNECT_TIMEOUT_MS)
             connection.send("GET", target, [("Host", str(address))], b"", ANSWER_MS)
@@ -103,28 +176,39 @@
                 connection.close()
         if head.status != HTTPStatus.OK:
             return None
-        revision, age_ms, objects = cbor2.loads(body)
-        if objects is None:
-            return Copy(revision=revision, age_ms=age_ms, objects=None)
-        found = {key: StoredObject(key, version, value) for key, version, value in objects}
-        return Copy(revision=revision, age_ms=age_ms, objects=found)
+        return load_copy(body)
 
 
 @attrs.frozen
 class CopiesApp:
     """Serve this gateway's copies."""
 
-    # The copy of a prefix that is newer than a revision, after a wait if there is none yet.
-    copy_of: Callable[[str, int, int], Copy | None]
+    # What has changed under a prefix since a state, after a wait if there is nothing yet.
+    copy_of: Callable[[str, str, int], Copy | None]
 
     def answer(self, environ: dict[str, Any]) -> tuple[HTTPStatus, bytes]:
         """Answer one request."""
         prefix = environ["PATH_INFO"].removeprefix(COPIES_PREFIX)
-        query = parse_qs(environ["QUERY_STRING"])
-        copy = self.copy_of(prefix, int(query["since"][0]), int(query["wait_ms"][0]))
+        query = parse_qs(environ["QUERY_STRING"], keep_blank_values=True)
+        copy = self.copy_of(prefix, query["since"][0], int(query["wait_ms"][0]))
         if copy is None:
             return HTTPStatus.NOT_FOUND, b""
-        objects = None
-        if copy.objects is not None:
-            objects = [[each.key, each.version, each.value] for each in copy.objects.values()]
-        return HTTPStatus.OK, cbor2.dumps([copy.revision, copy.age_ms, objects])
+        return HTTPStatus.OK, dump_copy(copy)
+
+
+def dump_copy(copy: Copy) -> bytes:
+    """Encode a copy."""
+    objects = {
+        key: None if stored is None else [stored.version, stored.value]
+        for key, stored in copy.objects.items()
+    }
+    return cbor2.dumps([copy.revision, copy.age_ms, copy.token, copy.whole, objects])
+
+
+def load_copy(body: bytes) -> Copy:
+    """Decode a copy."""
+    revision, age_ms, token, whole, fields = cbor2.loads(body)
+    objects: Delta = {}
+    for key, each in fields.items():
+        objects[key] = None if each is None else StoredObject(key, each[0], each[1])
+    return Copy(revision=revision, age_ms=age_ms, token=token, whole=whole, objects=objects)
--- a/tests/unit/gateway/test_sharing.py
+++ b/tests/unit/gateway/test_sharing.py
@@ -8,7 +8,19 @@
 from pistachionotch.clock import ManualClock
 from pistachionotch.config.spec import Address
 from pistachionotch.gateway.following import Follower
-from pistachionotch.gateway.sharing import AVOID_MS, MAX_AGE_MS, WATCHERS, CopiesApp, Copy, Watchers
+from pistachionotch.gateway.sharing import (
+    AVOID_MS,
+    MAX_AGE_MS,
+    WATCHERS,
+    ChangeLog,
+    CopiesApp,
+    Copy,
+    Watchers,
+    apply_delta,
+    dump_copy,
+    load_copy,
+)
+from pistachionotch.objects.api import StoredObject
 from pistachionotch.objects.follow import FollowedPrefix
 from pistachionotch.objects.memory import MemoryStore
 
@@ -23,6 +35,7 @@
         self.store = MemoryStore(clock=self.clock)
         self.followers = {}
         self.lost = set()
+        self.sent = []
         self.seen = {node: [] for node in NODES}
         for number, node in enumerate(NODES):
             self.followers[node] = self.make(number, node)
@@ -31,11 +44,13 @@
         fleet = self
 
         class CalledWatchers(Watchers):
-            def _ask(self, address, prefix, since):
+            def _ask(self, address, prefix, token):
                 asked = NODES[address.port]
-                if asked in fleet.lost:
+                copy = None if asked in fleet.lost else fleet.followers[asked].copy(token, 0)
+                if copy is None:
                     return None
-                return fleet.followers[asked].copy(since, 0)
+                fleet.sent.append(len(copy.objects))
+                return load_copy(dump_copy(copy))
 
         def others():
             return {each: Address("10.0.0.1", at) for at, each in enumerate(NODES) if each != node}
@@ -102,16 +117,17 @@
 def test_a_copy_from_before_the_own_one_is_not_used(fleet):
     fleet.rounds(2)
     watchers = fleet.followers[next(n for n in NODES if n not in fleet.watching())].watchers
-    watchers._ask = lambda *_arguments: Copy(revision=3, age_ms=0, objects={})
+    copy = Copy(revision=3, age_ms=0, token="x:1", whole=True, objects={})
+    watchers._ask = lambda *_arguments: copy
     assert watchers.fetch("servers/", 4) is None
     fleet.clock.advance(AVOID_MS + 1)
     assert watchers.fetch("servers/", 3).revision == 3
 
 
 def test_what_is_not_known_is_not_served(fleet):
-    assert fleet.followers[NODES[0]].copy(-1, 0) is None
+    assert fleet.followers[NODES[0]].copy("", 0) is None
     app = CopiesApp(lambda _prefix, _since, _wait_ms: None)
-    environ = {"PATH_INFO": "/copies/other/", "QUERY_STRING": "since=1&wait_ms=0"}
+    environ = {"PATH_INFO": "/copies/other/", "QUERY_STRING": "since=&wait_ms=0"}
     assert app.answer(environ)[0] == 404
 
 
@@ -119,3 +135,46 @@
     watchers = Watchers("a", None, ManualClock(), random.Random(1), dict)
     assert watchers.fetch("servers/", -1) is None
     assert watchers.addresses() == []
+
+
+def test_only_what_has_changed_travels(fleet):
+    for number in range(50):
+        fleet.store.put(f"servers/{number:02}", b"{}", None)
+    fleet.rounds(2)
+    del fleet.sent[:]
+    stored = fleet.store.objects["servers/07"]
+    fleet.store.put("servers/07", b"[]", stored.version)
+    fleet.store.delete("servers/08", fleet.store.objects["servers/08"].version)
+    fleet.rounds(2)
+    assert max(fleet.sent) == 2
+    for node in NODES:
+        assert fleet.followers[node].followed.objects == fleet.store.objects
+
+
+def test_changes_merge_and_unknown_states_need_the_whole():
+    log = ChangeLog("x")
+    start = log.token
+    first, second = (StoredObject("k", version, b"") for version in (1, 2))
+    log.add({}, {"k": first})
+    log.add({"k": first}, {"k": second})
+    log.add({"k": second}, {})
+    assert log.since(start) == {"k": None}
+    assert apply_delta({"k": first, "other": first}, log.since(start)) == {"other": first}
+    assert log.since(log.token) == {}
+    for unknown in ("", "y:0", "x:9", "x:-1", "x:"):
+        assert log.since(unknown) is None
+    for _ in range(300):
+        log.add({}, {})
+    assert log.since(start) is None
+
+
+def test_an_entry_that_was_held_back_leaves_all_copies(fleet):
+    # It goes without a change of the store's revision.
+    fleet.store.put("servers/a", b"{}", None)
+    fleet.rounds(2)
+    for node in fleet.watching():
+        follower = fleet.followers[node]
+        follower.followed.objects.pop("servers/a")
+        follower._changed()
+    fleet.rounds(1)
+    assert all(seen[-1][1] == [] for seen in fleet.seen.values())
