--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -15,10 +15,12 @@
 mypy
 scripts/model_check.sh
 # Parallel test workers use threads that do not survive gevent's patching of the standard library.
-patched="tests/unit/agent tests/unit/wire tests/unit/batches tests/unit/gateway tests/unit/platform"
+patched="tests/unit/agent tests/unit/wire"
+gateways="tests/unit/batches tests/unit/gateway tests/unit/platform"
 python -m gevent.monkey --module pytest $patched
+python -m gevent.monkey --module pytest $gateways
 python -m behave --no-capture --format progress3 tests/features
 scripts/build.sh
 python dist/pistachionotch demo
 python scripts/process_slopes.py idle
-python -m pytest --numprocesses 6 $(printf -- " --ignore %s" $patched)
+python -m pytest --numprocesses 6 $(printf -- " --ignore %s" $patched $gateways)
--- a/tests/unit/gateway/test_orders.py
+++ b/tests/unit/gateway/test_order_duty.py
@@ -3,7 +3,7 @@
 import gevent
 import pytest
 import structlog
-from test_calls import CLOCK, Servers
+from test_call_forwarding import CLOCK, Servers
 
 from pistachionotch.gateway.catalog import Catalog, ClientLimits, Service
 from pistachionotch.gateway.orders import OrderDuty
