Let a server of the soak leave once at a time

By the gateways' logs the server had been listed as ready again by then: another fault had let it leave before, and its return ended both departures. The check is as strict as before.

--- a/tests/support/soak.py
+++ b/tests/support/soak.py
@@ -40,6 +40,7 @@
     rng: random.Random = attrs.field(init=False)
     proxies: dict = attrs.field(factory=dict)
     departures: list = attrs.field(factory=list)
+    leaving: set = attrs.field(factory=set)
     named: int = 1
     platform: Platform = attrs.field(init=False)
 
@@ -169,11 +170,16 @@
 
     def _leave(self):
         name = self.rng.choice(self.platform.servers)
+        if name in self.leaving:
+            # The return that ends one departure would end another one too early.
+            return
+        self.leaving.add(name)
         self.platform.register(name, state="draining")
         left = time.monotonic()
         gevent.sleep(self.rng.uniform(3.0, 5.0))
         self.departures.append((name, left, time.monotonic()))
         self.platform.register(name)
+        self.leaving.discard(name)
 
     def _name_version(self):
         self.named += 1
