--- a/src/pistachionotch/batches/peers.py
+++ b/src/pistachionotch/batches/peers.py
@@ -20,7 +20,10 @@
 # Questions for owners go to any start of a process.
 OWNERS = "any"
 CONNECT_TIMEOUT_MS = 400
-# An owner answers from memory, or with one write of its object API call.
+# An owner answers a read from memory. Together with the wait that a client asks for, this leaves
+# the client's patience of 1.5 s beyond its wait room for a take-over.
+READ_TIMEOUT_MS = 700
+# An end is one write to the object API.
 RESPONSE_TIMEOUT_MS = 1_200
 MEDIA_TYPE = "application/cbor"
 
@@ -64,7 +67,7 @@
     ) -> ResultPage | PeerProblem:
         """Return the results that the owner has listed."""
         target = f"{_path(batch)}?position={position}&wait_ms={wait_ms}"
-        reply = self._ask(owner, "GET", target, wait_ms)
+        reply = self._ask(owner, "GET", target, READ_TIMEOUT_MS + wait_ms)
         if not isinstance(reply, bytes):
             return reply
         fields = cbor2.loads(reply)
@@ -76,7 +79,7 @@
 
     def item_body(self, owner: Owner, batch: str, item: str) -> bytes | PeerProblem:
         """Return the body of an item."""
-        return self._ask(owner, "GET", f"{_path(batch)}/{quote(item, safe='')}")
+        return self._ask(owner, "GET", f"{_path(batch)}/{quote(item, safe='')}", READ_TIMEOUT_MS)
 
     def end(self, owner: Owner, batch: str) -> None | PeerProblem:
         """End a batch; None means ended for good."""
@@ -86,7 +89,8 @@
     def owner_of(self, address: Address, batch: str) -> Owner | None:
         """Return the owner of a batch as another process knows it."""
         asked = Owner(node="", incarnation=OWNERS, address=address)
-        reply = self._ask(asked, "GET", f"{OWNERS_PREFIX}{quote(batch, safe='')}")
+        target = f"{OWNERS_PREFIX}{quote(batch, safe='')}"
+        reply = self._ask(asked, "GET", target, READ_TIMEOUT_MS)
         return read_owner(cbor2.loads(reply)) if isinstance(reply, bytes) else None
 
     def announce(self, address: Address, batch: str, owner: Owner) -> None:
@@ -95,13 +99,15 @@
         asked = Owner(node="", incarnation=OWNERS, address=address)
         self._ask(asked, "PUT", f"{OWNERS_PREFIX}{quote(batch, safe='')}?{query}")
 
-    def _ask(self, owner: Owner, method: str, target: str, wait_ms: int = 0) -> bytes | PeerProblem:
+    def _ask(
+        self, owner: Owner, method: str, target: str, timeout_ms: int = RESPONSE_TIMEOUT_MS
+    ) -> bytes | PeerProblem:
         connection: Connection | None = None
         try:
             connection = self.pool.take(owner.address, owner.incarnation, CONNECT_TIMEOUT_MS)
             headers = [("Host", str(owner.address)), ("X-Incarnation", owner.incarnation)]
             connection.send(method, target, headers, b"", RESPONSE_TIMEOUT_MS)
-            head = connection.read_head(RESPONSE_TIMEOUT_MS + wait_ms)
+            head = connection.read_head(timeout_ms)
             body = connection.read_body(RESPONSE_TIMEOUT_MS)
             self.pool.give_back(connection, owner.incarnation, head)
             connection = None
--- a/src/pistachionotch/batches/service.py
+++ b/src/pistachionotch/batches/service.py
@@ -28,6 +28,8 @@
 # An owner that does not answer for this long has its batch taken over; a restart of a process and a
 # lost connection are both known sooner.
 TAKE_OVER_AFTER_MS = 1_500
+# Pause before a silent owner is asked again.
+ASK_AGAIN_MS = 200
 # Retry-After while it is not known who owns a batch.
 UNSURE_RETRY_MS = 300
 # Retry-After of a submission that the object API did not take.
@@ -247,11 +249,21 @@
         if place.owner.node == self.me.node:
             # This process took it over or lost it, or an earlier start of this node owned it.
             return self._take_over(batch, place.owner)
+        started_ms = self.clock.now_ms()
         answer = ask(place.owner)
+        while isinstance(answer, PeerUnreachable):
+            if place.unreachable_since_ms is None:
+                place.unreachable_since_ms = started_ms
+            if self._replaced(batch, place.owner):
+                return _Moved()
+            silent_ms = self.clock.now_ms() - place.unreachable_since_ms
+            if answer.refused or silent_ms >= TAKE_OVER_AFTER_MS:
+                return self._take_over(batch, place.owner)
+            # The client may ask any gateway next time, so this one does not leave it at a doubt.
+            self.clock.sleep_ms(ASK_AGAIN_MS)
+            answer = ask(place.owner)
         if isinstance(answer, NotHere):
             return self._take_over(batch, place.owner)
-        if isinstance(answer, PeerUnreachable):
-            return self._after_silence(batch, place, answer)
         place.unreachable_since_ms = None
         if isinstance(answer, PeerAbsent):
             return BatchTrouble(Trouble.ABSENT, "no such item")
@@ -263,10 +275,9 @@
         place = self.elsewhere.get(batch)
         if place is not None:
             return place
-        for guide in self.guides():
-            owner = self.peers.owner_of(guide, batch)
-            if owner is not None:
-                return self.elsewhere.setdefault(batch, _Elsewhere(owner, self.clock.now_ms()))
+        owner = self._ask_guides(batch)
+        if owner is not None:
+            return self.elsewhere.setdefault(batch, _Elsewhere(owner, self.clock.now_ms()))
         loaded = load_head(self.store, batch)
         if isinstance(loaded, Failure):
             return BatchTrouble(Trouble.UNSURE, str(loaded.failure()), UNSURE_RETRY_MS)
@@ -275,14 +286,20 @@
             return BatchTrouble(Trouble.ABSENT, "no such batch")
         return self.elsewhere.setdefault(batch, _Elsewhere(head.owner, self.clock.now_ms()))
 
-    def _after_silence(self, batch: str, place: _Elsewhere, answer: PeerUnreachable) -> Any:
-        now_ms = self.clock.now_ms()
-        since_ms = place.unreachable_since_ms
-        if since_ms is None:
-            since_ms = place.unreachable_since_ms = now_ms
-        if answer.refused or now_ms - since_ms >= TAKE_OVER_AFTER_MS:
-            return self._take_over(batch, place.owner)
-        return BatchTrouble(Trouble.UNSURE, answer.reason, UNSURE_RETRY_MS)
+    def _ask_guides(self, batch: str) -> Owner | None:
+        for guide in self.guides():
+            owner = self.peers.owner_of(guide, batch)
+            if owner is not None:
+                return owner
+        return None
+
+    def _replaced(self, batch: str, silent: Owner) -> bool:
+        """Return whether another gateway has taken over from a silent owner, and remember it."""
+        owner = self._ask_guides(batch)
+        if owner is None or owner in (silent, self.me):
+            return False
+        self.elsewhere[batch] = _Elsewhere(owner, self.clock.now_ms())
+        return True
 
     def _take_over(self, batch: str, lost: Owner) -> Any:
         """Become the owner unless another process already did."""
