--- a/src/pistachionotch/batches/dispatch.py
+++ b/src/pistachionotch/batches/dispatch.py
@@ -21,6 +21,11 @@
 MOVE_FACTOR = 2.2
 # An item stays this long where it started before it may move, which bounds the moves of one item.
 MIN_STAY_MS = 600
+# Items that a suspect engine runs at once, to see whether it has recovered.
+TRIAL_ITEMS = 1
+# Engines are tried gently only while at most this share of them is suspect; otherwise too few would
+# be left for the work.
+MAX_SUSPECT_SHARE = 0.5
 # Cost of crossing to another region, in events of a usual stream.
 REGION_EVENTS = 1.0
 
@@ -55,6 +60,8 @@
     # Time between two events; None before any was measured.
     event_ms: float | None = None
     other_region: bool = False
+    # Whether it fails part of its requests although it answers others.
+    suspect: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -109,6 +116,7 @@
 ) -> list[Start]:
     """Return what starts now; ``homes`` names the engine that last read a group's prompt."""
     starts = []
+    _limit_trials(engines)
     paces = sorted(engine.event_ms for engine in engines if engine.event_ms is not None)
     usual_ms = paces[len(paces) // 2] if paces else 1.0
     for item in sorted(waiting, key=_order):
@@ -132,19 +140,28 @@
     )
 
 
+def _limit_trials(engines: Sequence[EngineView]) -> None:
+    """Leave suspect engines room for a trial only, unless most engines are suspect."""
+    suspects = [engine for engine in engines if engine.suspect]
+    if len(suspects) > MAX_SUSPECT_SHARE * len(engines):
+        return
+    for engine in suspects:
+        running = engine.slots - engine.free
+        engine.free = min(engine.free, TRIAL_ITEMS - running)
+
+
 def _choose(
     item: WaitingItem, engines: Sequence[EngineView], home: str | None, usual_ms: float
 ) -> tuple[EngineView | None, str]:
     best = None
     best_cost = math.inf
-    for engine in engines:
-        if engine.free <= 0 or engine.instance in item.avoid:
-            continue
-        version = engine.versions.get(item.model, -1)
-        if version < item.min_version:
+    able = [engine for engine in engines if engine.versions.get(item.model, -1) >= item.min_version]
+    fresh = [engine for engine in able if engine.instance not in item.avoid]
+    for engine in fresh or able:
+        if engine.free <= 0:
             continue
         pace = 1.0 if engine.event_ms is None else engine.event_ms / usual_ms
-        if engine.instance == home and pace < SLOW_FACTOR:
+        if engine.instance == home and pace < SLOW_FACTOR and not engine.suspect:
             return engine, "prompt read there"
         cost = pace * (1.0 + (engine.slots - engine.free) / engine.slots)
         cost += 0.1 * REGION_EVENTS if engine.other_region else 0.0
--- a/src/pistachionotch/batches/items.py
+++ b/src/pistachionotch/batches/items.py
@@ -105,7 +105,8 @@
         started_ms = self.clock.now_ms()
         self._read_events(submission, state, exchange, version)
         self.client.finish(exchange)
-        upstream.note_response(self.clock.now_ms() - started_ms)
+        now_ms = self.clock.now_ms()
+        upstream.note_response(now_ms - started_ms, now_ms)
         return AttemptEnd.DONE
 
     def _refused(self, state: ItemProgress, exchange: Exchange) -> AttemptEnd:
@@ -116,6 +117,7 @@
         if status == NEVER_DONE:
             return AttemptEnd.IMPOSSIBLE
         if status == SERVER_ERROR:
+            exchange.upstream.note_attempt(False, self.clock.now_ms())
             state.failures += 1
             return AttemptEnd.FAILED
         raise ExchangeError(f"status {status}", sent=True)
--- a/src/pistachionotch/batches/owner.py
+++ b/src/pistachionotch/batches/owner.py
@@ -33,6 +33,9 @@
 TICK_MS = 50
 # Pause after the object API refused or lost an entry.
 LIST_RETRY_MS = 250
+# An item that failed at fewer engines than its route's limit of attempts is tried this many times
+# as often. The platform's rules allow three times the limit.
+SAME_ENGINE_FACTOR = 2
 
 
 @attrs.define
@@ -116,6 +119,7 @@
                     versions={model: upstream.version(model) for model in models},
                     event_ms=upstream.pace_ms(now_ms),
                     other_region=self.regions.get(record.zone) != self.region,
+                    suspect=upstream.suspect(now_ms),
                 )
             )
         return engines
@@ -186,9 +190,13 @@
         if route is not None and route.one_version:
             # The rest might come from other weights than the part that exists.
             state.restart()
-        if end is AttemptEnd.FAILED and route and state.failures >= route.max_attempts:
-            self._finish(run, state, False, f"failed {state.failures} times")
-            return
+        if end in (AttemptEnd.FAILED, AttemptEnd.BROKEN):
+            state.avoid.add(upstream.record.instance)
+        if end is AttemptEnd.FAILED:
+            state.failed_at.add(upstream.record.instance)
+            if route and _hopeless(state, route.max_attempts):
+                self._finish(run, state, False, f"failed {state.failures} times")
+                return
         self.measures.count("items_again", end.value)
         self.log.info(
             "item waits again",
@@ -290,6 +298,13 @@
         self.stop_items(run)
 
 
+def _hopeless(state: ItemProgress, max_attempts: int) -> bool:
+    """Return whether the item itself, rather than a faulty engine, seems to be the reason."""
+    if len(state.failed_at) >= max_attempts:
+        return True
+    return state.failures >= max_attempts * SAME_ENGINE_FACTOR
+
+
 def batch_route(catalog: Catalog, run: BatchRun) -> Route | None:
     """Return the route of a batch in this version of the configuration."""
     submission = run.head.submission
--- a/src/pistachionotch/gateway/calls.py
+++ b/src/pistachionotch/gateway/calls.py
@@ -220,7 +220,12 @@
         finally:
             if not done:
                 exchange.connection.close()
-        upstream.note_response(self.clock.now_ms() - started_ms)
+        now_ms = self.clock.now_ms()
+        if response.head.status >= SERVER_ERRORS:
+            # A failure says nothing about the time that work takes, however quick it is.
+            upstream.note_attempt(False, now_ms)
+        else:
+            upstream.note_response(now_ms - started_ms, now_ms)
         reply = Reply(response.head.status, headers, body)
         progress.may_have_run = True
         if reply.status >= SERVER_ERRORS and repeatable:
--- a/src/pistachionotch/gateway/placing.py
+++ b/src/pistachionotch/gateway/placing.py
@@ -1,7 +1,8 @@
 """Choice of the upstream for one call, and what to do after an attempt; opens no sockets.
 
 Load pattern: three plain upstreams of different speed in different zones, a wave of short calls,
-one upstream that turns several times slower. Expected time, not number of calls, decides.
+one upstream that turns several times slower or fails part of its calls at once. Expected time,
+failed attempts included, decides, not the number of calls.
 """
 
 from __future__ import annotations
@@ -18,6 +19,8 @@
 # Round trips of a call to an upstream in another zone of this region, and in another region.
 OTHER_ZONE_MS = 2.0
 OTHER_REGION_MS = 24.0
+# Time that a failed attempt costs its call: a silent upstream is given up after about this time.
+FAILED_ATTEMPT_MS = 600.0
 # An upstream with this many times its slots in calls of this process is full.
 FULL_FACTOR = 2
 # Retry-After of a call that found no room: about the time in which a slot becomes free.
@@ -77,6 +80,7 @@
     best_ms = 0.0
     for upstream in sound or open_ones:
         expected_ms = _expected_ms(upstream) + distance_ms(zone, upstream.record.zone, regions)
+        expected_ms += upstream.failure_share(now_ms) * FAILED_ATTEMPT_MS
         # A small random part spreads equal candidates.
         expected_ms += rng.random()
         if best is None or expected_ms < best_ms:
--- a/src/pistachionotch/gateway/upstreams.py
+++ b/src/pistachionotch/gateway/upstreams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 
 import attrs
@@ -16,6 +17,14 @@
 # each further failure up to the maximum.
 FAILURE_PAUSE_MS = 400
 MAX_FAILURE_PAUSE_MS = 4_000
+# Weight of one attempt in the share of failed ones: two failures in a row make an upstream suspect,
+# a single one does not.
+ATTEMPT_WEIGHT = 0.2
+# An upstream that fails more than this share of its requests gets only a few. Sound ones lose some
+# in a hundred answers.
+SUSPECT_SHARE = 0.3
+# Failures fade with this time constant, so that a suspect is tried again after a second or two.
+FORGIVE_MS = 4_000
 # What is known of an engine's speed is out of date after this time; engines turn slow for seconds.
 PACE_AGE_MS = 2_000
 # Time constant of an engine's pace. Neighbours slow an engine for about 600 ms now and then, which
@@ -57,6 +66,9 @@
     full_until_ms: int = 0
     failed_until_ms: int = 0
     failures: int = 0
+    # Moving share of failed attempts, and when it was brought up to date.
+    failed_share: float = 0.0
+    attempt_ms: int = 0
     # Highest versions that its responses named; registrations lag behind.
     seen_versions: dict[str, int] = attrs.field(factory=dict)
 
@@ -68,11 +80,26 @@
         """Return how many more requests of this process run at once."""
         return self.record.slots - self.in_flight
 
-    def note_response(self, duration_ms: int) -> None:
+    def note_response(self, duration_ms: int, now_ms: int) -> None:
         """Count a complete response."""
         self.response_ms = _average(self.response_ms, duration_ms)
         self.failures = 0
         self.failed_until_ms = 0
+        self.note_attempt(True, now_ms)
+
+    def note_attempt(self, succeeded: bool, now_ms: int) -> None:
+        """Count an attempt in the share of failed ones."""
+        share = self.failure_share(now_ms)
+        self.failed_share = _weighted(share, 0.0 if succeeded else 1.0, ATTEMPT_WEIGHT)
+        self.attempt_ms = now_ms
+
+    def failure_share(self, now_ms: int) -> float:
+        """Return the share of attempts that failed lately."""
+        return self.failed_share * math.exp((self.attempt_ms - now_ms) / FORGIVE_MS)
+
+    def suspect(self, now_ms: int) -> bool:
+        """Return whether this upstream fails part of its requests although it answers others."""
+        return self.failure_share(now_ms) > SUSPECT_SHARE
 
     def note_event(self, gap_ms: float, now_ms: int) -> None:
         """Count the time between two events of a stream."""
@@ -93,7 +120,10 @@
         self.full_until_ms = now_ms + FULL_PAUSE_MS
 
     def note_failure(self, now_ms: int) -> None:
-        """Count a broken or missing response."""
+        """Count a broken or missing response; those of one moment pause the upstream once."""
+        self.note_attempt(False, now_ms)
+        if now_ms < self.failed_until_ms:
+            return
         pause_ms = min(MAX_FAILURE_PAUSE_MS, FAILURE_PAUSE_MS << min(self.failures, 6))
         self.failures += 1
         self.failed_until_ms = now_ms + pause_ms
@@ -104,7 +134,11 @@
 
 
 def _average(average: float | None, sample: float) -> float:
-    return sample if average is None else average + AVERAGE_SHARE * (sample - average)
+    return sample if average is None else _weighted(average, sample, AVERAGE_SHARE)
+
+
+def _weighted(average: float, sample: float, weight: float) -> float:
+    return average + weight * (sample - average)
 
 
 @attrs.define
--- a/tests/unit/gateway/test_call_forwarding.py
+++ b/tests/unit/gateway/test_call_forwarding.py
@@ -157,6 +157,14 @@
         assert servers.call(request=f"q{number}").status == 200
 
 
+def test_a_server_that_answers_with_quick_failures_does_not_draw_the_calls(servers):
+    servers.standins[0].faults.fail = 99
+    servers.standins[1].faults.slow_ms = 20
+    for number in range(30):
+        assert servers.call(request=f"q{number}").status == 200
+    assert len(servers.standins[0].runs) <= 6
+
+
 def test_a_failure_of_all_servers_passes_unchanged(servers):
     servers.set(fail=9)
     answer = servers.call()
