--- a/src/pistachionotch/batches/service.py
+++ b/src/pistachionotch/batches/service.py
@@ -32,8 +32,10 @@
 ASK_AGAIN_MS = 200
 # Retry-After while it is not known who owns a batch.
 UNSURE_RETRY_MS = 300
-# Retry-After of a submission that the object API did not take.
-REFUSED_RETRY_MS = 500
+# Retry-After of a submission that the object API did not take, directly or through peers. Outages
+# last some seconds and trainers come back once or twice only; after this time a step still has half
+# of its 7.5 s.
+OUTAGE_RETRY_MS = 3_000
 
 
 class Trouble(enum.Enum):
@@ -150,7 +152,7 @@
         self.log.warning(
             "batch not accepted", batch=submission.id, cause=trouble.value, reason=str(error)
         )
-        return BatchTrouble(trouble, str(error), REFUSED_RETRY_MS)
+        return BatchTrouble(trouble, str(error), OUTAGE_RETRY_MS)
 
     def _new_run(self, head: BatchHead, route: Route | None) -> BatchRun:
         # The clocks of two nodes may differ; an age is never negative.
--- a/tests/unit/batches/test_batch_service.py
+++ b/tests/unit/batches/test_batch_service.py
@@ -178,6 +178,20 @@
     assert service.owner.runs["b1"].open
 
 
+@pytest.mark.parametrize("arrival_ms", [1_600, 2_500, 4_400])
+def test_a_step_that_meets_an_outage_is_told_to_return_when_it_still_can_be_done(world, arrival_ms):
+    # A trainer comes back once; outages last four to five seconds.
+    service = world.start("a")
+    outage_ms = 4_500
+    world.store.faults.outage = True
+    world.clock.advance(arrival_ms)
+    refused = service.submit(submission(), ROUTE)
+    world.clock.advance(refused.retry_after_ms)
+    world.store.faults.outage = world.clock.now_ms() < outage_ms
+    assert service.submit(submission(), ROUTE) is None
+    assert world.clock.now_ms() - arrival_ms <= ROUTE.due_ms / 2
+
+
 def test_a_batch_without_a_listed_object_is_not_called_absent_in_an_outage(world):
     service = world.start("b")
     world.store.faults.outage = True
