--- a/src/pistachionotch/batches/items.py
+++ b/src/pistachionotch/batches/items.py
@@ -15,8 +15,10 @@
 from .model import Submission
 from .run import ItemProgress
 
-# Longest wait for the start of a response; the engine may have a queue of other senders.
-HEAD_TIMEOUT_MS = 3_000
+# Longest wait for the start of a response, by the number of earlier attempts of the item that had
+# none. A first event takes a tenth of a second, so that a second of silence rather means an engine
+# that drops requests; the later limits leave room for engines that all have queues.
+HEAD_TIMEOUTS_MS = (1_000, 2_000, 3_000)
 # Longest wait for an event before the engine counts as silent, and the same in usual gaps.
 EVENT_TIMEOUT_MS = 1_500
 EVENT_TIMEOUT_GAPS = 20
@@ -53,7 +55,10 @@
         exchange = None
         try:
             request = self._request(submission, state, upstream)
-            exchange = self.client.start(upstream, request, HEAD_TIMEOUT_MS, repeatable=True)
+            timeout_ms = HEAD_TIMEOUTS_MS[min(state.unanswered, len(HEAD_TIMEOUTS_MS) - 1)]
+            state.unanswered += 1
+            exchange = self.client.start(upstream, request, timeout_ms, repeatable=True)
+            state.unanswered = 0
             end = self._receive(submission, state, exchange)
         except (ExchangeError, ValueError) as error:
             upstream.note_failure(self.clock.now_ms())
@@ -92,7 +97,7 @@
         response = exchange.response
         upstream = exchange.upstream
         if response.not_run or response.head.status != OK:
-            exchange.connection.read_body(HEAD_TIMEOUT_MS)
+            exchange.connection.read_body(HEAD_TIMEOUTS_MS[0])
             self.client.finish(exchange)
             return self._refused(state, exchange)
         if not response.versions:
--- a/src/pistachionotch/batches/run.py
+++ b/src/pistachionotch/batches/run.py
@@ -33,6 +33,8 @@
     versions: list[int] = attrs.field(factory=list)
     # Responses that said the generation failed; these count towards the route's limit.
     failures: int = 0
+    # Attempts since the last one whose response began.
+    unanswered: int = 0
     # Engines whose response said so.
     failed_at: set[str] = attrs.field(factory=set)
     # Engines where an attempt failed or broke.
--- /dev/null
+++ b/tests/unit/batches/test_item_attempts.py
@@ -0,0 +1,60 @@
+"""Guards against items that wait most of their step's time for an engine that drops requests.
+
+The load pattern: an engine that answers some requests and keeps silent about others, during a step
+that is due 7.5 s after its submission.
+"""
+
+import structlog
+from test_batch_log import item
+from test_batch_run import make_run
+
+from pistachionotch.batches.items import HEAD_TIMEOUTS_MS, AttemptEnd, ItemRunner
+from pistachionotch.batches.run import ItemProgress
+from pistachionotch.clock import ManualClock
+from pistachionotch.config.spec import Address
+from pistachionotch.gateway.upstreams import Upstream, UpstreamRecord
+from pistachionotch.http_client import ExchangeError
+from pistachionotch.objects.memory import MemoryStore
+
+STEP_DUE_MS = 7_500
+
+
+ENGINE = UpstreamRecord(
+    instance="i",
+    service="s",
+    address=Address("10.0.0.1", 80),
+    zone="z",
+    slots=8,
+    leaving=False,
+    started_ms=1,
+    versions={"m": 3},
+)
+
+
+class SilentClient:
+    """Let every attempt end without a response."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.timeouts = []
+
+    def start(self, upstream, request, timeout_ms, repeatable):
+        self.timeouts.append(timeout_ms)
+        self.clock.advance(timeout_ms)
+        raise ExchangeError("no response", sent=True)
+
+
+def test_an_item_leaves_a_silent_engine_early_enough_to_be_done_elsewhere():
+    clock = ManualClock()
+    client = SilentClient(clock)
+    runner = ItemRunner(clock, client, None, structlog.get_logger())
+    submission = make_run(MemoryStore()).head.submission
+    state = ItemProgress(item("i0"))
+    upstream = Upstream(ENGINE)
+    assert runner.run(submission, state, upstream) is AttemptEnd.BROKEN
+    assert clock.now_ms() <= STEP_DUE_MS / 4
+    assert upstream.failed_until_ms > clock.now_ms()
+    for _ in range(3):
+        runner.run(submission, state, upstream)
+    # When all engines are silent, they rather have queues; each attempt then waits longer.
+    assert client.timeouts == [*HEAD_TIMEOUTS_MS, HEAD_TIMEOUTS_MS[-1]]
