--- a/src/pistachionotch/batches/model.py
+++ b/src/pistachionotch/batches/model.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import enum
+
 import attrs
 
 from ..config.spec import Address
@@ -80,6 +82,25 @@
     ended: bool = False
 
 
+class Trouble(enum.Enum):
+    """Say why there is no answer."""
+
+    ABSENT = "no such batch"
+    UNSURE = "not certain now"
+    NOT_RUN = "not accepted"
+    UNKNOWN = "may be accepted"
+    IMPOSSIBLE = "never acceptable"
+
+
+@attrs.frozen
+class BatchTrouble:
+    """Answer without the wanted result."""
+
+    trouble: Trouble
+    reason: str
+    retry_after_ms: int | None = None
+
+
 @attrs.frozen(kw_only=True)
 class ResultPage:
     """Hold the results from one position on."""
--- a/src/pistachionotch/batches/peers.py
+++ b/src/pistachionotch/batches/peers.py
@@ -12,8 +12,16 @@
 
 from ..config.spec import Address
 from ..http_client import Connection, ConnectionPool, ExchangeError
-from .model import Owner, ResultPage
-from .records import owner_fields, read_owner, read_result, result_fields
+from .model import BatchHead, BatchTrouble, Owner, ResultPage, Submission, Trouble
+from .records import (
+    head_bytes,
+    item_fields,
+    owner_fields,
+    read_head,
+    read_owner,
+    read_result,
+    result_fields,
+)
 
 PREFIX = "/batches/"
 OWNERS_PREFIX = "/owners/"
@@ -25,6 +33,8 @@
 READ_TIMEOUT_MS = 700
 # An end is one write to the object API.
 RESPONSE_TIMEOUT_MS = 1_200
+# A submission is a write whose lost answer is settled by a read, each with its own time limit.
+SUBMIT_TIMEOUT_MS = 3_500
 MEDIA_TYPE = "application/cbor"
 
 
@@ -86,6 +96,19 @@
         reply = self._ask(owner, "DELETE", _path(batch))
         return None if isinstance(reply, bytes) else reply
 
+    def submit(self, address: Address, head: BatchHead) -> Owner | BatchTrouble | PeerProblem:
+        """Let another process accept a batch; returns the owner of an accepted one."""
+        asked = Owner(node="", incarnation=OWNERS, address=address)
+        submission = head.submission
+        body = head_bytes(head, [item_fields(item) for item in submission.items], 0)
+        reply = self._ask(asked, "POST", _path(submission.id), SUBMIT_TIMEOUT_MS, body)
+        if not isinstance(reply, bytes):
+            return reply
+        fields = cbor2.loads(reply)
+        if "owner" in fields:
+            return read_owner(fields["owner"])
+        return BatchTrouble(Trouble(fields["trouble"]), fields["reason"], fields["retry_after_ms"])
+
     def owner_of(self, address: Address, batch: str) -> Owner | None:
         """Return the owner of a batch as another process knows it."""
         asked = Owner(node="", incarnation=OWNERS, address=address)
@@ -100,15 +123,20 @@
         self._ask(asked, "PUT", f"{OWNERS_PREFIX}{quote(batch, safe='')}?{query}")
 
     def _ask(
-        self, owner: Owner, method: str, target: str, timeout_ms: int = RESPONSE_TIMEOUT_MS
+        self,
+        owner: Owner,
+        method: str,
+        target: str,
+        timeout_ms: int = RESPONSE_TIMEOUT_MS,
+        body: bytes = b"",
     ) -> bytes | PeerProblem:
         connection: Connection | None = None
         try:
             connection = self.pool.take(owner.address, owner.incarnation, CONNECT_TIMEOUT_MS)
             headers = [("Host", str(owner.address)), ("X-Incarnation", owner.incarnation)]
-            connection.send(method, target, headers, b"", RESPONSE_TIMEOUT_MS)
+            connection.send(method, target, headers, body, RESPONSE_TIMEOUT_MS)
             head = connection.read_head(timeout_ms)
-            body = connection.read_body(RESPONSE_TIMEOUT_MS)
+            reply = connection.read_body(RESPONSE_TIMEOUT_MS)
             self.pool.give_back(connection, owner.incarnation, head)
             connection = None
         except ExchangeError as error:
@@ -122,7 +150,7 @@
             return PeerAbsent()
         if head.status != HTTPStatus.OK:
             return PeerUnsure(f"status {head.status} of the owner")
-        return body
+        return reply
 
 
 def _path(batch: str) -> str:
@@ -141,6 +169,9 @@
     def local_end(self, batch: str) -> bool | None:
         """End a batch; False if that is not certain."""
 
+    def local_submit(self, submission: Submission) -> Owner | BatchTrouble | None:
+        """Accept a batch for a peer; returns the owner of an accepted one."""
+
     def known_owner(self, batch: str) -> Owner | None:
         """Return the owner of a batch, None if it is not known here."""
 
@@ -175,9 +206,25 @@
             return HTTPStatus.NOT_FOUND, b""
         return HTTPStatus.OK, cbor2.dumps(owner_fields(owner))
 
+    def _answer_submission(self, environ: dict[str, Any]) -> tuple[HTTPStatus, bytes]:
+        head, _parts = read_head(environ["wsgi.input"].read())
+        accepted = self.batches.local_submit(head.submission)
+        if accepted is None:
+            return HTTPStatus.NOT_FOUND, b""
+        if isinstance(accepted, Owner):
+            return HTTPStatus.OK, cbor2.dumps({"owner": owner_fields(accepted)})
+        fields = {
+            "trouble": accepted.trouble.value,
+            "reason": accepted.reason,
+            "retry_after_ms": accepted.retry_after_ms,
+        }
+        return HTTPStatus.OK, cbor2.dumps(fields)
+
     def _answer(self, environ: dict[str, Any]) -> tuple[HTTPStatus, bytes]:
         if environ["PATH_INFO"].startswith(OWNERS_PREFIX):
             return self._answer_owner(environ)
+        if environ["REQUEST_METHOD"] == "POST":
+            return self._answer_submission(environ)
         # An earlier start of this process may have owned the batch; its memory is gone.
         if environ.get("HTTP_X_INCARNATION") != self.incarnation:
             return HTTPStatus.NOT_FOUND, b""
--- a/src/pistachionotch/batches/service.py
+++ b/src/pistachionotch/batches/service.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import enum
 import random
 import time
 from collections.abc import Callable
@@ -20,9 +19,25 @@
 from ..objects.api import ObjectStore, StoreRejected, WriteAmbiguous
 from ..weights.demand import Demands
 from .log import BatchLog, create_batch, load_head
-from .model import BatchHead, LogEntry, Owner, ResultPage, Submission
+from .model import (
+    BatchHead,
+    BatchTrouble,
+    LogEntry,
+    Owner,
+    ResultPage,
+    Submission,
+    Trouble,
+)
 from .owner import BatchOwner
-from .peers import NotHere, PeerAbsent, PeerClient, PeerUnreachable, PeerUnsure
+from .ownership import GatewayRecord
+from .peers import (
+    NotHere,
+    PeerAbsent,
+    PeerClient,
+    PeerProblem,
+    PeerUnreachable,
+    PeerUnsure,
+)
 from .run import BatchRun
 
 # An owner that does not answer for this long has its batch taken over; a restart of a process and a
@@ -38,25 +53,6 @@
 OUTAGE_RETRY_MS = 3_000
 
 
-class Trouble(enum.Enum):
-    """Say why there is no answer."""
-
-    ABSENT = "no such batch"
-    UNSURE = "not certain now"
-    NOT_RUN = "not accepted"
-    UNKNOWN = "may be accepted"
-    IMPOSSIBLE = "never acceptable"
-
-
-@attrs.frozen
-class BatchTrouble:
-    """Answer without the wanted result."""
-
-    trouble: Trouble
-    reason: str
-    retry_after_ms: int | None = None
-
-
 @attrs.define
 class _Elsewhere:
     """Remember who owns a batch that runs elsewhere."""
@@ -90,6 +86,8 @@
     elsewhere: dict[str, _Elsewhere] = attrs.field(factory=dict)
     locks: dict[str, BoundedSemaphore] = attrs.field(factory=dict)
     draining: bool = False
+    # The gateway that should run the next batch, None if it is this one.
+    choose_owner: Callable[[], GatewayRecord | None] = lambda: None
 
     def submit(self, submission: Submission, route: Route) -> None | BatchTrouble:
         """Accept a batch durably; None means accepted."""
@@ -98,6 +96,47 @@
         if self.draining:
             return BatchTrouble(Trouble.NOT_RUN, "draining", 0)
         head = BatchHead(submission=submission, owner=self.me, accepted_ms=unix_ms())
+        chosen = self.choose_owner()
+        if chosen is None:
+            return self._accept(head, route)
+        handed = self._hand_over(head, chosen)
+        if isinstance(handed, Owner):
+            self.elsewhere[submission.id] = _Elsewhere(handed, self.clock.now_ms())
+            return None
+        if isinstance(handed, BatchTrouble):
+            return handed
+        # Of two creations of a batch only one takes effect.
+        trouble = self._accept(head, route)
+        if trouble is not None and isinstance(handed, PeerUnreachable) and not handed.refused:
+            return attrs.evolve(trouble, trouble=Trouble.UNKNOWN)
+        return trouble
+
+    def _hand_over(
+        self, head: BatchHead, chosen: GatewayRecord
+    ) -> Owner | BatchTrouble | PeerProblem:
+        """Let a larger gateway accept a batch."""
+        handed = self.peers.submit(chosen.address, head)
+        self.log.info(
+            "batch handed over",
+            batch=head.submission.id,
+            gateway=str(chosen.address),
+            processor=chosen.processor,
+            outcome=handed.node if isinstance(handed, Owner) else str(handed),
+        )
+        return handed
+
+    def local_submit(self, submission: Submission) -> Owner | BatchTrouble | None:
+        """Accept a batch for a smaller gateway; None if this one cannot take it."""
+        catalog = self.owner.catalog()
+        route = catalog.match(submission.host, submission.target) if catalog else None
+        if route is None or self.draining:
+            return None
+        head = BatchHead(submission=submission, owner=self.me, accepted_ms=unix_ms())
+        trouble = self._accept(head, route)
+        return self.known_owner(submission.id) if trouble is None else trouble
+
+    def _accept(self, head: BatchHead, route: Route) -> None | BatchTrouble:
+        submission = head.submission
         started_ms = self.clock.now_ms()
         created = create_batch(self.store, head, self.max_value_bytes)
         if isinstance(created, Failure):
--- a/src/pistachionotch/gateway/daemon.py
+++ b/src/pistachionotch/gateway/daemon.py
@@ -15,6 +15,7 @@
 from ..batches.items import ItemRunner
 from ..batches.model import Owner
 from ..batches.owner import BatchOwner
+from ..batches.ownership import choose_owner
 from ..batches.peers import PeerApp, PeerClient
 from ..batches.service import BatchService, unix_ms
 from ..clock import MS_PER_SECOND, SystemClock
@@ -98,7 +99,9 @@
             self.measures,
         )
         self.demands = Demands(self.store, logger("orders"))
-        self.gateways = Gateways(me, self.store, logger("gateway"))
+        self.gateways = Gateways(
+            me, self.store, logger("gateway"), settings.region, settings.processor
+        )
         self.watchers = Watchers(
             settings.node,
             self.pool,
@@ -145,6 +148,9 @@
             lambda: self.watchers.addresses(),
             logger("batches"),
             self.measures,
+            choose_owner=lambda: choose_owner(
+                settings.processor, settings.region, self.gateways.records.values(), self.rng
+            ),
         )
         self.orders = OrderDuty(
             self.clock,
--- a/src/pistachionotch/gateway/peers.py
+++ b/src/pistachionotch/gateway/peers.py
@@ -11,6 +11,7 @@
 from returns.result import Failure
 
 from ..batches.model import Owner
+from ..batches.ownership import GatewayRecord
 from ..batches.peers import PeerApp
 from ..batches.records import dump
 from ..config.spec import Address
@@ -30,12 +31,19 @@
     me: Owner
     store: ObjectStore
     log: Any
-    addresses: dict[str, Address] = attrs.field(factory=dict)
+    region: str = ""
+    processor: float = 0.0
+    records: dict[str, GatewayRecord] = attrs.field(factory=dict)
     registered: bool = False
     versions: dict[str, int] = attrs.field(factory=dict)
     # Probes in a row that a gateway did not answer.
     misses: dict[str, int] = attrs.field(factory=dict)
 
+    @property
+    def addresses(self) -> dict[str, Address]:
+        """Return the addresses of the other gateways by node."""
+        return {node: record.address for node, record in self.records.items()}
+
     def others(self) -> list[Address]:
         """Return the addresses of the other gateways."""
         return list(self.addresses.values())
@@ -43,7 +51,14 @@
     def register(self) -> bool:
         """Write where this gateway listens; returns whether that is certain."""
         key = GATEWAYS_PREFIX + self.me.node
-        value = dump({"address": str(self.me.address), "incarnation": self.me.incarnation})
+        value = dump(
+            {
+                "address": str(self.me.address),
+                "incarnation": self.me.incarnation,
+                "region": self.region,
+                "processor": self.processor,
+            }
+        )
         written = self.store.put(key, value, None)
         if isinstance(written, Failure):
             error = written.failure()
@@ -65,10 +80,10 @@
             if node == self.me.node:
                 continue
             try:
-                found[node] = Address.parse(json.loads(stored.value)["address"])
+                found[node] = _read_record(stored.value)
             except (ValueError, KeyError, TypeError) as error:
                 self.log.warning("unreadable gateway", key=key, error=repr(error))
-        self.addresses = found
+        self.records = found
         self.log.info("gateways listed", revision=revision, others=sorted(found))
 
     def prune(self, answers: Callable[[Address], bool]) -> None:
@@ -86,6 +101,16 @@
             self.log.warning("gateway deleted", gateway=node, stored=not isinstance(gone, Failure))
 
 
+def _read_record(value: bytes) -> GatewayRecord:
+    fields = json.loads(value)
+    return GatewayRecord(
+        address=Address.parse(fields["address"]),
+        # Gateways of an earlier version do not tell these.
+        region=str(fields.get("region", "")),
+        processor=float(fields.get("processor", 0.0)),
+    )
+
+
 @attrs.frozen
 class PeerInterface:
     """Serve other gateways: batches, and calls to the object API."""
--- a/src/pistachionotch/gateway/settings.py
+++ b/src/pistachionotch/gateway/settings.py
@@ -28,3 +28,5 @@
     order_handover_ms: int
     # The platform reads a batch for this long after its submission.
     batch_retention_ms: int
+    # Processor time a second, in cores of usual speed; 0 if it is not known.
+    processor: float = 0.0
--- a/src/pistachionotch/platform/boot.py
+++ b/src/pistachionotch/platform/boot.py
@@ -92,11 +92,20 @@
         # "lease_ms" is no time to live: it keeps the orders of two holders apart.
         order_handover_ms=int(fields.number("bounds.lease_ms")),
         batch_retention_ms=int(fields.number("bounds.status_s") * MS_PER_SECOND),
+        processor=_processor(fields),
     )
     fields.findings.raise_if_any()
     return settings
 
 
+def _processor(fields: _Fields) -> float:
+    if "limits.cpu_share" not in fields.values:
+        return 0.0
+    # "cores" is the speed of the one core, not a number of them.
+    speed = fields.number("limits.cores") if "limits.cores" in fields.values else 1.0
+    return fields.number("limits.cpu_share") * speed
+
+
 def _zone_regions(values: Mapping[str, str]) -> dict[str, str]:
     prefix = "zones."
     return {
--- a/src/pistachionotch/platform/ingress.py
+++ b/src/pistachionotch/platform/ingress.py
@@ -11,8 +11,8 @@
 import attrs
 import gevent
 
-from ..batches.model import ResultPage
-from ..batches.service import BatchService, BatchTrouble, Trouble
+from ..batches.model import BatchTrouble, ResultPage, Trouble
+from ..batches.service import BatchService
 from ..clock import MS_PER_SECOND, Clock
 from ..gateway.calls import (
     Answer,
--- a/tests/unit/batches/test_batch_service.py
+++ b/tests/unit/batches/test_batch_service.py
@@ -2,20 +2,20 @@
 
 import random
 
+import attrs
 import pytest
 import structlog
 from test_batch_log import done, entry, head
 
 from pistachionotch.batches.log import BatchLog, create_batch
-from pistachionotch.batches.model import Owner, ResultPage
+from pistachionotch.batches.model import BatchTrouble, Owner, ResultPage, Trouble
 from pistachionotch.batches.owner import BatchOwner
+from pistachionotch.batches.ownership import GatewayRecord, choose_owner
 from pistachionotch.batches.peers import NotHere, PeerAbsent, PeerUnreachable, PeerUnsure
 from pistachionotch.batches.service import (
     ASK_AGAIN_MS,
     TAKE_OVER_AFTER_MS,
     BatchService,
-    BatchTrouble,
-    Trouble,
 )
 from pistachionotch.clock import ManualClock
 from pistachionotch.config.spec import Address
@@ -53,6 +53,15 @@
         asked = next(s for s in self.services.values() if s.me.address == address)
         return asked.known_owner(batch)
 
+    def submit(self, address, head):
+        asked = next((s for s in self.services.values() if s.me.address == address), None)
+        if asked is None:
+            return PeerUnreachable("connect: refused", True)
+        if asked.me.node in self.cut:
+            return PeerUnreachable("no response", False)
+        accepted = asked.local_submit(head.submission)
+        return NotHere() if accepted is None else accepted
+
     def announce(self, address, batch, owner):
         asked = next(s for s in self.services.values() if s.me.address == address)
         asked.note_owner(batch, owner)
@@ -192,6 +201,54 @@
     assert world.clock.now_ms() - arrival_ms <= ROUTE.due_ms / 2
 
 
+def two_sizes(world):
+    small, large = world.start("a"), world.start("b")
+    record = GatewayRecord(address=large.me.address, region="r", processor=2.15)
+    small.choose_owner = lambda: choose_owner(0.387, "r", [record], random.Random(1))
+    return small, large
+
+
+def test_a_small_gateway_hands_a_step_to_a_large_one(world):
+    small, large = two_sizes(world)
+    assert small.submit(submission(), ROUTE) is None
+    assert list(large.owner.runs) == ["b1"] and not small.owner.runs
+    finish(large, "i1")
+    assert ids(small.read("b1", 0, 0)) == ["i1"]
+    assert small.submit(submission(), ROUTE) is None
+
+
+def test_a_small_gateway_runs_a_step_that_the_large_one_cannot_take(world):
+    small, large = two_sizes(world)
+    large.draining = True
+    assert small.submit(submission(), ROUTE) is None
+    assert list(small.owner.runs) == ["b1"]
+    del world.network.services["b"]
+    again = attrs.evolve(submission(), id="b2")
+    assert small.submit(again, ROUTE) is None
+    assert "b2" in small.owner.runs
+
+
+def test_a_step_is_not_called_refused_while_the_large_gateway_may_accept_it(world):
+    small, _large = two_sizes(world)
+    world.store.faults.outage = True
+    assert small.submit(submission(), ROUTE).trouble is Trouble.NOT_RUN
+    world.network.cut.add("b")
+    assert small.submit(submission(), ROUTE).trouble is Trouble.UNKNOWN
+    del world.network.services["b"]
+    assert small.submit(submission(), ROUTE).trouble is Trouble.NOT_RUN
+
+
+def test_only_much_larger_gateways_of_the_region_are_chosen():
+    def record(port, region="r", processor=1.0):
+        return GatewayRecord(address=Address("h", port), region=region, processor=processor)
+
+    others = [record(1), record(2, "far", 9.0), record(3, processor=0.9), record(4, processor=0.0)]
+    rng = random.Random(1)
+    assert choose_owner(0.5, "r", others, rng) == others[0]
+    assert choose_owner(0.6, "r", others, rng) is None
+    assert choose_owner(0.0, "r", others, rng) is None
+
+
 def test_a_batch_without_a_listed_object_is_not_called_absent_in_an_outage(world):
     service = world.start("b")
     world.store.faults.outage = True
--- a/tests/unit/gateway/test_gateways.py
+++ b/tests/unit/gateway/test_gateways.py
@@ -17,7 +17,7 @@
     def start(self, number):
         address = Address("10.0.0.1", 7_000 + number)
         me = Owner(node=f"g{number}", incarnation="1", address=address)
-        gateways = Gateways(me, self.store, structlog.get_logger())
+        gateways = Gateways(me, self.store, structlog.get_logger(), "r", 0.5 + number)
         assert gateways.register()
         return gateways
 
@@ -32,6 +32,18 @@
     assert [address.port for address in fleet.all[1].others()] == [7_000, 7_002]
 
 
+def test_each_gateway_knows_the_size_and_the_region_of_the_others():
+    fleet = Fleet()
+    records = fleet.all[0].records
+    assert [(record.region, record.processor) for record in records.values()] == [
+        ("r", 1.5),
+        ("r", 2.5),
+    ]
+    fleet.store.put(GATEWAYS_PREFIX + "old", b'{"address":"10.0.0.9:1"}', None)
+    fleet.spread()
+    assert fleet.all[0].records["old"].processor == 0.0
+
+
 def test_a_restarted_gateway_replaces_its_entry():
     fleet = Fleet()
     fleet.all[0] = fleet.start(0)
--- a/tests/unit/platform/test_boot.py
+++ b/tests/unit/platform/test_boot.py
@@ -36,6 +36,15 @@
     assert settings.batch_retention_ms == 120_000
 
 
+def test_the_processor_is_the_share_of_a_core_times_its_speed():
+    assert read_settings(EDGE, "f").processor == 0.0
+    text = EDGE + "limits.cpu_share=0.5\n"
+    assert read_settings(text, "f").processor == 0.5
+    assert read_settings(text + "limits.cores=3\n", "f").processor == 1.5
+    with pytest.raises(InvalidInputError, match="cpu_share"):
+        read_settings(EDGE + "limits.cpu_share=half\n", "f")
+
+
 def test_unknown_fields_are_ignored():
     text = EDGE + "bounds.of_tomorrow=1\nsomething=else\n\n# a comment\n"
     assert read_settings(text, "f") == read_settings(EDGE, "f")
