--- a/src/pistachionotch/batches/dispatch.py
+++ b/src/pistachionotch/batches/dispatch.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 
 import attrs
 
@@ -21,6 +21,15 @@
 MOVE_FACTOR = 2.2
 # An item stays this long where it started before it may move, which bounds the moves of one item.
 MIN_STAY_MS = 600
+# A long item leaves an engine in a moment of noise if another one is this many times faster, and
+# not sooner than this after its start. Moments of noise last about 600 ms.
+HOP_FACTOR = 1.6
+HOP_STAY_MS = 250
+# An item without an event for this many usual gaps counts as slowed even if others have events. A
+# shorter silence may be a delay of this process.
+SILENT_GAPS = 3
+# An item with this many events is longer than most.
+LONG_EVENTS = 15
 # Items that a suspect engine runs at once, to see whether it has recovered.
 TRIAL_ITEMS = 1
 # Engines are tried gently only while at most this share of them is suspect; otherwise too few would
@@ -59,6 +68,8 @@
     versions: dict[str, int]
     # Time between two events; None before any was measured.
     event_ms: float | None = None
+    # The same at this moment; None without recent events.
+    recent_ms: float | None = None
     other_region: bool = False
     # Whether it fails part of its requests although it answers others.
     suspect: bool = False
@@ -76,6 +87,9 @@
     due_ms: int
     started_ms: int
     optional: bool = False
+    # Events so far, and the time since the last one.
+    events: int = 0
+    silent_ms: int = 0
 
 
 @attrs.frozen
@@ -161,7 +175,11 @@
         if engine.free <= 0:
             continue
         pace = 1.0 if engine.event_ms is None else engine.event_ms / usual_ms
-        if engine.instance == home and pace < SLOW_FACTOR and not engine.suspect:
+        if item.started and engine.recent_ms is not None:
+            pace = engine.recent_ms / usual_ms
+        # What a long item gains at the fastest engine is more than reading its prompt again costs.
+        at_home = engine.instance == home and not item.started
+        if at_home and pace < SLOW_FACTOR and not engine.suspect:
             return engine, "prompt read there"
         cost = pace * (1.0 + (engine.slots - engine.free) / engine.slots)
         cost += 0.1 * REGION_EVENTS if engine.other_region else 0.0
@@ -201,3 +219,46 @@
         room[target.instance] -= 1
         moves.append(Move(item, f"{pace:.0f} ms an event, {target.event_ms:.0f} elsewhere"))
     return moves
+
+
+def plan_hops(
+    running: Iterable[RunningItem],
+    engines: Sequence[EngineView],
+    waiting: Collection[str],
+    now_ms: int,
+) -> list[Move]:
+    """Return the long items to take away from engines in a moment of noise.
+
+    Load pattern: at the end of a step a few items run alone, each of a hundred events and more, and
+    the trainer waits for the last of them, while most slots are free. Engines are slowed by
+    neighbours for moments, which adds a fifth to such an item's time. Reading its text again
+    elsewhere takes about half an event. ``waiting`` names the models whose items still need slots.
+    """
+    hops = []
+    room = {engine.instance: engine.free for engine in engines}
+    paces = {engine.instance: engine.recent_ms for engine in engines}
+    known = sorted(engine.event_ms for engine in engines if engine.event_ms is not None)
+    usual_ms = known[len(known) // 3] if known else None
+    for item in sorted(running, key=lambda item: (item.optional, -item.events, item.item)):
+        if item.model in waiting or item.events < LONG_EVENTS:
+            continue
+        if usual_ms is None or now_ms - item.started_ms < HOP_STAY_MS:
+            continue
+        pace = paces.get(item.instance) or 0.0
+        if item.silent_ms >= SILENT_GAPS * usual_ms:
+            pace = max(pace, float(item.silent_ms))
+        target = None
+        target_ms = pace / HOP_FACTOR
+        for engine in engines:
+            if room[engine.instance] <= 0 or engine.suspect or engine.instance == item.instance:
+                continue
+            if engine.versions.get(item.model, -1) < item.min_version:
+                continue
+            expected_ms = max(usual_ms, engine.recent_ms or engine.event_ms or usual_ms)
+            if expected_ms < target_ms:
+                target, target_ms = engine, expected_ms
+        if target is None:
+            continue
+        room[target.instance] -= 1
+        hops.append(Move(item, f"{pace:.0f} ms since or between events, {target_ms:.0f} elsewhere"))
+    return hops
--- a/src/pistachionotch/batches/items.py
+++ b/src/pistachionotch/batches/items.py
@@ -146,6 +146,7 @@
                     version = event.version
                     upstream.note_version(submission.model, version)
                 state.note_event(event.number, event.data, version)
+                state.last_event_ms = now_ms
             if events and previous_ms is not None:
                 upstream.note_event((now_ms - previous_ms) / len(events), now_ms)
             if events:
--- a/src/pistachionotch/batches/owner.py
+++ b/src/pistachionotch/batches/owner.py
@@ -21,6 +21,7 @@
     RunningItem,
     Start,
     WaitingItem,
+    plan_hops,
     plan_moves,
     plan_starts,
 )
@@ -86,12 +87,20 @@
             service = route.choose_service(self.rng)
             by_service.setdefault(service, []).extend(self._waiting(run, route))
             if not route.one_version:
-                running.setdefault(service, []).extend(run.running())
+                running.setdefault(service, []).extend(run.running(self.clock.now_ms()))
         for service, waiting in by_service.items():
             engines = self._engines(service)
-            for start in plan_starts(waiting, engines, self.homes):
+            started = plan_starts(waiting, engines, self.homes)
+            for start in started:
                 self._start(start)
-            for move in plan_moves(running.get(service, ()), engines, self.clock.now_ms()):
+            now_ms = self.clock.now_ms()
+            moves = plan_moves(running.get(service, ()), engines, now_ms)
+            moving = {(move.item.batch, move.item.item) for move in moves}
+            staying = [
+                item for item in running.get(service, ()) if (item.batch, item.item) not in moving
+            ]
+            short = {item.model for item in waiting} if len(started) < len(waiting) else set()
+            for move in [*moves, *plan_hops(staying, engines, short, now_ms)]:
                 self._move(move)
 
     def _waiting(self, run: BatchRun, route: Route) -> list[WaitingItem]:
@@ -118,6 +127,7 @@
                     slots=record.slots,
                     versions={model: upstream.version(model) for model in models},
                     event_ms=upstream.pace_ms(now_ms),
+                    recent_ms=upstream.recent_pace_ms(now_ms),
                     other_region=self.regions.get(record.zone) != self.region,
                     suspect=upstream.suspect(now_ms),
                 )
@@ -131,6 +141,7 @@
         state.running = True
         state.instance = start.instance
         state.started_ms = self.clock.now_ms()
+        state.moved_from = ""
         self.log.info(
             "item placed",
             batch=run.id,
@@ -154,6 +165,7 @@
         if task is None:
             return
         self.measures.count("items_again", "moved")
+        self.runs[key[0]].progress[key[1]].moved_from = move.item.instance
         self.log.info(
             "item moved",
             batch=key[0],
--- a/src/pistachionotch/batches/run.py
+++ b/src/pistachionotch/batches/run.py
@@ -30,6 +30,7 @@
     # Data of the events received so far, and the number of the last one.
     texts: list[str] = attrs.field(factory=list)
     last_event: int | None = None
+    last_event_ms: int = 0
     versions: list[int] = attrs.field(factory=list)
     # Responses that said the generation failed; these count towards the route's limit.
     failures: int = 0
@@ -39,6 +40,8 @@
     failed_at: set[str] = attrs.field(factory=set)
     # Engines where an attempt failed or broke.
     avoid: set[str] = attrs.field(factory=set)
+    # Engine that the item has just been moved away from.
+    moved_from: str = ""
 
     def note_event(self, number: int, data: str, version: int) -> None:
         """Add an event; raises ``ValueError`` if one is missing or came twice."""
@@ -116,13 +119,13 @@
                 expected_tokens=state.item.expected_tokens,
                 started=bool(state.texts),
                 optional=state.item.group in self.optional,
-                avoid=frozenset(state.avoid),
+                avoid=frozenset({*state.avoid, state.moved_from} - {""}),
             )
             for state in self.progress.values()
             if not (state.running or state.finished)
         ]
 
-    def running(self) -> list[RunningItem]:
+    def running(self, now_ms: int) -> list[RunningItem]:
         """Return the items that run."""
         submission = self.head.submission
         return [
@@ -135,6 +138,8 @@
                 due_ms=self.due_ms,
                 started_ms=state.started_ms,
                 optional=state.item.group in self.optional,
+                events=len(state.texts),
+                silent_ms=now_ms - state.last_event_ms if state.texts else 0,
             )
             for state in self.progress.values()
             if state.running
--- a/src/pistachionotch/gateway/upstreams.py
+++ b/src/pistachionotch/gateway/upstreams.py
@@ -30,6 +30,10 @@
 # Time constant of an engine's pace. Neighbours slow an engine for about 600 ms now and then, which
 # is over before a move pays; faults do so for seconds.
 PACE_TIME_MS = 700
+# The same for the pace of this moment, which shows such a neighbour after one or two events.
+RECENT_TIME_MS = 100
+# The pace of this moment is unknown after this time without an event.
+RECENT_AGE_MS = 400
 
 
 @attrs.frozen(kw_only=True)
@@ -62,6 +66,8 @@
     # Moving averages; None before the first sample.
     response_ms: float | None = None
     event_ms: float | None = None
+    # The same over the last few events only.
+    recent_event_ms: float = 0.0
     event_seen_ms: int = 0
     full_until_ms: int = 0
     failed_until_ms: int = 0
@@ -105,16 +111,23 @@
         """Count the time between two events of a stream."""
         since_ms = now_ms - self.event_seen_ms
         self.event_seen_ms = now_ms
+        # Weighed by time, since an engine's events come from a dozen streams or from one.
+        weight = 1.0 if since_ms > RECENT_AGE_MS else min(1.0, since_ms / RECENT_TIME_MS)
+        self.recent_event_ms = _weighted(self.recent_event_ms, gap_ms, weight)
         if self.event_ms is None or since_ms > PACE_AGE_MS:
             self.event_ms = gap_ms
             return
-        # Weighed by time, since an engine's events come from a dozen streams or from one.
-        self.event_ms += min(1.0, since_ms / PACE_TIME_MS) * (gap_ms - self.event_ms)
+        self.event_ms = _weighted(self.event_ms, gap_ms, min(1.0, since_ms / PACE_TIME_MS))
 
     def pace_ms(self, now_ms: int) -> float | None:
         """Return the usual time between two events, None if that is not known any more."""
         return self.event_ms if now_ms - self.event_seen_ms <= PACE_AGE_MS else None
 
+    def recent_pace_ms(self, now_ms: int) -> float | None:
+        """Return the time between two events at this moment, None if that is not known."""
+        fresh = self.event_ms is not None and now_ms - self.event_seen_ms <= RECENT_AGE_MS
+        return self.recent_event_ms if fresh else None
+
     def note_full(self, now_ms: int) -> None:
         """Count a refusal for lack of room."""
         self.full_until_ms = now_ms + FULL_PAUSE_MS
--- a/tests/unit/batches/test_dispatch.py
+++ b/tests/unit/batches/test_dispatch.py
@@ -7,10 +7,13 @@
 import random
 
 from pistachionotch.batches.dispatch import (
+    HOP_STAY_MS,
+    LONG_EVENTS,
     EngineView,
     RunningItem,
     WaitingItem,
     optional_groups,
+    plan_hops,
     plan_moves,
     plan_starts,
 )
@@ -164,3 +167,90 @@
     engines = [engine("slow", 0, event_ms=140), engine("e2", 1, event_ms=40)]
     items = [running("a", "slow", optional=True), running("b", "slow")]
     assert [move.item.item for move in plan_moves(items, engines, 5_000)] == ["b"]
+
+
+USUAL_MS = 38
+
+
+def noisy(name, free=10, **more):
+    return engine(name, free, event_ms=USUAL_MS, recent_ms=2.5 * USUAL_MS, **more)
+
+
+def calm(name, free=10, **more):
+    return engine(name, free, event_ms=USUAL_MS, recent_ms=USUAL_MS, **more)
+
+
+def long_item(name="i", instance="n", **more):
+    return running(name, instance, **{"events": 60, "silent_ms": 10, **more})
+
+
+def hops(items, engines, waiting=(), now_ms=HOP_STAY_MS):
+    return [move.item.item for move in plan_hops(items, engines, waiting, now_ms)]
+
+
+def test_long_items_at_the_end_of_a_step_leave_an_engine_in_a_moment_of_noise():
+    assert hops([long_item()], [noisy("n"), calm("c")]) == ["i"]
+    assert hops([long_item()], [noisy("n"), calm("c", free=0)]) == []
+    assert hops([long_item()], [noisy("n"), noisy("m")]) == []
+    assert hops([long_item()], [noisy("n"), calm("c", suspect=True)]) == []
+    assert hops([long_item()], [noisy("n"), calm("old", version=4)]) == []
+    assert hops([long_item()], [calm("n"), calm("c")]) == []
+
+
+def test_items_do_not_hop_while_others_need_the_slots_or_for_little():
+    engines = [noisy("n"), calm("c")]
+    assert hops([long_item()], engines, waiting={"m"}) == []
+    assert hops([long_item(events=LONG_EVENTS - 1)], engines) == []
+    assert hops([long_item()], engines, now_ms=HOP_STAY_MS - 1) == []
+
+
+def test_the_longest_items_hop_first():
+    items = [long_item("a", events=20), long_item("b", events=90), long_item("c", events=50)]
+    assert hops(items, [noisy("n"), calm("c", free=2)]) == ["b", "c"]
+
+
+def test_a_stream_that_has_stopped_hops_although_its_engine_serves_others():
+    engines = [calm("n"), calm("c")]
+    assert hops([long_item(silent_ms=2 * USUAL_MS)], engines) == []
+    assert hops([long_item(silent_ms=4 * USUAL_MS)], engines) == ["i"]
+
+
+def test_an_item_goes_on_where_it_is_fast_and_not_where_its_prompt_was_read():
+    engines = [noisy("home"), calm("c")]
+    homes = {("b", "g"): "home"}
+    item = waiting("i", started=True, avoid=frozenset({"home"}))
+    assert plan_starts([item], engines, dict(homes))[0].instance == "c"
+    assert plan_starts([waiting("i", started=True)], engines, dict(homes))[0].instance == "c"
+
+
+def last_item_ms(hopping, seed):
+    """Return the time of an item of 139 events on engines with moments of noise."""
+    rng = random.Random(seed)
+    now_ms = events = silent_ms = started_ms = 0
+    at = 0
+    noise = []
+    while events < 139:
+        if now_ms % 600 == 0:
+            noise = [rng.random() < 0.15 for _ in range(10)]
+        now_ms += 10
+        silent_ms += 10
+        gap_ms = USUAL_MS * (2.5 if noise[at] else 1.0)
+        if silent_ms >= gap_ms:
+            events += 1
+            silent_ms = 0
+            engines = [(noisy if slow else calm)(f"e{n}") for n, slow in enumerate(noise)]
+            item = long_item(instance=f"e{at}", events=events, started_ms=started_ms)
+            if hopping and plan_hops([item], engines, (), now_ms):
+                start = plan_starts([waiting("i", started=True)], engines, {})[0]
+                at = int(start.instance.removeprefix("e"))
+                started_ms = now_ms
+                # The text is read again, and an event begins anew.
+                silent_ms = -30
+    return now_ms
+
+
+def test_hops_take_most_of_the_noise_out_of_the_last_item_of_a_step():
+    quiet_ms = 139 * 40
+    with_hops = sum(last_item_ms(True, seed) for seed in range(20)) / 20
+    without = sum(last_item_ms(False, seed) for seed in range(20)) / 20
+    assert with_hops - quiet_ms < (without - quiet_ms) / 2
