--- a/src/pistachionotch/batches/owner.py
+++ b/src/pistachionotch/batches/owner.py
@@ -229,6 +229,8 @@
             item=state.item.id,
             done=done,
             versions=state.versions,
+            last_event=state.last_event,
+            age_ms=self._age_ms(run),
             reason=reason,
         )
 
