--- a/src/pistachionotch/batches/service.py
+++ b/src/pistachionotch/batches/service.py
@@ -290,20 +290,10 @@
         if place.owner.node == self.me.node:
             # This process took it over or lost it, or an earlier start of this node owned it.
             return self._take_over(batch, place.owner)
-        started_ms = self.clock.now_ms()
-        answer = ask(place.owner)
-        while isinstance(answer, PeerUnreachable):
-            if place.unreachable_since_ms is None:
-                place.unreachable_since_ms = started_ms
-            if self._replaced(batch, place.owner):
-                return _Moved()
-            silent_ms = self.clock.now_ms() - place.unreachable_since_ms
-            if answer.refused or silent_ms >= TAKE_OVER_AFTER_MS:
-                return self._take_over(batch, place.owner)
-            # The client may ask any gateway next time, so this one does not leave it at a doubt.
-            self.clock.sleep_ms(ASK_AGAIN_MS)
-            answer = ask(place.owner)
-        if isinstance(answer, NotHere):
+        answer = self._ask_patiently(batch, place, ask)
+        if isinstance(answer, _Moved):
+            return answer
+        if isinstance(answer, NotHere | PeerUnreachable):
             return self._take_over(batch, place.owner)
         place.unreachable_since_ms = None
         if isinstance(answer, PeerAbsent):
@@ -312,6 +302,24 @@
             return BatchTrouble(Trouble.UNSURE, answer.reason, UNSURE_RETRY_MS)
         return answer
 
+    def _ask_patiently(self, batch: str, place: _Elsewhere, ask: Any) -> Any:
+        """Return the owner's answer; its silence only once it has lasted long enough."""
+        started_ms = self.clock.now_ms()
+        while True:
+            answer = ask(place.owner)
+            if not isinstance(answer, NotHere | PeerUnreachable):
+                return answer
+            if self._replaced(batch, place.owner):
+                return _Moved()
+            if isinstance(answer, NotHere) or answer.refused:
+                return answer
+            if place.unreachable_since_ms is None:
+                place.unreachable_since_ms = started_ms
+            if self.clock.now_ms() - place.unreachable_since_ms >= TAKE_OVER_AFTER_MS:
+                return answer
+            # The client may ask any gateway next time, so this one does not leave it at a doubt.
+            self.clock.sleep_ms(ASK_AGAIN_MS)
+
     def _place(self, batch: str) -> _Elsewhere | BatchTrouble:
         place = self.elsewhere.get(batch)
         if place is not None:
@@ -352,7 +360,9 @@
             if isinstance(found, BatchTrouble):
                 return found
             if found.ended:
+                # Its log does not change any more, so others may read it here.
                 self.owner.runs[batch] = found
+                gevent.spawn(self._announce, batch)
                 return found
             if found.owner != lost and found.owner.node != self.me.node:
                 self.elsewhere[batch] = _Elsewhere(found.owner, self.clock.now_ms())
--- a/src/pistachionotch/gateway/daemon.py
+++ b/src/pistachionotch/gateway/daemon.py
@@ -50,7 +50,7 @@
 REGISTER_RETRY_MS = 1_000
 # All waiting gateways together look at the lease about this often; a lapsed one is then taken over
 # little later than its time to live.
-LEASE_READ_SHARE_MS = 300
+LEASE_READ_SHARE_MS = 600
 IngressFactory = Callable[["GatewayDaemon"], Any]
 
 
--- a/src/pistachionotch/gateway/following.py
+++ b/src/pistachionotch/gateway/following.py
@@ -23,8 +23,11 @@
 COPY_PAUSE_MS = 100
 # Changes come in bursts; one call after this pause brings all of them.
 BURST_PAUSE_MS = 400
-# Pause after a refused or lost call.
+# Pause after a refused or lost call, doubled by each further one up to the maximum: in an outage
+# all gateways ask, and each call has its price. The platform expects a node to act on what is new
+# within 4 s of an outage's end.
 RETRY_PAUSE_MS = 500
+MAX_RETRY_PAUSE_MS = 2_000
 
 
 @attrs.define
@@ -40,6 +43,10 @@
     current_ms: int | None = None
     active: Callable[[], bool] = lambda: True
     wait_ms: int = WATCH_WAIT_MS
+    # Least time between two reads, which joins the changes of a burst.
+    pause_ms: int = BURST_PAUSE_MS
+    # Reads in a row without an answer.
+    failures: int = 0
     # Gateways whose copies are used, if this prefix is shared.
     watchers: Watchers | None = None
     # Changes for those who copy from here, and the notice of them.
@@ -64,20 +71,23 @@
         started_ms = self.clock.now_ms()
         if not self.followed.refresh(self.wait_ms):
             self._note(False)
-            self.clock.sleep_ms(RETRY_PAUSE_MS)
+            self.clock.sleep_ms(min(MAX_RETRY_PAUSE_MS, RETRY_PAUSE_MS << min(self.failures, 8)))
+            self.failures += 1
             return
+        self.failures = 0
         self._note(True)
         self.current_ms = self.clock.now_ms()
         if self.followed.changes != changes:
             self._changed()
-        if self.clock.now_ms() - started_ms < BURST_PAUSE_MS:
-            self.clock.sleep_ms(BURST_PAUSE_MS)
+        if self.clock.now_ms() - started_ms < self.pause_ms:
+            self.clock.sleep_ms(self.pause_ms)
 
     def _copy_from(self, watchers: Watchers) -> bool:
         """Take over a watcher's copy; returns whether there was a recent one."""
         copy = watchers.fetch(self.followed.prefix, self.followed.revision)
         if copy is None:
             return False
+        self.failures = 0
         self._note(True)
         self.current_ms = self.clock.now_ms() - copy.age_ms
         if not (copy.whole or copy.objects):
--- a/src/pistachionotch/gateway/knowledge.py
+++ b/src/pistachionotch/gateway/knowledge.py
@@ -23,6 +23,8 @@
 
 # Other gateways are needed only when the object API is lost, so news of them may wait.
 PEERS_WATCH_MS = 15_000
+# Gateways that are restarted one after the other change the list each second.
+PEERS_PAUSE_MS = 3_000
 # The platform states that registrations which lapsed in an outage are back within about this time.
 LAPSE_MS = 2_000
 
@@ -54,6 +56,8 @@
         listings = self.listings
         upstreams = self._shared(listings.upstreams_prefix, self._take_upstreams)
         upstreams.followed.lapse_ms = LAPSE_MS
+        others = self._follower(GATEWAYS_PREFIX, gateways.take, PEERS_WATCH_MS)
+        others.pause_ms = PEERS_PAUSE_MS
         duties = [
             self._follower(
                 listings.versions_prefix,
@@ -67,7 +71,7 @@
         return [
             self._shared(listings.catalog_prefix, self._take_catalog),
             upstreams,
-            self._follower(GATEWAYS_PREFIX, gateways.take, PEERS_WATCH_MS),
+            others,
             *duties,
         ]
 
--- a/src/pistachionotch/objects/relay.py
+++ b/src/pistachionotch/objects/relay.py
@@ -43,7 +43,7 @@
 # Peers that are asked before the object API counts as out.
 MAX_PEERS = 2
 # While no peer reaches the object API either, the next call tries that again after this time.
-PEERS_PAUSE_MS = 500
+PEERS_PAUSE_MS = 1_000
 # While calls go through peers, a watch tries the direct path this often.
 DIRECT_RETRY_MS = 1_000
 
--- a/tests/unit/batches/test_batch_service.py
+++ b/tests/unit/batches/test_batch_service.py
@@ -3,6 +3,7 @@
 import random
 
 import attrs
+import gevent
 import pytest
 import structlog
 from test_batch_log import done, entry, head
@@ -201,6 +202,22 @@
     assert world.clock.now_ms() - arrival_ms <= ROUTE.due_ms / 2
 
 
+def test_an_ended_batch_of_a_lost_gateway_is_read_from_the_object_api_once(world):
+    first, second, third = world.start("a"), world.start("b"), world.start("c")
+    first.submit(submission(), ROUTE)
+    finish(first, "i1")
+    assert first.end("b1") is None
+    del world.network.services["a"]
+    for service in (second, third):
+        service.guides = lambda: [second.me.address]
+    assert ids(second.read("b1", 0, 0)) == ["i1"]
+    gevent.sleep(0)
+    reads = world.store.calls["get"]
+    assert ids(third.read("b1", 0, 0)) == ["i1"]
+    assert world.store.calls["get"] == reads
+    assert "b1" not in third.owner.runs
+
+
 def two_sizes(world):
     small, large = world.start("a"), world.start("b")
     record = GatewayRecord(address=large.me.address, region="r", processor=2.15)
--- a/tests/unit/gateway/test_sharing.py
+++ b/tests/unit/gateway/test_sharing.py
@@ -7,7 +7,7 @@
 
 from pistachionotch.clock import ManualClock
 from pistachionotch.config.spec import Address
-from pistachionotch.gateway.following import Follower
+from pistachionotch.gateway.following import MAX_RETRY_PAUSE_MS, RETRY_PAUSE_MS, Follower
 from pistachionotch.gateway.sharing import (
     AVOID_MS,
     MAX_AGE_MS,
@@ -178,3 +178,23 @@
         follower._changed()
     fleet.rounds(1)
     assert all(seen[-1][1] == [] for seen in fleet.seen.values())
+
+
+def test_a_gateway_asks_less_and_less_in_an_outage_and_learns_soon_after_it(fleet):
+    follower = fleet.followers[NODES[0]]
+    follower.watchers = None
+    fleet.store.faults.outage = True
+    started_ms = fleet.clock.now_ms()
+    while fleet.clock.now_ms() - started_ms < 20_000:
+        follower.step()
+    assert fleet.calls() <= 13
+    fleet.store.faults.outage = False
+    fleet.store.put("servers/a", b"{}", None)
+    started_ms = fleet.clock.now_ms()
+    follower.step()
+    assert fleet.seen[NODES[0]][-1] == (1, ["servers/a"])
+    assert fleet.clock.now_ms() - started_ms <= MAX_RETRY_PAUSE_MS
+    fleet.store.faults.outage = True
+    started_ms = fleet.clock.now_ms()
+    follower.step()
+    assert fleet.clock.now_ms() - started_ms == RETRY_PAUSE_MS
