--- a/src/pistachionotch/batches/run.py
+++ b/src/pistachionotch/batches/run.py
@@ -6,10 +6,20 @@
 from gevent.event import Event
 from gevent.lock import BoundedSemaphore
 
+from ..clock import MS_PER_SECOND
 from .dispatch import RunningItem, WaitingItem, optional_groups
 from .listing import ListingState
 from .log import BatchLog
-from .model import BatchHead, BatchItem, ItemResult, LogEntry, Owner, ResultPage
+from .model import (
+    BatchHead,
+    BatchItem,
+    BatchTrouble,
+    ItemResult,
+    LogEntry,
+    Owner,
+    ResultPage,
+    Trouble,
+)
 
 # A page of results ends before it exceeds this many bytes of text.
 MAX_PAGE_BYTES = 900_000
@@ -226,3 +236,18 @@
             results=tuple(results),
             next_position=position + len(results),
         )
+
+
+def wait_for_page(run: BatchRun, position: int, wait_ms: int) -> ResultPage:
+    """Return listed results, waiting for the first if there is none yet."""
+    if len(run.listed) <= position and not run.ended and wait_ms > 0:
+        run.changed.wait(wait_ms / MS_PER_SECOND)
+    return run.page(position)
+
+
+def body_of(run: BatchRun, item: str) -> bytes | BatchTrouble:
+    """Return the body of an item of a batch that has not ended."""
+    state = run.progress.get(item)
+    if state is None:
+        return BatchTrouble(Trouble.ABSENT, "no such item")
+    return state.item.body
--- a/src/pistachionotch/batches/service.py
+++ b/src/pistachionotch/batches/service.py
@@ -12,7 +12,7 @@
 from gevent.lock import BoundedSemaphore
 from returns.result import Failure
 
-from ..clock import MS_PER_SECOND, Clock
+from ..clock import Clock
 from ..config.spec import Address
 from ..gateway.catalog import Route
 from ..measures import Measures
@@ -38,11 +38,15 @@
     PeerUnreachable,
     PeerUnsure,
 )
-from .run import BatchRun
+from .places import Place, Places
+from .run import BatchRun, body_of, wait_for_page
 
 # An owner that does not answer for this long has its batch taken over; a restart of a process and a
 # lost connection are both known sooner.
 TAKE_OVER_AFTER_MS = 1_500
+# Owners that are asked in one read: the one known here, one of which a guide still speaks, and the
+# one that the log names.
+MAX_OWNERS_ASKED = 3
 # Pause before a silent owner is asked again.
 ASK_AGAIN_MS = 200
 # Retry-After while it is not known who owns a batch.
@@ -53,15 +57,6 @@
 OUTAGE_RETRY_MS = 3_000
 
 
-@attrs.define
-class _Elsewhere:
-    """Remember who owns a batch that runs elsewhere."""
-
-    owner: Owner
-    learned_ms: int
-    unreachable_since_ms: int | None = None
-
-
 @attrs.frozen
 class _Moved:
     """Say that another process has become the owner meanwhile."""
@@ -83,15 +78,18 @@
     guides: Callable[[], list[Address]]
     log: Any
     measures: Measures = attrs.field(factory=Measures)
-    elsewhere: dict[str, _Elsewhere] = attrs.field(factory=dict)
+    places: Places = attrs.field(init=False)
     locks: dict[str, BoundedSemaphore] = attrs.field(factory=dict)
     draining: bool = False
     # The gateway that should run the next batch, None if it is this one.
     choose_owner: Callable[[], GatewayRecord | None] = lambda: None
 
+    def __attrs_post_init__(self) -> None:
+        self.places = Places(self.clock, self.me, self.peers, self.guides)
+
     def submit(self, submission: Submission, route: Route) -> None | BatchTrouble:
         """Accept a batch durably; None means accepted."""
-        if submission.id in self.owner.runs or submission.id in self.elsewhere:
+        if submission.id in self.owner.runs or submission.id in self.places.known:
             return None
         if self.draining:
             return BatchTrouble(Trouble.NOT_RUN, "draining", 0)
@@ -101,7 +99,7 @@
             return self._accept(head, route)
         handed = self._hand_over(head, chosen)
         if isinstance(handed, Owner):
-            self.elsewhere[submission.id] = _Elsewhere(handed, self.clock.now_ms())
+            self.places.note(submission.id, handed)
             return None
         if isinstance(handed, BatchTrouble):
             return handed
@@ -154,28 +152,24 @@
             owner=stored.owner.node,
         )
         if stored.owner != self.me:
-            self.elsewhere[submission.id] = _Elsewhere(stored.owner, self.clock.now_ms())
+            self.places.note(submission.id, stored.owner)
         elif submission.id not in self.owner.runs:
             self.owner.add(self._new_run(stored, route))
             gevent.spawn(self._note_demand, submission)
-            gevent.spawn(self._announce, submission.id)
+            gevent.spawn(self.places.announce, submission.id)
         return None
 
-    def _announce(self, batch: str) -> None:
-        for guide in self.guides():
-            self.peers.announce(guide, batch, self.me)
-
     def known_owner(self, batch: str) -> Owner | None:
         """Answer a peer with the owner of a batch, None if it is not known here."""
         if self._local(batch) is not None:
             return self.me
-        place = self.elsewhere.get(batch)
+        place = self.places.known.get(batch)
         return None if place is None else place.owner
 
     def note_owner(self, batch: str, owner: Owner) -> None:
         """Remember the owner of a batch, as that owner says."""
         if owner != self.me:
-            self.elsewhere[batch] = _Elsewhere(owner, self.clock.now_ms())
+            self.places.note(batch, owner)
 
     def _note_demand(self, submission: Submission) -> None:
         if submission.model:
@@ -245,10 +239,8 @@
         for run in list(self.owner.runs.values()):
             if not run.open and now_ms - run.accepted_ms >= retention_ms:
                 del self.owner.runs[run.id]
-        for batch, place in list(self.elsewhere.items()):
-            if now_ms - place.learned_ms >= retention_ms:
-                del self.elsewhere[batch]
-                self.locks.pop(batch, None)
+        for batch in self.places.forget(retention_ms):
+            self.locks.pop(batch, None)
 
     def local_page(self, batch: str, position: int, wait_ms: int) -> ResultPage | None:
         """Answer a peer with listed results of a batch that runs here."""
@@ -276,12 +268,11 @@
 
     def _at_owner(self, batch: str, ask: Any) -> Any:
         """Return the owner's answer, or the batch itself once it was taken over."""
-        answer = self._ask_owner(batch, ask)
-        if isinstance(answer, _Moved):
+        for _ in range(MAX_OWNERS_ASKED):
             answer = self._ask_owner(batch, ask)
-        if isinstance(answer, _Moved):
-            return BatchTrouble(Trouble.UNSURE, "the owner changes", UNSURE_RETRY_MS)
-        return answer
+            if not isinstance(answer, _Moved):
+                return answer
+        return BatchTrouble(Trouble.UNSURE, "the owner changes", UNSURE_RETRY_MS)
 
     def _ask_owner(self, batch: str, ask: Any) -> Any:
         place = self._place(batch)
@@ -302,14 +293,14 @@
             return BatchTrouble(Trouble.UNSURE, answer.reason, UNSURE_RETRY_MS)
         return answer
 
-    def _ask_patiently(self, batch: str, place: _Elsewhere, ask: Any) -> Any:
+    def _ask_patiently(self, batch: str, place: Place, ask: Any) -> Any:
         """Return the owner's answer; its silence only once it has lasted long enough."""
         started_ms = self.clock.now_ms()
         while True:
             answer = ask(place.owner)
             if not isinstance(answer, NotHere | PeerUnreachable):
                 return answer
-            if self._replaced(batch, place.owner):
+            if self.places.replaced(batch, place.owner):
                 return _Moved()
             if isinstance(answer, NotHere) or answer.refused:
                 return answer
@@ -320,35 +311,20 @@
             # The client may ask any gateway next time, so this one does not leave it at a doubt.
             self.clock.sleep_ms(ASK_AGAIN_MS)
 
-    def _place(self, batch: str) -> _Elsewhere | BatchTrouble:
-        place = self.elsewhere.get(batch)
+    def _place(self, batch: str) -> Place | BatchTrouble:
+        place = self.places.known.get(batch)
         if place is not None:
             return place
-        owner = self._ask_guides(batch)
+        owner = self.places.ask_guides(batch)
         if owner is not None:
-            return self.elsewhere.setdefault(batch, _Elsewhere(owner, self.clock.now_ms()))
+            return self.places.note(batch, owner)
         loaded = load_head(self.store, batch)
         if isinstance(loaded, Failure):
             return BatchTrouble(Trouble.UNSURE, str(loaded.failure()), UNSURE_RETRY_MS)
         head = loaded.unwrap()
         if head is None:
             return BatchTrouble(Trouble.ABSENT, "no such batch")
-        return self.elsewhere.setdefault(batch, _Elsewhere(head.owner, self.clock.now_ms()))
-
-    def _ask_guides(self, batch: str) -> Owner | None:
-        for guide in self.guides():
-            owner = self.peers.owner_of(guide, batch)
-            if owner is not None:
-                return owner
-        return None
-
-    def _replaced(self, batch: str, silent: Owner) -> bool:
-        """Return whether another gateway has taken over from a silent owner, and remember it."""
-        owner = self._ask_guides(batch)
-        if owner is None or owner in (silent, self.me):
-            return False
-        self.elsewhere[batch] = _Elsewhere(owner, self.clock.now_ms())
-        return True
+        return self.places.note(batch, head.owner)
 
     def _take_over(self, batch: str, lost: Owner) -> Any:
         """Become the owner unless another process already did."""
@@ -362,10 +338,10 @@
             if found.ended:
                 # Its log does not change any more, so others may read it here.
                 self.owner.runs[batch] = found
-                gevent.spawn(self._announce, batch)
+                gevent.spawn(self.places.announce, batch)
                 return found
             if found.owner != lost and found.owner.node != self.me.node:
-                self.elsewhere[batch] = _Elsewhere(found.owner, self.clock.now_ms())
+                self.places.note(batch, found.owner)
                 return _Moved()
             if self.draining:
                 return BatchTrouble(Trouble.UNSURE, "draining", 0)
@@ -402,10 +378,10 @@
             if entry.token == token:
                 break
             if entry.owner is not None:
-                self.elsewhere[run.id] = _Elsewhere(entry.owner, self.clock.now_ms())
+                self.places.note(run.id, entry.owner)
                 return _Moved()
-        self.elsewhere.pop(run.id, None)
-        gevent.spawn(self._announce, run.id)
+        self.places.known.pop(run.id, None)
+        gevent.spawn(self.places.announce, run.id)
         self.measures.count("take_overs", "batch")
         self.log.warning(
             "batch taken over",
@@ -421,21 +397,6 @@
         return run
 
 
-def wait_for_page(run: BatchRun, position: int, wait_ms: int) -> ResultPage:
-    """Return listed results, waiting for the first if there is none yet."""
-    if len(run.listed) <= position and not run.ended and wait_ms > 0:
-        run.changed.wait(wait_ms / MS_PER_SECOND)
-    return run.page(position)
-
-
-def body_of(run: BatchRun, item: str) -> bytes | BatchTrouble:
-    """Return the body of an item of a batch that has not ended."""
-    state = run.progress.get(item)
-    if state is None:
-        return BatchTrouble(Trouble.ABSENT, "no such item")
-    return state.item.body
-
-
 def unix_ms() -> int:
     """Return the time of day, which may jump and differ between nodes."""
     return time.time_ns() // 1_000_000
--- a/tests/unit/batches/test_batch_service.py
+++ b/tests/unit/batches/test_batch_service.py
@@ -209,7 +209,7 @@
     assert first.end("b1") is None
     del world.network.services["a"]
     for service in (second, third):
-        service.guides = lambda: [second.me.address]
+        service.places.guides = lambda: [second.me.address]
     assert ids(second.read("b1", 0, 0)) == ["i1"]
     gevent.sleep(0)
     reads = world.store.calls["get"]
@@ -320,11 +320,11 @@
     assert ids(third.read("b1", 0, 0)) == []
     world.network.cut.add("a")
     assert ids(second.read("b1", 0, 0)) == []
-    third.guides = lambda: [second.me.address]
+    third.places.guides = lambda: [second.me.address]
     started_ms = world.clock.now_ms()
     assert ids(third.read("b1", 0, 0)) == []
     assert world.clock.now_ms() - started_ms < TAKE_OVER_AFTER_MS
-    assert third.elsewhere["b1"].owner == second.me
+    assert third.places.known["b1"].owner == second.me
 
 
 def test_a_former_owner_lists_nothing_more_and_reads_what_the_new_one_listed(world):
