--- a/src/pistachionotch/gateway/calls.py
+++ b/src/pistachionotch/gateway/calls.py
@@ -16,6 +16,7 @@
 from .dialect import UpstreamDialect, UpstreamRequest
 from .exchange import Exchange, UpstreamClient
 from .placing import NoRoom, choose_upstream
+from .streams import EVENT_PATIENCE_MS, StreamRelay
 from .upstreams import Upstream, UpstreamTable
 
 # An attempt with less time than this is not worth sending.
@@ -24,8 +25,7 @@
 # turned silent then costs one attempt instead of the whole budget.
 PATIENCE_FACTOR = 8
 MIN_PATIENCE_MS = 600
-# Wait of a stream's next event, until its server counts as silent.
-EVENT_PATIENCE_MS = 4_000
+OK = 200
 EVENT_STREAM = "text/event-stream"
 SERVER_ERRORS = 500
 
@@ -93,6 +93,7 @@
     call: ClientCall
     route: Route
     deadline_ms: int
+    service: str
     tried: set[str] = attrs.field(factory=set)
     # Whether an attempt may have run.
     may_have_run: bool = False
@@ -117,8 +118,8 @@
 
     def forward(self, call: ClientCall, route: Route) -> Answer:
         """Return the answer to a call."""
-        progress = _Progress(call, route, _deadline_ms(call, route))
         service = route.choose_service(self.rng)
+        progress = _Progress(call, route, _deadline_ms(call, route), service)
         while len(progress.tried) < max(1, route.max_attempts):
             if progress.deadline_ms - self.clock.now_ms() < MIN_ATTEMPT_MS:
                 return self._timed_out(progress)
@@ -211,7 +212,7 @@
             headers = tuple(self.dialect.response_headers(response.head))
             if response.head.get("content-type").startswith(EVENT_STREAM):
                 done = True
-                parts = self._stream(progress, exchange, request)
+                parts = self._stream(progress, exchange)
                 return StreamReply(response.head.status, headers, parts)
             left_ms = progress.deadline_ms - self.clock.now_ms()
             body = exchange.connection.read_body(left_ms)
@@ -258,32 +259,45 @@
         expected_ms = upstream.response_ms or 0.0
         return min(left_ms, max(MIN_PATIENCE_MS, int(expected_ms * PATIENCE_FACTOR)))
 
-    def _stream(
-        self, progress: _Progress, exchange: Exchange, request: UpstreamRequest
-    ) -> Iterator[bytes]:
-        """Pass a stream on; one that may be resumed goes on at another upstream if it breaks."""
-        reader = self.dialect.event_reader()
-        last = progress.call.resume_after
-        upstream = exchange.upstream
-        try:
-            while True:
-                try:
-                    part = exchange.connection.read_part(EVENT_PATIENCE_MS)
-                except ExchangeError as error:
-                    upstream.note_failure(self.clock.now_ms())
-                    self._log_failure(progress, upstream, error.reason, True)
-                    raise
-                if not part:
-                    break
-                for event in reader.feed(part):
-                    last = event.number
-                yield part
-            self.client.finish(exchange)
-            self.log.info("stream ended", request=progress.call.request_id, last_event=last)
-        finally:
-            if not exchange.connection.body_ended:
-                exchange.connection.close()
+    def _stream(self, progress: _Progress, exchange: Exchange) -> Iterator[bytes]:
+        resumable = progress.route.resumable
+        relay = StreamRelay(
+            self.clock,
+            self.client,
+            self.dialect,
+            self.log,
+            progress.call.request_id,
+            progress.call.resume_after,
+            (lambda last: self._resume(progress, last)) if resumable else None,
+        )
+        return relay.parts(exchange)
+
+    def _resume(self, progress: _Progress, last: int | None) -> Exchange | None:
+        """Return the stream as another upstream goes on with it after an event."""
+        while len(progress.tried) < progress.route.max_attempts:
+            left_ms = progress.deadline_ms - self.clock.now_ms()
+            upstream = self._choose(progress, progress.service)
+            if upstream is None or left_ms < MIN_ATTEMPT_MS:
+                return None
+            progress.tried.add(upstream.record.instance)
+            request = _upstream_request(progress.call, upstream, left_ms)
+            request = attrs.evolve(request, resume_after=last)
+            upstream.in_flight += 1
+            try:
+                exchange = self.client.start(upstream, request, min(left_ms, MIN_PATIENCE_MS), True)
+            except ExchangeError as error:
+                upstream.in_flight -= 1
+                upstream.note_failure(self.clock.now_ms())
+                self._log_failure(progress, upstream, error.reason, error.sent)
+                continue
+            head = exchange.response.head
+            if head.status == OK and head.get("content-type").startswith(EVENT_STREAM):
+                return exchange
+            exchange.connection.close()
             upstream.in_flight -= 1
+            reason = f"status {head.status}"
+            self._log_failure(progress, upstream, reason, not exchange.response.not_run)
+        return None
 
     def _timed_out(self, progress: _Progress) -> Answer:
         cause = Cause.TIMEOUT if progress.may_have_run else Cause.NOT_RUN
--- a/src/pistachionotch/gateway/dialect.py
+++ b/src/pistachionotch/gateway/dialect.py
@@ -62,6 +62,9 @@
 class EventReader(Protocol):
     """Split the bytes of a stream into events."""
 
+    # Bytes of an event that is not complete yet.
+    rest: bytes
+
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Return the events that are complete now; raises ``ValueError`` on malformed ones."""
 
--- /dev/null
+++ b/src/pistachionotch/gateway/streams.py
@@ -0,0 +1,90 @@
+"""Streams to clients: events are passed on as they come, and a broken stream goes on elsewhere."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import attrs
+
+from ..clock import Clock
+from ..http_client import ExchangeError
+from .dialect import UpstreamDialect
+from .exchange import Exchange, UpstreamClient
+
+# Wait of a stream's next event, until its server counts as silent.
+EVENT_PATIENCE_MS = 4_000
+# The same if another server may go on with the stream; clients wait two seconds at least.
+RESUME_PATIENCE_MS = 1_000
+
+# Opens the stream at another server after an event; None if no server is left.
+Resume = Callable[[int | None], Exchange | None]
+
+
+@attrs.define
+class StreamRelay:
+    """Pass one stream on."""
+
+    clock: Clock
+    client: UpstreamClient
+    dialect: UpstreamDialect
+    log: Any
+    request_id: str
+    # Number of the last event that was passed on as a whole.
+    last: int | None
+    # None if the stream must not go on at another server.
+    resume: Resume | None
+
+    def parts(self, exchange: Exchange) -> Iterator[bytes]:
+        """Yield the bytes of the stream; raises ``ExchangeError`` if it breaks for good."""
+        current: Exchange | None = exchange
+        try:
+            while current is not None:
+                try:
+                    yield from self._events(current)
+                    return
+                except (ExchangeError, ValueError) as error:
+                    self._leave(current)
+                    broken, current = current, None
+                    current = self._next(broken, error)
+        finally:
+            if current is not None:
+                self._leave(current)
+
+    def _events(self, exchange: Exchange) -> Iterator[bytes]:
+        reader = self.dialect.event_reader()
+        patience_ms = EVENT_PATIENCE_MS if self.resume is None else RESUME_PATIENCE_MS
+        rest = b""
+        while part := exchange.connection.read_part(patience_ms):
+            for event in reader.feed(part):
+                self.last = event.number
+            # A server may break off within an event, which another one then sends as a whole.
+            held = len(reader.rest) if self.resume is not None else 0
+            text = rest + part
+            rest = text[len(text) - held :]
+            if len(text) > held:
+                yield text[: len(text) - held]
+        if rest:
+            yield rest
+        self.client.finish(exchange)
+        self.log.info("stream ended", request=self.request_id, last_event=self.last)
+
+    def _leave(self, exchange: Exchange) -> None:
+        if not exchange.connection.body_ended:
+            exchange.connection.close()
+        exchange.upstream.in_flight -= 1
+
+    def _next(self, broken: Exchange, error: Exception) -> Exchange:
+        broken.upstream.note_failure(self.clock.now_ms())
+        found = self.resume(self.last) if self.resume is not None else None
+        self.log.warning(
+            "stream broken",
+            request=self.request_id,
+            upstream=broken.upstream.record.instance,
+            reason=str(error),
+            last_event=self.last,
+            goes_on_at=found.upstream.record.instance if found is not None else "",
+        )
+        if found is None:
+            raise ExchangeError(str(error), sent=True) from error
+        return found
--- a/tests/unit/gateway/test_call_forwarding.py
+++ b/tests/unit/gateway/test_call_forwarding.py
@@ -235,6 +235,45 @@
     servers.stop()
 
 
+def stream_numbers(text):
+    return [int(line[4:]) for line in text.decode().splitlines() if line.startswith("id: ")]
+
+
+def test_a_resumable_stream_goes_on_at_another_server_without_a_gap_or_half_an_event():
+    servers = Servers(versions={"": 1})
+    servers.standins[0].faults.break_after = servers.standins[1].faults.break_after = 2
+    answer = servers.call(RouteKind.STREAM, resumable=True, max_attempts=3)
+    text = b"".join(answer.parts)
+    assert stream_numbers(text) == [1, 2, 3, 4, 5]
+    assert text.count(b"-of-5") == 5
+    runs = [run for standin in servers.standins for run in standin.runs]
+    assert sorted(run["after"] for run in runs) == [0, 2]
+    assert all(upstream.in_flight == 0 for upstream in servers.table.upstreams.values())
+    servers.stop()
+
+
+def test_a_stream_ends_incomplete_when_its_attempts_are_used_up_or_it_must_not_run_twice():
+    servers = Servers(versions={"": 1})
+    for kind in ({"resumable": True, "max_attempts": 1}, {"resumable": False, "max_attempts": 3}):
+        servers.set(break_after=2)
+        before = len(servers.runs())
+        answer = servers.call(RouteKind.STREAM, **kind)
+        with pytest.raises(ExchangeError):
+            list(answer.parts)
+        assert len(servers.runs()) == before + 1
+    assert all(upstream.in_flight == 0 for upstream in servers.table.upstreams.values())
+    servers.stop()
+
+
+def test_a_client_that_leaves_a_stream_frees_its_slot():
+    servers = Servers(versions={"": 1}, event_ms=50)
+    answer = servers.call(RouteKind.STREAM, resumable=True)
+    assert next(answer.parts)
+    answer.parts.close()
+    assert all(upstream.in_flight == 0 for upstream in servers.table.upstreams.values())
+    servers.stop()
+
+
 def test_headers_of_the_connection_and_of_the_client_s_budget_are_replaced():
     from pistachionotch.gateway.dialect import UpstreamRequest
 
