--- a/src/pistachionotch/platform/ingress.py
+++ b/src/pistachionotch/platform/ingress.py
@@ -74,6 +74,7 @@
         """Serve one request."""
         self.count_open(1)
         watch = None
+        malformed = False
         answer: Answer = Refusal(Cause.NOT_RUN, "the gateway has stopped", 0)
         try:
             if self.ended():
@@ -84,6 +85,7 @@
                 answer = self._answer(call)
             else:
                 answer = call
+                malformed = True
         except ClientGoneError:
             self.log.info("client left", request=_header(environ, REQUEST_ID))
             answer = Refusal(Cause.UNKNOWN, "the client left")
@@ -93,15 +95,20 @@
         finally:
             if watch is not None and not isinstance(answer, StreamReply):
                 watch.kill(block=False)
-        return self._send(answer, start_response, watch)
+        return self._send(answer, start_response, watch, malformed)
 
     def _send(
-        self, answer: Answer, start_response: Callable[..., Any], watch: Any
+        self,
+        answer: Answer,
+        start_response: Callable[..., Any],
+        watch: Any,
+        malformed: bool = False,
     ) -> Iterable[bytes]:
         if isinstance(answer, Refusal):
             answer = _refusal_reply(answer)
         headers = list(answer.headers)
-        if self.closing():
+        # Where a malformed request ends is not certain, so nothing is read after it.
+        if malformed or self.closing():
             headers.append(("Connection", "close"))
         if isinstance(answer, Reply):
             self.count_open(-1)
@@ -118,6 +125,8 @@
         # Two ways to delimit a body are how a request is hidden inside another.
         if "transfer-encoding" in names and "content-length" in names:
             return Refusal(Cause.INVALID, "both a length and a transfer encoding")
+        if names.count("content-length") > 1 or names.count("transfer-encoding") > 1:
+            return Refusal(Cause.INVALID, "the length or the transfer encoding is given twice")
         catalog = self.catalog()
         limit = catalog.limits.max_body_bytes if catalog else None
         body = environ["wsgi.input"].read(-1 if limit is None else limit + 1)
--- /dev/null
+++ b/tests/unit/platform/test_ingress.py
@@ -0,0 +1,100 @@
+"""Guards against requests that are hidden inside malformed ones."""
+
+import socket
+
+import pytest
+import structlog
+
+from pistachionotch.clock import SystemClock
+from pistachionotch.gateway.calls import Reply
+from pistachionotch.gateway.catalog import Catalog, ClientLimits, Route, RouteKind, ServiceShare
+from pistachionotch.platform.ingress import IngressApp
+from pistachionotch.server import make_server
+
+ROUTE = Route(
+    name="r",
+    host="h",
+    prefix="/p/",
+    kind=RouteKind.SAFE,
+    shares=(ServiceShare("s", 1),),
+    timeout_ms=0,
+    objective_ms=100,
+    priority=0,
+    max_attempts=1,
+)
+CATALOG = Catalog(1, (ROUTE,), {}, ClientLimits(max_body_bytes=100))
+HIDDEN = b"POST /p/hidden HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+
+
+class Forwarder:
+    """Answer every call and remember it."""
+
+    def __init__(self):
+        self.targets = []
+
+    def forward(self, call, route):
+        self.targets.append(call.target)
+        return Reply(200, (), b"ok")
+
+
+@pytest.fixture
+def gateway():
+    forwarder = Forwarder()
+    log = structlog.get_logger()
+    app = IngressApp(
+        SystemClock(),
+        lambda: CATALOG,
+        forwarder,
+        None,
+        lambda: False,
+        lambda: False,
+        lambda change: None,
+        log,
+    )
+    server = make_server("127.0.0.1", 0, app)
+    server.start()
+    yield server, forwarder
+    server.stop(timeout=0)
+
+
+def exchange(server, data):
+    """Send bytes and return all that comes back until the connection closes."""
+    with socket.create_connection(("127.0.0.1", server.server_port), timeout=3) as sock:
+        sock.sendall(data)
+        sock.shutdown(socket.SHUT_WR)
+        received = b""
+        while part := sock.recv(65_536):
+            received += part
+        return received
+
+
+@pytest.mark.parametrize(
+    "framing",
+    [
+        b"Content-Length: 0\r\nTransfer-Encoding: chunked",
+        b"Content-Length: 0\r\nContent-Length: 60",
+        b"Transfer-Encoding: chunked\r\nTransfer-Encoding: identity",
+    ],
+)
+def test_nothing_is_read_after_a_malformed_request(gateway, framing):
+    server, forwarder = gateway
+    head = b"POST /p/x HTTP/1.1\r\nHost: h\r\n" + framing + b"\r\n\r\n"
+    received = exchange(server, head + HIDDEN)
+    assert received.startswith(b"HTTP/1.1 400 ")
+    assert received.count(b"HTTP/1.1 ") == 1
+    assert forwarder.targets == []
+
+
+def test_a_body_that_is_too_large_ends_the_connection(gateway):
+    server, forwarder = gateway
+    head = b"POST /p/x HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n"
+    received = exchange(server, head + b"x" * 101 + HIDDEN)
+    assert received.startswith(b"HTTP/1.1 413 ")
+    assert forwarder.targets == []
+
+
+def test_requests_in_order_share_a_connection(gateway):
+    server, forwarder = gateway
+    received = exchange(server, HIDDEN * 2)
+    assert received.count(b"HTTP/1.1 200 ") == 2
+    assert forwarder.targets == ["/p/hidden", "/p/hidden"]
