--- a/src/pistachionotch/batches/model.py
+++ b/src/pistachionotch/batches/model.py
@@ -62,6 +62,18 @@
     versions: tuple[int, ...] = ()
 
 
+@attrs.frozen(kw_only=True)
+class ItemPart:
+    """Hold what an item that is not finished has generated so far."""
+
+    id: str
+    texts: tuple[str, ...]
+    last_event: int | None
+    versions: tuple[int, ...]
+    failures: int = 0
+    failed_at: tuple[str, ...] = ()
+
+
 @attrs.frozen(kw_only=True)
 class BatchHead:
     """Hold what is stored when a batch is accepted."""
@@ -101,6 +113,19 @@
     retry_after_ms: int | None = None
 
 
+@attrs.frozen(kw_only=True)
+class BatchState:
+    """Hold all that an owner knows of its batch, for the process that goes on with it."""
+
+    head: BatchHead
+    # Number of the next entry of the log, and the results of the entries before it.
+    position: int
+    listed: tuple[ItemResult, ...]
+    # Finished items that have no position yet, and parts of the others.
+    unlisted: tuple[ItemResult, ...]
+    parts: tuple[ItemPart, ...]
+
+
 @attrs.frozen(kw_only=True)
 class ResultPage:
     """Hold the results from one position on."""
--- a/src/pistachionotch/batches/owner.py
+++ b/src/pistachionotch/batches/owner.py
@@ -11,7 +11,7 @@
 from gevent.event import Event
 from returns.result import Failure
 
-from ..clock import Clock
+from ..clock import MS_PER_SECOND, Clock
 from ..gateway.catalog import Catalog, Route
 from ..gateway.upstreams import Upstream, UpstreamTable
 from ..measures import Measures
@@ -34,6 +34,8 @@
 TICK_MS = 50
 # Pause after the object API refused or lost an entry.
 LIST_RETRY_MS = 250
+# Longest wait for the tasks of a batch's items to stop, which closes their connections.
+STOP_LIMIT_MS = 300
 # An item that failed at fewer engines than its route's limit of attempts is tried this many times
 # as often. The platform's rules allow three times the limit.
 SAME_ENGINE_FACTOR = 2
@@ -309,7 +311,9 @@
         while run.open and run.unlisted and self.list_once(run):
             continue
         run.stopped = True
-        self.stop_items(run)
+        tasks = [task for (batch, _item), task in self.tasks.items() if batch == run.id]
+        # What their streams have brought so far goes to the next owner.
+        gevent.killall(tasks, timeout=STOP_LIMIT_MS / MS_PER_SECOND)
 
 
 def _hopeless(state: ItemProgress, max_attempts: int) -> bool:
--- a/src/pistachionotch/batches/ownership.py
+++ b/src/pistachionotch/batches/ownership.py
@@ -30,6 +30,19 @@
     processor: float
 
 
+def choose_successors(
+    region: str, others: Iterable[GatewayRecord], rng: random.Random
+) -> list[GatewayRecord]:
+    """Return the gateways that may go on with the batches of one that stops, best first.
+
+    Load pattern: all gateways are restarted one after the other, each in the middle of a step whose
+    longest streams have run for seconds.
+    """
+    candidates = list(others)
+    rng.shuffle(candidates)
+    return sorted(candidates, key=lambda other: (other.region != region, -other.processor))
+
+
 def choose_owner(
     own_processor: float, region: str, others: Iterable[GatewayRecord], rng: random.Random
 ) -> GatewayRecord | None:
--- a/src/pistachionotch/batches/peers.py
+++ b/src/pistachionotch/batches/peers.py
@@ -12,7 +12,15 @@
 
 from ..config.spec import Address
 from ..http_client import Connection, ConnectionPool, ExchangeError
-from .model import BatchHead, BatchTrouble, Owner, ResultPage, Submission, Trouble
+from .model import (
+    BatchHead,
+    BatchState,
+    BatchTrouble,
+    Owner,
+    ResultPage,
+    Submission,
+    Trouble,
+)
 from .records import (
     head_bytes,
     item_fields,
@@ -20,7 +28,9 @@
     read_head,
     read_owner,
     read_result,
+    read_state,
     result_fields,
+    state_bytes,
 )
 
 PREFIX = "/batches/"
@@ -109,6 +119,13 @@
             return read_owner(fields["owner"])
         return BatchTrouble(Trouble(fields["trouble"]), fields["reason"], fields["retry_after_ms"])
 
+    def take(self, address: Address, state: BatchState) -> Owner | None:
+        """Let another process go on with a batch; returns its new owner, None if it did not."""
+        asked = Owner(node="", incarnation=OWNERS, address=address)
+        target = _path(state.head.submission.id)
+        reply = self._ask(asked, "PUT", target, RESPONSE_TIMEOUT_MS, state_bytes(state))
+        return read_owner(cbor2.loads(reply)) if isinstance(reply, bytes) else None
+
     def owner_of(self, address: Address, batch: str) -> Owner | None:
         """Return the owner of a batch as another process knows it."""
         asked = Owner(node="", incarnation=OWNERS, address=address)
@@ -172,6 +189,9 @@
     def local_submit(self, submission: Submission) -> Owner | BatchTrouble | None:
         """Accept a batch for a peer; returns the owner of an accepted one."""
 
+    def local_take(self, state: BatchState) -> Owner | None:
+        """Go on with a batch of a peer that stops; returns its owner, None if that failed."""
+
     def known_owner(self, batch: str) -> Owner | None:
         """Return the owner of a batch, None if it is not known here."""
 
@@ -220,11 +240,19 @@
         }
         return HTTPStatus.OK, cbor2.dumps(fields)
 
+    def _answer_state(self, environ: dict[str, Any]) -> tuple[HTTPStatus, bytes]:
+        owner = self.batches.local_take(read_state(environ["wsgi.input"].read()))
+        if owner is None:
+            return HTTPStatus.SERVICE_UNAVAILABLE, b""
+        return HTTPStatus.OK, cbor2.dumps(owner_fields(owner))
+
     def _answer(self, environ: dict[str, Any]) -> tuple[HTTPStatus, bytes]:
         if environ["PATH_INFO"].startswith(OWNERS_PREFIX):
             return self._answer_owner(environ)
         if environ["REQUEST_METHOD"] == "POST":
             return self._answer_submission(environ)
+        if environ["REQUEST_METHOD"] == "PUT":
+            return self._answer_state(environ)
         # An earlier start of this process may have owned the batch; its memory is gone.
         if environ.get("HTTP_X_INCARNATION") != self.incarnation:
             return HTTPStatus.NOT_FOUND, b""
--- a/src/pistachionotch/batches/records.py
+++ b/src/pistachionotch/batches/records.py
@@ -6,8 +6,19 @@
 import json
 from typing import Any
 
+import attrs
+
 from ..config.spec import Address
-from .model import BatchHead, BatchItem, ItemResult, LogEntry, Owner, Submission
+from .model import (
+    BatchHead,
+    BatchItem,
+    BatchState,
+    ItemPart,
+    ItemResult,
+    LogEntry,
+    Owner,
+    Submission,
+)
 
 
 def dump(fields: Any) -> bytes:
@@ -101,6 +112,44 @@
     )
 
 
+def state_bytes(state: BatchState) -> bytes:
+    """Return the form in which a batch travels to its next owner."""
+    head = state.head
+    items = [item_fields(item) for item in head.submission.items]
+    fields = {
+        "head": head_bytes(head, items, 0).decode(),
+        "position": state.position,
+        "listed": [result_fields(result) for result in state.listed],
+        "unlisted": [result_fields(result) for result in state.unlisted],
+        "parts": [attrs.asdict(part) for part in state.parts],
+    }
+    return dump(fields)
+
+
+def read_state(value: bytes) -> BatchState:
+    """Read a batch that another owner hands over."""
+    fields = json.loads(value)
+    head, _parts = read_head(fields["head"].encode())
+    parts = (
+        ItemPart(
+            id=part["id"],
+            texts=tuple(part["texts"]),
+            last_event=part["last_event"],
+            versions=tuple(part["versions"]),
+            failures=part["failures"],
+            failed_at=tuple(part["failed_at"]),
+        )
+        for part in fields["parts"]
+    )
+    return BatchState(
+        head=head,
+        position=fields["position"],
+        listed=tuple(read_result(result) for result in fields["listed"]),
+        unlisted=tuple(read_result(result) for result in fields["unlisted"]),
+        parts=tuple(parts),
+    )
+
+
 def entry_bytes(entry: LogEntry) -> bytes:
     """Return the stored form of a log entry."""
     fields: dict[str, Any] = {"token": entry.token}
--- a/src/pistachionotch/batches/run.py
+++ b/src/pistachionotch/batches/run.py
@@ -13,7 +13,9 @@
 from .model import (
     BatchHead,
     BatchItem,
+    BatchState,
     BatchTrouble,
+    ItemPart,
     ItemResult,
     LogEntry,
     Owner,
@@ -171,6 +173,44 @@
             self.oldest_unlisted_ms = now_ms
         self.unlisted.append(result)
 
+    def state(self) -> BatchState:
+        """Return all that is known, for the process that goes on with this batch."""
+        parts = (
+            ItemPart(
+                id=state.item.id,
+                texts=tuple(state.texts),
+                last_event=state.last_event,
+                versions=tuple(state.versions),
+                failures=state.failures,
+                failed_at=tuple(state.failed_at),
+            )
+            for state in self.progress.values()
+            if not state.finished and (state.texts or state.failures)
+        )
+        return BatchState(
+            head=attrs.evolve(self.head, owner=self.owner),
+            position=self.log.position,
+            listed=tuple(self.listed),
+            unlisted=tuple(self.unlisted),
+            parts=tuple(parts),
+        )
+
+    def take(self, state: BatchState, now_ms: int) -> None:
+        """Take over what the former owner knew; the batch itself must be new here."""
+        self.log.position = state.position
+        self.listed = list(state.listed)
+        self.unlisted = list(state.unlisted)
+        self.oldest_unlisted_ms = now_ms
+        for result in (*state.listed, *state.unlisted):
+            self.progress[result.id].finished = True
+        for part in state.parts:
+            progress = self.progress[part.id]
+            progress.texts = list(part.texts)
+            progress.last_event = part.last_event
+            progress.versions = list(part.versions)
+            progress.failures = part.failures
+            progress.failed_at = set(part.failed_at)
+
     def listing_state(self) -> ListingState:
         """Return what decides whether to list now."""
         return ListingState(
--- a/src/pistachionotch/batches/service.py
+++ b/src/pistachionotch/batches/service.py
@@ -3,13 +3,11 @@
 from __future__ import annotations
 
 import random
-import time
 from collections.abc import Callable
 from typing import Any
 
 import attrs
 import gevent
-from gevent.lock import BoundedSemaphore
 from returns.result import Failure
 
 from ..clock import Clock
@@ -18,11 +16,11 @@
 from ..measures import Measures
 from ..objects.api import ObjectStore, StoreRejected, WriteAmbiguous
 from ..weights.demand import Demands
-from .log import BatchLog, create_batch, load_head
+from .log import create_batch, load_head
 from .model import (
     BatchHead,
+    BatchState,
     BatchTrouble,
-    LogEntry,
     Owner,
     ResultPage,
     Submission,
@@ -40,6 +38,7 @@
 )
 from .places import Place, Places
 from .run import BatchRun, body_of, wait_for_page
+from .succession import UNSURE_RETRY_MS, Moved, Succession, unix_ms
 
 # An owner that does not answer for this long has its batch taken over; a restart of a process and a
 # lost connection are both known sooner.
@@ -49,19 +48,12 @@
 MAX_OWNERS_ASKED = 3
 # Pause before a silent owner is asked again.
 ASK_AGAIN_MS = 200
-# Retry-After while it is not known who owns a batch.
-UNSURE_RETRY_MS = 300
 # Retry-After of a submission that the object API did not take, directly or through peers. Outages
 # last some seconds and trainers come back once or twice only; after this time a step still has half
 # of its 7.5 s.
 OUTAGE_RETRY_MS = 3_000
 
 
-@attrs.frozen
-class _Moved:
-    """Say that another process has become the owner meanwhile."""
-
-
 @attrs.define
 class BatchService:
     """Accept, read and end batches."""
@@ -79,13 +71,39 @@
     log: Any
     measures: Measures = attrs.field(factory=Measures)
     places: Places = attrs.field(init=False)
-    locks: dict[str, BoundedSemaphore] = attrs.field(factory=dict)
-    draining: bool = False
+    succession: Succession = attrs.field(init=False)
     # The gateway that should run the next batch, None if it is this one.
     choose_owner: Callable[[], GatewayRecord | None] = lambda: None
+    # Gateways that may go on with the batches of this one when it stops.
+    successors: Callable[[], list[GatewayRecord]] = list
 
     def __attrs_post_init__(self) -> None:
         self.places = Places(self.clock, self.me, self.peers, self.guides)
+        self.succession = Succession(
+            self.clock,
+            self.rng,
+            self.me,
+            self.store,
+            self.owner,
+            self.peers,
+            self.places,
+            self.successors,
+            self.log,
+            self.measures,
+        )
+
+    @property
+    def draining(self) -> bool:
+        """Return whether this process takes no more batches."""
+        return self.succession.draining
+
+    @draining.setter
+    def draining(self, draining: bool) -> None:
+        self.succession.draining = draining
+
+    def local_take(self, state: BatchState) -> Owner | None:
+        """Go on with a batch of a peer that stops; returns its owner, None if that failed."""
+        return self.succession.take(state)
 
     def submit(self, submission: Submission, route: Route) -> None | BatchTrouble:
         """Accept a batch durably; None means accepted."""
@@ -154,14 +172,14 @@
         if stored.owner != self.me:
             self.places.note(submission.id, stored.owner)
         elif submission.id not in self.owner.runs:
-            self.owner.add(self._new_run(stored, route))
+            self.owner.add(self.succession.new_run(stored, route))
             gevent.spawn(self._note_demand, submission)
             gevent.spawn(self.places.announce, submission.id)
         return None
 
     def known_owner(self, batch: str) -> Owner | None:
         """Answer a peer with the owner of a batch, None if it is not known here."""
-        if self._local(batch) is not None:
+        if self.succession.local(batch) is not None:
             return self.me
         place = self.places.known.get(batch)
         return None if place is None else place.owner
@@ -187,17 +205,9 @@
         )
         return BatchTrouble(trouble, str(error), OUTAGE_RETRY_MS)
 
-    def _new_run(self, head: BatchHead, route: Route | None) -> BatchRun:
-        # The clocks of two nodes may differ; an age is never negative.
-        accepted_ms = self.clock.now_ms() - max(0, unix_ms() - head.accepted_ms)
-        give_up_ms = accepted_ms + route.give_up_ms if route and route.give_up_ms else None
-        due_ms = accepted_ms + (route.due_ms if route else 0)
-        log = BatchLog(self.store, head.submission.id)
-        return BatchRun(head, log, head.owner, accepted_ms, due_ms, give_up_ms)
-
     def read(self, batch: str, position: int, wait_ms: int) -> ResultPage | BatchTrouble:
         """Return listed results, waiting for the first if there is none yet."""
-        run = self._local(batch)
+        run = self.succession.local(batch)
         if run is not None:
             return wait_for_page(run, position, wait_ms)
         found = self._at_owner(
@@ -209,7 +219,7 @@
 
     def item_body(self, batch: str, item: str) -> bytes | BatchTrouble:
         """Return the body of an item that is not listed yet."""
-        run = self._local(batch)
+        run = self.succession.local(batch)
         if run is None:
             found = self._at_owner(batch, lambda owner: self.peers.item_body(owner, batch, item))
             if not isinstance(found, BatchRun):
@@ -219,7 +229,7 @@
 
     def end(self, batch: str) -> None | BatchTrouble:
         """End a batch; None means ended for good."""
-        run = self._local(batch)
+        run = self.succession.local(batch)
         if run is None:
             found = self._at_owner(batch, lambda owner: self.peers.end(owner, batch))
             if not isinstance(found, BatchRun):
@@ -240,16 +250,16 @@
             if not run.open and now_ms - run.accepted_ms >= retention_ms:
                 del self.owner.runs[run.id]
         for batch in self.places.forget(retention_ms):
-            self.locks.pop(batch, None)
+            self.succession.locks.pop(batch, None)
 
     def local_page(self, batch: str, position: int, wait_ms: int) -> ResultPage | None:
         """Answer a peer with listed results of a batch that runs here."""
-        run = self._local(batch)
+        run = self.succession.local(batch)
         return None if run is None else wait_for_page(run, position, wait_ms)
 
     def local_body(self, batch: str, item: str) -> bytes | PeerAbsent | None:
         """Answer a peer with the body of an item of a batch that runs here."""
-        run = self._local(batch)
+        run = self.succession.local(batch)
         if run is None:
             return None
         body = body_of(run, item)
@@ -257,20 +267,14 @@
 
     def local_end(self, batch: str) -> bool | None:
         """End a batch that runs here for a peer."""
-        run = self._local(batch)
+        run = self.succession.local(batch)
         return None if run is None else run.ended or self.owner.end(run)
 
-    def _local(self, batch: str) -> BatchRun | None:
-        run = self.owner.runs.get(batch)
-        if run is None or (run.stopped and not run.ended):
-            return None
-        return run
-
     def _at_owner(self, batch: str, ask: Any) -> Any:
         """Return the owner's answer, or the batch itself once it was taken over."""
         for _ in range(MAX_OWNERS_ASKED):
             answer = self._ask_owner(batch, ask)
-            if not isinstance(answer, _Moved):
+            if not isinstance(answer, Moved):
                 return answer
         return BatchTrouble(Trouble.UNSURE, "the owner changes", UNSURE_RETRY_MS)
 
@@ -280,12 +284,12 @@
             return place
         if place.owner.node == self.me.node:
             # This process took it over or lost it, or an earlier start of this node owned it.
-            return self._take_over(batch, place.owner)
+            return self.succession.take_over(batch, place.owner)
         answer = self._ask_patiently(batch, place, ask)
-        if isinstance(answer, _Moved):
+        if isinstance(answer, Moved):
             return answer
         if isinstance(answer, NotHere | PeerUnreachable):
-            return self._take_over(batch, place.owner)
+            return self.succession.take_over(batch, place.owner)
         place.unreachable_since_ms = None
         if isinstance(answer, PeerAbsent):
             return BatchTrouble(Trouble.ABSENT, "no such item")
@@ -301,7 +305,7 @@
             if not isinstance(answer, NotHere | PeerUnreachable):
                 return answer
             if self.places.replaced(batch, place.owner):
-                return _Moved()
+                return Moved()
             if isinstance(answer, NotHere) or answer.refused:
                 return answer
             if place.unreachable_since_ms is None:
@@ -325,78 +329,3 @@
         if head is None:
             return BatchTrouble(Trouble.ABSENT, "no such batch")
         return self.places.note(batch, head.owner)
-
-    def _take_over(self, batch: str, lost: Owner) -> Any:
-        """Become the owner unless another process already did."""
-        with self.locks.setdefault(batch, BoundedSemaphore()):
-            run = self._local(batch)
-            if run is not None:
-                return run
-            found = self._replay(batch)
-            if isinstance(found, BatchTrouble):
-                return found
-            if found.ended:
-                # Its log does not change any more, so others may read it here.
-                self.owner.runs[batch] = found
-                gevent.spawn(self.places.announce, batch)
-                return found
-            if found.owner != lost and found.owner.node != self.me.node:
-                self.places.note(batch, found.owner)
-                return _Moved()
-            if self.draining:
-                return BatchTrouble(Trouble.UNSURE, "draining", 0)
-            return self._claim(found, lost)
-
-    def _replay(self, batch: str) -> BatchRun | BatchTrouble:
-        loaded = load_head(self.store, batch)
-        if isinstance(loaded, Failure):
-            return BatchTrouble(Trouble.UNSURE, str(loaded.failure()), UNSURE_RETRY_MS)
-        head = loaded.unwrap()
-        if head is None:
-            return BatchTrouble(Trouble.ABSENT, "no such batch")
-        submission = head.submission
-        catalog = self.owner.catalog()
-        route = catalog.match(submission.host, submission.target) if catalog else None
-        run = self._new_run(head, route)
-        while True:
-            read = run.log.read_next()
-            if isinstance(read, Failure):
-                return BatchTrouble(Trouble.UNSURE, str(read.failure()), UNSURE_RETRY_MS)
-            entry = read.unwrap()
-            if entry is None:
-                return run
-            run.apply(entry)
-
-    def _claim(self, run: BatchRun, lost: Owner) -> Any:
-        token = f"{self.rng.getrandbits(64):016x}"
-        while not run.ended:
-            appended = run.log.append(LogEntry(token=token, owner=self.me))
-            if isinstance(appended, Failure):
-                return BatchTrouble(Trouble.UNSURE, str(appended.failure()), UNSURE_RETRY_MS)
-            entry = appended.unwrap()
-            run.apply(entry)
-            if entry.token == token:
-                break
-            if entry.owner is not None:
-                self.places.note(run.id, entry.owner)
-                return _Moved()
-        self.places.known.pop(run.id, None)
-        gevent.spawn(self.places.announce, run.id)
-        self.measures.count("take_overs", "batch")
-        self.log.warning(
-            "batch taken over",
-            batch=run.id,
-            former=lost.node,
-            listed=len(run.listed),
-            total=len(run.progress),
-        )
-        if run.ended:
-            self.owner.runs[run.id] = run
-        else:
-            self.owner.add(run)
-        return run
-
-
-def unix_ms() -> int:
-    """Return the time of day, which may jump and differ between nodes."""
-    return time.time_ns() // 1_000_000
--- a/src/pistachionotch/gateway/daemon.py
+++ b/src/pistachionotch/gateway/daemon.py
@@ -15,9 +15,10 @@
 from ..batches.items import ItemRunner
 from ..batches.model import Owner
 from ..batches.owner import BatchOwner
-from ..batches.ownership import choose_owner
+from ..batches.ownership import choose_owner, choose_successors
 from ..batches.peers import PeerApp, PeerClient
-from ..batches.service import BatchService, unix_ms
+from ..batches.service import BatchService
+from ..batches.succession import unix_ms
 from ..clock import MS_PER_SECOND, SystemClock
 from ..http_client import ConnectionPool
 from ..lease.lease import Lease
@@ -148,6 +149,9 @@
             lambda: self.watchers.addresses(),
             logger("batches"),
             self.measures,
+            successors=lambda: choose_successors(
+                settings.region, self.gateways.records.values(), self.rng
+            ),
             choose_owner=lambda: choose_owner(
                 settings.processor, settings.region, self.gateways.records.values(), self.rng
             ),
@@ -324,6 +328,9 @@
 
     def _release(self) -> None:
         """Hand over batches and the lease; a store that hangs is not waited for."""
-        jobs = [gevent.spawn(self.owner.release, run) for run in list(self.owner.runs.values())]
+        jobs = [
+            gevent.spawn(self.batches.succession.hand_on, run)
+            for run in list(self.owner.runs.values())
+        ]
         jobs.append(gevent.spawn(self.orders.lease.release))
         gevent.joinall(jobs, timeout=RELEASE_LIMIT_MS / MS_PER_SECOND)
--- /dev/null
+++ b/tests/unit/batches/test_batch_peers.py
@@ -0,0 +1,84 @@
+"""Guards against submissions and batches that change on their way between gateways."""
+
+import pytest
+from test_batch_log import head, item
+
+from pistachionotch.batches.model import BatchState, BatchTrouble, ItemPart, ItemResult, Trouble
+from pistachionotch.batches.peers import NotHere, PeerApp, PeerClient, PeerUnreachable
+from pistachionotch.clock import SystemClock
+from pistachionotch.config.spec import Address
+from pistachionotch.http_client import ConnectionPool
+from pistachionotch.server import make_server
+
+STATE = BatchState(
+    head=head(),
+    position=7,
+    listed=(ItemResult(id="i1", done=True, text="a\nb", versions=(3, 4)),),
+    unlisted=(ItemResult(id="i2", done=False),),
+    parts=(
+        ItemPart(
+            id="i0",
+            texts=("é", "two"),
+            last_event=2,
+            versions=(3,),
+            failures=1,
+            failed_at=("e",),
+        ),
+    ),
+)
+
+
+class Batches:
+    """Remember what arrives and answer as told."""
+
+    def __init__(self):
+        self.answer = None
+        self.arrived = []
+
+    def local_submit(self, submission):
+        self.arrived.append(submission)
+        return self.answer
+
+    def local_take(self, state):
+        self.arrived.append(state)
+        return self.answer
+
+
+@pytest.fixture
+def peer():
+    batches = Batches()
+    server = make_server("127.0.0.1", 0, PeerApp(batches, "1"))
+    server.start()
+    yield batches, Address("127.0.0.1", server.server_port)
+    server.stop(timeout=0)
+
+
+def client():
+    return PeerClient(ConnectionPool(SystemClock()))
+
+
+def test_a_submission_arrives_unchanged_and_its_answer_comes_back(peer):
+    batches, address = peer
+    assert isinstance(client().submit(address, head()), NotHere)
+    batches.answer = head().owner
+    assert client().submit(address, head()) == head().owner
+    batches.answer = BatchTrouble(Trouble.UNKNOWN, "lost", 300)
+    assert client().submit(address, head()) == batches.answer
+    assert batches.arrived == [head().submission] * 3
+    assert item("i0") in head().submission.items
+
+
+def test_a_batch_arrives_unchanged(peer):
+    batches, address = peer
+    assert client().take(address, STATE) is None
+    batches.answer = head().owner
+    assert client().take(address, STATE) == head().owner
+    assert batches.arrived == [STATE, STATE]
+
+
+def test_a_gateway_that_is_not_there_takes_nothing(peer):
+    _batches, address = peer
+    nobody = Address("127.0.0.1", 1)
+    assert client().take(nobody, STATE) is None
+    refused = client().submit(nobody, head())
+    assert isinstance(refused, PeerUnreachable) and refused.refused
--- a/tests/unit/batches/test_batch_service.py
+++ b/tests/unit/batches/test_batch_service.py
@@ -8,11 +8,13 @@
 import structlog
 from test_batch_log import done, entry, head
 
+from pistachionotch.batches import succession
 from pistachionotch.batches.log import BatchLog, create_batch
 from pistachionotch.batches.model import BatchTrouble, Owner, ResultPage, Trouble
 from pistachionotch.batches.owner import BatchOwner
-from pistachionotch.batches.ownership import GatewayRecord, choose_owner
+from pistachionotch.batches.ownership import GatewayRecord, choose_owner, choose_successors
 from pistachionotch.batches.peers import NotHere, PeerAbsent, PeerUnreachable, PeerUnsure
+from pistachionotch.batches.records import read_state, state_bytes
 from pistachionotch.batches.service import (
     ASK_AGAIN_MS,
     TAKE_OVER_AFTER_MS,
@@ -63,6 +65,12 @@
         accepted = asked.local_submit(head.submission)
         return NotHere() if accepted is None else accepted
 
+    def take(self, address, state):
+        asked = next((s for s in self.services.values() if s.me.address == address), None)
+        if asked is None or asked.me.node in self.cut:
+            return None
+        return asked.local_take(read_state(state_bytes(state)))
+
     def announce(self, address, batch, owner):
         asked = next(s for s in self.services.values() if s.me.address == address)
         asked.note_owner(batch, owner)
@@ -118,11 +126,19 @@
         )
         log = structlog.get_logger()
         batches = PassiveOwner(
-            self.clock, random.Random(1), me, "r", {}, UpstreamTable(), None, lambda: CATALOG, log
+            self.clock,
+            random.Random(me.incarnation),
+            me,
+            "r",
+            {},
+            UpstreamTable(),
+            None,
+            lambda: CATALOG,
+            log,
         )
         service = BatchService(
             self.clock,
-            random.Random(1),
+            random.Random(me.incarnation),
             me,
             self.store,
             1_000_000,
@@ -391,6 +407,92 @@
     assert second.owner.runs["b1"].open
 
 
+def stopping(world, *nodes):
+    """Return a gateway with an item in progress that stops, and its possible successors."""
+    services = [world.start(node) for node in ("a", *nodes)]
+    first = services[0]
+    assert first.submit(submission(), ROUTE) is None
+    finish(first, "i1")
+    state = first.owner.runs["b1"].progress["i0"]
+    state.note_event(1, "one", 3)
+    state.note_event(2, "two", 4)
+    state.failures = 1
+    state.failed_at.add("engine")
+    first.succession.successors = lambda: [
+        GatewayRecord(address=service.me.address, region="r", processor=1.0)
+        for service in services[1:]
+    ]
+    first.draining = True
+    return services
+
+
+def test_a_stopping_gateway_hands_on_what_its_streams_have_brought(world):
+    first, second = stopping(world, "b")
+    reads = world.store.calls["get"]
+    first.succession.hand_on(first.owner.runs["b1"])
+    assert world.store.calls["get"] == reads
+    run = second.owner.runs["b1"]
+    assert run.owner == second.me and run.open
+    state = run.progress["i0"]
+    assert (state.texts, state.last_event, state.versions) == (["one", "two"], 2, [3, 4])
+    assert (state.failures, state.failed_at) == (1, {"engine"})
+    assert {item.item for item in run.waiting()} == {"i0", "i2"}
+    finish(second, "i2")
+    assert ids(first.read("b1", 0, 0)) == ids(second.read("b1", 0, 0)) == ["i1", "i2"]
+    assert first.end("b1") is None
+    assert second.owner.runs["b1"].ended
+
+
+def test_results_whose_entry_may_stand_in_the_log_are_not_handed_on(world):
+    first, second = stopping(world, "b")
+    run = first.owner.runs["b1"]
+    run.finish(run.progress["i0"], True, 0)
+    world.store.faults.outage = True
+    first.succession.hand_on(run)
+    world.store.faults.outage = False
+    assert "b1" not in second.owner.runs
+    assert ids(second.read("b1", 0, 0)) == ["i1"]
+    assert {item.item for item in second.owner.runs["b1"].waiting()} == {"i0", "i2"}
+
+
+def test_a_batch_is_handed_on_to_the_next_gateway_if_one_does_not_take_it(world):
+    first, second, third = stopping(world, "b", "c")
+    second.draining = True
+    first.succession.hand_on(first.owner.runs["b1"])
+    assert "b1" not in second.owner.runs
+    assert third.owner.runs["b1"].progress["i0"].last_event == 2
+
+
+def test_a_batch_that_another_gateway_took_meanwhile_has_one_owner(world):
+    first, second, third = stopping(world, "b", "c")
+    state = first.owner.runs["b1"].state()
+    del world.network.services["a"]
+    assert ids(third.read("b1", 0, 0)) == ["i1"]
+    assert second.local_take(state) is None
+    assert "b1" not in second.owner.runs
+    assert ids(second.read("b1", 0, 0)) == ["i1"]
+    assert third.owner.runs["b1"].owner == third.me
+
+
+def test_the_largest_gateways_of_the_region_go_on_with_batches():
+    def record(port, region="r", processor=1.0):
+        return GatewayRecord(address=Address("h", port), region=region, processor=processor)
+
+    others = [record(1, "far", 9.0), record(2), record(3, processor=2.0)]
+    chosen = choose_successors("r", others, random.Random(1))
+    assert [found.address.port for found in chosen] == [3, 2, 1]
+
+
+def test_no_item_is_given_up_early_when_the_time_of_day_jumps_ahead(world, monkeypatch):
+    first, second = world.start("a"), world.start("b")
+    first.submit(submission(), ROUTE)
+    now_ms = succession.unix_ms()
+    monkeypatch.setattr(succession, "unix_ms", lambda: now_ms + 5_000)
+    del world.network.services["a"]
+    second.read("b1", 0, 0)
+    assert second.owner.runs["b1"].give_up_ms >= ROUTE.give_up_ms
+
+
 def test_a_log_with_a_foreign_end_stops_a_take_over(world):
     create_batch(world.store, head(), 1_000_000)
     log = BatchLog(world.store, "b1")
