--- /dev/null
+++ b/tests/unit/batches/batch_world.py
@@ -0,0 +1,158 @@
+"""Gateways of one object API whose questions to each other can be cut off, for tests of batches."""
+
+import random
+
+import structlog
+from test_batch_log import head
+
+from pistachionotch.batches.model import Owner, ResultPage
+from pistachionotch.batches.owner import BatchOwner
+from pistachionotch.batches.peers import NotHere, PeerUnreachable, PeerUnsure
+from pistachionotch.batches.records import read_state, state_bytes
+from pistachionotch.batches.service import BatchService
+from pistachionotch.clock import ManualClock
+from pistachionotch.config.spec import Address
+from pistachionotch.gateway.catalog import Catalog, ClientLimits, Route, RouteKind, ServiceShare
+from pistachionotch.gateway.upstreams import UpstreamTable
+from pistachionotch.objects.memory import MemoryStore
+from pistachionotch.weights.demand import Demands
+
+ROUTE = Route(
+    name="r",
+    host="h",
+    prefix="/p/",
+    kind=RouteKind.BATCH,
+    shares=(ServiceShare("s", 1),),
+    timeout_ms=0,
+    objective_ms=400,
+    priority=0,
+    max_attempts=3,
+    due_ms=7_500,
+    give_up_ms=40_000,
+)
+CATALOG = Catalog(1, (ROUTE,), {}, ClientLimits())
+
+
+class Network:
+    """Carry questions between services, which can be cut off or killed."""
+
+    def __init__(self):
+        self.services = {}
+        self.cut = set()
+        self.heal_at_ms = None
+        self.clock = None
+
+    def owner_of(self, address, batch):
+        asked = next(s for s in self.services.values() if s.me.address == address)
+        return asked.known_owner(batch)
+
+    def submit(self, address, head):
+        asked = next((s for s in self.services.values() if s.me.address == address), None)
+        if asked is None:
+            return PeerUnreachable("connect: refused", True)
+        if asked.me.node in self.cut:
+            return PeerUnreachable("no response", False)
+        accepted = asked.local_submit(head.submission)
+        return NotHere() if accepted is None else accepted
+
+    def take(self, address, state):
+        asked = next((s for s in self.services.values() if s.me.address == address), None)
+        if asked is None or asked.me.node in self.cut:
+            return None
+        return asked.local_take(read_state(state_bytes(state)))
+
+    def announce(self, address, batch, owner):
+        asked = next(s for s in self.services.values() if s.me.address == address)
+        asked.note_owner(batch, owner)
+
+    def ask(self, asked, question):
+        if self.heal_at_ms is not None and self.clock.now_ms() >= self.heal_at_ms:
+            self.cut.clear()
+        service = self.services.get(asked.node)
+        if service is None:
+            return PeerUnreachable("connect: refused", True)
+        if asked.node in self.cut:
+            return PeerUnreachable("no response", False)
+        if service.me != asked:
+            return NotHere()
+        return question(service)
+
+    def read(self, asked, batch, position, wait_ms):
+        page = self.ask(asked, lambda service: service.local_page(batch, position, 0))
+        return NotHere() if page is None else page
+
+    def item_body(self, asked, batch, item):
+        body = self.ask(asked, lambda service: service.local_body(batch, item))
+        return NotHere() if body is None else body
+
+    def end(self, asked, batch):
+        ended = self.ask(asked, lambda service: service.local_end(batch))
+        if ended is None:
+            return NotHere()
+        if isinstance(ended, bool):
+            return None if ended else PeerUnsure("not stored")
+        return ended
+
+
+class PassiveOwner(BatchOwner):
+    """Start no tasks: the tests list results themselves."""
+
+    def add(self, run):
+        self.runs[run.id] = run
+
+
+class World:
+    def __init__(self):
+        self.store = MemoryStore()
+        self.clock = ManualClock()
+        self.network = Network()
+        self.network.clock = self.clock
+
+    def start(self, node, incarnation="1"):
+        me = Owner(
+            node=node,
+            incarnation=f"{node}-{incarnation}",
+            address=Address(f"10.0.0.{ord(node)}", 80),
+        )
+        log = structlog.get_logger()
+        batches = PassiveOwner(
+            self.clock,
+            random.Random(me.incarnation),
+            me,
+            "r",
+            {},
+            UpstreamTable(),
+            None,
+            lambda: CATALOG,
+            log,
+        )
+        service = BatchService(
+            self.clock,
+            random.Random(me.incarnation),
+            me,
+            self.store,
+            1_000_000,
+            batches,
+            self.network,
+            Demands(self.store, log),
+            list,
+            log,
+        )
+        self.network.services[node] = service
+        return service
+
+
+def submission():
+    return head().submission
+
+
+def finish(service, name):
+    run = service.owner.runs["b1"]
+    run.progress[name].note_event(1, "t", 3)
+    run.finish(run.progress[name], True, 0)
+    assert service.owner.list_once(run)
+
+
+def ids(page):
+    assert isinstance(page, ResultPage), page
+    return [result.id for result in page.results]
--- /dev/null
+++ b/tests/unit/batches/test_batch_succession.py
@@ -0,0 +1,276 @@
+"""Guards against batches that are run by two owners, or by none for longer than needed."""
+
+import random
+
+import attrs
+import gevent
+import pytest
+from batch_world import ROUTE, World, finish, ids, submission
+from test_batch_log import done, entry, head
+
+from pistachionotch.batches import succession
+from pistachionotch.batches.log import BatchLog, create_batch
+from pistachionotch.batches.model import Trouble
+from pistachionotch.batches.ownership import GatewayRecord, choose_owner, choose_successors
+from pistachionotch.batches.service import ASK_AGAIN_MS, TAKE_OVER_AFTER_MS
+from pistachionotch.config.spec import Address
+
+
+@pytest.fixture
+def world():
+    return World()
+
+
+def test_an_ended_batch_of_a_lost_gateway_is_read_from_the_object_api_once(world):
+    first, second, third = world.start("a"), world.start("b"), world.start("c")
+    first.submit(submission(), ROUTE)
+    finish(first, "i1")
+    assert first.end("b1") is None
+    del world.network.services["a"]
+    for service in (second, third):
+        service.places.guides = lambda: [second.me.address]
+    assert ids(second.read("b1", 0, 0)) == ["i1"]
+    gevent.sleep(0)
+    reads = world.store.calls["get"]
+    assert ids(third.read("b1", 0, 0)) == ["i1"]
+    assert world.store.calls["get"] == reads
+    assert "b1" not in third.owner.runs
+
+
+def two_sizes(world):
+    small, large = world.start("a"), world.start("b")
+    record = GatewayRecord(address=large.me.address, region="r", processor=2.15)
+    small.choose_owner = lambda: choose_owner(0.387, "r", [record], random.Random(1))
+    return small, large
+
+
+def test_a_small_gateway_hands_a_step_to_a_large_one(world):
+    small, large = two_sizes(world)
+    assert small.submit(submission(), ROUTE) is None
+    assert list(large.owner.runs) == ["b1"] and not small.owner.runs
+    finish(large, "i1")
+    assert ids(small.read("b1", 0, 0)) == ["i1"]
+    assert small.submit(submission(), ROUTE) is None
+
+
+def test_a_small_gateway_runs_a_step_that_the_large_one_cannot_take(world):
+    small, large = two_sizes(world)
+    large.draining = True
+    assert small.submit(submission(), ROUTE) is None
+    assert list(small.owner.runs) == ["b1"]
+    del world.network.services["b"]
+    again = attrs.evolve(submission(), id="b2")
+    assert small.submit(again, ROUTE) is None
+    assert "b2" in small.owner.runs
+
+
+def test_a_step_is_not_called_refused_while_the_large_gateway_may_accept_it(world):
+    small, _large = two_sizes(world)
+    world.store.faults.outage = True
+    assert small.submit(submission(), ROUTE).trouble is Trouble.NOT_RUN
+    world.network.cut.add("b")
+    assert small.submit(submission(), ROUTE).trouble is Trouble.UNKNOWN
+    del world.network.services["b"]
+    assert small.submit(submission(), ROUTE).trouble is Trouble.NOT_RUN
+
+
+def test_only_much_larger_gateways_of_the_region_are_chosen():
+    def record(port, region="r", processor=1.0):
+        return GatewayRecord(address=Address("h", port), region=region, processor=processor)
+
+    others = [record(1), record(2, "far", 9.0), record(3, processor=0.9), record(4, processor=0.0)]
+    rng = random.Random(1)
+    assert choose_owner(0.5, "r", others, rng) == others[0]
+    assert choose_owner(0.6, "r", others, rng) is None
+    assert choose_owner(0.0, "r", others, rng) is None
+
+
+def test_a_killed_owner_s_batch_goes_on_where_it_is_read(world):
+    first, second = world.start("a"), world.start("b")
+    first.submit(submission(), ROUTE)
+    finish(first, "i1")
+    del world.network.services["a"]
+    assert ids(second.read("b1", 0, 0)) == ["i1"]
+    run = second.owner.runs["b1"]
+    assert run.owner == second.me
+    assert {item.item for item in run.waiting()} == {"i0", "i2"}
+
+
+def test_a_restarted_owner_takes_its_batch_up_again(world):
+    world.start("a").submit(submission(), ROUTE)
+    again = world.start("a", incarnation="2")
+    assert ids(again.read("b1", 0, 0)) == []
+    assert again.owner.runs["b1"].owner == again.me
+
+
+def test_an_owner_that_is_silent_for_a_moment_keeps_its_batch(world):
+    first, second = world.start("a"), world.start("b")
+    first.submit(submission(), ROUTE)
+    finish(first, "i1")
+    world.network.cut.add("a")
+    world.network.heal_at_ms = world.clock.now_ms() + TAKE_OVER_AFTER_MS - 1
+    assert ids(second.read("b1", 0, 0)) == ["i1"]
+    assert "b1" not in second.owner.runs
+    assert first.owner.runs["b1"].open
+
+
+def test_a_silent_owner_is_replaced_within_the_first_read(world):
+    # Reads of one batch reach many gateways, so few of them see a second silence.
+    first, second = world.start("a"), world.start("b")
+    first.submit(submission(), ROUTE)
+    finish(first, "i1")
+    world.network.cut.add("a")
+    started_ms = world.clock.now_ms()
+    assert ids(second.read("b1", 0, 0)) == ["i1"]
+    waited_ms = world.clock.now_ms() - started_ms
+    assert TAKE_OVER_AFTER_MS <= waited_ms <= TAKE_OVER_AFTER_MS + 2 * ASK_AGAIN_MS
+    assert second.owner.runs["b1"].owner == second.me
+
+
+def test_a_gateway_learns_of_a_new_owner_without_waiting_for_the_silent_one(world):
+    first, second, third = world.start("a"), world.start("b"), world.start("c")
+    first.submit(submission(), ROUTE)
+    assert ids(third.read("b1", 0, 0)) == []
+    world.network.cut.add("a")
+    assert ids(second.read("b1", 0, 0)) == []
+    third.places.guides = lambda: [second.me.address]
+    started_ms = world.clock.now_ms()
+    assert ids(third.read("b1", 0, 0)) == []
+    assert world.clock.now_ms() - started_ms < TAKE_OVER_AFTER_MS
+    assert third.places.known["b1"].owner == second.me
+
+
+def test_a_former_owner_lists_nothing_more_and_reads_what_the_new_one_listed(world):
+    first, second = world.start("a"), world.start("b")
+    first.submit(submission(), ROUTE)
+    finish(first, "i0")
+    world.network.cut.add("a")
+    second.read("b1", 0, 0)
+    world.clock.advance(TAKE_OVER_AFTER_MS)
+    second.read("b1", 0, 0)
+    finish(second, "i2")
+    run = first.owner.runs["b1"]
+    run.progress["i1"].note_event(1, "mine", 3)
+    run.finish(run.progress["i1"], True, 0)
+    first.owner.list_once(run)
+    assert run.stopped
+    world.network.cut.clear()
+    assert ids(first.read("b1", 0, 0)) == ["i0", "i2"]
+
+
+def test_of_two_nodes_that_take_over_one_becomes_the_owner(world):
+    world.start("a").submit(submission(), ROUTE)
+    del world.network.services["a"]
+    second, third = world.start("b"), world.start("c")
+    assert ids(second.read("b1", 0, 0)) == []
+    assert "b1" not in third.owner.runs
+    assert ids(third.read("b1", 0, 0)) == []
+    assert "b1" not in third.owner.runs
+
+
+def test_a_drained_node_hands_its_batches_over(world):
+    first, second = world.start("a"), world.start("b")
+    first.submit(submission(), ROUTE)
+    run = first.owner.runs["b1"]
+    run.progress["i0"].note_event(1, "t", 3)
+    run.finish(run.progress["i0"], True, 0)
+    first.draining = True
+    first.owner.release(run)
+    assert ids(second.read("b1", 0, 0)) == ["i0"]
+    assert second.owner.runs["b1"].open
+
+
+def stopping(world, *nodes):
+    """Return a gateway with an item in progress that stops, and its possible successors."""
+    services = [world.start(node) for node in ("a", *nodes)]
+    first = services[0]
+    assert first.submit(submission(), ROUTE) is None
+    finish(first, "i1")
+    state = first.owner.runs["b1"].progress["i0"]
+    state.note_event(1, "one", 3)
+    state.note_event(2, "two", 4)
+    state.failures = 1
+    state.failed_at.add("engine")
+    first.succession.successors = lambda: [
+        GatewayRecord(address=service.me.address, region="r", processor=1.0)
+        for service in services[1:]
+    ]
+    first.draining = True
+    return services
+
+
+def test_a_stopping_gateway_hands_on_what_its_streams_have_brought(world):
+    first, second = stopping(world, "b")
+    reads = world.store.calls["get"]
+    first.succession.hand_on(first.owner.runs["b1"])
+    assert world.store.calls["get"] == reads
+    run = second.owner.runs["b1"]
+    assert run.owner == second.me and run.open
+    state = run.progress["i0"]
+    assert (state.texts, state.last_event, state.versions) == (["one", "two"], 2, [3, 4])
+    assert (state.failures, state.failed_at) == (1, {"engine"})
+    assert {item.item for item in run.waiting()} == {"i0", "i2"}
+    finish(second, "i2")
+    assert ids(first.read("b1", 0, 0)) == ids(second.read("b1", 0, 0)) == ["i1", "i2"]
+    assert first.end("b1") is None
+    assert second.owner.runs["b1"].ended
+
+
+def test_results_whose_entry_may_stand_in_the_log_are_not_handed_on(world):
+    first, second = stopping(world, "b")
+    run = first.owner.runs["b1"]
+    run.finish(run.progress["i0"], True, 0)
+    world.store.faults.outage = True
+    first.succession.hand_on(run)
+    world.store.faults.outage = False
+    assert "b1" not in second.owner.runs
+    assert ids(second.read("b1", 0, 0)) == ["i1"]
+    assert {item.item for item in second.owner.runs["b1"].waiting()} == {"i0", "i2"}
+
+
+def test_a_batch_is_handed_on_to_the_next_gateway_if_one_does_not_take_it(world):
+    first, second, third = stopping(world, "b", "c")
+    second.draining = True
+    first.succession.hand_on(first.owner.runs["b1"])
+    assert "b1" not in second.owner.runs
+    assert third.owner.runs["b1"].progress["i0"].last_event == 2
+
+
+def test_a_batch_that_another_gateway_took_meanwhile_has_one_owner(world):
+    first, second, third = stopping(world, "b", "c")
+    state = first.owner.runs["b1"].state()
+    del world.network.services["a"]
+    assert ids(third.read("b1", 0, 0)) == ["i1"]
+    assert second.local_take(state) is None
+    assert "b1" not in second.owner.runs
+    assert ids(second.read("b1", 0, 0)) == ["i1"]
+    assert third.owner.runs["b1"].owner == third.me
+
+
+def test_the_largest_gateways_of_the_region_go_on_with_batches():
+    def record(port, region="r", processor=1.0):
+        return GatewayRecord(address=Address("h", port), region=region, processor=processor)
+
+    others = [record(1, "far", 9.0), record(2), record(3, processor=2.0)]
+    chosen = choose_successors("r", others, random.Random(1))
+    assert [found.address.port for found in chosen] == [3, 2, 1]
+
+
+def test_no_item_is_given_up_early_when_the_time_of_day_jumps_ahead(world, monkeypatch):
+    first, second = world.start("a"), world.start("b")
+    first.submit(submission(), ROUTE)
+    now_ms = succession.unix_ms()
+    monkeypatch.setattr(succession, "unix_ms", lambda: now_ms + 5_000)
+    del world.network.services["a"]
+    second.read("b1", 0, 0)
+    assert second.owner.runs["b1"].give_up_ms >= ROUTE.give_up_ms
+
+
+def test_a_log_with_a_foreign_end_stops_a_take_over(world):
+    create_batch(world.store, head(), 1_000_000)
+    log = BatchLog(world.store, "b1")
+    log.append(entry("t1", done("i1")))
+    log.append(entry("t2", ended=True))
+    service = world.start("b")
+    assert ids(service.read("b1", 0, 0)) == ["i1"]
+    assert not service.owner.runs["b1"].open
