--- a/src/pistachionotch/batches/ownership.py
+++ b/src/pistachionotch/batches/ownership.py
@@ -2,22 +2,23 @@
 
 Load pattern: gateways of very different size receive submissions by a hash of the client. A step of
 a hundred items starts a hundred streams at once and brings some thousand events a second for
-seconds, which a small VM passes on late, with all its other requests behind them. So a small
-gateway hands a submission to a larger one of its region; reads of the batch then take one more hop.
+seconds, which a small VM passes on late, with all its other requests behind them. Steps of one
+model follow each other on the same engines, and often overlap. So all steps of a model go to one
+gateway, a large one: it counts all that it has placed there, knows the engines' pace, and uses its
+connections again.
 """
 
 from __future__ import annotations
 
-import random
+import zlib
 from collections.abc import Iterable
 
 import attrs
 
 from ..config.spec import Address
 
-# A batch goes to another gateway only if that one has this many times the processor: a hop pays for
-# itself only then, and two gateways can never hand a batch to and fro.
-HAND_OVER_FACTOR = 2.0
+# A gateway with less than the largest one's processor divided by this runs no batches of others.
+LARGE_FACTOR = 2.0
 
 
 @attrs.frozen(kw_only=True)
@@ -30,28 +31,19 @@
     processor: float
 
 
-def choose_successors(
-    region: str, others: Iterable[GatewayRecord], rng: random.Random
-) -> list[GatewayRecord]:
-    """Return the gateways that may go on with the batches of one that stops, best first.
+def rank_owners(key: str, region: str, gateways: Iterable[GatewayRecord]) -> list[GatewayRecord]:
+    """Return the gateways that may run the batches of a key, best first.
 
-    Load pattern: all gateways are restarted one after the other, each in the middle of a step whose
-    longest streams have run for seconds.
+    Those of the region come first, and of these the large ones, by a hash of the key; a gateway
+    that comes or goes then changes the owner of its own keys only.
     """
-    candidates = list(others)
-    rng.shuffle(candidates)
-    return sorted(candidates, key=lambda other: (other.region != region, -other.processor))
-
-
-def choose_owner(
-    own_processor: float, region: str, others: Iterable[GatewayRecord], rng: random.Random
-) -> GatewayRecord | None:
-    """Return the gateway that should run a new batch, None if it is this one."""
-    larger = [
-        other
-        for other in others
-        if other.region == region and other.processor >= HAND_OVER_FACTOR * own_processor
-    ]
-    if own_processor <= 0 or not larger:
-        return None
-    return rng.choice(larger)
+    known = list(gateways)
+    largest = max((gateway.processor for gateway in known), default=0.0)
+    return sorted(
+        known,
+        key=lambda gateway: (
+            gateway.region != region,
+            gateway.processor * LARGE_FACTOR < largest,
+            zlib.crc32(f"{key} {gateway.address}".encode()),
+        ),
+    )
--- a/src/pistachionotch/batches/peers.py
+++ b/src/pistachionotch/batches/peers.py
@@ -43,8 +43,9 @@
 READ_TIMEOUT_MS = 700
 # An end is one write to the object API.
 RESPONSE_TIMEOUT_MS = 1_200
-# A submission is a write whose lost answer is settled by a read, each with its own time limit.
-SUBMIT_TIMEOUT_MS = 3_500
+# Another gateway's creation of a batch takes tens of milliseconds, and some hundred with a slow
+# object API. After this time the asking one creates it, which the client still waits for.
+SUBMIT_TIMEOUT_MS = 1_200
 MEDIA_TYPE = "application/cbor"
 
 
--- a/src/pistachionotch/batches/service.py
+++ b/src/pistachionotch/batches/service.py
@@ -38,11 +38,13 @@
 )
 from .places import Place, Places
 from .run import BatchRun, body_of, wait_for_page
-from .succession import UNSURE_RETRY_MS, Moved, Succession, unix_ms
+from .succession import UNSURE_RETRY_MS, Moved, Succession, owner_key, unix_ms
 
 # An owner that does not answer for this long has its batch taken over; a restart of a process and a
 # lost connection are both known sooner.
 TAKE_OVER_AFTER_MS = 1_500
+# A gateway that did not take a submission gets no other one for this time.
+AVOID_MS = 5_000
 # Owners that are asked in one read: the one known here, one of which a guide still speaks, and the
 # one that the log names.
 MAX_OWNERS_ASKED = 3
@@ -72,10 +74,10 @@
     measures: Measures = attrs.field(factory=Measures)
     places: Places = attrs.field(init=False)
     succession: Succession = attrs.field(init=False)
-    # The gateway that should run the next batch, None if it is this one.
-    choose_owner: Callable[[], GatewayRecord | None] = lambda: None
-    # Gateways that may go on with the batches of this one when it stops.
-    successors: Callable[[], list[GatewayRecord]] = list
+    # Gateways that may run the batches of a key, best first; this one is among them.
+    owners_of: Callable[[str], list[GatewayRecord]] = lambda _key: []
+    # Gateways that did not answer, and until when they get no submission.
+    avoided: dict[Address, int] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self.places = Places(self.clock, self.me, self.peers, self.guides)
@@ -87,7 +89,7 @@
             self.owner,
             self.peers,
             self.places,
-            self.successors,
+            self.owners_of,
             self.log,
             self.measures,
         )
@@ -112,7 +114,7 @@
         if self.draining:
             return BatchTrouble(Trouble.NOT_RUN, "draining", 0)
         head = BatchHead(submission=submission, owner=self.me, accepted_ms=unix_ms())
-        chosen = self.choose_owner()
+        chosen = self._choose_owner(submission)
         if chosen is None:
             return self._accept(head, route)
         handed = self._hand_over(head, chosen)
@@ -127,11 +129,23 @@
             return attrs.evolve(trouble, trouble=Trouble.UNKNOWN)
         return trouble
 
+    def _choose_owner(self, submission: Submission) -> GatewayRecord | None:
+        """Return the gateway that should run a batch, None if it is this one."""
+        now_ms = self.clock.now_ms()
+        for gateway in self.owners_of(owner_key(submission)):
+            if gateway.address == self.me.address:
+                return None
+            if self.avoided.get(gateway.address, 0) <= now_ms:
+                return gateway
+        return None
+
     def _hand_over(
         self, head: BatchHead, chosen: GatewayRecord
     ) -> Owner | BatchTrouble | PeerProblem:
-        """Let a larger gateway accept a batch."""
+        """Let the gateway that should run a batch accept it."""
         handed = self.peers.submit(chosen.address, head)
+        if isinstance(handed, NotHere | PeerUnreachable):
+            self.avoided[chosen.address] = self.clock.now_ms() + AVOID_MS
         self.log.info(
             "batch handed over",
             batch=head.submission.id,
@@ -142,7 +156,7 @@
         return handed
 
     def local_submit(self, submission: Submission) -> Owner | BatchTrouble | None:
-        """Accept a batch for a smaller gateway; None if this one cannot take it."""
+        """Accept a batch for another gateway; None if this one cannot take it."""
         catalog = self.owner.catalog()
         route = catalog.match(submission.host, submission.target) if catalog else None
         if route is None or self.draining:
--- a/src/pistachionotch/batches/succession.py
+++ b/src/pistachionotch/batches/succession.py
@@ -17,7 +17,15 @@
 from ..measures import Measures
 from ..objects.api import ObjectStore
 from .log import BatchLog, load_head
-from .model import BatchHead, BatchState, BatchTrouble, LogEntry, Owner, Trouble
+from .model import (
+    BatchHead,
+    BatchState,
+    BatchTrouble,
+    LogEntry,
+    Owner,
+    Submission,
+    Trouble,
+)
 from .owner import BatchOwner
 from .ownership import GatewayRecord
 from .peers import PeerClient
@@ -51,8 +59,8 @@
     owner: BatchOwner
     peers: PeerClient
     places: Places
-    # Gateways that may go on with the batches of this one when it stops.
-    successors: Callable[[], list[GatewayRecord]]
+    # Gateways that may run the batches of a key, best first; this one is among them.
+    owners_of: Callable[[str], list[GatewayRecord]]
     log: Any
     measures: Measures
     locks: dict[str, BoundedSemaphore] = attrs.field(factory=dict)
@@ -70,7 +78,9 @@
             if run.ended or run.owner != self.me or run.log.pending is not None:
                 return
             state = run.state()
-        for successor in self.successors()[:MAX_SUCCESSORS]:
+        ranked = self.owners_of(owner_key(run.head.submission))
+        others = [gateway for gateway in ranked if gateway.address != self.me.address]
+        for successor in others[:MAX_SUCCESSORS]:
             owner = self.peers.take(successor.address, state)
             self.log.info(
                 "batch handed on",
@@ -189,6 +199,11 @@
         return run
 
 
+def owner_key(submission: Submission) -> str:
+    """Return what the batches that should have one owner have in common."""
+    return submission.model or submission.id
+
+
 def unix_ms() -> int:
     """Return the time of day, which may jump and differ between nodes."""
     return time.time_ns() // 1_000_000
--- a/src/pistachionotch/gateway/daemon.py
+++ b/src/pistachionotch/gateway/daemon.py
@@ -15,7 +15,6 @@
 from ..batches.items import ItemRunner
 from ..batches.model import Owner
 from ..batches.owner import BatchOwner
-from ..batches.ownership import choose_owner, choose_successors
 from ..batches.peers import PeerApp, PeerClient
 from ..batches.service import BatchService
 from ..batches.succession import unix_ms
@@ -149,12 +148,7 @@
             lambda: self.watchers.addresses(),
             logger("batches"),
             self.measures,
-            successors=lambda: choose_successors(
-                settings.region, self.gateways.records.values(), self.rng
-            ),
-            choose_owner=lambda: choose_owner(
-                settings.processor, settings.region, self.gateways.records.values(), self.rng
-            ),
+            owners_of=self.gateways.owners_of,
         )
         self.orders = OrderDuty(
             self.clock,
--- a/src/pistachionotch/gateway/peers.py
+++ b/src/pistachionotch/gateway/peers.py
@@ -11,7 +11,7 @@
 from returns.result import Failure
 
 from ..batches.model import Owner
-from ..batches.ownership import GatewayRecord
+from ..batches.ownership import GatewayRecord, rank_owners
 from ..batches.peers import PeerApp
 from ..batches.records import dump
 from ..config.spec import Address
@@ -44,6 +44,14 @@
         """Return the addresses of the other gateways by node."""
         return {node: record.address for node, record in self.records.items()}
 
+    def own_record(self) -> GatewayRecord:
+        """Return what others know of this gateway."""
+        return GatewayRecord(address=self.me.address, region=self.region, processor=self.processor)
+
+    def owners_of(self, key: str) -> list[GatewayRecord]:
+        """Return all gateways, those first that should run the batches of a key."""
+        return rank_owners(key, self.region, [self.own_record(), *self.records.values()])
+
     def others(self) -> list[Address]:
         """Return the addresses of the other gateways."""
         return list(self.addresses.values())
