--- a/src/pistachionotch/batches/dispatch.py
+++ b/src/pistachionotch/batches/dispatch.py
@@ -199,14 +199,13 @@
     """
     moves = []
     paces = {engine.instance: engine.event_ms for engine in engines}
-    room = {engine.instance: engine.free for engine in engines}
     for item in sorted(running, key=lambda item: (item.optional, item.due_ms, item.item)):
         pace = paces.get(item.instance)
         if pace is None or now_ms - item.started_ms < MIN_STAY_MS:
             continue
         target = None
         for engine in engines:
-            if room[engine.instance] <= 0 or engine.event_ms is None:
+            if engine.free <= 0 or engine.event_ms is None:
                 continue
             if engine.versions.get(item.model, -1) < item.min_version:
                 continue
@@ -216,7 +215,7 @@
                 target = engine
         if target is None:
             continue
-        room[target.instance] -= 1
+        target.free -= 1
         moves.append(Move(item, f"{pace:.0f} ms an event, {target.event_ms:.0f} elsewhere"))
     return moves
 
@@ -235,7 +234,6 @@
     elsewhere takes about half an event. ``waiting`` names the models whose items still need slots.
     """
     hops = []
-    room = {engine.instance: engine.free for engine in engines}
     paces = {engine.instance: engine.recent_ms for engine in engines}
     known = sorted(engine.event_ms for engine in engines if engine.event_ms is not None)
     usual_ms = known[len(known) // 3] if known else None
@@ -250,7 +248,7 @@
         target = None
         target_ms = pace / HOP_FACTOR
         for engine in engines:
-            if room[engine.instance] <= 0 or engine.suspect or engine.instance == item.instance:
+            if engine.free <= 0 or engine.suspect or engine.instance == item.instance:
                 continue
             if engine.versions.get(item.model, -1) < item.min_version:
                 continue
@@ -259,6 +257,6 @@
                 target, target_ms = engine, expected_ms
         if target is None:
             continue
-        room[target.instance] -= 1
+        target.free -= 1
         hops.append(Move(item, f"{pace:.0f} ms since or between events, {target_ms:.0f} elsewhere"))
     return hops
--- a/src/pistachionotch/batches/owner.py
+++ b/src/pistachionotch/batches/owner.py
@@ -66,6 +66,13 @@
         gevent.spawn(self._list_results, run)
         self.wake.set()
 
+    def forget(self, run: BatchRun) -> None:
+        """Drop a batch that nobody asks for any more."""
+        del self.runs[run.id]
+        for batch, group in list(self.homes):
+            if batch == run.id:
+                del self.homes[(batch, group)]
+
     def run(self) -> None:
         """Start items for ever."""
         while True:
--- a/src/pistachionotch/batches/service.py
+++ b/src/pistachionotch/batches/service.py
@@ -211,13 +211,14 @@
     def _not_accepted(self, submission: Submission, error: Any) -> BatchTrouble:
         unknown = isinstance(error, WriteAmbiguous)
         trouble = Trouble.UNKNOWN if unknown else Trouble.NOT_RUN
+        retry_after_ms: int | None = OUTAGE_RETRY_MS
         if isinstance(error, StoreRejected):
-            trouble = Trouble.IMPOSSIBLE
+            trouble, retry_after_ms = Trouble.IMPOSSIBLE, None
         self.measures.count("submissions_not_accepted", trouble.value)
         self.log.warning(
             "batch not accepted", batch=submission.id, cause=trouble.value, reason=str(error)
         )
-        return BatchTrouble(trouble, str(error), OUTAGE_RETRY_MS)
+        return BatchTrouble(trouble, str(error), retry_after_ms)
 
     def read(self, batch: str, position: int, wait_ms: int) -> ResultPage | BatchTrouble:
         """Return listed results, waiting for the first if there is none yet."""
@@ -262,7 +263,7 @@
         now_ms = self.clock.now_ms()
         for run in list(self.owner.runs.values()):
             if not run.open and now_ms - run.accepted_ms >= retention_ms:
-                del self.owner.runs[run.id]
+                self.owner.forget(run)
         for batch in self.places.forget(retention_ms):
             self.succession.locks.pop(batch, None)
 
