Leave servers as soon as one of their answers says that they leave

Cause: only the listing told that a server leaves, which is stale while the object API is out, and may name the server again. The mark belongs to one start of the server, survives a listing without it, and is dropped two minutes after it was last listed. The forwarder now also returns the proof of an answer and the number of attempts that failed, which the calls that score texts need. The new tests of test_upstreams.py and test_call_forwarding.py need the mark; on the former sources a server that sends the header in its answers goes on to get calls, since nothing read the header.

--- a/src/pistachionotch/gateway/calls.py
+++ b/src/pistachionotch/gateway/calls.py
@@ -26,6 +26,7 @@
 PATIENCE_FACTOR = 8
 MIN_PATIENCE_MS = 600
 OK = 200
+SERVER_ERROR = 500
 EVENT_STREAM = "text/event-stream"
 SERVER_ERRORS = 500
 
@@ -52,6 +53,10 @@
     status: int
     headers: tuple[Header, ...] = ()
     body: bytes = b""
+    # The upstream's proof, empty if the answer is this process's own.
+    proof: str = ""
+    # Attempts of this call that an upstream answered with status 500.
+    server_errors: int = 0
 
 
 @attrs.frozen
@@ -81,6 +86,8 @@
     cause: Cause
     reason: str
     retry_after_ms: int | None = None
+    # Attempts of this call that an upstream answered with status 500.
+    server_errors: int = 0
 
 
 Answer = Reply | StreamReply | Refusal
@@ -100,6 +107,7 @@
     failure: Reply | None = None
     retry_after_ms: int | None = None
     reason: str = ""
+    server_errors: int = 0
 
 
 @attrs.define
@@ -227,7 +235,8 @@
             upstream.note_attempt(False, now_ms)
         else:
             upstream.note_response(now_ms - started_ms, now_ms)
-        reply = Reply(response.head.status, headers, body)
+        progress.server_errors += response.head.status == SERVER_ERROR
+        reply = Reply(response.head.status, headers, body, response.proof, progress.server_errors)
         progress.may_have_run = True
         if reply.status >= SERVER_ERRORS and repeatable:
             progress.failure = reply
@@ -300,9 +309,11 @@
         return None
 
     def _timed_out(self, progress: _Progress) -> Answer:
+        if progress.failure is not None:
+            return progress.failure
         cause = Cause.TIMEOUT if progress.may_have_run else Cause.NOT_RUN
         self._log_end(progress, cause)
-        return Refusal(cause, progress.reason or "time is up", 0)
+        return Refusal(cause, progress.reason or "time is up", 0, progress.server_errors)
 
     def _give_up(self, progress: _Progress) -> Answer:
         if progress.failure is not None:
@@ -311,7 +322,7 @@
             return self._timed_out(progress)
         cause = Cause.UNKNOWN if progress.may_have_run else Cause.NOT_RUN
         self._log_end(progress, cause)
-        return Refusal(cause, progress.reason, progress.retry_after_ms)
+        return Refusal(cause, progress.reason, progress.retry_after_ms, progress.server_errors)
 
     def _log_end(self, progress: _Progress, cause: Cause) -> None:
         self.measures.count("calls_given_up", cause.value)
--- a/src/pistachionotch/gateway/dialect.py
+++ b/src/pistachionotch/gateway/dialect.py
@@ -44,8 +44,10 @@
     matches: bool
     # Whether the upstream states that it did not run the request.
     not_run: bool
-    # Whether an upstream's proof comes with the response.
-    proved: bool
+    # The upstream's proof that comes with the response, empty if there is none.
+    proof: str
+    # Whether the upstream says that it is leaving.
+    leaving: bool
     # Weight versions of the response, newest last; empty for plain services.
     versions: tuple[int, ...]
 
--- a/src/pistachionotch/gateway/exchange.py
+++ b/src/pistachionotch/gateway/exchange.py
@@ -64,9 +64,12 @@
             response = self.dialect.read_response(request, connection.read_head(timeout_ms))
             if not response.matches:
                 raise ExchangeError("the response belongs to another request", sent=True)
+            if response.leaving:
+                # The listing may say so later, or never while the object API is out.
+                upstream.left = True
             # Reports and orders have no request id and no proof.
             success = HTTPStatus.OK <= response.head.status < HTTPStatus.MULTIPLE_CHOICES
-            if request.request_id and success and not response.proved:
+            if request.request_id and success and not response.proof:
                 raise ExchangeError("a success without the upstream's proof", sent=True)
         except BaseException:
             connection.close()
--- a/src/pistachionotch/gateway/knowledge.py
+++ b/src/pistachionotch/gateway/knowledge.py
@@ -107,7 +107,7 @@
 
     def _take_upstreams(self, objects: dict[str, StoredObject], revision: int) -> None:
         records = self.listings.upstreams(objects)
-        gone = self.table.replace(records, revision)
+        gone = self.table.replace(records, revision, self.clock.now_ms())
         self.listed = True
         for record in gone:
             self.pool.forget(record.address, record.peer)
--- a/src/pistachionotch/gateway/upstreams.py
+++ b/src/pistachionotch/gateway/upstreams.py
@@ -36,6 +36,9 @@
 PACE_TIME_MS = 700
 # The same for the pace of this moment, which shows such a neighbour after one or two events.
 RECENT_TIME_MS = 100
+# An upstream that said it is leaving is remembered this long after it was last listed, since a
+# stale listing may name it again.
+LEFT_MEMORY_MS = 120_000
 # The pace of this moment is unknown after this time without an event.
 RECENT_AGE_MS = 400
 
@@ -79,6 +82,8 @@
     # Moving share of failed attempts, and when it was brought up to date.
     failed_share: float = 0.0
     attempt_ms: int = 0
+    # Whether one of its own answers said that it is leaving.
+    left: bool = False
     # Highest versions that its responses named; registrations lag behind.
     seen_versions: dict[str, int] = attrs.field(factory=dict)
 
@@ -168,10 +173,14 @@
     """Hold all upstreams by instance."""
 
     upstreams: dict[str, Upstream] = attrs.field(factory=dict)
+    # Upstreams that left the listing after they had said that they are leaving, and when they did.
+    left_peers: dict[str, int] = attrs.field(factory=dict)
     # Grows with each change of the registrations.
     revision: int = -1
 
-    def replace(self, records: Iterable[UpstreamRecord], revision: int) -> list[UpstreamRecord]:
+    def replace(
+        self, records: Iterable[UpstreamRecord], revision: int, now_ms: int = 0
+    ) -> list[UpstreamRecord]:
         """Take over a newer listing; returns the registrations that are gone."""
         if revision < self.revision:
             return []
@@ -184,12 +193,18 @@
                 continue
             gone.append(upstream.record)
             del self.upstreams[instance]
+            if upstream.left:
+                self.left_peers[upstream.record.peer] = now_ms
         for record in listed.values():
             known = self.upstreams.get(record.instance)
             if known is None:
-                self.upstreams[record.instance] = Upstream(record)
+                left = self.left_peers.pop(record.peer, None) is not None
+                self.upstreams[record.instance] = Upstream(record, left=left)
                 continue
             known.record = record
+        for peer, since_ms in list(self.left_peers.items()):
+            if now_ms - since_ms >= LEFT_MEMORY_MS:
+                del self.left_peers[peer]
         return gone
 
     def of_service(self, service: str) -> list[Upstream]:
@@ -197,5 +212,5 @@
         return [
             upstream
             for upstream in self.upstreams.values()
-            if upstream.record.service == service and not upstream.record.leaving
+            if upstream.record.service == service and not (upstream.record.leaving or upstream.left)
         ]
--- a/src/pistachionotch/platform/upstream.py
+++ b/src/pistachionotch/platform/upstream.py
@@ -22,6 +22,7 @@
 URGENCY = "Priority-Class"
 NOT_RUN = "not-run"
 PROOF = "server-stamp"
+LEAVING = "server-leaving"
 VERSIONS = "weight-versions"
 REPORT_PATH = "/api/report"
 ORDER_PATH = "/api/order"
@@ -116,7 +117,8 @@
             # A refusal on the way into the server may lack the echo; a success never does.
             matches=echoed == request.request_id or (not echoed and head.status >= 400),
             not_run=bool(head.get(NOT_RUN)) or misdirected,
-            proved=bool(head.get(PROOF)),
+            proof=head.get(PROOF),
+            leaving=bool(head.get(LEAVING)),
             versions=_versions(head.get(VERSIONS)),
         )
 
--- a/src/pistachionotch/standins/platform_servers.py
+++ b/src/pistachionotch/standins/platform_servers.py
@@ -38,6 +38,10 @@
     unproved: int = 0
     # Work this much longer.
     slow_ms: int = 0
+    # Say in each answer that the server leaves.
+    leaving: bool = False
+    # Fail each request whose id ends with this text.
+    fail_suffix: str = ""
     # Accept an order but carry out nothing and say nothing.
     ignore_orders: int = 0
 
@@ -110,25 +114,30 @@
         request = environ.get("HTTP_REQUEST_ID", "")
         body = read_body(environ)
         headers = [("Request-Id", request)]
+        if self.faults.leaving:
+            headers.append(("Server-Leaving", "1"))
         if not request:
             return respond_json(start_response, HTTPStatus.BAD_REQUEST, None, [NOT_RUN])
         if self.loading or self._hit("refuse"):
             status = HTTPStatus.SERVICE_UNAVAILABLE
             return respond_json(start_response, status, None, [*headers, NOT_RUN])
         after = int(environ.get("HTTP_LAST_EVENT_ID", "0"))
-        self.runs.append(
-            {
-                "at": time.monotonic(),
-                "request": request,
-                "target": environ["PATH_INFO"],
-                "body": body.decode(),
-                "after": after,
-                "model": environ.get("HTTP_MODEL", ""),
-            }
-        )
+        run = {
+            "at": time.monotonic(),
+            "request": request,
+            "target": environ["PATH_INFO"],
+            "body": body.decode(),
+            "after": after,
+            "model": environ.get("HTTP_MODEL", ""),
+            "proof": f"{self.instance}.{len(self.runs) + 1}",
+            # Time of the last event of a stream that was sent to its end.
+            "ended": None,
+        }
+        self.runs.append(run)
         if not self._hit("unproved"):
-            headers.append(("Server-Stamp", f"{self.instance}.{len(self.runs)}"))
-        if self._hit("fail"):
+            headers.append(("Server-Stamp", run["proof"]))
+        suffix = self.faults.fail_suffix
+        if self._hit("fail") or (suffix and request.endswith(suffix)):
             status = HTTPStatus.INTERNAL_SERVER_ERROR
             return respond_json(start_response, status, {"error": "failed"}, headers)
         if self._hit("lose_answers"):
@@ -138,7 +147,7 @@
             version = self.versions.get(model, 0)
             headers += [("Weight-Versions", str(version)), ("Content-Type", "text/event-stream")]
             start_response("200 OK", headers)
-            return self._stream(model, after)
+            return self._stream(model, after, run)
         return self._plain(environ, start_response, headers, body)
 
     def _plain(
@@ -160,7 +169,7 @@
             setattr(self.faults, fault, left - 1)
         return bool(left > 0)
 
-    def _stream(self, model: str, after: int) -> Iterator[bytes]:
+    def _stream(self, model: str, after: int, run: dict[str, Any]) -> Iterator[bytes]:
         version = self.versions.get(model, 0)
         for number in range(after + 1, self.events + 1):
             gevent.sleep(self.event_ms / MS_PER_SECOND)
@@ -173,4 +182,6 @@
                 self.faults.break_after = None
                 yield event[: len(event) // 2]
                 raise ConnectionResetError(errno.ECONNRESET, "stand-in breaks off")
+            if number == self.events:
+                run["ended"] = time.monotonic()
             yield event
--- a/tests/unit/gateway/test_call_forwarding.py
+++ b/tests/unit/gateway/test_call_forwarding.py
@@ -188,6 +188,26 @@
     assert servers.call().cause is Cause.NOT_RUN
 
 
+def test_a_server_that_says_in_an_answer_that_it_leaves_gets_nothing_new(servers):
+    # The listing still calls it ready, as during an outage of the object API.
+    servers.standins[0].faults.leaving = True
+    for number in range(8):
+        assert servers.call(request=f"q{number}").status == 200
+    assert len(servers.standins[0].runs) <= 1
+    servers.list_servers()
+    before = len(servers.standins[0].runs)
+    for kind in (RouteKind.SAFE, RouteKind.UNSAFE):
+        assert servers.call(kind, request=f"{kind}").status == 200
+    assert len(servers.standins[0].runs) == before
+
+
+def test_failures_of_servers_are_counted_and_the_proof_is_told(servers):
+    assert servers.call().proof
+    servers.set(fail=9)
+    answer = servers.call(request="q2")
+    assert (answer.status, answer.server_errors) == (500, 2)
+
+
 @pytest.mark.parametrize("kind", [RouteKind.SAFE, RouteKind.UNSAFE])
 def test_time_that_is_up_gives_a_final_answer_at_once(servers, kind):
     servers.set(slow_ms=5_000)
--- a/tests/unit/gateway/test_upstreams.py
+++ b/tests/unit/gateway/test_upstreams.py
@@ -5,6 +5,7 @@
     FAILURE_PAUSE_MS,
     FORGIVE_MS,
     FULL_PAUSE_MS,
+    LEFT_MEMORY_MS,
     LOADING_PAUSE_MS,
     MAX_FAILURE_PAUSE_MS,
     PACE_AGE_MS,
@@ -132,3 +133,27 @@
     table = UpstreamTable()
     table.replace([record("a"), record("b", leaving=True), record("c", service="other")], 1)
     assert [upstream.record.instance for upstream in table.of_service("s")] == ["a"]
+
+
+def test_an_upstream_that_said_it_leaves_stays_left_until_it_starts_again():
+    table = UpstreamTable()
+    table.replace([record()], 1)
+    table.upstreams["i"].left = True
+    assert not table.of_service("s")
+    # A stale listing calls it ready; one from an outage of the object API may lack it for a while.
+    table.replace([record()], 2, 1_000)
+    assert not table.of_service("s")
+    table.replace([], 3, 2_000)
+    table.replace([record()], 4, 9_000)
+    assert not table.of_service("s")
+    table.replace([record(started_ms=2)], 5, 10_000)
+    assert len(table.of_service("s")) == 1
+
+
+def test_what_is_remembered_of_upstreams_that_left_is_bounded():
+    table = UpstreamTable()
+    for number in range(50):
+        table.replace([record(f"i{number}")], 2 * number + 1, number * LEFT_MEMORY_MS // 4)
+        table.upstreams[f"i{number}"].left = True
+        table.replace([], 2 * number + 2, number * LEFT_MEMORY_MS // 4)
+    assert len(table.left_peers) <= 5
