Score texts: a result is listed with the proof of its reward call

Cause: items of some trainers name a call that scores their text, which the product did not know, so that each listed result lacked its reward. A call starts after the last event of its text, through the forwarder of clients' calls, and is made again by itself; the text is kept. A decision module chooses which calls start: groups that the trainer needs first, and a quarter of each server's slots stays free for clients. Texts that wait for more than 1.5 s are written to the batch's log; what waits travels with a batch that is handed on. A lost gateway loses the texts of its last 1.5 s at most, which are generated again. Submissions whose items or reward calls could not be sent as one request are refused.

--- a/src/pistachionotch/batches/model.py
+++ b/src/pistachionotch/batches/model.py
@@ -10,6 +10,16 @@
 from ..http_client import Header
 
 
+@attrs.frozen(kw_only=True)
+class RewardCall:
+    """Describe the call that scores an item's text; the proof of its response is the reward."""
+
+    id: str
+    host: str
+    target: str
+    body: bytes
+
+
 @attrs.frozen(kw_only=True)
 class BatchItem:
     """Describe one generation of a batch."""
@@ -24,6 +34,8 @@
     expected_tokens: int = 0
     # Items of one group share their prompt and are useful to a trainer only together.
     group: str = ""
+    # None if the text alone is the result.
+    reward: RewardCall | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -60,6 +72,8 @@
     text: str = ""
     # Weight versions that generated an event of the text, in the order of their first event.
     versions: tuple[int, ...] = ()
+    # Proof of the response to the item's reward call; empty for items without one.
+    reward: str = ""
 
 
 @attrs.frozen(kw_only=True)
@@ -72,6 +86,10 @@
     versions: tuple[int, ...]
     failures: int = 0
     failed_at: tuple[str, ...] = ()
+    # Whether the text is whole, so that only its reward is missing.
+    complete: bool = False
+    # Responses to the reward call that said it failed.
+    reward_failures: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -86,10 +104,15 @@
 
 @attrs.frozen(kw_only=True)
 class LogEntry:
-    """Hold one entry of a batch's log: results at the next positions, a new owner, or the end."""
+    """Hold one entry of a batch's log.
+
+    It lists results at the next positions, saves texts that wait for their rewards, names a new
+    owner, or ends the batch.
+    """
 
     token: str
     results: tuple[ItemResult, ...] = ()
+    texts: tuple[ItemPart, ...] = ()
     owner: Owner | None = None
     ended: bool = False
 
--- a/src/pistachionotch/batches/owner.py
+++ b/src/pistachionotch/batches/owner.py
@@ -29,6 +29,7 @@
 from .listing import should_list
 from .model import LogEntry, Owner
 from .run import BatchRun, ItemProgress
+from .scoring import RewardDuty
 
 # Time between two looks at the batches when nothing wakes the task.
 TICK_MS = 50
@@ -52,6 +53,7 @@
     regions: dict[str, str]
     table: UpstreamTable
     items: ItemRunner
+    rewards: RewardDuty
     catalog: Callable[[], Catalog | None]
     log: Any
     measures: Measures = attrs.field(factory=Measures)
@@ -79,6 +81,7 @@
             self.wake.wait(TICK_MS / 1000)
             self.wake.clear()
             self.start_items()
+            self.rewards.start_calls(self.runs.values(), self._finish)
 
     def start_items(self) -> None:
         """Start what can start now."""
@@ -116,7 +119,7 @@
         now_ms = self.clock.now_ms()
         if run.give_up_ms is not None and now_ms >= run.give_up_ms:
             for state in run.progress.values():
-                if not (state.running or state.finished):
+                if not (state.running or state.rewarding or state.finished):
                     self._finish(run, state, False, "its time in the queue is up")
             return []
         return run.waiting()
@@ -203,7 +206,7 @@
         route = batch_route(catalog, run) if catalog else None
         mixed = route is not None and route.one_version and len(state.versions) > 1
         if end is AttemptEnd.DONE and not mixed:
-            self._finish(run, state, True, upstream.record.instance)
+            self._complete(run, state, upstream)
             return
         if end is AttemptEnd.IMPOSSIBLE:
             self._finish(run, state, False, "the engine can never do it")
@@ -229,9 +232,30 @@
             last_event=state.last_event,
         )
 
-    def _finish(self, run: BatchRun, state: ItemProgress, done: bool, reason: str) -> None:
+    def _complete(self, run: BatchRun, state: ItemProgress, upstream: Upstream) -> None:
+        """Finish an item whose text is whole, or let its reward call follow."""
+        if state.item.reward is None:
+            self._finish(run, state, True, upstream.record.instance)
+            return
+        run.note_complete(state, self.clock.now_ms())
+        self.log.info(
+            "text complete",
+            batch=run.id,
+            item=state.item.id,
+            reward_call=state.item.reward.id,
+            upstream=upstream.record.instance,
+            last_event=state.last_event,
+            age_ms=self._age_ms(run),
+        )
+        self.wake.set()
+
+    def _finish(
+        self, run: BatchRun, state: ItemProgress, done: bool, reason: str, reward: str = ""
+    ) -> None:
         self.measures.time("items", "done" if done else "given up", self._age_ms(run))
-        run.finish(state, done, self.clock.now_ms())
+        run.finish(state, done, self.clock.now_ms(), reward)
+        # The end of a reward call makes room for the next one.
+        self.wake.set()
         self.log.info(
             "item finished",
             batch=run.id,
@@ -261,24 +285,27 @@
         """Write one entry; returns False if its outcome is not known."""
         with run.writing:
             # Another task may have written the results while this one waited.
-            if not (run.open and run.unlisted):
+            if not run.open:
+                return True
+            entry = run.next_entry(f"{self.rng.getrandbits(64):016x}")
+            if not (entry.results or entry.texts):
                 return True
-            return self._list_once(run)
+            return self._write(run, entry)
 
-    def _list_once(self, run: BatchRun) -> bool:
-        entry = run.next_entry(f"{self.rng.getrandbits(64):016x}")
+    def _write(self, run: BatchRun, entry: LogEntry) -> bool:
         appended = run.log.append(entry)
         if isinstance(appended, Failure):
             self.measures.count("listings", "failed")
             self.log.warning("results not listed", batch=run.id, reason=str(appended.failure()))
             return False
         found = appended.unwrap()
-        run.apply(found)
+        run.apply(found, self.clock.now_ms())
         self.log.info(
             "results listed",
             batch=run.id,
             entry=run.log.position - 1,
             results=len(found.results),
+            texts=len(found.texts),
             listed=len(run.listed),
             total=len(run.progress),
         )
@@ -303,7 +330,7 @@
                 if isinstance(appended, Failure):
                     self.log.warning("end not stored", batch=run.id, reason=str(appended.failure()))
                     return False
-                run.apply(appended.unwrap())
+                run.apply(appended.unwrap(), self.clock.now_ms())
         self.check(run)
         return run.ended
 
@@ -312,6 +339,7 @@
         for (batch, _item), task in list(self.tasks.items()):
             if batch == run.id:
                 gevent.spawn(task.kill)
+        self.rewards.stop(run.id)
 
     def release(self, run: BatchRun) -> None:
         """Stop running a batch, so that another process takes it over."""
@@ -319,6 +347,7 @@
             continue
         run.stopped = True
         tasks = [task for (batch, _item), task in self.tasks.items() if batch == run.id]
+        tasks += self.rewards.stop(run.id)
         # What their streams have brought so far goes to the next owner.
         gevent.killall(tasks, timeout=STOP_LIMIT_MS / MS_PER_SECOND)
 
--- a/src/pistachionotch/batches/records.py
+++ b/src/pistachionotch/batches/records.py
@@ -17,6 +17,7 @@
     ItemResult,
     LogEntry,
     Owner,
+    RewardCall,
     Submission,
 )
 
@@ -28,7 +29,7 @@
 
 def item_fields(item: BatchItem) -> dict[str, Any]:
     """Return the stored form of an item."""
-    return {
+    fields: dict[str, Any] = {
         "id": item.id,
         "target": item.target,
         "headers": [list(header) for header in item.headers],
@@ -37,10 +38,19 @@
         "expected_tokens": item.expected_tokens,
         "group": item.group,
     }
+    if item.reward is not None:
+        fields["reward"] = {
+            "id": item.reward.id,
+            "host": item.reward.host,
+            "target": item.reward.target,
+            "body": base64.b64encode(item.reward.body).decode(),
+        }
+    return fields
 
 
 def read_item(fields: Any) -> BatchItem:
     """Read the stored form of an item."""
+    reward = fields.get("reward")
     return BatchItem(
         id=fields["id"],
         target=fields["target"],
@@ -49,6 +59,16 @@
         max_tokens=fields["max_tokens"],
         expected_tokens=fields["expected_tokens"],
         group=fields["group"],
+        reward=None if reward is None else _read_reward_call(reward),
+    )
+
+
+def _read_reward_call(fields: Any) -> RewardCall:
+    return RewardCall(
+        id=fields["id"],
+        host=fields["host"],
+        target=fields["target"],
+        body=base64.b64decode(fields["body"]),
     )
 
 
@@ -94,12 +114,15 @@
 
 def result_fields(result: ItemResult) -> dict[str, Any]:
     """Return the stored form of a result."""
-    return {
+    fields = {
         "id": result.id,
         "done": result.done,
         "text": result.text,
         "versions": list(result.versions),
     }
+    if result.reward:
+        fields["reward"] = result.reward
+    return fields
 
 
 def read_result(fields: Any) -> ItemResult:
@@ -109,6 +132,22 @@
         done=fields["done"],
         text=fields["text"],
         versions=tuple(fields["versions"]),
+        reward=fields.get("reward", ""),
+    )
+
+
+def read_part(fields: Any) -> ItemPart:
+    """Read the stored form of what an unfinished item has generated."""
+    return ItemPart(
+        id=fields["id"],
+        texts=tuple(fields["texts"]),
+        last_event=fields["last_event"],
+        versions=tuple(fields["versions"]),
+        failures=fields["failures"],
+        failed_at=tuple(fields["failed_at"]),
+        # Gateways of an older version know no rewards.
+        complete=fields.get("complete", False),
+        reward_failures=fields.get("reward_failures", 0),
     )
 
 
@@ -130,23 +169,12 @@
     """Read a batch that another owner hands over."""
     fields = json.loads(value)
     head, _parts = read_head(fields["head"].encode())
-    parts = (
-        ItemPart(
-            id=part["id"],
-            texts=tuple(part["texts"]),
-            last_event=part["last_event"],
-            versions=tuple(part["versions"]),
-            failures=part["failures"],
-            failed_at=tuple(part["failed_at"]),
-        )
-        for part in fields["parts"]
-    )
     return BatchState(
         head=head,
         position=fields["position"],
         listed=tuple(read_result(result) for result in fields["listed"]),
         unlisted=tuple(read_result(result) for result in fields["unlisted"]),
-        parts=tuple(parts),
+        parts=tuple(read_part(part) for part in fields["parts"]),
     )
 
 
@@ -155,6 +183,8 @@
     fields: dict[str, Any] = {"token": entry.token}
     if entry.results:
         fields["results"] = [result_fields(result) for result in entry.results]
+    if entry.texts:
+        fields["texts"] = [attrs.asdict(part) for part in entry.texts]
     if entry.owner is not None:
         fields["owner"] = owner_fields(entry.owner)
     if entry.ended:
@@ -169,6 +199,7 @@
     return LogEntry(
         token=fields["token"],
         results=tuple(read_result(result) for result in fields.get("results", ())),
+        texts=tuple(read_part(part) for part in fields.get("texts", ())),
         owner=None if owner is None else read_owner(owner),
         ended=fields.get("ended", False),
     )
--- a/src/pistachionotch/batches/run.py
+++ b/src/pistachionotch/batches/run.py
@@ -22,6 +22,7 @@
     ResultPage,
     Trouble,
 )
+from .rewards import WaitingReward
 
 # A page of results ends before it exceeds this many bytes of text.
 MAX_PAGE_BYTES = 900_000
@@ -54,6 +55,16 @@
     avoid: set[str] = attrs.field(factory=set)
     # Engine that the item has just been moved away from.
     moved_from: str = ""
+    # Whether the text is whole, so that only its reward is missing, and since when.
+    complete: bool = False
+    complete_ms: int = 0
+    # Whether the log holds the text already.
+    saved: bool = False
+    # Whether the reward call runs, and when it may be made again.
+    rewarding: bool = False
+    reward_after_ms: int = 0
+    # Responses to the reward call that said it failed; these count towards its route's limit.
+    reward_failures: int = 0
 
     def note_event(self, number: int, data: str, version: int) -> None:
         """Add an event; raises ``ValueError`` if one is missing or came twice."""
@@ -134,7 +145,29 @@
                 avoid=frozenset({*state.avoid, state.moved_from} - {""}),
             )
             for state in self.progress.values()
-            if not (state.running or state.finished)
+            if not (state.running or state.finished or state.complete)
+        ]
+
+    def waiting_rewards(self) -> list[WaitingReward]:
+        """Return the items whose text waits for its reward."""
+        if not self.open:
+            return []
+        left = dict(self.group_sizes)
+        for state in self.progress.values():
+            if state.finished or state.complete:
+                left[state.item.group] -= 1
+        return [
+            WaitingReward(
+                batch=self.id,
+                item=state.item.id,
+                due_ms=self.due_ms,
+                optional=state.item.group in self.optional,
+                generating=left[state.item.group],
+                complete_ms=state.complete_ms,
+                after_ms=state.reward_after_ms,
+            )
+            for state in self.progress.values()
+            if state.complete and not (state.rewarding or state.finished)
         ]
 
     def running(self, now_ms: int) -> list[RunningItem]:
@@ -157,7 +190,12 @@
             if state.running
         ]
 
-    def finish(self, state: ItemProgress, done: bool, now_ms: int) -> None:
+    def note_complete(self, state: ItemProgress, now_ms: int) -> None:
+        """Note that an item's text is whole and waits for its reward."""
+        state.complete = True
+        state.complete_ms = now_ms
+
+    def finish(self, state: ItemProgress, done: bool, now_ms: int, reward: str = "") -> None:
         """Note the final state of an item; it has no position yet."""
         state.finished = True
         result = ItemResult(id=state.item.id, done=False)
@@ -167,6 +205,7 @@
                 done=True,
                 text="\n".join(state.texts),
                 versions=tuple(state.versions),
+                reward=reward,
             )
         state.texts.clear()
         if not self.unlisted:
@@ -176,14 +215,7 @@
     def state(self) -> BatchState:
         """Return all that is known, for the process that goes on with this batch."""
         parts = (
-            ItemPart(
-                id=state.item.id,
-                texts=tuple(state.texts),
-                last_event=state.last_event,
-                versions=tuple(state.versions),
-                failures=state.failures,
-                failed_at=tuple(state.failed_at),
-            )
+            _part(state)
             for state in self.progress.values()
             if not state.finished and (state.texts or state.failures)
         )
@@ -204,12 +236,18 @@
         for result in (*state.listed, *state.unlisted):
             self.progress[result.id].finished = True
         for part in state.parts:
-            progress = self.progress[part.id]
-            progress.texts = list(part.texts)
-            progress.last_event = part.last_event
-            progress.versions = list(part.versions)
-            progress.failures = part.failures
-            progress.failed_at = set(part.failed_at)
+            self._take_part(part, now_ms)
+
+    def _take_part(self, part: ItemPart, now_ms: int) -> None:
+        progress = self.progress[part.id]
+        progress.texts = list(part.texts)
+        progress.last_event = part.last_event
+        progress.versions = list(part.versions)
+        progress.failures = part.failures
+        progress.failed_at = set(part.failed_at)
+        progress.reward_failures = part.reward_failures
+        if part.complete:
+            self.note_complete(progress, now_ms)
 
     def listing_state(self) -> ListingState:
         """Return what decides whether to list now."""
@@ -217,8 +255,18 @@
             unlisted=len(self.unlisted),
             oldest_unlisted_ms=self.oldest_unlisted_ms,
             completes=self._completes(),
+            oldest_unsaved_ms=min(
+                (state.complete_ms for state in self._unsaved_texts()), default=None
+            ),
         )
 
+    def _unsaved_texts(self) -> list[ItemProgress]:
+        return [
+            state
+            for state in self.progress.values()
+            if state.complete and not (state.saved or state.finished)
+        ]
+
     def _completes(self) -> bool:
         if len(self.listed) + len(self.unlisted) == len(self.progress):
             return True
@@ -235,7 +283,7 @@
         return sum(1 for count in missing.values() if count == 0)
 
     def next_entry(self, token: str) -> LogEntry:
-        """Return an entry with as many unlisted results as fit."""
+        """Return an entry with as many unlisted results as fit, or else unsaved texts."""
         size = 0
         count = 0
         for result in self.unlisted:
@@ -243,10 +291,25 @@
             if count and size > MAX_ENTRY_BYTES:
                 break
             count += 1
-        return LogEntry(token=token, results=tuple(self.unlisted[:count]))
+        if count:
+            return LogEntry(token=token, results=tuple(self.unlisted[:count]))
+        parts: list[ItemPart] = []
+        for state in self._unsaved_texts():
+            size += sum(len(text) for text in state.texts)
+            if parts and size > MAX_ENTRY_BYTES:
+                break
+            parts.append(_part(state))
+        return LogEntry(token=token, texts=tuple(parts))
 
-    def apply(self, entry: LogEntry) -> None:
+    def apply(self, entry: LogEntry, now_ms: int = 0) -> None:
         """Take over an entry that stands in the log."""
+        for part in entry.texts:
+            saved = self.progress.get(part.id)
+            if saved is None or saved.finished:
+                continue
+            if not saved.complete:
+                self._take_part(part, now_ms)
+            saved.saved = True
         for result in entry.results:
             state = self.progress.get(result.id)
             if state is not None:
@@ -278,6 +341,19 @@
         )
 
 
+def _part(state: ItemProgress) -> ItemPart:
+    return ItemPart(
+        id=state.item.id,
+        texts=tuple(state.texts),
+        last_event=state.last_event,
+        versions=tuple(state.versions),
+        failures=state.failures,
+        failed_at=tuple(state.failed_at),
+        complete=state.complete,
+        reward_failures=state.reward_failures,
+    )
+
+
 def wait_for_page(run: BatchRun, position: int, wait_ms: int) -> ResultPage:
     """Return listed results, waiting for the first if there is none yet."""
     if len(run.listed) <= position and not run.ended and wait_ms > 0:
--- /dev/null
+++ b/src/pistachionotch/batches/scoring.py
@@ -0,0 +1,167 @@
+"""Calls that score the texts of items: each result waits for the proof of its own call.
+
+Only the call is made again after a failure, a refusal or a change of owner, never the generation.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from http import HTTPStatus
+from typing import Any
+
+import attrs
+import gevent
+
+from ..clock import Clock
+from ..gateway.calls import Answer, ClientCall, Refusal, Reply
+from ..gateway.catalog import Catalog, Route, RouteKind
+from ..gateway.upstreams import UpstreamTable
+from ..measures import Measures
+from .model import RewardCall
+from .rewards import ServerRoom, WaitingReward, count_free, plan_rewards
+from .run import BatchRun, ItemProgress
+
+# Time given to a call whose step is due already or very soon; the trainer reads late results too.
+MIN_BUDGET_MS = 2_000
+# Pause before a call that was not answered with a success is made again.
+RETRY_MS = 150
+
+# Ends an item: done with its reward, or given up with the reason.
+Finish = Callable[[BatchRun, ItemProgress, bool, str, str], None]
+
+
+@attrs.define
+class RewardDuty:
+    """Make the reward calls of the batches that this process owns."""
+
+    clock: Clock
+    table: UpstreamTable
+    forward: Callable[[ClientCall, Route], Answer]
+    catalog: Callable[[], Catalog | None]
+    log: Any
+    measures: Measures = attrs.field(factory=Measures)
+    tasks: dict[tuple[str, str], Any] = attrs.field(factory=dict)
+
+    def start_calls(self, runs: Iterable[BatchRun], finish: Finish) -> None:
+        """Start the calls that can be made now."""
+        catalog = self.catalog()
+        if catalog is None:
+            return
+        now_ms = self.clock.now_ms()
+        by_id = {run.id: run for run in runs}
+        by_service: dict[str, list[tuple[WaitingReward, Route]]] = {}
+        for run in by_id.values():
+            for waiting in run.waiting_rewards():
+                route = reward_route(catalog, run.progress[waiting.item].item.reward)
+                if route is None:
+                    run.progress[waiting.item].reward_after_ms = now_ms + RETRY_MS
+                    continue
+                # The share of a split route is chosen anew by each call.
+                service = route.shares[0].service
+                by_service.setdefault(service, []).append((waiting, route))
+        for service, pairs in by_service.items():
+            routes = {(waiting.batch, waiting.item): route for waiting, route in pairs}
+            free = count_free(self._rooms(service, now_ms))
+            for waiting in plan_rewards((waiting for waiting, _route in pairs), free, now_ms):
+                run = by_id[waiting.batch]
+                route = routes[(waiting.batch, waiting.item)]
+                self._start(run, run.progress[waiting.item], route, finish)
+
+    def stop(self, batch: str) -> list[Any]:
+        """Break off the calls of a batch; returns their tasks."""
+        stopped = [task for (owner, _item), task in self.tasks.items() if owner == batch]
+        for task in stopped:
+            task.kill(block=False)
+        return stopped
+
+    def _rooms(self, service: str, now_ms: int) -> list[ServerRoom]:
+        return [
+            ServerRoom(
+                slots=upstream.record.slots,
+                in_flight=upstream.in_flight,
+                full=upstream.full_until_ms > now_ms,
+                failing=upstream.failed_until_ms > now_ms,
+            )
+            for upstream in self.table.of_service(service)
+        ]
+
+    def _start(self, run: BatchRun, state: ItemProgress, route: Route, finish: Finish) -> None:
+        state.rewarding = True
+        key = (run.id, state.item.id)
+        self.tasks[key] = gevent.spawn(self._run, run, state, route, finish)
+
+    def _run(self, run: BatchRun, state: ItemProgress, route: Route, finish: Finish) -> None:
+        try:
+            answer = self.forward(self._call(run, state), route)
+        finally:
+            state.rewarding = False
+            self.tasks.pop((run.id, state.item.id), None)
+        if run.open and not state.finished:
+            self._settle(run, state, route, answer, finish)
+
+    def _call(self, run: BatchRun, state: ItemProgress) -> ClientCall:
+        reward = state.item.reward
+        assert reward is not None
+        now_ms = self.clock.now_ms()
+        return ClientCall(
+            request_id=reward.id,
+            method="POST",
+            target=reward.target,
+            host=reward.host,
+            headers=(),
+            body=reward.body,
+            received_ms=now_ms,
+            budget_ms=max(MIN_BUDGET_MS, run.due_ms - now_ms),
+        )
+
+    def _settle(
+        self, run: BatchRun, state: ItemProgress, route: Route, answer: Answer, finish: Finish
+    ) -> None:
+        state.reward_failures += _server_errors(answer)
+        proof = _proof(answer)
+        outcome = "done" if proof else _describe(answer)
+        self.measures.count("rewards", "done" if proof else "failed")
+        self.log.info(
+            "reward call ended",
+            batch=run.id,
+            item=state.item.id,
+            reward_call=state.item.reward.id if state.item.reward is not None else "",
+            outcome=outcome,
+            failures=state.reward_failures,
+            since_text_ms=self.clock.now_ms() - state.complete_ms,
+        )
+        if proof:
+            self.measures.time("rewards", "done", self.clock.now_ms() - state.complete_ms)
+            finish(run, state, True, "scored", proof)
+            return
+        if state.reward_failures >= max(1, route.max_attempts):
+            finish(run, state, False, f"its reward call failed {state.reward_failures} times", "")
+            return
+        retry_after_ms = answer.retry_after_ms if isinstance(answer, Refusal) else None
+        state.reward_after_ms = self.clock.now_ms() + max(RETRY_MS, retry_after_ms or 0)
+
+
+def reward_route(catalog: Catalog, reward: RewardCall | None) -> Route | None:
+    """Return the route of a reward call, which may be repeated whatever its route says."""
+    if reward is None:
+        return None
+    route = catalog.match(reward.host.lower(), reward.target)
+    return None if route is None else attrs.evolve(route, kind=RouteKind.SAFE)
+
+
+def _proof(answer: Answer) -> str:
+    if not isinstance(answer, Reply):
+        return ""
+    if not HTTPStatus.OK <= answer.status < HTTPStatus.MULTIPLE_CHOICES:
+        return ""
+    return answer.proof
+
+
+def _server_errors(answer: Answer) -> int:
+    return answer.server_errors if isinstance(answer, Reply | Refusal) else 0
+
+
+def _describe(answer: Answer) -> str:
+    if isinstance(answer, Refusal):
+        return f"{answer.cause.value}: {answer.reason}"
+    return f"status {answer.status}"
--- a/src/pistachionotch/batches/succession.py
+++ b/src/pistachionotch/batches/succession.py
@@ -167,7 +167,7 @@
             entry = read.unwrap()
             if entry is None:
                 return run
-            run.apply(entry)
+            run.apply(entry, self.clock.now_ms())
 
     def _claim(self, run: BatchRun, lost: Owner) -> Any:
         token = f"{self.rng.getrandbits(64):016x}"
@@ -176,7 +176,7 @@
             if isinstance(appended, Failure):
                 return BatchTrouble(Trouble.UNSURE, str(appended.failure()), UNSURE_RETRY_MS)
             entry = appended.unwrap()
-            run.apply(entry)
+            run.apply(entry, self.clock.now_ms())
             if entry.token == token:
                 break
             if entry.owner is not None:
--- a/src/pistachionotch/cli/trace.py
+++ b/src/pistachionotch/cli/trace.py
@@ -12,7 +12,7 @@
 from .output import ExitCode, complain, print_json
 
 # Fields of a log line that may hold the wanted id.
-ID_FIELDS = ("request", "batch", "item", "upstream")
+ID_FIELDS = ("request", "batch", "item", "upstream", "reward_call")
 # Parts of events that tell what a node knows, apart from any request.
 KNOWLEDGE = (
     "configuration in force",
@@ -75,12 +75,27 @@
                     yield Line(str(fields.get("node") or Path(path).stem), fields)
 
 
+def linked_ids(lines: list[Line], wanted: str) -> frozenset[str]:
+    """Return an id with those of the reward calls of its items, or of the item of its call."""
+    linked = {wanted}
+    for line in lines:
+        call = line.fields.get("reward_call")
+        if call is None:
+            continue
+        if line.fields.get("item") == wanted:
+            linked.add(str(call))
+        if call == wanted:
+            linked.add(str(line.fields.get("item")))
+    return frozenset(linked)
+
+
 def select(lines: list[Line], wanted: str, around: int) -> list[Line]:
     """Return the lines about an id, each node's with the last ``around`` on what it knew."""
+    linked = linked_ids(lines, wanted)
     chosen: list[Line] = []
     known: dict[str, list[Line]] = {}
     for line in sorted(lines, key=lambda line: line.time):
-        if line.names(wanted):
+        if any(line.names(name) for name in linked):
             chosen.extend(known.pop(line.node, []))
             chosen.append(line)
             continue
--- a/src/pistachionotch/gateway/daemon.py
+++ b/src/pistachionotch/gateway/daemon.py
@@ -16,6 +16,7 @@
 from ..batches.model import Owner
 from ..batches.owner import BatchOwner
 from ..batches.peers import PeerApp, PeerClient
+from ..batches.scoring import RewardDuty
 from ..batches.service import BatchService
 from ..batches.succession import unix_ms
 from ..clock import MS_PER_SECOND, SystemClock
@@ -132,6 +133,14 @@
             settings.zone_regions,
             table,
             items,
+            RewardDuty(
+                self.clock,
+                table,
+                self.forwarder.forward,
+                lambda: self.knowledge.catalog,
+                logger("rewards"),
+                self.measures,
+            ),
             lambda: self.knowledge.catalog,
             logger("batches"),
             self.measures,
--- a/src/pistachionotch/platform/batches.py
+++ b/src/pistachionotch/platform/batches.py
@@ -7,7 +7,7 @@
 import json
 from typing import Any
 
-from ..batches.model import BatchItem, ItemResult, ResultPage, Submission
+from ..batches.model import BatchItem, ItemResult, ResultPage, RewardCall, Submission
 
 LENGTH_HINT = "length-hint"
 
@@ -36,6 +36,7 @@
 
 def _item(fields: Any) -> BatchItem:
     headers = tuple((str(name), str(value)) for name, value in fields["headers"].items())
+    _check_sendable(str(fields["id"]), str(fields["path"]), headers)
     hint = next((value for name, value in headers if name.lower() == LENGTH_HINT), "")
     return BatchItem(
         id=str(fields["id"]),
@@ -45,9 +46,49 @@
         max_tokens=int(fields.get("token_count") or 0),
         expected_tokens=int(hint) if hint.isdigit() else 0,
         group=str(fields.get("group_id") or fields["id"]),
+        reward=_reward_call(str(fields["id"]), fields.get("scorer")),
     )
 
 
+def _reward_call(item: str, fields: Any) -> RewardCall | None:
+    """Read the request that scores an item's text; raises ``ValueError`` with the field."""
+    if fields is None:
+        return None
+    if not isinstance(fields, dict):
+        raise ValueError(f"item {item}: scorer must be an object")
+    texts = {}
+    for name in ("id", "hostname", "path", "body"):
+        value = fields.get(name)
+        if not isinstance(value, str) or not (value or name == "body"):
+            raise ValueError(f"item {item}: scorer.{name} must be a text")
+        texts[name] = value
+    if not texts["path"].startswith("/") or not _one_word(texts["path"]):
+        raise ValueError(f"item {item}: scorer.path cannot be sent")
+    if not (_one_word(texts["id"]) and _one_word(texts["hostname"])):
+        raise ValueError(f"item {item}: scorer.id or scorer.hostname cannot be sent")
+    try:
+        body = base64.b64decode(texts["body"], validate=True)
+    except binascii.Error as error:
+        raise ValueError(f"item {item}: scorer.body is not base64") from error
+    return RewardCall(id=texts["id"], host=texts["hostname"], target=texts["path"], body=body)
+
+
+def _check_sendable(item: str, target: str, headers: tuple[tuple[str, str], ...]) -> None:
+    """Raise ``ValueError`` if an item would not be one request with these headers."""
+    if not item or not _one_word(item):
+        raise ValueError(f"an item's id cannot be sent: {item!r}")
+    if not target.startswith("/") or not _one_word(target):
+        raise ValueError(f"item {item}: its path cannot be sent")
+    for name, value in headers:
+        if not name or not _one_word(name) or ":" in name or not value.isprintable():
+            raise ValueError(f"item {item}: header {name!r} cannot be sent")
+
+
+def _one_word(text: str) -> bool:
+    """Return whether a text can stand in a request line."""
+    return text.isascii() and text.isprintable() and " " not in text
+
+
 def page_body(page: ResultPage) -> bytes:
     """Return the body of a read."""
     fields = {
@@ -60,9 +101,13 @@
 
 
 def _result(result: ItemResult) -> dict[str, Any]:
-    return {
+    fields = {
         "id": result.id,
         "state": "done" if result.done else "dead",
         "text": result.text,
         "weight_versions": list(result.versions),
     }
+    if result.reward:
+        # The proof of the reward call's response, not a number.
+        fields["score"] = result.reward
+    return fields
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -48,6 +48,16 @@
     Then every result of step "s1" is complete and names the versions that made it
     And some run went on after an event that was already received
 
+  Scenario: Calls that score texts fail, are lost and are always answered with a failure
+    Given a platform with 2 gateways
+    When every shop loses its next answer
+    And a trainer submits step "s1" to gateway-1
+    Then every result of step "s1" is complete and names the versions that made it
+    And no item of step "s1" ran twice
+    When every shop fails the reward call of item "s2-0-1"
+    And a trainer submits step "s2" to gateway-2
+    Then only item "s2-0-1" of step "s2" is given up
+
   Scenario: The store loses answers and is out for a while
     Given a platform with 2 gateways
     When the store loses 4 answers
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 
 from pistachionotch.http_client import Connection, ExchangeError
-from tests.support.platform import HOSTNAME, MODEL, Platform, new_id
+from tests.support.platform import HOSTNAME, MODEL, REWARD_SUFFIX, Platform, new_id
 
 EVENTS = 8
 
@@ -80,8 +80,12 @@
     ids = [result["id"] for result in results]
     assert len(set(ids)) == len(ids)
     whole = "\n".join(f"{number}-of-{EVENTS}" for number in range(1, EVENTS + 1))
+    rewards = {}
+    for run in context.platform.runs("shop"):
+        rewards.setdefault(run["request"], set()).add(run["proof"])
     for result in results:
         assert result["state"] == "done" and result["text"] == whole, result
+        assert result["score"] in rewards[result["id"] + REWARD_SUFFIX], result
         assert set(result["weight_versions"]) <= {1, 2} and result["weight_versions"], result
     # A second read shows the same results at the same positions, whichever gateway answers.
     assert context.platform.read_all(step) == results
@@ -256,3 +260,23 @@
     before = len(context.platform.runs("engine"))
     time.sleep(seconds)
     assert len(context.platform.runs("engine")) == before
+
+
+@when('every shop fails the reward call of item "{item:Name}"')
+def fail_reward(context, item):
+    for name in context.platform.servers:
+        if name.startswith("shop"):
+            context.platform.faults(name, fail_suffix=item + REWARD_SUFFIX)
+
+
+@then('no item of step "{step:Name}" ran twice')
+def check_single_runs(context, step):
+    runs = [run["request"] for run in context.platform.runs("engine")]
+    mine = [request for request in runs if request.startswith(f"{step}-")]
+    assert mine and len(set(mine)) == len(mine), mine
+
+
+@then('only item "{item:Name}" of step "{step:Name}" is given up')
+def check_given_up(context, item, step):
+    results = context.platform.read_all(step)
+    assert [result["id"] for result in results if result["state"] == "dead"] == [item]
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -18,6 +18,8 @@
 MODEL = "m0"
 ENGINES = 3
 HOSTNAME = "shop.example"
+# Ends the id of the reward call of an item.
+REWARD_SUFFIX = "-reward"
 
 
 class Client:
@@ -233,6 +235,12 @@
                         "body": "aGVsbG8=",
                         "token_count": 20,
                         "group_id": f"{batch}-{group}",
+                        "scorer": {
+                            "id": f"{batch}-{group}-{number}{REWARD_SUFFIX}",
+                            "hostname": HOSTNAME,
+                            "path": "/safe/score",
+                            "body": "c2NvcmU=",
+                        },
                     }
                 )
         fields = {
--- a/tests/support/soak.py
+++ b/tests/support/soak.py
@@ -20,7 +20,7 @@
 import gevent
 
 from tests.support.forwarder import Forwarder
-from tests.support.platform import MODEL, Platform
+from tests.support.platform import MODEL, REWARD_SUFFIX, Platform
 from tests.support.soak_load import SoakLoad
 from tests.support.soak_oracle import check_all
 
@@ -161,12 +161,13 @@
                 {"surplus": 3},
                 {"ignore_orders": 1},
                 {"slow_ms": 400},
+                {"fail_suffix": f"1{REWARD_SUFFIX}"},
             ]
         )
         name = self.rng.choice(self.platform.servers)
         self.platform.faults(name, **trouble)
         gevent.sleep(self.rng.uniform(0.3, 2.0))
-        self.platform.faults(name, slow_ms=0)
+        self.platform.faults(name, slow_ms=0, fail_suffix="")
 
     def _leave(self):
         name = self.rng.choice(self.platform.servers)
--- a/tests/support/soak_oracle.py
+++ b/tests/support/soak_oracle.py
@@ -3,7 +3,7 @@
 import json
 from collections import Counter
 
-from tests.support.platform import MODEL
+from tests.support.platform import MODEL, REWARD_SUFFIX
 from tests.support.soak_load import NOT_RUN
 
 EVENTS = 8
@@ -16,7 +16,9 @@
 
 def check_all(platform, load, departures, leaving_bound_s):
     """Return the promises that were broken."""
-    runs = platform.runs("shop")
+    shop_runs = platform.runs("shop")
+    rewards = [run for run in shop_runs if run["request"].endswith(REWARD_SUFFIX)]
+    runs = [run for run in shop_runs if not run["request"].endswith(REWARD_SUFFIX)]
     item_runs = platform.runs("engine")
     for step in load.steps:
         if step.accepted:
@@ -24,7 +26,8 @@
     problems = list(load.problems)
     problems += check_calls(load.calls, runs)
     problems += check_steps(load.steps, item_runs)
-    problems += check_departures(runs + item_runs, departures, leaving_bound_s)
+    problems += check_rewards(load.steps, rewards, item_runs)
+    problems += check_departures(shop_runs + item_runs, departures, leaving_bound_s)
     for name in platform.servers:
         problems += check_orders(name, platform.fetch(name, "/runs")["orders"])
     return problems
@@ -89,6 +92,42 @@
     return problems
 
 
+def check_rewards(steps, rewards, item_runs):
+    """Check that each result bears the reward of its own call, made after its text."""
+    by_item = {}
+    for run in rewards:
+        by_item.setdefault(run["request"].removesuffix(REWARD_SUFFIX), []).append(run)
+    texts_at = {}
+    for run in item_runs:
+        if run["ended"] is not None:
+            earlier = texts_at.get(run["request"], run["ended"])
+            texts_at[run["request"]] = min(earlier, run["ended"])
+    by_id = {step.id: step for step in steps}
+    problems = []
+    for item, runs in by_item.items():
+        step = by_id.get(item.rsplit("-", 2)[0])
+        if step is None or step.refused:
+            problems.append(f"{item}: a reward call of a step that was not accepted")
+            continue
+        problems += _check_reward_runs(step, item, runs, texts_at)
+    for step in steps:
+        for result in step.results.values():
+            made = {run["proof"] for run in by_item.get(result["id"], ())}
+            if result["state"] == "done" and result.get("score") not in made:
+                problems.append(f"{result['id']}: reward {result.get('score')!r} of another call")
+    return problems
+
+
+def _check_reward_runs(step, item, runs, texts_at):
+    problems = []
+    for run in runs:
+        if run["at"] < texts_at.get(item, float("inf")):
+            problems.append(f"{item}: its reward call was made before its text")
+        if step.ended_at is not None and run["at"] > step.ended_at + CANCEL_BOUND_S:
+            problems.append(f"{item}: its reward call was made after the end of its step")
+    return problems
+
+
 def check_departures(runs, departures, bound_s):
     """Check that a leaving server gets nothing new after the bound."""
     problems = []
--- a/tests/unit/batches/batch_world.py
+++ b/tests/unit/batches/batch_world.py
@@ -9,6 +9,7 @@
 from pistachionotch.batches.owner import BatchOwner
 from pistachionotch.batches.peers import NotHere, PeerUnreachable, PeerUnsure
 from pistachionotch.batches.records import read_state, state_bytes
+from pistachionotch.batches.scoring import RewardDuty
 from pistachionotch.batches.service import BatchService
 from pistachionotch.clock import ManualClock
 from pistachionotch.config.spec import Address
@@ -123,6 +124,7 @@
             {},
             UpstreamTable(),
             None,
+            RewardDuty(self.clock, UpstreamTable(), None, lambda: CATALOG, log),
             lambda: CATALOG,
             log,
         )
--- a/tests/unit/batches/test_batch_run.py
+++ b/tests/unit/batches/test_batch_run.py
@@ -11,6 +11,7 @@
 from pistachionotch.batches.model import ItemResult
 from pistachionotch.batches.owner import BatchOwner
 from pistachionotch.batches.run import MAX_PAGE_BYTES, BatchRun, ItemProgress
+from pistachionotch.batches.scoring import RewardDuty
 from pistachionotch.clock import SystemClock
 from pistachionotch.gateway.upstreams import UpstreamTable
 from pistachionotch.objects.memory import MemoryStore
@@ -39,6 +40,7 @@
         {},
         UpstreamTable(),
         None,
+        RewardDuty(SystemClock(), UpstreamTable(), None, lambda: None, structlog.get_logger()),
         lambda: None,
         structlog.get_logger(),
     )
--- /dev/null
+++ b/tests/unit/batches/test_rewards.py
@@ -0,0 +1,62 @@
+"""Guards against reward calls that crowd out clients, and steps that wait behind optional groups.
+
+The load pattern: all items of a step finish within two seconds, at servers that clients call too.
+"""
+
+from pistachionotch.batches.rewards import ServerRoom, WaitingReward, count_free, plan_rewards
+
+SLOTS = 6
+
+
+def waiting(item, **more):
+    fields = {
+        "batch": "b1",
+        "due_ms": 7_500,
+        "optional": False,
+        "generating": 0,
+        "complete_ms": 100,
+        "after_ms": 0,
+    }
+    return WaitingReward(item=item, **{**fields, **more})
+
+
+def room(in_flight=0, full=False, failing=False):
+    return ServerRoom(slots=SLOTS, in_flight=in_flight, full=full, failing=failing)
+
+
+def order(rewards, free=99):
+    return [reward.item for reward in plan_rewards(rewards, free, 1_000)]
+
+
+def test_a_burst_leaves_slots_of_each_server_to_clients():
+    assert count_free([room(), room()]) == 8
+    assert count_free([room(in_flight=4), room(in_flight=SLOTS)]) == 0
+
+
+def test_the_groups_that_complete_a_step_come_first():
+    burst = [
+        waiting("optional", optional=True, due_ms=1),
+        waiting("group-still-runs", generating=3),
+        waiting("later-step", due_ms=11_500),
+        waiting("last-of-group", complete_ms=900),
+        waiting("other-last", complete_ms=300),
+    ]
+    assert order(burst) == [
+        "other-last",
+        "last-of-group",
+        "group-still-runs",
+        "later-step",
+        "optional",
+    ]
+    assert order(burst, free=1) == ["other-last"]
+
+
+def test_a_call_that_failed_waits_for_its_time():
+    assert order([waiting("a", after_ms=1_200), waiting("b")]) == ["b"]
+
+
+def test_a_failing_server_gets_nothing_while_others_are_sound_and_else_one_call():
+    assert count_free([room(failing=True), room()]) == 4
+    assert count_free([room(failing=True), room(failing=True)]) == 2
+    assert count_free([room(full=True), room(full=True)]) == 0
+    assert count_free([]) == 0
--- /dev/null
+++ b/tests/unit/batches/test_scoring.py
@@ -0,0 +1,247 @@
+"""Guards against results without their own reward, and texts that are generated twice for one.
+
+The load pattern: a step whose servers of reward calls fail some calls always, refuse or are out.
+"""
+
+import random
+
+import attrs
+import gevent
+import pytest
+import structlog
+from batch_world import ROUTE, World, ids, submission
+from test_batch_log import head, owner
+
+from pistachionotch.batches.items import AttemptEnd
+from pistachionotch.batches.listing import UNSAVED_TEXT_MS, should_list
+from pistachionotch.batches.log import BatchLog, create_batch
+from pistachionotch.batches.model import RewardCall
+from pistachionotch.batches.owner import BatchOwner
+from pistachionotch.batches.run import BatchRun
+from pistachionotch.batches.scoring import RewardDuty
+from pistachionotch.clock import ManualClock
+from pistachionotch.config.spec import Address
+from pistachionotch.gateway.calls import Cause, Refusal, Reply
+from pistachionotch.gateway.catalog import Catalog, ClientLimits, RouteKind, ServiceShare
+from pistachionotch.gateway.upstreams import Upstream, UpstreamRecord, UpstreamTable
+from pistachionotch.objects.memory import MemoryStore
+
+REWARDS = attrs.evolve(
+    ROUTE,
+    name="rewards",
+    host="score.example",
+    kind=RouteKind.UNSAFE,
+    shares=(ServiceShare("desk", 1),),
+    max_attempts=3,
+)
+CATALOG = Catalog(1, (ROUTE, REWARDS), {}, ClientLimits())
+DESK = UpstreamRecord(
+    instance="d-1",
+    service="desk",
+    address=Address("10.0.0.2", 80),
+    zone="z",
+    slots=8,
+    leaving=False,
+    started_ms=1,
+    versions={},
+)
+
+
+def scored(found):
+    """Give each item of a submission a reward call."""
+    items = tuple(
+        attrs.evolve(
+            item,
+            reward=RewardCall(
+                id=f"r-{item.id}", host="Score.example", target="/p/x", body=item.id.encode()
+            ),
+        )
+        for item in found.items
+    )
+    return attrs.evolve(found, items=items)
+
+
+class Desk:
+    """Answer reward calls as told; keep what was asked."""
+
+    def __init__(self):
+        self.calls = []
+        self.answers = {}
+        self.hold = None
+
+    def forward(self, call, route):
+        assert route.repeatable(), "a reward call may be repeated whatever its route says"
+        self.calls.append(call)
+        if self.hold is not None:
+            self.hold.wait()
+        answers = self.answers.get(call.request_id)
+        if answers:
+            return answers.pop(0)
+        return Reply(200, (), b"", proof=f"proof of {call.request_id}")
+
+
+class Step:
+    """A step whose items get their texts and rewards by hand."""
+
+    def __init__(self, store=None):
+        self.store = store or MemoryStore()
+        self.clock = ManualClock()
+        self.desk = Desk()
+        found = attrs.evolve(head(), submission=scored(head().submission))
+        create_batch(self.store, found, 1_000_000)
+        table = UpstreamTable({"d-1": Upstream(DESK)})
+        log = structlog.get_logger()
+        self.duty = RewardDuty(self.clock, table, self.desk.forward, lambda: CATALOG, log)
+        self.owner = BatchOwner(
+            self.clock,
+            random.Random(1),
+            owner(),
+            "r",
+            {},
+            table,
+            None,
+            self.duty,
+            lambda: CATALOG,
+            log,
+        )
+        self.run = BatchRun(found, BatchLog(self.store, "b1"), owner(), 0, 7_500, None)
+        self.owner.runs["b1"] = self.run
+
+    def generate(self, *names):
+        for name in names:
+            state = self.run.progress[name]
+            state.note_event(1, f"text of {name}", 3)
+            self.owner._settle(self.run, state, Upstream(DESK), AttemptEnd.DONE)
+
+    def score(self, after_ms=0):
+        self.clock.advance(after_ms)
+        self.duty.start_calls(self.owner.runs.values(), self.owner._finish)
+        for _ in range(3):
+            gevent.sleep(0)
+
+    def listed(self):
+        while self.run.unlisted:
+            assert self.owner.list_once(self.run)
+        return {result.id: result for result in self.run.listed}
+
+
+def test_a_result_bears_the_proof_of_its_own_call_made_after_its_text():
+    step = Step()
+    step.score()
+    assert not step.desk.calls, "no call before the text is whole"
+    step.generate("i0")
+    assert not step.run.unlisted and not [w for w in step.run.waiting() if w.item == "i0"]
+    step.score()
+    call = step.desk.calls[0]
+    assert (call.request_id, call.host, call.target) == ("r-i0", "Score.example", "/p/x")
+    assert (call.method, call.body) == ("POST", b"i0")
+    assert step.listed()["i0"].reward == "proof of r-i0"
+
+
+@pytest.mark.parametrize(
+    "failure",
+    [
+        Refusal(Cause.NOT_RUN, "full", 250),
+        Refusal(Cause.UNKNOWN, "lost"),
+        Reply(404, (), b""),
+        Reply(200, (), b"", proof=""),
+        Reply(503, (), b"", proof="p"),
+    ],
+)
+def test_only_the_call_is_made_again_after_a_failure(failure):
+    step = Step()
+    step.desk.answers["r-i0"] = [failure] * 6
+    step.generate("i0")
+    for _ in range(7):
+        step.score(after_ms=300)
+    assert len(step.desk.calls) == 7
+    assert step.listed()["i0"].done
+    assert step.listed()["i0"].text == "text of i0"
+
+
+def test_a_call_that_always_fails_ends_its_item_after_the_attempts_of_its_route():
+    step = Step()
+    step.desk.answers["r-i0"] = [
+        Refusal(Cause.TIMEOUT, "time is up", 0, server_errors=2),
+        Reply(500, (), b"", proof="p", server_errors=1),
+    ]
+    step.generate("i0", "i1")
+    step.score()
+    assert not step.run.progress["i0"].finished
+    step.score(after_ms=200)
+    assert not step.listed()["i0"].done
+    assert step.listed()["i1"].done, "the other items of the group are not held up"
+    step.score(after_ms=200)
+    assert [call.request_id for call in step.desk.calls].count("r-i0") == 2
+
+
+def test_the_end_of_a_batch_stops_calls_that_run_and_that_wait():
+    step = Step()
+    step.desk.hold = gevent.event.Event()
+    step.generate("i0")
+    step.score()
+    step.generate("i1")
+    assert step.owner.end(step.run)
+    gevent.sleep(0.01)
+    assert not step.duty.tasks
+    step.desk.hold.set()
+    step.score(after_ms=500)
+    assert [call.request_id for call in step.desk.calls] == ["r-i0"]
+    assert not step.run.unlisted
+
+
+def test_a_missing_route_is_waited_for():
+    step = Step()
+    step.duty.catalog = lambda: Catalog(1, (ROUTE,), {}, ClientLimits())
+    step.generate("i0")
+    step.score()
+    assert not step.desk.calls and not step.run.progress["i0"].finished
+    step.duty.catalog = lambda: CATALOG
+    step.score(after_ms=300)
+    assert step.listed()["i0"].done
+
+
+def test_a_late_reward_lets_the_text_be_written_and_another_owner_asks_for_the_reward_only():
+    step = Step()
+    step.generate("i0")
+    state = step.run.listing_state()
+    assert not should_list(state, step.clock.now_ms() + UNSAVED_TEXT_MS - 1)
+    assert should_list(state, step.clock.now_ms() + UNSAVED_TEXT_MS)
+    assert step.owner.list_once(step.run)
+    assert not should_list(step.run.listing_state(), step.clock.now_ms() + 60_000)
+    successor = Step(step.store)
+    while (entry := successor.run.log.read_next().unwrap()) is not None:
+        successor.run.apply(entry, 0)
+    assert [w.item for w in successor.run.waiting()] == ["i1", "i2"]
+    successor.score()
+    assert successor.listed()["i0"].text == "text of i0"
+    assert successor.listed()["i0"].reward == "proof of r-i0"
+
+
+def test_what_waits_for_its_reward_travels_with_a_batch_that_is_handed_on():
+    world = World()
+    first, second = world.start("a"), world.start("b")
+    assert first.submit(scored(submission()), ROUTE) is None
+    run = first.owner.runs["b1"]
+    run.progress["i0"].note_event(1, "text", 3)
+    run.note_complete(run.progress["i0"], 0)
+    run.progress["i0"].reward_failures = 2
+    taken = second.local_take(run.state())
+    assert taken == second.me
+    successor = second.owner.runs["b1"]
+    assert [w.item for w in successor.waiting_rewards()] == ["i0"]
+    assert successor.progress["i0"].reward_failures == 2
+    successor.finish(successor.progress["i0"], True, 0, "proof")
+    assert second.owner.list_once(successor)
+    page = second.read("b1", 0, 0)
+    assert ids(page) == ["i0"] and page.results[0].reward == "proof"
+
+
+def test_items_without_a_reward_call_are_served_as_before():
+    step = Step()
+    found = head()
+    run = BatchRun(found, BatchLog(MemoryStore(), "b1"), owner(), 0, 7_500, None)
+    state = run.progress["i0"]
+    state.note_event(1, "t", 3)
+    step.owner._settle(run, state, Upstream(DESK), AttemptEnd.DONE)
+    assert state.finished and run.unlisted[0].reward == ""
--- a/tests/unit/cli/test_trace.py
+++ b/tests/unit/cli/test_trace.py
@@ -48,3 +48,21 @@
 def test_an_unknown_id_and_a_missing_file_are_told(files, tmp_path):
     assert trace("none", *files) == ExitCode.FINDINGS
     assert trace("b1", str(tmp_path / "none")) == ExitCode.UNAVAILABLE
+
+
+def test_an_item_and_its_reward_call_lead_to_each_other(tmp_path, capsys):
+    path = tmp_path / "a.log"
+    path.write_text(
+        "\n".join(
+            [
+                line(1, "batches: text complete", node="a", item="i1", reward_call="c1"),
+                line(2, "calls: call placed", node="a", request="c1"),
+                line(3, "calls: call placed", node="a", request="c2"),
+                line(4, "batches: item finished", node="a", item="i1"),
+            ]
+        )
+    )
+    for wanted in ("i1", "c1"):
+        assert trace(wanted, str(path), json=True) == ExitCode.DONE
+        found = json.loads(capsys.readouterr().out)
+        assert [line["timestamp"][-3:-1] for line in found] == ["01", "02", "04"]
--- a/tests/unit/platform/test_decode.py
+++ b/tests/unit/platform/test_decode.py
@@ -156,12 +156,68 @@
         read_submission("b", "h", "/p/b", body)
 
 
+SCORER = {"id": "c1", "hostname": "H.example", "path": "/q/7?a=1", "body": "3q2+7w=="}
+
+
+def scored(**changes):
+    item = {**submission()["items"][0], "scorer": {**SCORER, **changes}}
+    return json.dumps(submission(items=[item])).encode()
+
+
+def test_an_item_may_have_a_reward_call():
+    reward = read_submission("b", "h", "/p/b", scored()).items[0].reward
+    assert (reward.id, reward.host, reward.target) == ("c1", "H.example", "/q/7?a=1")
+    assert reward.body.hex() == "deadbeef"
+    plain = read_submission("b", "h", "/p/b", json.dumps(submission()).encode())
+    assert plain.items[0].reward is None
+
+
+@pytest.mark.parametrize(
+    ("changes", "field"),
+    [
+        ({"id": ""}, "scorer.id"),
+        ({"id": 7}, "scorer.id"),
+        ({"id": "c1\r\nX: 1"}, "scorer.id"),
+        ({"hostname": None}, "scorer.hostname"),
+        ({"hostname": "a b"}, "scorer.hostname"),
+        ({"path": "q"}, "scorer.path"),
+        ({"path": "/q HTTP/1.1\r\n"}, "scorer.path"),
+        ({"body": "?"}, "scorer.body"),
+        ({"body": 5}, "scorer.body"),
+    ],
+)
+def test_a_malformed_reward_call_is_refused_with_its_item_and_field(changes, field):
+    with pytest.raises(ValueError, match=f"item i1: .*{field}"):
+        read_submission("b", "h", "/p/b", scored(**changes))
+    with pytest.raises(ValueError, match="item i1: scorer"):
+        item = {**submission()["items"][0], "scorer": "c1"}
+        read_submission("b", "h", "/p/b", json.dumps(submission(items=[item])).encode())
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"id": "i1\r\nX: 1"},
+        {"id": ""},
+        {"path": "/p/1 HTTP/1.1\r\nX: 1"},
+        {"path": "p"},
+        {"headers": {"Model": "m\r\nX: 1"}},
+        {"headers": {"Mo del": "m"}},
+    ],
+)
+def test_an_item_that_would_smuggle_a_request_is_refused(changes):
+    item = {**submission()["items"][0], **changes}
+    with pytest.raises(ValueError):
+        read_submission("b", "h", "/p/b", json.dumps(submission(items=[item])).encode())
+
+
 def test_a_page_names_its_next_position():
     from pistachionotch.batches.model import ItemResult, ResultPage
 
     results = (
         ItemResult(id="i1", done=True, text="a\nb", versions=(6, 7)),
         ItemResult(id="i2", done=False),
+        ItemResult(id="i3", done=True, text="c", versions=(7,), reward="p.1"),
     )
     page = json.loads(page_body(ResultPage(total=3, results=results, next_position=2)))
     assert page["total"] == 3 and page["next_token"] == 2
@@ -172,3 +228,4 @@
         "weight_versions": [6, 7],
     }
     assert page["results"][1]["state"] == "dead"
+    assert page["results"][2]["score"] == "p.1"
