Bound what a server in trouble can make a gateway hold, and judge streams by events

Cause: heads and bodies were read without a bound on their bytes, and each byte renewed the wait for an event, so that one server could fill a gateway's memory and a dripping stream never ended. A client's stream was cut after a fixed pause, however slow its engine's events usually are. Heads end at 64 KiB or 200 fields, refusals at 64 KiB, bodies that are read whole at 16 MiB; a client's answer is passed on as it comes from 1 MiB on.

--- a/src/pistachionotch/batches/items.py
+++ b/src/pistachionotch/batches/items.py
@@ -19,9 +19,10 @@
 # none. A first event takes a tenth of a second, so that a second of silence rather means an engine
 # that drops requests; the later limits leave room for engines that all have queues.
 HEAD_TIMEOUTS_MS = (1_000, 2_000, 3_000)
-# Longest wait for an event before the engine counts as silent, and the same in usual gaps.
+# Longest wait for an event before the engine counts as silent; more if its events are slow.
 EVENT_TIMEOUT_MS = 1_500
-EVENT_TIMEOUT_GAPS = 20
+# A refusal has a short body; one that goes on is not worth reading.
+MAX_REFUSAL_BYTES = 64 * 1024
 NEVER_DONE = 422
 OK = 200
 SERVER_ERROR = 500
@@ -97,7 +98,7 @@
         response = exchange.response
         upstream = exchange.upstream
         if response.not_run or response.head.status != OK:
-            exchange.connection.read_body(HEAD_TIMEOUTS_MS[0])
+            exchange.connection.read_body(HEAD_TIMEOUTS_MS[0], MAX_REFUSAL_BYTES)
             self.client.finish(exchange)
             return self._refused(state, exchange)
         if not response.versions:
@@ -133,10 +134,14 @@
         reader = self.dialect.event_reader()
         upstream = exchange.upstream
         previous_ms = None
+        # Bytes that complete no event do not extend the wait.
+        waiting_since_ms = self.clock.now_ms()
         while True:
-            usual_ms = upstream.event_ms or 0.0
-            timeout_ms = max(EVENT_TIMEOUT_MS, int(usual_ms * EVENT_TIMEOUT_GAPS))
-            part = exchange.connection.read_part(timeout_ms)
+            patience_ms = upstream.event_patience_ms(EVENT_TIMEOUT_MS)
+            left_ms = waiting_since_ms + patience_ms - self.clock.now_ms()
+            if left_ms <= 0:
+                raise ExchangeError(f"no event for {patience_ms} ms", sent=True)
+            part = exchange.connection.read_part(left_ms)
             if not part:
                 return
             now_ms = self.clock.now_ms()
@@ -150,4 +155,4 @@
             if events and previous_ms is not None:
                 upstream.note_event((now_ms - previous_ms) / len(events), now_ms)
             if events:
-                previous_ms = now_ms
+                previous_ms = waiting_since_ms = now_ms
--- a/src/pistachionotch/batches/scoring.py
+++ b/src/pistachionotch/batches/scoring.py
@@ -13,7 +13,7 @@
 import gevent
 
 from ..clock import Clock
-from ..gateway.calls import Answer, ClientCall, Refusal, Reply
+from ..gateway.answers import Answer, ClientCall, Refusal, Reply
 from ..gateway.catalog import Catalog, Route, RouteKind
 from ..gateway.upstreams import UpstreamTable
 from ..measures import Measures
--- a/src/pistachionotch/gateway/calls.py
+++ b/src/pistachionotch/gateway/calls.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import enum
 import random
 from collections.abc import Iterator
 from typing import Any
@@ -10,8 +9,9 @@
 import attrs
 
 from ..clock import Clock
-from ..http_client import ExchangeError, Header
+from ..http_client import ExchangeError
 from ..measures import Measures
+from .answers import Answer, Cause, ClientCall, Refusal, Reply, StreamReply
 from .catalog import Route
 from .dialect import UpstreamDialect, UpstreamRequest
 from .exchange import Exchange, UpstreamClient
@@ -27,72 +27,14 @@
 MIN_PATIENCE_MS = 600
 OK = 200
 SERVER_ERROR = 500
+# A refusal has a short body; one that goes on is not worth reading.
+MAX_REFUSAL_BYTES = 64 * 1024
+# Larger answers are passed on as they come, without another attempt once they have begun.
+MAX_HELD_BYTES = 1024 * 1024
 EVENT_STREAM = "text/event-stream"
 SERVER_ERRORS = 500
 
 
-@attrs.frozen(kw_only=True)
-class ClientCall:
-    """Hold one request of a client."""
-
-    request_id: str
-    method: str
-    target: str
-    host: str
-    headers: tuple[Header, ...]
-    body: bytes
-    received_ms: int
-    budget_ms: int | None = None
-    resume_after: int | None = None
-
-
-@attrs.frozen
-class Reply:
-    """Answer with a complete body."""
-
-    status: int
-    headers: tuple[Header, ...] = ()
-    body: bytes = b""
-    # The upstream's proof, empty if the answer is this process's own.
-    proof: str = ""
-    # Attempts of this call that an upstream answered with status 500.
-    server_errors: int = 0
-
-
-@attrs.frozen
-class StreamReply:
-    """Answer with parts that are sent as they come."""
-
-    status: int
-    headers: tuple[Header, ...]
-    parts: Iterator[bytes]
-
-
-class Cause(enum.Enum):
-    """Say why a call has no response of an upstream."""
-
-    NO_ROUTE = "no such route"
-    NOT_RUN = "not run"
-    UNKNOWN = "may have run"
-    TIMEOUT = "time is up"
-    INVALID = "invalid request"
-    TOO_LARGE = "the body is too large"
-
-
-@attrs.frozen
-class Refusal:
-    """Answer without an upstream's response."""
-
-    cause: Cause
-    reason: str
-    retry_after_ms: int | None = None
-    # Attempts of this call that an upstream answered with status 500.
-    server_errors: int = 0
-
-
-Answer = Reply | StreamReply | Refusal
-
-
 @attrs.define
 class _Progress:
     """Track the attempts of one call."""
@@ -209,7 +151,7 @@
         try:
             response = exchange.response
             if response.not_run:
-                exchange.connection.read_body(patience_ms)
+                exchange.connection.read_body(patience_ms, MAX_REFUSAL_BYTES)
                 self.client.finish(exchange)
                 done = True
                 upstream.note_full(self.clock.now_ms())
@@ -222,8 +164,12 @@
                 done = True
                 parts = self._stream(progress, exchange)
                 return StreamReply(response.head.status, headers, parts)
-            left_ms = progress.deadline_ms - self.clock.now_ms()
-            body = exchange.connection.read_body(left_ms)
+            body = self._read_held(progress, exchange)
+            if not exchange.connection.body_ended:
+                done = True
+                return StreamReply(
+                    response.head.status, headers, self._rest(progress, exchange, body)
+                )
             self.client.finish(exchange)
             done = True
         finally:
@@ -246,6 +192,42 @@
         self._log_answer(progress, upstream, reply.status, started_ms)
         return reply
 
+    def _read_held(self, progress: _Progress, exchange: Exchange) -> bytes:
+        """Return the body, or its first part if it is larger than what is held."""
+        parts = []
+        size = 0
+        while size < MAX_HELD_BYTES:
+            part = exchange.connection.read_part(progress.deadline_ms - self.clock.now_ms())
+            if not part:
+                break
+            if self.clock.now_ms() >= progress.deadline_ms:
+                raise ExchangeError("body: time is up", sent=True)
+            size += len(part)
+            parts.append(part)
+        return b"".join(parts)
+
+    def _rest(self, progress: _Progress, exchange: Exchange, held: bytes) -> Iterator[bytes]:
+        """Yield a large body; raises ``ExchangeError`` if it does not end in time."""
+        try:
+            yield held
+            while True:
+                left_ms = progress.deadline_ms - self.clock.now_ms()
+                if left_ms <= 0:
+                    raise ExchangeError("body: time is up", sent=True)
+                part = exchange.connection.read_part(left_ms)
+                if not part:
+                    break
+                yield part
+            self.client.finish(exchange)
+        except ExchangeError as error:
+            exchange.upstream.note_failure(self.clock.now_ms())
+            self._log_failure(progress, exchange.upstream, error.reason, True)
+            raise
+        finally:
+            if not exchange.connection.body_ended:
+                exchange.connection.close()
+            exchange.upstream.in_flight -= 1
+
     def _log_answer(
         self, progress: _Progress, upstream: Upstream, status: int, started_ms: int
     ) -> None:
--- a/src/pistachionotch/gateway/streams.py
+++ b/src/pistachionotch/gateway/streams.py
@@ -53,11 +53,21 @@
 
     def _events(self, exchange: Exchange) -> Iterator[bytes]:
         reader = self.dialect.event_reader()
-        patience_ms = EVENT_PATIENCE_MS if self.resume is None else RESUME_PATIENCE_MS
+        least_ms = EVENT_PATIENCE_MS if self.resume is None else RESUME_PATIENCE_MS
+        patience_ms = exchange.upstream.event_patience_ms(least_ms)
         rest = b""
-        while part := exchange.connection.read_part(patience_ms):
+        waiting_since_ms = self.clock.now_ms()
+        while True:
+            # Bytes that complete no event do not extend the wait.
+            left_ms = waiting_since_ms + patience_ms - self.clock.now_ms()
+            if left_ms <= 0:
+                raise ExchangeError(f"no event for {patience_ms} ms", sent=True)
+            part = exchange.connection.read_part(left_ms)
+            if not part:
+                break
             for event in reader.feed(part):
                 self.last = event.number
+                waiting_since_ms = self.clock.now_ms()
             # A server may break off within an event, which another one then sends as a whole.
             held = len(reader.rest) if self.resume is not None else 0
             text = rest + part
--- a/src/pistachionotch/gateway/upstreams.py
+++ b/src/pistachionotch/gateway/upstreams.py
@@ -39,6 +39,8 @@
 # An upstream that said it is leaving is remembered this long after it was last listed, since a
 # stale listing may name it again.
 LEFT_MEMORY_MS = 120_000
+# A stream without an event for this many usual gaps of its engine has stalled.
+PATIENCE_GAPS = 20
 # The pace of this moment is unknown after this time without an event.
 RECENT_AGE_MS = 400
 
@@ -137,6 +139,10 @@
         fresh = self.event_ms is not None and now_ms - self.event_seen_ms <= RECENT_AGE_MS
         return self.recent_event_ms if fresh else None
 
+    def event_patience_ms(self, least_ms: int) -> int:
+        """Return how long a stream may take to its next event before it counts as stalled."""
+        return max(least_ms, int((self.event_ms or 0.0) * PATIENCE_GAPS))
+
     def note_full(self, now_ms: int) -> None:
         """Count a refusal for lack of room."""
         self.full_until_ms = now_ms + FULL_PAUSE_MS
--- a/src/pistachionotch/http_client.py
+++ b/src/pistachionotch/http_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import time
 from collections import deque
 from collections.abc import Iterable
 from typing import Any
@@ -28,6 +29,11 @@
 # Idle time after which a connection is not used again if the server names no limit.
 DEFAULT_IDLE_MS = 4_000
 
+# Bounds on what a server in trouble can make this process hold: the bytes of a head or of framing
+# without content, the fields of a head, and a body that is read whole.
+MAX_HEAD_BYTES = 64 * 1024
+MAX_HEAD_FIELDS = 200
+MAX_BODY_BYTES = 16 * 1024 * 1024
 # Longest wait for the acceptance of a connection that is made to see whether a peer is there.
 PROBE_TIMEOUT_MS = 1_000
 
@@ -120,21 +126,38 @@
         try:
             _limited(self.sock, timeout_ms)
             with gevent.Timeout(max(1, timeout_ms) / MS_PER_SECOND, TimeoutError("no response")):
+                received = 0
                 while not self.parser.headers_complete or self.parser.get_code() < 200:
-                    self._feed()
+                    if received >= MAX_HEAD_BYTES:
+                        raise HTTPParseError("the head is too large")
+                    received += self._feed(MAX_HEAD_BYTES)
         except (OSError, HTTPParseError) as error:
             raise ExchangeError(f"response: {error}", sent=True) from error
         headers = tuple(
             (str(name).lower(), str(value)) for name, value in self.parser.info().items()
         )
+        if len(headers) > MAX_HEAD_FIELDS:
+            raise ExchangeError("response: the head has too many fields", sent=True)
         return ResponseHead(self.parser.get_code(), headers)
 
     def read_part(self, timeout_ms: int) -> bytes:
-        """Return the next bytes of the body, empty at its end."""
+        """Return the next bytes of the body, empty at its end.
+
+        The limit is on the wait for content; bytes that only frame it do not extend the wait.
+        """
+        limit = time.monotonic() + max(1, timeout_ms) / MS_PER_SECOND
+        left_ms = timeout_ms
+        received = 0
         try:
-            _limited(self.sock, timeout_ms)
             while not self.parser._body_buffer and not self.parser.message_complete:
-                self._feed()
+                if received:
+                    left_ms = int((limit - time.monotonic()) * MS_PER_SECOND)
+                if left_ms <= 0 and received:
+                    raise TimeoutError("no content")
+                if received >= MAX_HEAD_BYTES:
+                    raise HTTPParseError("bytes without content")
+                _limited(self.sock, left_ms)
+                received += self._feed(READ_BYTES)
         except (OSError, HTTPParseError) as error:
             raise ExchangeError(f"body: {error}", sent=True) from error
         part = bytes(self.parser._body_buffer)
@@ -142,19 +165,23 @@
         self.body_ended = not part
         return part
 
-    def read_body(self, timeout_ms: int) -> bytes:
-        """Return the whole rest of the body."""
+    def read_body(self, timeout_ms: int, max_bytes: int = MAX_BODY_BYTES) -> bytes:
+        """Return the whole rest of the body; raises ``ExchangeError`` if it is larger or late."""
         parts = []
+        size = 0
         try:
             with gevent.Timeout(max(1, timeout_ms) / MS_PER_SECOND, TimeoutError("body is late")):
                 while part := self.read_part(timeout_ms):
+                    size += len(part)
+                    if size > max_bytes:
+                        raise ExchangeError("body: it is too large", sent=True)
                     parts.append(part)
         except TimeoutError as error:
             raise ExchangeError(f"body: {error}", sent=True) from error
         return b"".join(parts)
 
-    def _feed(self) -> None:
-        data = self.sock.recv(READ_BYTES)
+    def _feed(self, max_bytes: int) -> int:
+        data = self.sock.recv(max_bytes)
         try:
             self.parser.feed(data)
         except HTTPParseError:
@@ -163,6 +190,7 @@
                 raise
         if not data and not self.parser.message_complete:
             raise HTTPParseError("connection closed before the end of the response")
+        return len(data)
 
     def keepable(self) -> bool:
         """Return whether the connection can carry a further exchange."""
--- a/src/pistachionotch/platform/ingress.py
+++ b/src/pistachionotch/platform/ingress.py
@@ -14,15 +14,8 @@
 from ..batches.model import BatchTrouble, ResultPage, Trouble
 from ..batches.service import BatchService
 from ..clock import MS_PER_SECOND, Clock
-from ..gateway.calls import (
-    Answer,
-    CallForwarder,
-    Cause,
-    ClientCall,
-    Refusal,
-    Reply,
-    StreamReply,
-)
+from ..gateway.answers import Answer, Cause, ClientCall, Refusal, Reply, StreamReply
+from ..gateway.calls import CallForwarder
 from ..gateway.catalog import Catalog, RouteKind
 from ..gateway.departure import ClientGoneError, watch_client
 from ..http_client import Header
--- a/src/pistachionotch/platform/upstream.py
+++ b/src/pistachionotch/platform/upstream.py
@@ -27,6 +27,8 @@
 REPORT_PATH = "/api/report"
 ORDER_PATH = "/api/order"
 MISDIRECTED = 421
+# An event has some hundred bytes; one without end would fill the memory.
+MAX_EVENT_BYTES = 1024 * 1024
 _ORDER_ANSWERS: dict[int, OrderAnswer] = {
     HTTPStatus.ACCEPTED: OrderAnswer.ACCEPTED,
     HTTPStatus.OK: OrderAnswer.HOLDS_ALREADY,
@@ -65,8 +67,10 @@
         self.rest = b""
 
     def feed(self, data: bytes) -> list[StreamEvent]:
-        """Return the events that are complete now."""
+        """Return the events that are complete now; raises ``ValueError`` if one is malformed."""
         *blocks, self.rest = (self.rest + data).split(b"\n\n")
+        if len(self.rest) > MAX_EVENT_BYTES:
+            raise ValueError("an event is too large")
         return [_event(block.decode()) for block in blocks if block]
 
 
