Count the time in which a VM was suspended

Cause: the clock read CLOCK_MONOTONIC, which stands still while a VM is suspended; a holder of a lease that woke up after seconds still found it held and would have given orders.

--- a/src/pistachionotch/clock.py
+++ b/src/pistachionotch/clock.py
@@ -8,6 +8,9 @@
 import attrs
 
 MS_PER_SECOND = 1000
+# Counts the time in which the machine was suspended, which CLOCK_MONOTONIC does not: what a process
+# holds runs out meanwhile. Not every system has it.
+_CLOCK_ID = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
 
 
 class Clock(Protocol):
@@ -21,11 +24,11 @@
 
 
 class SystemClock:
-    """Read the machine's monotonic clock."""
+    """Read the machine's monotonic clock, which goes on while the machine is suspended."""
 
     def now_ms(self) -> int:
         """Return monotonic milliseconds."""
-        return time.monotonic_ns() // 1_000_000
+        return time.clock_gettime_ns(_CLOCK_ID) // 1_000_000
 
     def sleep_ms(self, duration_ms: int) -> None:
         """Block the calling greenlet; cooperative once gevent has patched ``time``."""
