Let no malformed message and no unexpected error end a task of a gateway

Cause: the tasks of a gateway ran unguarded, so that one unexpected error ended, for example, the following of registrations for good, while the process went on with a listing that only aged. A registration whose start time is beyond all bounds did that (OverflowError), and so did a malformed answer of a watcher, a relay or an owner. Decoders raise what one tuple names, their callers log it, and tasks that fail are counted and start again. On the former sources three of the tests in test_malformed_messages.py fail: a registration with an endless number, malformed answers of peers, and malformed questions of peers (a 500 with a traceback).

--- a/src/pistachionotch/batches/owner.py
+++ b/src/pistachionotch/batches/owner.py
@@ -15,6 +15,7 @@
 from ..gateway.catalog import Catalog, Route
 from ..gateway.upstreams import Upstream, UpstreamTable
 from ..measures import Measures
+from ..tasks import keep_running
 from .dispatch import (
     EngineView,
     Move,
@@ -65,7 +66,14 @@
     def add(self, run: BatchRun) -> None:
         """Run a batch."""
         self.runs[run.id] = run
-        gevent.spawn(self._list_results, run)
+        gevent.spawn(
+            keep_running,
+            "list results",
+            lambda: self._list_results(run),
+            self.clock,
+            self.log,
+            self.measures,
+        )
         self.wake.set()
 
     def forget(self, run: BatchRun) -> None:
--- a/src/pistachionotch/batches/peers.py
+++ b/src/pistachionotch/batches/peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import traceback
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
 from typing import Any, Protocol
@@ -12,6 +13,8 @@
 
 from ..config.spec import Address
 from ..http_client import Connection, ConnectionPool, ExchangeError
+from ..logs import logger
+from ..malformed import MALFORMED, load_cbor
 from .model import (
     BatchHead,
     BatchState,
@@ -91,12 +94,7 @@
         reply = self._ask(owner, "GET", target, READ_TIMEOUT_MS + wait_ms)
         if not isinstance(reply, bytes):
             return reply
-        fields = cbor2.loads(reply)
-        return ResultPage(
-            total=fields["total"],
-            results=tuple(read_result(result) for result in fields["results"]),
-            next_position=fields["next"],
-        )
+        return _decoded(reply, _read_page)
 
     def item_body(self, owner: Owner, batch: str, item: str) -> bytes | PeerProblem:
         """Return the body of an item."""
@@ -115,24 +113,25 @@
         reply = self._ask(asked, "POST", _path(submission.id), SUBMIT_TIMEOUT_MS, body)
         if not isinstance(reply, bytes):
             return reply
-        fields = cbor2.loads(reply)
-        if "owner" in fields:
-            return read_owner(fields["owner"])
-        return BatchTrouble(Trouble(fields["trouble"]), fields["reason"], fields["retry_after_ms"])
+        decoded = _decoded(reply, _read_submission_answer)
+        if isinstance(decoded, PeerUnsure):
+            # It may have been accepted there.
+            return PeerUnreachable(decoded.reason, refused=False)
+        return decoded
 
     def take(self, address: Address, state: BatchState) -> Owner | None:
         """Let another process go on with a batch; returns its new owner, None if it did not."""
         asked = Owner(node="", incarnation=OWNERS, address=address)
         target = _path(state.head.submission.id)
-        reply = self._ask(asked, "PUT", target, RESPONSE_TIMEOUT_MS, state_bytes(state))
-        return read_owner(cbor2.loads(reply)) if isinstance(reply, bytes) else None
+        return _owner_or_none(
+            self._ask(asked, "PUT", target, RESPONSE_TIMEOUT_MS, state_bytes(state))
+        )
 
     def owner_of(self, address: Address, batch: str) -> Owner | None:
         """Return the owner of a batch as another process knows it."""
         asked = Owner(node="", incarnation=OWNERS, address=address)
         target = f"{OWNERS_PREFIX}{quote(batch, safe='')}"
-        reply = self._ask(asked, "GET", target, READ_TIMEOUT_MS)
-        return read_owner(cbor2.loads(reply)) if isinstance(reply, bytes) else None
+        return _owner_or_none(self._ask(asked, "GET", target, READ_TIMEOUT_MS))
 
     def announce(self, address: Address, batch: str, owner: Owner) -> None:
         """Tell another process who owns a batch; it is a hint and need not arrive."""
@@ -171,6 +170,34 @@
         return reply
 
 
+def _decoded(reply: bytes, read: Callable[[Any], Any]) -> Any:
+    try:
+        return read(load_cbor(reply))
+    except MALFORMED as error:
+        return PeerUnsure(f"malformed answer of the owner: {error!r}")
+
+
+def _owner_or_none(reply: bytes | PeerProblem) -> Owner | None:
+    if not isinstance(reply, bytes):
+        return None
+    owner = _decoded(reply, read_owner)
+    return owner if isinstance(owner, Owner) else None
+
+
+def _read_page(fields: Any) -> ResultPage:
+    return ResultPage(
+        total=int(fields["total"]),
+        results=tuple(read_result(result) for result in fields["results"]),
+        next_position=int(fields["next"]),
+    )
+
+
+def _read_submission_answer(fields: Any) -> Owner | BatchTrouble:
+    if "owner" in fields:
+        return read_owner(fields["owner"])
+    return BatchTrouble(Trouble(fields["trouble"]), fields["reason"], fields["retry_after_ms"])
+
+
 def _path(batch: str) -> str:
     return PREFIX + quote(batch, safe="")
 
@@ -211,7 +238,16 @@
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
         """Serve one request."""
-        status, body = self._answer(environ)
+        try:
+            status, body = self._answer(environ)
+        except MALFORMED as error:
+            logger("batches").error(
+                "request of a peer failed",
+                path=environ["PATH_INFO"],
+                error=repr(error),
+                trace=traceback.format_exc(),
+            )
+            status, body = HTTPStatus.BAD_REQUEST, b""
         headers = [("Content-Type", MEDIA_TYPE), ("Content-Length", str(len(body)))]
         start_response(f"{status.value} {status.phrase}", headers)
         return [body]
--- a/src/pistachionotch/batches/records.py
+++ b/src/pistachionotch/batches/records.py
@@ -215,9 +215,9 @@
 
 
 def read_owner(fields: Any) -> Owner:
-    """Read the stored form of an owner."""
+    """Read the stored form of an owner; raises one of ``MALFORMED``."""
     return Owner(
-        node=fields["node"],
-        incarnation=fields["incarnation"],
+        node=str(fields["node"]),
+        incarnation=str(fields["incarnation"]),
         address=Address.parse(fields["address"]),
     )
--- a/src/pistachionotch/batches/scoring.py
+++ b/src/pistachionotch/batches/scoring.py
@@ -87,6 +87,8 @@
 
     def _start(self, run: BatchRun, state: ItemProgress, route: Route, finish: Finish) -> None:
         state.rewarding = True
+        # Also holds if the call ends by an unexpected error.
+        state.reward_after_ms = self.clock.now_ms() + RETRY_MS
         key = (run.id, state.item.id)
         self.tasks[key] = gevent.spawn(self._run, run, state, route, finish)
 
--- a/src/pistachionotch/gateway/daemon.py
+++ b/src/pistachionotch/gateway/daemon.py
@@ -29,6 +29,7 @@
 from ..objects.api import ObjectStore
 from ..objects.relay import RelayedStore
 from ..server import make_server
+from ..tasks import keep_running
 from ..weights.demand import Demands
 from .calls import CallForwarder
 from .dialect import Listings, UpstreamDialect
@@ -219,7 +220,7 @@
             self.orders.keep_lease,
             self.orders.run,
         ):
-            gevent.spawn(task)
+            self._keep(task)
         self.state = "serving"
         logger("gateway").info(
             "started",
@@ -228,6 +229,10 @@
             incarnation=self.batches.me.incarnation,
         )
 
+    def _keep(self, task: Callable[[], None]) -> None:
+        name = getattr(task, "__qualname__", repr(task))
+        gevent.spawn(keep_running, name, task, self.clock, logger("gateway"), self.measures)
+
     def _forget_batches(self) -> None:
         while True:
             self.clock.sleep_ms(PERIOD_MS)
--- a/src/pistachionotch/gateway/dialect.py
+++ b/src/pistachionotch/gateway/dialect.py
@@ -123,7 +123,7 @@
         """Return the request for an engine's report."""
 
     def read_report(self, body: bytes) -> EngineReport:
-        """Read a report; raises ``ValueError``, ``KeyError`` or ``TypeError``."""
+        """Read a report; raises one of ``MALFORMED``."""
 
     def order_request(self, instance: str, order: LoadOrder) -> UpstreamRequest:
         """Return the request that gives an order."""
--- a/src/pistachionotch/gateway/orders.py
+++ b/src/pistachionotch/gateway/orders.py
@@ -11,6 +11,7 @@
 from ..clock import Clock
 from ..http_client import ExchangeError
 from ..lease.lease import Lease
+from ..malformed import MALFORMED
 from ..measures import Measures
 from ..weights.assignment import EngineWeights, Load, NamedVersion, plan_loads
 from ..weights.demand import Demands
@@ -188,7 +189,7 @@
             return None
         try:
             return self.dialect.read_report(reply[1])
-        except (KeyError, TypeError, ValueError) as error:
+        except MALFORMED as error:
             self.log.warning(
                 "malformed report", upstream=upstream.record.instance, error=repr(error)
             )
--- a/src/pistachionotch/gateway/peers.py
+++ b/src/pistachionotch/gateway/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import traceback
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
 from typing import Any
@@ -15,6 +16,8 @@
 from ..batches.peers import PeerApp
 from ..batches.records import dump
 from ..config.spec import Address
+from ..logs import logger
+from ..malformed import MALFORMED
 from ..objects.api import ObjectStore, StoredObject, VersionConflict
 from ..objects.relay import RELAY_PATH, relay
 from .sharing import COPIES_PREFIX, CopiesApp
@@ -89,7 +92,7 @@
                 continue
             try:
                 found[node] = _read_record(stored.value)
-            except (ValueError, KeyError, TypeError) as error:
+            except MALFORMED as error:
                 self.log.warning("unreadable gateway", key=key, error=repr(error))
         self.records = found
         self.log.info("gateways listed", revision=revision, others=sorted(found))
@@ -132,13 +135,23 @@
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
         """Serve one request."""
-        status = HTTPStatus.OK
-        if environ["PATH_INFO"] == RELAY_PATH:
-            body = relay(self.store, environ["wsgi.input"].read())
-        elif environ["PATH_INFO"].startswith(COPIES_PREFIX):
-            status, body = self.copies.answer(environ)
-        else:
+        path = environ["PATH_INFO"]
+        if path != RELAY_PATH and not path.startswith(COPIES_PREFIX):
             return self.batches(environ, start_response)
+        status, body = HTTPStatus.OK, b""
+        try:
+            if path == RELAY_PATH:
+                body = relay(self.store, environ["wsgi.input"].read())
+            else:
+                status, body = self.copies.answer(environ)
+        except MALFORMED as error:
+            status = HTTPStatus.BAD_REQUEST
+            logger("gateway").error(
+                "request of a peer failed",
+                path=path,
+                error=repr(error),
+                trace=traceback.format_exc(),
+            )
         headers = [("Content-Type", "application/cbor"), ("Content-Length", str(len(body)))]
         start_response(f"{status.value} {status.phrase}", headers)
         return [body]
--- a/src/pistachionotch/gateway/sharing.py
+++ b/src/pistachionotch/gateway/sharing.py
@@ -21,7 +21,10 @@
 from ..clock import Clock
 from ..config.spec import Address
 from ..http_client import Connection, ConnectionPool, ExchangeError
+from ..logs import logger
+from ..malformed import MALFORMED, load_cbor
 from ..objects.api import StoredObject
+from ..objects.relay import read_stored
 
 COPIES_PREFIX = "/copies/"
 # Gateways that watch the object API.
@@ -180,7 +183,11 @@
                 connection.close()
         if head.status != HTTPStatus.OK:
             return None
-        return load_copy(body)
+        try:
+            return load_copy(body)
+        except MALFORMED as error:
+            logger("gateway").warning("malformed copy", peer=str(address), error=repr(error))
+            return None
 
 
 @attrs.frozen
@@ -210,9 +217,15 @@
 
 
 def load_copy(body: bytes) -> Copy:
-    """Decode a copy."""
-    revision, age_ms, token, whole, fields = cbor2.loads(body)
+    """Decode a copy; raises one of ``MALFORMED``."""
+    revision, age_ms, token, whole, fields = load_cbor(body)
     objects: Delta = {}
     for key, each in fields.items():
-        objects[key] = None if each is None else StoredObject(key, each[0], each[1])
-    return Copy(revision=revision, age_ms=age_ms, token=token, whole=whole, objects=objects)
+        objects[str(key)] = None if each is None else read_stored(key, each[0], each[1])
+    return Copy(
+        revision=int(revision),
+        age_ms=int(age_ms),
+        token=str(token),
+        whole=bool(whole),
+        objects=objects,
+    )
--- a/src/pistachionotch/objects/relay.py
+++ b/src/pistachionotch/objects/relay.py
@@ -20,6 +20,7 @@
 from ..clock import Clock
 from ..config.spec import Address
 from ..http_client import Connection, ConnectionPool, ExchangeError
+from ..malformed import MALFORMED, load_cbor
 from ..measures import Measures
 from .api import (
     Change,
@@ -193,7 +194,10 @@
                 connection.close()
         if head.status != HTTPStatus.OK:
             return ExchangeError(f"status {head.status}", sent=True)
-        return load_result(reply)
+        try:
+            return load_result(reply)
+        except MALFORMED as error:
+            return ExchangeError(f"malformed answer: {error!r}", sent=True)
 
 
 def _is_lost(error: StoreError) -> bool:
@@ -202,7 +206,7 @@
 
 def relay(store: ObjectStore, body: bytes) -> bytes:
     """Make the call of another process and return the encoded result."""
-    operation, key, value, version, wait_ms = cbor2.loads(body)
+    operation, key, value, version, wait_ms = load_cbor(body)
     call = RelayCall(str(operation), str(key), bytes(value), version, int(wait_ms))
     answer = perform(store, call)
     if isinstance(answer, Failure):
@@ -211,8 +215,8 @@
 
 
 def load_result(body: bytes) -> Result[Any, Any]:
-    """Decode what ``relay`` returned."""
-    kind, fields = cbor2.loads(body)
+    """Decode what ``relay`` returned; raises one of ``MALFORMED``."""
+    kind, fields = load_cbor(body)
     value = _load(fields)
     return Success(value) if kind == "ok" else Failure(value)
 
@@ -255,8 +259,6 @@
 _PLAIN: dict[str, Callable[..., Any]] = {
     kind.__name__: kind
     for kind in (
-        StoredObject,
-        Change,
         StoreUnavailable,
         WriteAmbiguous,
         WatchExpired,
@@ -275,4 +277,21 @@
         return WatchBatch(values[0], tuple(_load(change) for change in values[1]))
     if name == "VersionConflict":
         return VersionConflict(_load(values[0]), values[1])
+    if name == "StoredObject":
+        return read_stored(*values)
+    if name == "Change":
+        return Change(str(values[0]), int(values[1]), _bytes_or_none(values[2]))
     return _PLAIN[name](*values)
+
+
+def read_stored(key: Any, version: Any, value: Any) -> StoredObject:
+    """Return an object as a peer sent it; raises one of ``MALFORMED``."""
+    if not (isinstance(key, str) and isinstance(value, bytes)):
+        raise ValueError("the key or the value has another type")
+    return StoredObject(key, int(version), value)
+
+
+def _bytes_or_none(value: Any) -> bytes | None:
+    if value is None or isinstance(value, bytes):
+        return value
+    raise ValueError("the value has another type")
--- a/src/pistachionotch/platform/batches.py
+++ b/src/pistachionotch/platform/batches.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from ..batches.model import BatchItem, ItemResult, ResultPage, RewardCall, Submission
+from ..malformed import MALFORMED
 
 LENGTH_HINT = "length-hint"
 
@@ -30,7 +31,9 @@
             # Counted in groups, not in items.
             wanted_groups=int(fields.get("desired") or 0),
         )
-    except (KeyError, TypeError, AttributeError, binascii.Error) as error:
+    except ValueError:
+        raise
+    except MALFORMED as error:
         raise ValueError(f"malformed submission: {error!r}") from error
 
 
--- a/src/pistachionotch/platform/listings.py
+++ b/src/pistachionotch/platform/listings.py
@@ -10,6 +10,7 @@
 
 from ..gateway.catalog import Catalog
 from ..gateway.upstreams import UpstreamRecord
+from ..malformed import MALFORMED
 from ..objects.api import StoredObject, StoreError
 from .decode import (
     CONFIG_KEY,
@@ -62,7 +63,7 @@
     def _read(self, read: Callable[[StoredObject], T], stored: StoredObject) -> T | None:
         try:
             return read(stored)
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
+        except MALFORMED as error:
             if (stored.key, stored.version) not in self.reported:
                 self.reported.add((stored.key, stored.version))
                 self.log.warning(
--- a/src/pistachionotch/platform/store.py
+++ b/src/pistachionotch/platform/store.py
@@ -16,6 +16,7 @@
 
 from ..config.spec import Address
 from ..http_client import Connection, ConnectionPool, ExchangeError
+from ..malformed import MALFORMED
 from ..objects.api import (
     Change,
     Snapshot,
@@ -90,7 +91,7 @@
                 page = [_stored(kind, item) for item in reply.fields["items"]]
                 more = bool(reply.fields["has_more"])
                 revision = int(reply.fields["current_rev"])
-            except (KeyError, TypeError, ValueError) as error:
+            except MALFORMED as error:
                 return Failure(StoreUnavailable(f"malformed answer: {error!r}"))
             objects.extend(page)
             if not (more and page):
@@ -136,7 +137,7 @@
         try:
             changes = tuple(_change(kind, event) for event in reply.fields["events"])
             return Success(WatchBatch(int(reply.fields["current_rev"]), changes))
-        except (KeyError, TypeError, ValueError) as error:
+        except MALFORMED as error:
             return Failure(StoreUnavailable(f"malformed answer: {error!r}"))
 
     def _written(self, key: str, reply: _Reply | _NoReply) -> Result[StoredObject, StoreError]:
@@ -187,7 +188,7 @@
 def _json_or_none(text: bytes) -> Any:
     try:
         return json.loads(text)
-    except ValueError:
+    except MALFORMED:
         # The status decides; a caller that needs the fields reports the answer as malformed.
         return None
 
@@ -195,7 +196,7 @@
 def _parsed(read: Any) -> Any:
     try:
         return Success(read())
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except MALFORMED as error:
         return Failure(StoreUnavailable(f"malformed answer: {error!r}"))
 
 
--- a/src/pistachionotch/platform/upstream.py
+++ b/src/pistachionotch/platform/upstream.py
@@ -135,7 +135,7 @@
         return _control_request("GET", REPORT_PATH, b"", instance)
 
     def read_report(self, body: bytes) -> EngineReport:
-        """Read a server's report; raises ``ValueError``, ``KeyError`` or ``TypeError``."""
+        """Read a server's report; raises one of ``MALFORMED``."""
         fields = json.loads(body)
         return EngineReport(
             busy=bool(fields["busy"]),
