Give no order on a lease that has run out, and wait again after an unnoticed loss

Cause: the lease was checked before the connection to the engine was made, which may take half a second; and a paused holder that lost the lease and found it free acquired it in the same step, so that the time since which it is held stayed that of the former holding and the pause between holders was left out. The check now follows the connection, and the time belongs to one fence. Both new tests of test_order_duty.py fail on the former sources: an order goes out, and orders are allowed at once.

--- a/src/pistachionotch/gateway/exchange.py
+++ b/src/pistachionotch/gateway/exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from http import HTTPStatus
 
 import attrs
@@ -33,10 +34,17 @@
     pool: ConnectionPool
 
     def start(
-        self, upstream: Upstream, request: UpstreamRequest, timeout_ms: int, repeatable: bool
+        self,
+        upstream: Upstream,
+        request: UpstreamRequest,
+        timeout_ms: int,
+        repeatable: bool,
+        permitted: Callable[[], bool] | None = None,
     ) -> Exchange:
         """Send a request and wait for the start of its response; raises ``ExchangeError``.
 
+        What needs a permission is not sent if ``permitted`` says no once the connection stands.
+
         A kept connection may have been closed by its server a moment ago. A repeatable request is
         then sent again on a new connection; any other one uses a new connection at once.
         """
@@ -44,6 +52,9 @@
         record = upstream.record
         connect_ms = min(timeout_ms, CONNECT_TIMEOUT_MS)
         connection = self.pool.take(record.address, record.peer, connect_ms, not repeatable)
+        if permitted is not None and not permitted():
+            connection.close()
+            raise ExchangeError("no longer permitted", sent=False)
         kept = connection.exchanges > 0
         try:
             return self._send(connection, upstream, request, timeout_ms)
--- a/src/pistachionotch/gateway/orders.py
+++ b/src/pistachionotch/gateway/orders.py
@@ -55,6 +55,7 @@
     loading: set[str] = attrs.field(factory=set)
     resume_ms: dict[str, int] = attrs.field(factory=dict)
     held_since_ms: int | None = None
+    held_fence: int | None = None
     # Fence of the last order; none was given before.
     ordered_fence: int | None = None
 
@@ -66,13 +67,18 @@
         """Acquire and renew the lease for ever."""
         while True:
             self.lease.step()
-            held = self.lease.held()
-            if not held:
-                self.held_since_ms = None
-            elif self.held_since_ms is None:
-                self.held_since_ms = self.clock.now_ms()
+            self.note_lease()
             self.clock.sleep_ms(LEASE_STEP_MS)
 
+    def note_lease(self) -> None:
+        """Note since when the lease is held; one step may lose it and acquire it again."""
+        if not self.lease.held():
+            self.held_since_ms = None
+            return
+        if self.held_since_ms is None or self.held_fence != self.lease.fence:
+            self.held_since_ms = self.clock.now_ms()
+        self.held_fence = self.lease.fence
+
     def run(self) -> None:
         """Give orders for ever."""
         while True:
@@ -149,7 +155,7 @@
         if not self.may_order() or self.lease.fence != order.fence:
             return False
         self.ordered_fence = order.fence
-        answer = self._send(upstream, self.dialect.order_request(load.instance, order))
+        answer = self._send(upstream, order)
         self.measures.count("orders", answer.value if answer is not None else "no answer")
         self.log.info(
             "weights ordered",
@@ -184,7 +190,7 @@
 
     def _report(self, upstream: Upstream) -> EngineReport | None:
         request = self.dialect.report_request(upstream.record.instance)
-        reply = self._exchange(upstream, request, repeatable=True)
+        reply = self._exchange(upstream, request)
         if reply is None or reply[0] != 200:
             return None
         try:
@@ -195,16 +201,26 @@
             )
             return None
 
-    def _send(self, upstream: Upstream, request: UpstreamRequest) -> OrderAnswer | None:
-        reply = self._exchange(upstream, request, repeatable=False)
+    def _send(self, upstream: Upstream, order: LoadOrder) -> OrderAnswer | None:
+        request = self.dialect.order_request(upstream.record.instance, order)
+        # The lease may run out while the connection is made.
+        reply = self._exchange(
+            upstream, request, lambda: self.may_order() and self.lease.fence == order.fence
+        )
         return None if reply is None else self.dialect.read_order_answer(reply[0])
 
     def _exchange(
-        self, upstream: Upstream, request: UpstreamRequest, repeatable: bool
+        self,
+        upstream: Upstream,
+        request: UpstreamRequest,
+        permitted: Callable[[], bool] | None = None,
     ) -> tuple[int, bytes] | None:
+        """Return status and body; what needs a permission is sent once, on a new connection."""
         exchange = None
         try:
-            exchange = self.client.start(upstream, request, CONTROL_TIMEOUT_MS, repeatable)
+            exchange = self.client.start(
+                upstream, request, CONTROL_TIMEOUT_MS, permitted is None, permitted
+            )
             body = exchange.connection.read_body(CONTROL_TIMEOUT_MS)
             self.client.finish(exchange)
             return exchange.response.head.status, body
--- a/tests/unit/gateway/test_order_duty.py
+++ b/tests/unit/gateway/test_order_duty.py
@@ -6,7 +6,8 @@
 from test_call_forwarding import CLOCK, Servers
 
 from pistachionotch.gateway.catalog import Catalog, ClientLimits, Service
-from pistachionotch.gateway.orders import OrderDuty
+from pistachionotch.gateway.exchange import UpstreamClient
+from pistachionotch.gateway.orders import LEASE_STEP_MS, OrderDuty
 from pistachionotch.objects.memory import MemoryStore
 from pistachionotch.platform.upstream import ServerDialect
 from pistachionotch.weights.demand import Demands
@@ -141,3 +142,53 @@
     assert not found.duty.may_order()
     found.lease.former_holder = "gateway-1"
     assert found.duty.may_order()
+
+
+class SlowPool:
+    """Take so long to open a connection that the lease runs out meanwhile."""
+
+    def __init__(self, pool, lease):
+        self.pool = pool
+        self.lease = lease
+
+    def take(self, address, peer, timeout_ms, fresh=False):
+        # Orders use new connections; reports may use kept ones.
+        self.lease.is_held = not fresh
+        return self.pool.take(address, peer, timeout_ms, fresh)
+
+    def give_back(self, *arguments):
+        self.pool.give_back(*arguments)
+
+
+def test_no_order_goes_out_once_the_lease_has_run_out_on_the_way():
+    duty = Duty()
+    duty.duty.client = UpstreamClient(
+        CLOCK, ServerDialect(), SlowPool(duty.servers.pool, duty.lease)
+    )
+    duty.name(2)
+    duty.duty.order_loads()
+    gevent.sleep(0.3)
+    assert not duty.lease.is_held
+    assert not [order for standin in duty.servers.standins for order in standin.orders]
+    duty.servers.stop()
+
+
+def test_a_lease_that_was_lost_and_regained_unnoticed_waits_for_the_former_holder_again():
+    # A paused process finds its lease lost, and free again, in a single step.
+    duty = Duty(handover_ms=3_000)
+    duty.duty.held_since_ms = CLOCK.now_ms() - 10_000
+    steps = []
+
+    def step():
+        steps.append(duty.lease.fence)
+        duty.lease.fence += 2 * (len(steps) == 2)
+
+    duty.lease.step = step
+    keeper = gevent.spawn(duty.duty.keep_lease)
+    gevent.sleep(0.1)
+    duty.duty.held_since_ms = CLOCK.now_ms() - 10_000
+    assert duty.duty.may_order()
+    gevent.sleep(LEASE_STEP_MS / 1_000 + 0.1)
+    assert len(steps) == 2 and not duty.duty.may_order()
+    keeper.kill()
+    duty.servers.stop()
