Serve the connections that wait in the listen queue when a process stops

Cause: a stopping gateway or entry only stopped to take connections; the system went on to accept them, and reset them with the requests that they had brought when the process ended.

--- a/src/pistachionotch/entry/daemon.py
+++ b/src/pistachionotch/entry/daemon.py
@@ -9,11 +9,11 @@
 
 import attrs
 import gevent
-from gevent.pywsgi import WSGIServer
 
 from ..clock import SystemClock
 from ..config.revisions import Revisions
 from ..config.settings import Settings
+from ..http_server import PromptServer
 from ..idempotency.cleanup import ClaimCleaner
 from ..lease.lease import Lease
 from ..lease.reading import LeaseReads
@@ -49,6 +49,8 @@
 from .steps import StepService
 from .table import LinkTable
 
+# Time in which a request that has been sent already is read, to be served or refused.
+LAST_READ_S = 0.1
 DRAIN_POLL_S = 0.05
 # The balancer needs a moment to see the failed readiness probe.
 BALANCER_NOTICE_S = 1.0
@@ -86,7 +88,7 @@
     steps: StepService = attrs.field(init=False)
     rollouts: RolloutDuties = attrs.field(init=False)
     interface: HttpInterface = attrs.field(init=False)
-    server: WSGIServer | None = attrs.field(init=False, default=None)
+    server: PromptServer | None = attrs.field(init=False, default=None)
 
     def __attrs_post_init__(self) -> None:
         settings = self.settings
@@ -289,7 +291,8 @@
         logger("entry").info("draining", reason=reason, open_requests=self.open_requests)
         gevent.sleep(self.balancer_notice_s)
         assert self.server is not None
-        self.server.stop_accepting()
+        self.server.stop_listening()
+        gevent.sleep(LAST_READ_S)
         while self.open_requests:
             gevent.sleep(DRAIN_POLL_S)
         # A kept connection may still bring a request, which must not start only to be cut off.
--- a/src/pistachionotch/gateway/daemon.py
+++ b/src/pistachionotch/gateway/daemon.py
@@ -9,7 +9,6 @@
 
 import attrs
 import gevent
-from gevent.pywsgi import WSGIServer
 
 from ..batches.cleanup import PERIOD_MS, BatchCleaner
 from ..batches.items import ItemRunner
@@ -21,6 +20,7 @@
 from ..batches.succession import unix_ms
 from ..clock import MS_PER_SECOND, SystemClock
 from ..http_client import ConnectionPool
+from ..http_server import PromptServer
 from ..lease.lease import Lease
 from ..lease.reading import LeaseReads
 from ..logs import logger
@@ -45,6 +45,8 @@
 # Part of the grace time that is left for the last answers and the release of duties.
 DRAIN_RESERVE_MS = 1_500
 DRAIN_POLL_MS = 50
+# Time in which a request that has been sent already is read, to be served or refused.
+LAST_READ_MS = 100
 # Longest wait for the object API when batches and the lease are handed over.
 RELEASE_LIMIT_MS = 1_500
 # Without a holder no weights change, and a trainer asks for a new version every few seconds.
@@ -74,7 +76,7 @@
     # Whether a request that arrives now would be cut off.
     ended: bool = False
     measures: Measures = attrs.field(factory=Measures)
-    servers: list[WSGIServer] = attrs.field(factory=list)
+    servers: list[PromptServer] = attrs.field(factory=list)
     store: RelayedStore = attrs.field(init=False)
     gateways: Gateways = attrs.field(init=False)
     demands: Demands = attrs.field(init=False)
@@ -324,11 +326,13 @@
         self._release()
         # Requests that are open now are answered; their connections close with the answer.
         for server in self.servers:
-            server.stop_accepting()
+            server.stop_listening()
+        self.clock.sleep_ms(LAST_READ_MS)
         limit_ms = started_ms + self.settings.drain_grace_ms - DRAIN_RESERVE_MS
         while self.open_requests and self.clock.now_ms() < limit_ms:
             self.clock.sleep_ms(DRAIN_POLL_MS)
         self.ended = True
+        self.clock.sleep_ms(LAST_READ_MS)
         for server in self.servers:
             server.stop(timeout=0)
         self.state = "stopped"
--- a/src/pistachionotch/http_server.py
+++ b/src/pistachionotch/http_server.py
@@ -19,3 +19,14 @@
         """Serve one connection."""
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         super().handle(sock, address)
+
+    def stop_listening(self) -> None:
+        """Take the connections that wait in the listen queue, and let nobody connect any more.
+
+        The system accepts connections on behalf of a server that has only stopped to take them, and
+        resets them with the requests that they bring when the server ends.
+        """
+        self.stop_accepting()
+        while (accepted := self.do_read()) is not None:
+            self.do_handle(*accepted)
+        self.close()
--- a/src/pistachionotch/server.py
+++ b/src/pistachionotch/server.py
@@ -9,7 +9,7 @@
 
 import gevent
 from gevent.pool import Pool
-from gevent.pywsgi import WSGIHandler, WSGIServer
+from gevent.pywsgi import WSGIHandler
 
 from .http_server import PromptServer
 
@@ -58,7 +58,7 @@
         return environ
 
 
-def make_server(host: str, port: int, application: Any) -> WSGIServer:
+def make_server(host: str, port: int, application: Any) -> PromptServer:
     """Return a server with these limits."""
     return PromptServer(
         (host, port),
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -34,6 +34,14 @@
     Then gateway-1 ended by itself without cutting a request off
     And every call that was sent on a kept connection was answered or refused
 
+  Scenario: A gateway is told to stop while new connections keep coming
+    Given a platform with 2 gateways
+    When every shop takes 200 ms longer
+    And clients call gateway-1 over new connections from now on
+    And gateway-1 is terminated
+    Then gateway-1 ended by itself without cutting a request off
+    And every call that gateway-1 let in was answered or refused
+
   Scenario: An unsafe call whose answer is lost is not run again
     Given a platform with 2 gateways
     When every shop loses its next answer
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -160,6 +160,38 @@
         connection.close()
 
 
+@when("clients call {gateway:Name} over new connections from now on")
+def keep_connecting(context, gateway):
+    context.lost = []
+    context.statuses = []
+    context.callers = [gevent.spawn(connect_on, context, gateway) for _ in range(8)]
+
+
+def connect_on(context, gateway):
+    """Call over a new connection each time; end when none is accepted any more."""
+    while True:
+        connection = Connection(context.platform.address(gateway))
+        try:
+            connection.open(500)
+        except ExchangeError:
+            return
+        headers = [("Host", HOSTNAME), ("Request-Id", new_id()), ("Deadline-Ms", "2000")]
+        try:
+            connection.send("POST", "/safe/x", headers, b"order", 2_000)
+            context.statuses.append(connection.read_head(3_000).status)
+            connection.read_body(1_000)
+        except ExchangeError as error:
+            context.lost.append(error.reason)
+        connection.close()
+
+
+@then("every call that {gateway:Name} let in was answered or refused")
+def check_let_in(context, gateway):
+    gevent.joinall(context.callers, timeout=5)
+    assert context.statuses and set(context.statuses) <= {200, 503}, set(context.statuses)
+    assert context.lost == [], context.lost
+
+
 @then("every call that was sent on a kept connection was answered or refused")
 def check_kept(context):
     gevent.joinall(context.callers, timeout=5)
