Take no object for another one if an answer of the object API comes twice

Cause: answers of the object API carry no request id, and their object was taken as the one that was asked for; a second copy of the answer before would have been read as another object, and confirmed a write that it does not belong to. The name is compared now, and the connection's peers are closed. Reports of engines have no id: a second copy is a report of the same engine some hundred milliseconds older, and orders use connections of their own.

--- a/src/pistachionotch/platform/store.py
+++ b/src/pistachionotch/platform/store.py
@@ -69,7 +69,7 @@
             return Success(None)
         if reply.status != HTTPStatus.OK:
             return Failure(StoreUnavailable(f"status {reply.status}"))
-        return _parsed(lambda: _stored(key.partition("/")[0], reply.fields))
+        return _parsed(lambda: self._expected(key, reply.fields))
 
     def list(self, prefix: str) -> Result[tuple[StoredObject, ...], StoreUnavailable]:
         """Return all objects under ``prefix``, by key."""
@@ -141,17 +141,16 @@
             return Failure(StoreUnavailable(f"malformed answer: {error!r}"))
 
     def _written(self, key: str, reply: _Reply | _NoReply) -> Result[StoredObject, StoreError]:
-        kind = key.partition("/")[0]
         if isinstance(reply, _NoReply):
             if reply.sent:
                 return Failure(WriteAmbiguous(reply.reason))
             return Failure(StoreUnavailable(reply.reason))
         if reply.status in (HTTPStatus.OK, HTTPStatus.CREATED):
-            return _parsed(lambda: _stored(kind, reply.fields)).lash(
+            return _parsed(lambda: self._expected(key, reply.fields)).lash(
                 lambda error: Failure(WriteAmbiguous(error.reason))
             )
         if reply.status == HTTPStatus.CONFLICT:
-            return _parsed(lambda: _stored(kind, reply.fields)).bind(
+            return _parsed(lambda: self._expected(key, reply.fields)).bind(
                 lambda current: Failure(VersionConflict(current))
             )
         if reply.status == HTTPStatus.NOT_FOUND:
@@ -162,6 +161,15 @@
             return Failure(StoreRejected(reply.status, str(reply.fields)))
         return Failure(WriteAmbiguous(f"status {reply.status}"))
 
+    def _expected(self, key: str, fields: Any) -> StoredObject:
+        """Return the object that was asked for; raises ``ValueError`` if it is another one."""
+        stored = _stored(key.partition("/")[0], fields)
+        if stored.key != key.replace("~", "/"):
+            # An answer that came twice; every further one on its connection would be wrong too.
+            self.pool.forget(self.address, PEER)
+            raise ValueError(f"an answer about {stored.key} instead of {key}")
+        return stored
+
     def _call(self, method: str, target: str, body: Any = None, wait_ms: int = 0) -> Any:
         """Return the reply; a lost one is not asked for again."""
         self.calls += 1
