--- a/src/pistachionotch/batches/run.py
+++ b/src/pistachionotch/batches/run.py
@@ -100,6 +100,8 @@
     ended: bool = False
     # Set while this process must not run the batch: another owner, or a drain.
     stopped: bool = False
+    # Set while a successor takes over; until it has, this process answers for what is listed.
+    handing_on: bool = False
     changed: Event = attrs.field(factory=Event)
     # Held from the choice of the next log entry until its outcome is applied.
     writing: BoundedSemaphore = attrs.field(factory=BoundedSemaphore)
--- a/src/pistachionotch/batches/succession.py
+++ b/src/pistachionotch/batches/succession.py
@@ -72,6 +72,13 @@
         Otherwise the gateway that is asked for it next takes it over from the object API, without
         the parts of its unfinished items.
         """
+        run.handing_on = True
+        try:
+            self._hand_on(run)
+        finally:
+            run.handing_on = False
+
+    def _hand_on(self, run: BatchRun) -> None:
         self.owner.release(run)
         with run.writing:
             # An entry of unknown outcome may stand in the log already.
@@ -124,7 +131,7 @@
     def local(self, batch: str) -> BatchRun | None:
         """Return a batch for which this process answers."""
         run = self.owner.runs.get(batch)
-        if run is None or (run.stopped and not run.ended):
+        if run is None or (run.stopped and not (run.ended or run.handing_on)):
             return None
         return run
 
--- a/tests/unit/batches/test_batch_succession.py
+++ b/tests/unit/batches/test_batch_succession.py
@@ -257,6 +257,38 @@
     assert third.owner.runs["b1"].progress["i0"].last_event == 2
 
 
+def test_a_read_during_the_hand_over_does_not_take_the_batch_away(world):
+    # Trainers read twice a second, at any gateway, while a gateway of their region stops.
+    first, second, third = stopping(world, "b", "c")
+    carry = world.network.take
+    pages = []
+
+    def slow_take(address, state):
+        pages.extend(service.read("b1", 0, 0) for service in (first, third))
+        return carry(address, state)
+
+    world.network.take = slow_take
+    first.succession.hand_on(first.owner.runs["b1"])
+    assert [ids(page) for page in pages] == [["i1"], ["i1"]]
+    assert "b1" not in third.owner.runs
+    assert second.owner.runs["b1"].progress["i0"].last_event == 2
+    assert ids(third.read("b1", 0, 0)) == ["i1"]
+
+
+def test_an_end_during_the_hand_over_holds(world):
+    first, second = stopping(world, "b")
+    carry = world.network.take
+
+    def slow_take(address, state):
+        assert first.end("b1") is None
+        return carry(address, state)
+
+    world.network.take = slow_take
+    first.succession.hand_on(first.owner.runs["b1"])
+    assert not second.owner.runs["b1"].open
+    assert first.end("b1") is None and second.end("b1") is None
+
+
 def test_a_batch_that_another_gateway_took_meanwhile_has_one_owner(world):
     first, second, third = stopping(world, "b", "c")
     state = first.owner.runs["b1"].state()
