--- a/src/pistachionotch/gateway/sharing.py
+++ b/src/pistachionotch/gateway/sharing.py
@@ -125,13 +125,25 @@
     def chosen(self) -> dict[str, Address | None]:
         """Return the watchers by node; this gateway itself has no address."""
         now_ms = self.clock.now_ms()
-        known: dict[str, Address | None] = {self.node: None}
-        for node, address in self.others().items():
-            if self.avoided.get(node, 0) <= now_ms:
-                known[node] = address
+        ranked = self._ranked()
+        sound = [node for node in ranked if self.avoided.get(node, 0) <= now_ms]
+        return {node: ranked[node] for node in sound[:WATCHERS]}
+
+    def _ranked(self) -> dict[str, Address | None]:
+        """Return all gateways, first those that watch while all of them are sound."""
+        known: dict[str, Address | None] = {self.node: None, **self.others()}
         # By a hash of the name, so that the watchers do not all stand in the first zone.
         ranked = sorted(known, key=lambda node: (zlib.crc32(node.encode()), node))
-        return {node: known[node] for node in ranked[:WATCHERS]}
+        return {node: known[node] for node in ranked}
+
+    def _choose_current(self, chosen: dict[str, Address | None]) -> str:
+        """Return the watcher to ask.
+
+        A gateway that takes the place of a watcher which only this one avoids does not watch, and
+        its copy of a copy is older.
+        """
+        usual = [node for node in list(self._ranked())[:WATCHERS] if node in chosen]
+        return self.rng.choice(usual or sorted(chosen))
 
     def addresses(self) -> list[Address]:
         """Return the addresses of the watchers, without this gateway."""
@@ -151,7 +163,7 @@
             self.tokens.clear()
             return None
         if self.current not in chosen:
-            self.current = self.rng.choice(sorted(chosen))
+            self.current = self._choose_current(chosen)
             self.tokens.clear()
         node = self.current
         address = chosen[node]
--- a/src/pistachionotch/lease/lease.py
+++ b/src/pistachionotch/lease/lease.py
@@ -193,7 +193,8 @@
         handicap_ms = min(MAX_HANDICAP_MS, len(self.held_keys) * HANDICAP_MS)
         if self.clock.now_ms() >= free_ms + handicap_ms:
             return False
-        self.next_call_ms = min(self.next_call_ms, free_ms + handicap_ms)
+        if self.contends():
+            self.next_call_ms = min(self.next_call_ms, free_ms + handicap_ms)
         return True
 
     def _write(self, fence: int, expected: int | None) -> None:
--- a/tests/unit/gateway/test_sharing.py
+++ b/tests/unit/gateway/test_sharing.py
@@ -105,6 +105,18 @@
             assert fleet.seen[node][-1] == (1, ["servers/a"])
 
 
+def test_after_a_hiccup_the_other_watcher_is_asked_and_not_one_that_asks_itself(fleet):
+    fleet.rounds(2)
+    real = fleet.watching()
+    node = next(node for node in NODES if node not in real)
+    watchers = fleet.followers[node].watchers
+    for _ in range(20):
+        watchers.avoided = {next(iter(sorted(real))): fleet.clock.now_ms() + AVOID_MS}
+        watchers.current = ""
+        assert watchers.fetch("servers/", -1) is not None
+        assert watchers.current in real
+
+
 def test_a_copy_that_is_too_old_is_not_used(fleet):
     fleet.rounds(2)
     node = next(node for node in NODES if node not in fleet.watching())
--- a/tests/unit/lease/test_lease.py
+++ b/tests/unit/lease/test_lease.py
@@ -16,6 +16,7 @@
 
 from pistachionotch.clock import ManualClock
 from pistachionotch.lease.lease import Lease, LeaseState
+from pistachionotch.lease.reading import MAX_AGE_MS, LeaseReads
 from pistachionotch.lease.record import parse_lease
 from pistachionotch.objects.memory import Faults, MemoryStore
 
@@ -314,6 +315,37 @@
     assert waited_ms <= 1.5 * TIME_TO_LIVE_MS
 
 
+def test_shared_reads_of_a_large_fleet_are_those_of_its_contenders(store, clock):
+    # Each gateway of a fleet reads all leases with one call; all of them waited for the one lease.
+    time_to_live_ms = 2 * MAX_AGE_MS
+
+    def lease(number, contends, waiting_ms=0):
+        return Lease(
+            store,
+            clock,
+            "duty",
+            "0",
+            f"w{number}",
+            time_to_live_ms,
+            random.Random(number),
+            LeaseReads(store, clock),
+            waiting_ms=lambda: waiting_ms,
+            contends=lambda: contends,
+        )
+
+    holder = lease(0, True)
+    while holder.step() is not LeaseState.HELD:
+        clock.advance(500)
+    store.calls.clear()
+    fleet = [lease(number, number <= 2, 12 * time_to_live_ms) for number in range(1, 21)]
+    for _ in range(12 * 6):
+        for each in (holder, *fleet):
+            each.step()
+        clock.advance(500)
+    assert holder.held()
+    assert store.calls["list"] <= 2 * 12 * 1.5 + 20 * 2.5
+
+
 def test_a_lease_whose_contenders_are_lost_too_is_taken_over_by_the_others(store, clock):
     new_lease(store, "a", 0).step()
     fleet = waiting_fleet(store, contenders=0)
