Let a restarted holder take its lease back at once, as gateways were meant to

The rule that leaves a free lease to processes that hold fewer ones came before the one that lets an earlier holder go on, and gateways, which share their reads, are the only processes with both. Ruled out: slow take-over of the batches (37.2 to 37.4 s) and late configuration (37.1 s). test_reclaim.py now runs with shared reads too; it fails on the former sources.

--- a/src/pistachionotch/lease/lease.py
+++ b/src/pistachionotch/lease/lease.py
@@ -169,14 +169,17 @@
             self._write(record.fence, self.seen.version)
             return
         expires_ms = self.first_seen_ms + record.time_to_live_ms
-        own_earlier_start = self.reclaims and record.holder == self.holder
-        if record.session and self.clock.now_ms() < expires_ms and not own_earlier_start:
+        if record.session and self.clock.now_ms() < expires_ms and not self._was_mine(record):
             if self.contends():
                 self.next_call_ms = min(self.next_call_ms, expires_ms)
             return
         self.former_holder = record.holder
         self._write(record.fence + 1, self.seen.version)
 
+    def _was_mine(self, record: LeaseRecord) -> bool:
+        """Return whether an earlier start of this process holds the lease by this record."""
+        return self.reclaims and record.holder == self.holder
+
     def _leave_to_others(self, record: LeaseRecord | None) -> bool:
         """Return whether processes that hold fewer leases still come first for a free one.
 
@@ -187,6 +190,8 @@
             return False
         if record is not None and record.session == self.session:
             return False
+        if record is not None and self._was_mine(record):
+            return False
         free_ms = self.first_seen_ms
         if record is not None and record.session:
             free_ms += record.time_to_live_ms
--- a/tests/unit/lease/test_reclaim.py
+++ b/tests/unit/lease/test_reclaim.py
@@ -7,6 +7,7 @@
 
 from pistachionotch.clock import ManualClock
 from pistachionotch.lease.lease import Lease
+from pistachionotch.lease.reading import LeaseReads
 from pistachionotch.objects.memory import MemoryStore
 
 TIME_TO_LIVE_MS = 3_000
@@ -20,19 +21,24 @@
 
 
 class World:
-    def __init__(self):
+    def __init__(self, shared_reads):
+        # Gateways read all leases with one call; then each leaves a free lease to others first.
+        self.shared_reads = shared_reads
         self.store = MemoryStore()
         self.clock = ManualClock()
 
     def lease(self, holder, seed, reclaims=True):
         rng = random.Random(seed)
         clock, store = self.clock, self.store
-        return Lease(store, clock, "duty", "0", holder, TIME_TO_LIVE_MS, rng, reclaims=reclaims)
+        reads = LeaseReads(store, clock) if self.shared_reads else None
+        return Lease(
+            store, clock, "duty", "0", holder, TIME_TO_LIVE_MS, rng, reads, reclaims=reclaims
+        )
 
 
-@pytest.fixture
-def world():
-    found = World()
+@pytest.fixture(params=[False, True])
+def world(request):
+    found = World(request.param)
     first = found.lease("a", 1)
     first.step()
     assert first.held()
