Bound what an upstream in trouble can make its agent hold

Cause: agents read heads and events through a library that has no bound on either, and reports and orders whole; one client with bounds serves both families now, and orders are sent once, where the library sent them again by itself after an early close. test_troubled_upstream.py: on the former sources the two heads and the event without end had not ended after 3 s (the refusal without end was cut short before as well).

--- a/src/pistachionotch/agent/engine_reports.py
+++ b/src/pistachionotch/agent/engine_reports.py
@@ -4,17 +4,20 @@
 
 import json
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import Any
 
 import attrs
-from geventhttpclient import HTTPClient
 
 from ..clock import Clock
+from ..config.spec import Address
+from ..http_client import ConnectionPool, ExchangeError
+from ..malformed import MALFORMED
 from ..prefixes.view import CachePage, parse_page
 from .upstream import EngineUpstream
 
 PERIOD_MS = 1000
-TIMEOUT_S = 2.0
+TIMEOUT_MS = 2_000
 
 
 @attrs.frozen
@@ -58,16 +61,10 @@
     sequence: int = 0
     load: EngineLoad | None = None
     silent: set[str] = attrs.field(factory=set)
-    client: HTTPClient = attrs.field(init=False)
+    pool: ConnectionPool = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        self.client = HTTPClient(
-            self.upstream.host,
-            self.upstream.port,
-            concurrency=1,
-            connection_timeout=TIMEOUT_S,
-            network_timeout=TIMEOUT_S,
-        )
+        self.pool = ConnectionPool(self.clock)
 
     def run(self) -> None:
         """Read until the greenlet is killed."""
@@ -98,15 +95,14 @@
 
     def _get(self, path: str) -> Any:
         """Return the JSON answer, none if there is no usable one."""
+        address = Address(self.upstream.host, self.upstream.port)
         try:
-            response = self.client.get(path)
-            body = response.read()
-            answer = json.loads(body) if response.status_code == 200 else None
-        except Exception as error:  # the client raises parser, socket and time-out types of its own
-            self.client.close()
+            head, body = self.pool.ask(address, "GET", path, (), b"", TIMEOUT_MS)
+            answer = json.loads(body) if head.status == HTTPStatus.OK else None
+        except (ExchangeError, *MALFORMED) as error:
             self._note(path, repr(error))
             return None
-        self._note(path, "" if answer is not None else f"status {response.status_code}")
+        self._note(path, "" if answer is not None else f"status {head.status}")
         return answer
 
     def _note(self, path: str, fault: str) -> None:
--- a/src/pistachionotch/agent/orders.py
+++ b/src/pistachionotch/agent/orders.py
@@ -9,19 +9,21 @@
 
 import attrs
 from gevent.queue import Empty, Queue
-from geventhttpclient import HTTPClient
 from returns.result import Failure
 
 from ..clock import MS_PER_SECOND, Clock, Deadline
+from ..config.spec import Address
+from ..http_client import ConnectionPool, ExchangeError
 from ..lease.fence import read_fence
+from ..malformed import MALFORMED
 from ..objects.api import ObjectStore
 from ..weights.gate import Admitted, Correct, EngineOrder, OrderGate
 from ..weights.publish import read_desired
 from ..wire.messages import Order, OrderResult
 from ..wire.session import Session
-from .upstream import CONNECT_TIMEOUT_S, EngineUpstream
+from .upstream import EngineUpstream
 
-ORDER_TIMEOUT_S = 30.0
+ORDER_TIMEOUT_MS = 30_000
 READ_BACK_S = 2.0
 FENCE_RETRY_MS = 1000
 ROLLOUT_DUTY = "weights"
@@ -164,23 +166,18 @@
 
     def _request(self, method: str, path: str, body: bytes) -> tuple[int, Any, dict[str, Any]]:
         """Return status, headers and answer of the engine; status 0 if there was none."""
-        client = HTTPClient(
-            self.upstream.host,
-            self.upstream.port,
-            concurrency=1,
-            connection_timeout=CONNECT_TIMEOUT_S,
-            network_timeout=ORDER_TIMEOUT_S,
-        )
+        address = Address(self.upstream.host, self.upstream.port)
+        headers = [("Content-Type", "application/json")]
         try:
-            response = client.request(method, path, body, {"Content-Type": "application/json"})
-            text = response.read()
-            answer = json.loads(text) if response.status_code == HTTPStatus.OK else {}
-            return response.status_code, response, answer
-        except Exception as error:  # a lost answer is settled by the version read back
+            head, text = ConnectionPool(self.clock).ask(
+                address, method, path, headers, body, ORDER_TIMEOUT_MS, fresh=True
+            )
+            answer = json.loads(text) if head.status == HTTPStatus.OK else {}
+        # A lost answer is settled by the version read back.
+        except (ExchangeError, *MALFORMED) as error:
             self.log.info("engine call failed", path=path, reason=repr(error))
             return 0, {}, {}
-        finally:
-            client.close()
+        return head.status, head, answer if isinstance(answer, dict) else {}
 
 
 def _retry_after_ms(headers: Any) -> int:
--- a/src/pistachionotch/agent/upstream.py
+++ b/src/pistachionotch/agent/upstream.py
@@ -5,19 +5,21 @@
 import json
 from collections.abc import Callable, Iterator
 from functools import singledispatch
-from typing import Any
 
 import attrs
 
 from ..clock import Clock
-from ..objects.client import SingleAttemptClient
+from ..config.spec import Address
+from ..http_client import Connection, ExchangeError, Header, ResponseHead
+from ..malformed import MALFORMED
 from ..prefixes.view import PrefixUse, parse_use
 from ..wire.messages import FINISH_REASON_HEADER, Submit
 
-CONNECT_TIMEOUT_S = 2.0
+CONNECT_TIMEOUT_MS = 2_000
 # Upper bound on silence within one response; the attempt's own deadline is usually sooner.
-READ_TIMEOUT_S = 120.0
-PIECE_BYTES = 64 * 1024
+READ_TIMEOUT_MS = 120_000
+# A refusal has a short body; what goes on beyond this is not passed on.
+MAX_REFUSAL_BYTES = 64 * 1024
 # Tokens that arrive within this time share one message, which bounds the messages of fast streams.
 COALESCE_MS = 20
 # Nobody reads a sample before it is complete, and one entry takes the tokens of a trainer's step.
@@ -83,24 +85,31 @@
     upstream: Upstream, submit: Submit, clock: Clock, emit: Emit
 ) -> UpstreamEnd | UpstreamBroken:
     """Run one attempt against the upstream and emit its pieces."""
-    # The library's own client sends a request again when a connection closes early, which could run
-    # a non-idempotent call twice.
-    client = SingleAttemptClient(upstream.host, upstream.port, CONNECT_TIMEOUT_S, READ_TIMEOUT_S)
+    connection = Connection(Address(upstream.host, upstream.port))
     try:
-        return _exchange(upstream, client, submit, clock, emit)
-    except Exception as error:  # the client raises parser, socket and time-out types of its own
-        return UpstreamBroken(f"{type(error).__name__}: {error}", sent=client.pool.connected)
+        connection.open(CONNECT_TIMEOUT_MS)
+        return _exchange(upstream, connection, submit, clock, emit)
+    except ExchangeError as error:
+        return UpstreamBroken(error.reason, error.sent)
+    except MALFORMED as error:
+        return UpstreamBroken(f"{type(error).__name__}: {error}", sent=connection.exchanges > 0)
     finally:
-        client.close()
+        connection.close()
 
 
 @singledispatch
 def _exchange(
-    upstream: Upstream, client: SingleAttemptClient, submit: Submit, clock: Clock, emit: Emit
+    upstream: Upstream, connection: Connection, submit: Submit, clock: Clock, emit: Emit
 ) -> UpstreamEnd | UpstreamBroken:
     raise TypeError(type(upstream))
 
 
+def _send(connection: Connection, submit: Submit, body: bytes, *more: Header) -> ResponseHead:
+    headers = [("Host", str(connection.address)), *_headers(submit).items(), *more]
+    connection.send(submit.method, submit.path, headers, body, READ_TIMEOUT_MS)
+    return connection.read_head(READ_TIMEOUT_MS)
+
+
 def _headers(submit: Submit) -> dict[str, str]:
     headers = {name: value for name, value in submit.headers if name.lower() not in _HOP_HEADERS}
     headers["X-Request-Id"] = submit.request
@@ -111,44 +120,32 @@
 
 @_exchange.register
 def _(
-    upstream: ServiceUpstream, client: SingleAttemptClient, submit: Submit, clock: Clock, emit: Emit
+    upstream: ServiceUpstream, connection: Connection, submit: Submit, clock: Clock, emit: Emit
 ) -> UpstreamEnd | UpstreamBroken:
-    response = client.request(submit.method, submit.path, submit.body, _headers(submit))
-    length = response.get("content-length")
-    received = 0
-    while True:
-        data = bytes(response.read(PIECE_BYTES))
-        if not data:
-            break
-        received += len(data)
+    head = _send(connection, submit, submit.body)
+    # A body that is shorter than its length raises.
+    while data := connection.read_part(READ_TIMEOUT_MS):
         emit(UpstreamPiece(data, NO_VERSION, 0))
-    if length is not None and received != int(str(length)):
-        return UpstreamBroken(f"body of {received} bytes instead of {length}", sent=True)
-    headers = tuple(
-        (str(name), str(value))
-        for name, value in response.items()
-        if str(name).lower() not in _HOP_HEADERS
-    )
-    return UpstreamEnd(response.status_code, headers)
+    headers = tuple((name, value) for name, value in head.headers if name not in _HOP_HEADERS)
+    return UpstreamEnd(head.status, headers)
 
 
 @_exchange.register
 def _(
-    upstream: EngineUpstream, client: SingleAttemptClient, submit: Submit, clock: Clock, emit: Emit
+    upstream: EngineUpstream, connection: Connection, submit: Submit, clock: Clock, emit: Emit
 ) -> UpstreamEnd | UpstreamBroken:
     wanted = json.loads(submit.body)
     wanted["stream"] = True
-    headers = _headers(submit)
-    headers["Content-Type"] = "application/json"
-    response = client.request(submit.method, submit.path, json.dumps(wanted).encode(), headers)
-    if response.status_code != 200:
-        emit(UpstreamPiece(bytes(response.read(PIECE_BYTES)), NO_VERSION, 0))
-        return UpstreamEnd(response.status_code, (("Content-Type", "application/json"),))
+    json_type = ("Content-Type", "application/json")
+    head = _send(connection, submit, json.dumps(wanted).encode(), json_type)
+    if head.status != 200:
+        emit(UpstreamPiece(_read_refusal(connection), NO_VERSION, 0))
+        return UpstreamEnd(head.status, (json_type,))
     wait_ms = SAMPLE_COALESCE_MS if submit.retain else COALESCE_MS
     finish_reason = ""
     use: PrefixUse | None = None
     coalescer = Coalescer(clock, emit, wait_ms)
-    for event in _events(response):
+    for event in _events(connection, clock):
         if event == b"[DONE]":
             coalescer.flush()
             return UpstreamEnd(200, ((FINISH_REASON_HEADER, finish_reason),), use)
@@ -161,15 +158,30 @@
     return UpstreamBroken("stream ended without [DONE]", sent=True)
 
 
-def _events(response: Any) -> Iterator[bytes]:
-    """Yield the data of each server-sent event."""
+def _read_refusal(connection: Connection) -> bytes:
+    body = b""
+    while len(body) < MAX_REFUSAL_BYTES and (part := connection.read_part(READ_TIMEOUT_MS)):
+        body += part
+    return body[:MAX_REFUSAL_BYTES]
+
+
+def _events(connection: Connection, clock: Clock) -> Iterator[bytes]:
+    """Yield the data of each server-sent event; only whole events extend the wait."""
+    rest = b""
+    waiting_since_ms = clock.now_ms()
     while True:
-        event = bytes(response.readline(b"\n\n"))
-        if not event.endswith(b"\n\n"):
+        left_ms = waiting_since_ms + READ_TIMEOUT_MS - clock.now_ms()
+        if left_ms <= 0:
+            raise ExchangeError("no event in time", sent=True)
+        part = connection.read_part(left_ms)
+        if not part:
             return
-        if len(event) > MAX_EVENT_BYTES:
+        *events, rest = (rest + part).split(b"\n\n")
+        if max(len(rest), *map(len, events), 0) > MAX_EVENT_BYTES:
             raise ValueError(f"event exceeds {MAX_EVENT_BYTES} bytes")
-        yield event.removesuffix(b"\n\n").removeprefix(b"data: ")
+        for event in events:
+            waiting_since_ms = clock.now_ms()
+            yield event.removeprefix(b"data: ")
 
 
 @attrs.define
--- a/src/pistachionotch/http_client.py
+++ b/src/pistachionotch/http_client.py
@@ -257,6 +257,32 @@
         self.opened += 1
         return connection
 
+    def ask(
+        self,
+        address: Address,
+        method: str,
+        target: str,
+        headers: Iterable[Header],
+        body: bytes,
+        timeout_ms: int,
+        fresh: bool = False,
+    ) -> tuple[ResponseHead, bytes]:
+        """Make one exchange and return its whole response; raises ``ExchangeError``.
+
+        Each of connecting, sending, head and body may take ``timeout_ms`` milliseconds.
+        """
+        peer = str(address)
+        connection = self.take(address, peer, timeout_ms, fresh)
+        try:
+            connection.send(method, target, [("Host", peer), *headers], body, timeout_ms)
+            head = connection.read_head(timeout_ms)
+            reply = connection.read_body(timeout_ms)
+        except BaseException:
+            connection.close()
+            raise
+        self.give_back(connection, peer, head)
+        return head, reply
+
     def give_back(self, connection: Connection, peer: str, head: ResponseHead) -> None:
         """Keep the connection for the next exchange, or close it if it cannot carry one."""
         if not connection.keepable():
--- /dev/null
+++ b/tests/unit/agent/test_troubled_upstream.py
@@ -0,0 +1,93 @@
+"""Guards against an upstream in trouble that fills its agent's memory with bytes without end."""
+
+import json
+
+import gevent
+import pytest
+from gevent.server import StreamServer
+
+from pistachionotch.agent.upstream import (
+    MAX_EVENT_BYTES,
+    EngineUpstream,
+    ServiceUpstream,
+    UpstreamBroken,
+    call,
+)
+from pistachionotch.clock import SystemClock
+from pistachionotch.http_client import MAX_HEAD_BYTES
+from pistachionotch.outcomes import RequestClass
+from pistachionotch.wire.messages import Submit
+
+# What a socket's buffers hold besides what the program has read.
+SLACK_BYTES = 8 * 1024 * 1024
+LIMIT_S = 3.0
+STREAM_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+
+
+class Endless:
+    """A server that sends a head and then one piece again and again."""
+
+    def __init__(self, head, piece):
+        self.head, self.piece = head, piece
+        self.sent = 0
+        self.server = StreamServer(("127.0.0.1", 0), self._serve)
+        self.server.start()
+        self.port = self.server.server_port
+
+    def _serve(self, sock, _address):
+        try:
+            sock.recv(65_536)
+            sock.sendall(self.head)
+            while True:
+                sock.sendall(self.piece)
+                self.sent += len(self.piece)
+                gevent.sleep(0)
+        except OSError:
+            sock.close()
+
+
+@pytest.fixture
+def endless():
+    started = []
+
+    def start(head, piece):
+        started.append(Endless(head, piece))
+        return started[-1]
+
+    yield start
+    for each in started:
+        each.server.stop(timeout=0)
+
+
+def submit():
+    body = json.dumps({"model": "m", "prompt": "p", "max_tokens": 9}).encode()
+    kind = RequestClass.STOREFRONT
+    return Submit("a", "r", kind, 9_000, False, "s", "k", "POST", "/v1/x", (), body, 0)
+
+
+def run(server, upstream_type):
+    names = {EngineUpstream: "model", ServiceUpstream: "service"}
+    upstream = upstream_type("127.0.0.1", server.port, **{names[upstream_type]: "m"})
+    with gevent.Timeout(LIMIT_S):
+        return call(upstream, submit(), SystemClock(), lambda piece: None)
+
+
+@pytest.mark.parametrize("upstream_type", [EngineUpstream, ServiceUpstream])
+def test_a_head_without_end_is_given_up(endless, upstream_type):
+    server = endless(b"HTTP/1.1 200 OK\r\n", b"X-More: " + b"a" * 1_000 + b"\r\n")
+    ended = run(server, upstream_type)
+    assert isinstance(ended, UpstreamBroken) and ended.sent
+    assert server.sent <= MAX_HEAD_BYTES + SLACK_BYTES
+
+
+def test_an_event_without_end_is_given_up(endless):
+    server = endless(STREAM_HEAD, b"data: " + b"x" * 60_000)
+    ended = run(server, EngineUpstream)
+    assert isinstance(ended, UpstreamBroken) and "event" in ended.reason
+    assert server.sent <= MAX_EVENT_BYTES + SLACK_BYTES
+
+
+def test_a_refusal_without_end_is_cut_short(endless):
+    server = endless(b"HTTP/1.1 500 Oops\r\n\r\n", b"x" * 60_000)
+    run(server, EngineUpstream)
+    assert server.sent <= SLACK_BYTES
