--- a/src/pistachionotch/standins/platform_servers.py
+++ b/src/pistachionotch/standins/platform_servers.py
@@ -22,6 +22,16 @@
 NOT_RUN = ("Not-Run", "1")
 
 
+DRIP_PAUSE_S = 0.2
+ENDLESS_BYTES = 64 * 1024
+
+
+def _without_end(piece: bytes, pause_s: float) -> Iterator[bytes]:
+    while True:
+        yield piece
+        gevent.sleep(pause_s)
+
+
 @attrs.define
 class ServerFaults:
     """Switch faults on; the counts are of requests still to be hit."""
@@ -36,6 +46,9 @@
     surplus: int = 0
     # Answer with a success that lacks the server's proof.
     unproved: int = 0
+    # Send bytes that are no event now and then, or bytes without end, until the caller closes.
+    drip: int = 0
+    endless: int = 0
     # Work this much longer.
     slow_ms: int = 0
     # Say in each answer that the server leaves.
@@ -140,6 +153,12 @@
         if self._hit("fail") or (suffix and request.endswith(suffix)):
             status = HTTPStatus.INTERNAL_SERVER_ERROR
             return respond_json(start_response, status, {"error": "failed"}, headers)
+        if self._hit("drip"):
+            start_response("200 OK", [*headers, ("Weight-Versions", "1")])
+            return _without_end(b":", DRIP_PAUSE_S)
+        if self._hit("endless"):
+            start_response("200 OK", [*headers, ("Weight-Versions", "1")])
+            return _without_end(b"x" * ENDLESS_BYTES, 0.0)
         if self._hit("lose_answers"):
             raise ConnectionResetError(errno.ECONNRESET, "stand-in loses the answer")
         if self.versions:
--- a/tests/support/soak.py
+++ b/tests/support/soak.py
@@ -162,6 +162,8 @@
                 {"ignore_orders": 1},
                 {"slow_ms": 400},
                 {"fail_suffix": f"1{REWARD_SUFFIX}"},
+                {"drip": 2},
+                {"endless": 2},
             ]
         )
         name = self.rng.choice(self.platform.servers)
