Accept websocket connections without a selector that is never closed

Ruled out: the plain connections of the tests (3 of 3 aborts with the product's own connection class). The same loop ended for good when one accept failed, as without a free descriptor.

--- a/src/pistachionotch/wire/connections.py
+++ b/src/pistachionotch/wire/connections.py
@@ -4,13 +4,20 @@
 
 import contextlib
 import socket
+import threading
+import time
 from collections.abc import Callable
+from typing import Any
 
+import attrs
 from websockets.frames import Frame, Opcode
 from websockets.protocol import Event
 from websockets.sync.client import ClientConnection
 from websockets.sync.connection import Connection
-from websockets.sync.server import ServerConnection
+from websockets.sync.server import Server, ServerConnection
+
+# Pause after a failed accept, such as one without a free descriptor.
+ACCEPT_RETRY_S = 0.1
 
 DATA_OPCODES = frozenset({Opcode.TEXT, Opcode.BINARY, Opcode.CONT})
 
@@ -57,3 +64,43 @@
 
 class OrderlyServerConnection(OrderlyClose, ServerConnection):
     """Accept in the order that gevent allows."""
+
+
+@attrs.define
+class OrderlyServer:
+    """Accept connections without a selector.
+
+    The library's own loop never closes its selector, which leaves a watcher on a closed descriptor
+    when the server stops, and ends for good when one accept fails.
+    """
+
+    server: Server
+    log: Any
+    socket: Any = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.socket = self.server.socket
+
+    def serve_forever(self) -> None:
+        """Accept until ``shutdown`` closes the socket."""
+        try:
+            while True:
+                try:
+                    accepted = self.socket.accept()
+                except OSError as error:
+                    if self.socket.fileno() < 0:
+                        return
+                    self.log.warning("accept failed", error=str(error))
+                    time.sleep(ACCEPT_RETRY_S)
+                    continue
+                thread = threading.Thread(target=self.server.handler, args=accepted)
+                with self.server.lock:
+                    self.server.handler_threads.add(thread)
+                thread.start()
+        finally:
+            self.server.socket_closed.set()
+            self.server.shutdown_watcher.close()
+
+    def shutdown(self) -> None:
+        """Accept no more, close the connections and wait for their handlers."""
+        self.server.shutdown()
--- a/src/pistachionotch/wire/session.py
+++ b/src/pistachionotch/wire/session.py
@@ -18,11 +18,16 @@
 from websockets.exceptions import ConnectionClosed, WebSocketException
 from websockets.sync.client import connect
 from websockets.sync.connection import Connection
-from websockets.sync.server import Server, serve
+from websockets.sync.server import serve
 
 from ..clock import Clock
 from . import codec
-from .connections import OrderlyClientConnection, OrderlyClose, OrderlyServerConnection
+from .connections import (
+    OrderlyClientConnection,
+    OrderlyClose,
+    OrderlyServer,
+    OrderlyServerConnection,
+)
 from .messages import PROTOCOL_VERSION, Hello, Message, Proof
 
 OUTBOX_MESSAGES = 1024
@@ -273,7 +278,7 @@
     inbox: Queue,
     heartbeat_ms: int,
     log: Any,
-) -> Server:
+) -> OrderlyServer:
     """Return a server that proves each peer and then delivers its messages to ``inbox``."""
 
     def accept(connection: Any) -> None:
@@ -291,7 +296,7 @@
             return
         Session(connection, peer, clock, inbox, heartbeat_ms).run()
 
-    return serve(
+    server = serve(
         accept,
         host,
         port,
@@ -302,3 +307,4 @@
         max_size=codec.MAX_UNPROVED_BYTES,
         create_connection=OrderlyServerConnection,
     )
+    return OrderlyServer(server, log)
