--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -24,3 +24,8 @@
 python dist/pistachionotch demo
 python scripts/process_slopes.py idle
 python -m pytest --numprocesses 6 $(printf -- " --ignore %s" $patched $gateways)
+# Known faults that wait for their mending; none of the tests above runs their seeds.
+if [ -s KNOWN-RED.txt ]; then
+  echo "known to be red:"
+  cat KNOWN-RED.txt
+fi
