Drop registrations that lapsed on time, whatever is lost meanwhile

What can cause it, by reading: watchers that were cut off until a second and a half before hold what is missing for 2 s from their return, each further loss put that off again, and the drop waited for the end of a waiting read of 1 s; the other gateways copy that. Both new tests of test_follow.py fail on the former sources. That this was the cause is not shown.

--- a/src/pistachionotch/objects/follow.py
+++ b/src/pistachionotch/objects/follow.py
@@ -28,23 +28,33 @@
     lost: bool = False
     hold_until_ms: int = 0
     held: dict[str, StoredObject] = attrs.field(factory=dict)
+    # When each of them is dropped; a further loss does not put it off.
+    drop_ms: dict[str, int] = attrs.field(factory=dict)
 
     def refresh(self, wait_ms: int = 0) -> bool:
         """Bring the copy up to date with one read; False if the store did not answer.
 
         The read waits up to ``wait_ms`` for a change if there is none yet.
         """
+        if self.held:
+            next_ms = min(self.drop_ms.values()) - self.clock.now_ms()
+            wait_ms = max(0, min(wait_ms, next_ms))
         done = self._refresh(wait_ms)
         if not done:
             self.lost = True
             return False
-        if self.held and self.clock.now_ms() >= self.hold_until_ms:
+        due = [key for key, drop_ms in self.drop_ms.items() if self.clock.now_ms() >= drop_ms]
+        if due:
             self.changes += 1
-            for key in self.held:
-                self.objects.pop(key, None)
-            self.held = {}
+        for key in due:
+            self.objects.pop(key, None)
+            self._release(key)
         return True
 
+    def _release(self, key: str) -> None:
+        self.held.pop(key, None)
+        self.drop_ms.pop(key, None)
+
     def _refresh(self, wait_ms: int) -> bool:
         if self.revision < 0:
             return self._list()
@@ -61,7 +71,7 @@
             if change.value is None:
                 self._remove(change.key)
                 continue
-            self.held.pop(change.key, None)
+            self._release(change.key)
             self.objects[change.key] = StoredObject(change.key, change.version, change.value)
         self.revision = batch.unwrap().revision
         return True
@@ -73,9 +83,10 @@
 
     def _remove(self, key: str) -> None:
         if key in self.objects and self.clock.now_ms() < self.hold_until_ms:
+            self.drop_ms.setdefault(key, self.hold_until_ms)
             self.held[key] = self.objects[key]
             return
-        self.held.pop(key, None)
+        self._release(key)
         self.objects.pop(key, None)
 
     def replace(self, objects: dict[str, StoredObject] | None, revision: int) -> None:
@@ -86,6 +97,7 @@
         self.revision = revision
         # The writer of the copy has held back what lapsed, if anything did.
         self.held = {}
+        self.drop_ms = {}
         self.lost = False
 
     def _list(self) -> bool:
@@ -99,7 +111,7 @@
         for key in list(self.objects.keys() - listed.keys()):
             self._remove(key)
         for key in listed:
-            self.held.pop(key, None)
+            self._release(key)
         self.objects = {**self.held, **listed}
         self.revision = snapshot.unwrap().revision
         return True
--- a/tests/unit/objects/test_follow.py
+++ b/tests/unit/objects/test_follow.py
@@ -91,3 +91,53 @@
     clock.advance(2_000)
     assert followed.refresh()
     assert followed.objects == {}
+
+
+class Waiting:
+    """Note how long each waiting read may wait."""
+
+    def __init__(self, store):
+        self.store = store
+        self.waits = []
+
+    def watch(self, prefix, since, wait_ms):
+        self.waits.append(wait_ms)
+        return self.store.watch(prefix, since, 0)
+
+
+def held_after_an_outage():
+    clock = ManualClock()
+    store = MemoryStore(clock=clock)
+    stored = store.put("servers/a", b"{}", None).unwrap()
+    followed = FollowedPrefix(store, "servers/", clock=clock, lapse_ms=2_000)
+    assert followed.refresh()
+    store.faults.outage = True
+    assert not followed.refresh()
+    store.faults.outage = False
+    store.delete("servers/a", stored.version)
+    assert followed.refresh()
+    assert list(followed.objects) == ["servers/a"]
+    return clock, store, followed
+
+
+def test_what_lapsed_is_not_held_longer_by_further_losses():
+    # The path to the object API comes and goes; a server that has left must not stay all the while.
+    clock, store, followed = held_after_an_outage()
+    for _ in range(2):
+        clock.advance(900)
+        store.faults.outage = True
+        assert not followed.refresh()
+        store.faults.outage = False
+        assert followed.refresh()
+    clock.advance(200)
+    assert followed.refresh()
+    assert followed.objects == {}
+
+
+def test_a_waiting_read_ends_when_what_lapsed_is_to_be_dropped():
+    clock, store, followed = held_after_an_outage()
+    clock.advance(1_500)
+    waiting = Waiting(store)
+    followed.store = waiting
+    assert followed.refresh(1_000)
+    assert waiting.waits == [500]
