Count the servers of all services of a split route for reward calls

Cause, by reading: only the first service of a split route was looked at, so that no call started while it had no server. The new test failed before.

--- a/src/pistachionotch/batches/scoring.py
+++ b/src/pistachionotch/batches/scoring.py
@@ -49,19 +49,19 @@
             return
         now_ms = self.clock.now_ms()
         by_id = {run.id: run for run in runs}
-        by_service: dict[str, list[tuple[WaitingReward, Route]]] = {}
+        by_services: dict[tuple[str, ...], list[tuple[WaitingReward, Route]]] = {}
         for run in by_id.values():
             for waiting in run.waiting_rewards():
                 route = reward_route(catalog, run.progress[waiting.item].item.reward)
                 if route is None:
                     run.progress[waiting.item].reward_after_ms = now_ms + RETRY_MS
                     continue
-                # The share of a split route is chosen anew by each call.
-                service = route.shares[0].service
-                by_service.setdefault(service, []).append((waiting, route))
-        for service, pairs in by_service.items():
+                # Each call chooses anew among the services of a split route.
+                services = tuple(share.service for share in route.shares)
+                by_services.setdefault(services, []).append((waiting, route))
+        for services, pairs in by_services.items():
             routes = {(waiting.batch, waiting.item): route for waiting, route in pairs}
-            free = count_free(self._rooms(service, now_ms))
+            free = count_free(self._rooms(services, now_ms))
             for waiting in plan_rewards((waiting for waiting, _route in pairs), free, now_ms):
                 run = by_id[waiting.batch]
                 route = routes[(waiting.batch, waiting.item)]
@@ -74,7 +74,7 @@
             task.kill(block=False)
         return stopped
 
-    def _rooms(self, service: str, now_ms: int) -> list[ServerRoom]:
+    def _rooms(self, services: tuple[str, ...], now_ms: int) -> list[ServerRoom]:
         return [
             ServerRoom(
                 slots=upstream.record.slots,
@@ -82,6 +82,7 @@
                 full=upstream.full_until_ms > now_ms,
                 failing=upstream.failed_until_ms > now_ms,
             )
+            for service in services
             for upstream in self.table.of_service(service)
         ]
 
--- a/tests/unit/batches/test_scoring.py
+++ b/tests/unit/batches/test_scoring.py
@@ -245,3 +245,12 @@
     state.note_event(1, "t", 3)
     step.owner._settle(run, state, Upstream(DESK), AttemptEnd.DONE)
     assert state.finished and run.unlisted[0].reward == ""
+
+
+def test_a_split_route_whose_first_service_has_no_server_still_scores():
+    step = Step()
+    split = attrs.evolve(REWARDS, shares=(ServiceShare("new", 1), ServiceShare("desk", 9)))
+    step.duty.catalog = lambda: Catalog(1, (ROUTE, split), {}, ClientLimits())
+    step.generate("i0")
+    step.score()
+    assert step.listed()["i0"].reward == "proof of r-i0"
