Log the rate limits that upstreams name and count requests to them by purpose

The logs could not tell whether a gateway had heard of a limit, nor which kind of request made the excess on a server that had named one. The header is decoded once, in platform/, into a type that also holds what could not be read. No decision uses it yet.

--- a/src/pistachionotch/batches/attempts.py
+++ b/src/pistachionotch/batches/attempts.py
@@ -9,7 +9,7 @@
 
 from ..clock import Clock
 from ..gateway.exchange import Exchange, UpstreamClient
-from ..gateway.upstream_protocol import UpstreamProtocol, UpstreamRequest
+from ..gateway.upstream_protocol import RequestPurpose, UpstreamProtocol, UpstreamRequest
 from ..gateway.upstreams import Upstream
 from ..http_client import ExchangeError
 from .model import Submission
@@ -92,6 +92,7 @@
             body=state.item.body,
             instance=upstream.record.instance,
             resume_after=state.last_event,
+            purpose=RequestPurpose.ITEM,
         )
 
     def _receive(
--- a/src/pistachionotch/batches/scoring.py
+++ b/src/pistachionotch/batches/scoring.py
@@ -15,6 +15,7 @@
 from ..clock import Clock
 from ..gateway.catalog import Catalog, Route, RouteKind
 from ..gateway.responses import BufferedResponse, CallFailure, ClientCall, ClientResponse
+from ..gateway.upstream_protocol import RequestPurpose
 from ..gateway.upstreams import UpstreamTable
 from ..measures import Measures
 from .model import RewardCall
@@ -116,6 +117,7 @@
             body=reward.body,
             received_ms=now_ms,
             budget_ms=max(MIN_BUDGET_MS, run.due_ms - now_ms),
+            purpose=RequestPurpose.REWARD,
         )
 
     def _handle_answer(
--- a/src/pistachionotch/gateway/calls.py
+++ b/src/pistachionotch/gateway/calls.py
@@ -351,4 +351,5 @@
         instance=upstream.record.instance,
         budget_ms=left_ms,
         resume_after=call.resume_after,
+        purpose=call.purpose,
     )
--- a/src/pistachionotch/gateway/daemon.py
+++ b/src/pistachionotch/gateway/daemon.py
@@ -116,7 +116,7 @@
         )
         self.cluster = ClusterState(self.store, self.clock, self.listings, self.watchers, self.pool)
         table = self.cluster.table
-        self.client = UpstreamClient(self.clock, self.protocol, self.pool)
+        self.client = UpstreamClient(self.clock, self.protocol, self.pool, self.measures)
         self.forwarder = CallForwarder(
             self.clock,
             self.rng,
--- a/src/pistachionotch/gateway/exchange.py
+++ b/src/pistachionotch/gateway/exchange.py
@@ -4,11 +4,14 @@
 
 from collections.abc import Callable
 from http import HTTPStatus
+from typing import Any
 
 import attrs
 
 from ..clock import Clock
 from ..http_client import Connection, ConnectionPool, ExchangeError
+from ..logs import logger
+from ..measures import Measures
 from .upstream_protocol import UpstreamProtocol, UpstreamRequest, UpstreamResponse
 from .upstreams import Upstream
 
@@ -32,6 +35,8 @@
     clock: Clock
     protocol: UpstreamProtocol
     pool: ConnectionPool
+    measures: Measures = attrs.field(factory=Measures)
+    log: Any = attrs.field(factory=lambda: logger("limits"))
 
     def send_request(
         self,
@@ -72,6 +77,7 @@
     ) -> Exchange:
         try:
             headers = self.protocol.request_headers(request)
+            self.measures.count("upstream_requests", request.purpose.value)
             connection.send(request.method, request.target, headers, request.body, timeout_ms)
             response = self.protocol.read_response(request, connection.read_head(timeout_ms))
             if not response.matches:
@@ -79,6 +85,7 @@
             if response.leaving:
                 # The listing shows this later, or not at all during an outage of the object API.
                 upstream.announced_leaving = True
+            self._record_rate_limit(upstream, request, response)
             # Report and order requests have neither a request ID nor a proof.
             success = HTTPStatus.OK <= response.head.status < HTTPStatus.MULTIPLE_CHOICES
             if request.request_id and success and not response.proof:
@@ -88,6 +95,31 @@
             raise
         return Exchange(connection, response, upstream)
 
+    def _record_rate_limit(
+        self, upstream: Upstream, request: UpstreamRequest, response: UpstreamResponse
+    ) -> None:
+        named = response.rate_limit
+        if named.questionable:
+            self.log.warning(
+                "questionable rate limit",
+                upstream=upstream.record.instance,
+                request=request.request_id,
+                value=named.questionable,
+                used=named.per_second,
+            )
+        if named.per_second == upstream.announced_limit:
+            return
+        self.log.info(
+            "rate limit announced",
+            upstream=upstream.record.instance,
+            limit=named.per_second,
+            former=upstream.announced_limit,
+            request=request.request_id,
+            purpose=request.purpose.value,
+            status=response.head.status,
+        )
+        upstream.announced_limit = named.per_second
+
     def release(self, exchange: Exchange) -> None:
         """Return the connection to the pool after the whole body has been read."""
         record = exchange.upstream.record
--- a/src/pistachionotch/gateway/responses.py
+++ b/src/pistachionotch/gateway/responses.py
@@ -8,6 +8,7 @@
 import attrs
 
 from ..http_client import Header
+from .upstream_protocol import RequestPurpose
 
 
 @attrs.frozen(kw_only=True)
@@ -23,6 +24,7 @@
     received_ms: int
     budget_ms: int | None = None
     resume_after: int | None = None
+    purpose: RequestPurpose = RequestPurpose.CALL
 
 
 @attrs.frozen
--- a/src/pistachionotch/gateway/upstream_protocol.py
+++ b/src/pistachionotch/gateway/upstream_protocol.py
@@ -15,6 +15,27 @@
 from .upstreams import UpstreamRecord
 
 
+class RequestPurpose(enum.Enum):
+    """What a request to an upstream is for; the values are metric labels and go into logs."""
+
+    CALL = "call"
+    ITEM = "item"
+    REWARD = "reward"
+    REPORT = "report"
+    ORDER = "order"
+
+
+@attrs.frozen(kw_only=True)
+class RateLimitHeader:
+    """The rate limit named in the head of a response."""
+
+    # Requests per second that the upstream accepts from all gateways together; None if no valid
+    # limit is named.
+    per_second: float | None = None
+    # The header's value if part of it could not be read or it occurs several times.
+    questionable: str = ""
+
+
 @attrs.frozen(kw_only=True)
 class UpstreamRequest:
     """A request to an upstream, independent of the protocol."""
@@ -33,6 +54,7 @@
     resume_after: int | None = None
     # Priority; 0 is the highest.
     urgency: int | None = None
+    purpose: RequestPurpose = RequestPurpose.CALL
 
 
 @attrs.frozen(kw_only=True)
@@ -48,6 +70,7 @@
     proof: str
     # Whether the upstream announces that it is leaving.
     leaving: bool
+    rate_limit: RateLimitHeader
     # Weight versions used for the response, newest last; empty for plain services.
     versions: tuple[int, ...]
 
--- a/src/pistachionotch/gateway/upstreams.py
+++ b/src/pistachionotch/gateway/upstreams.py
@@ -86,6 +86,8 @@
     attempt_ms: int = 0
     # Whether one of its responses announced that it is leaving.
     announced_leaving: bool = False
+    # Rate limit in requests per second that its last response named; None if it named none.
+    announced_limit: float | None = None
     # Highest weight versions seen in its responses; registrations lag behind.
     seen_versions: dict[str, int] = attrs.field(factory=dict)
 
--- a/src/pistachionotch/http_client.py
+++ b/src/pistachionotch/http_client.py
@@ -63,6 +63,10 @@
                 return value
         return ""
 
+    def get_all(self, name: str) -> list[str]:
+        """Return all values of a header by its lower-case name."""
+        return [value for key, value in self.headers if key == name]
+
 
 class _Parser(HTTPResponse):  # type: ignore[misc, unused-ignore]
     """A parser that stops after one response; the base class would parse the next one too."""
--- a/src/pistachionotch/platform/upstream.py
+++ b/src/pistachionotch/platform/upstream.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import json
+import re
+from collections.abc import Sequence
 from http import HTTPStatus
 
 from ..gateway.upstream_protocol import (
     EngineReport,
     LoadOrder,
     OrderAnswer,
+    RateLimitHeader,
+    RequestPurpose,
     StreamEvent,
     UpstreamRequest,
     UpstreamResponse,
@@ -24,11 +28,13 @@
 NOT_RUN_HEADER = "not-run"
 PROOF_HEADER = "server-stamp"
 LEAVING_HEADER = "server-leaving"
+RATE_LIMIT_HEADER = "server-limit"
 # Also the name of a field of stream events.
 VERSIONS_HEADER = "weight-versions"
 REPORT_PATH = "/api/report"
 ORDER_PATH = "/api/order"
 MISDIRECTED_REQUEST = 421
+_DECIMAL_NUMBER = re.compile(r"[0-9]{1,18}(\.[0-9]{1,18})?")
 # Events have some hundred bytes; without a limit, an endless event would exhaust the memory.
 MAX_EVENT_BYTES = 1024 * 1024
 _ORDER_ANSWERS: dict[int, OrderAnswer] = {
@@ -125,6 +131,7 @@
             not_run=bool(head.get(NOT_RUN_HEADER)) or misdirected,
             proof=head.get(PROOF_HEADER),
             leaving=bool(head.get(LEAVING_HEADER)),
+            rate_limit=_parse_rate_limit(head.get_all(RATE_LIMIT_HEADER)),
             versions=_parse_versions(head.get(VERSIONS_HEADER)),
         )
 
@@ -134,7 +141,7 @@
 
     def report_request(self, instance: str) -> UpstreamRequest:
         """Return the request that reads a server's report."""
-        return _control_request("GET", REPORT_PATH, b"", instance)
+        return _control_request("GET", REPORT_PATH, b"", instance, RequestPurpose.REPORT)
 
     def read_report(self, body: bytes) -> EngineReport:
         """Decode a server's report; raises one of ``MALFORMED`` if that fails."""
@@ -158,7 +165,8 @@
             "fencing_token": order.fence,
             "expected": order.expected_orders,
         }
-        return _control_request("POST", ORDER_PATH, json.dumps(fields).encode(), instance)
+        body = json.dumps(fields).encode()
+        return _control_request("POST", ORDER_PATH, body, instance, RequestPurpose.ORDER)
 
     def read_order_answer(self, status: int) -> OrderAnswer:
         """Interpret the status of the response to an order."""
@@ -169,7 +177,9 @@
         return [header for header in head.headers if header[0] not in _DROPPED_RESPONSE_HEADERS]
 
 
-def _control_request(method: str, target: str, body: bytes, instance: str) -> UpstreamRequest:
+def _control_request(
+    method: str, target: str, body: bytes, instance: str, purpose: RequestPurpose
+) -> UpstreamRequest:
     return UpstreamRequest(
         request_id="",
         method=method,
@@ -178,6 +188,18 @@
         headers=(("Content-Type", "application/json"),) if body else (),
         body=body,
         instance=instance,
+        purpose=purpose,
+    )
+
+
+def _parse_rate_limit(values: Sequence[str]) -> RateLimitHeader:
+    """Return the lowest valid limit; a repeated header counts like a list of values."""
+    parts = [part.strip() for value in values for part in value.split(",")]
+    limits = [float(part) for part in parts if _DECIMAL_NUMBER.fullmatch(part)]
+    sound = len(parts) == len(limits) <= 1
+    return RateLimitHeader(
+        per_second=min(limits, default=None),
+        questionable="" if sound else ",".join(parts) or "(empty)",
     )
 
 
