Reproduce more requests to a server than the limit that it named, with three gateways

The stand-in of the platform's servers names limits and counts its arrivals in windows of 4 s by itself, with the bound of the platform's rule and one second in which a new or lowered limit takes effect.

On the code before the fix three tests fail: 72 requests in 4 s at limits of 2 and 3 (allowed 17), and no refusal names a limit. They are listed in KNOWN-RED.txt, and scripts/test.sh passes over exactly these.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -18,12 +18,14 @@
 patched="tests/unit/agent tests/unit/wire"
 gateways="tests/unit/batches tests/unit/gateway tests/unit/platform"
 python -m gevent.monkey --module pytest $patched
-python -m gevent.monkey --module pytest $gateways
+# Tests with a known fault are passed over; the end of this script prints them.
+known=$(sed -n 's/^test: \(tests\/[^ ]*\.py::[^ ]*\)$/--deselect \1/p' KNOWN-RED.txt)
+python -m gevent.monkey --module pytest $gateways $known
 python -m behave --no-capture --format progress3 tests/features
 scripts/build.sh
 python dist/pistachionotch demo
 python scripts/process_slopes.py idle
-python -m pytest --numprocesses 6 $(printf -- " --ignore %s" $patched $gateways)
+python -m pytest --numprocesses 6 $(printf -- " --ignore %s" $patched $gateways) $known
 # Known faults that wait for their mending; none of the tests above runs their seeds.
 if [ -s KNOWN-RED.txt ]; then
   echo "known to be red:"
--- a/src/pistachionotch/standins/platform_servers.py
+++ b/src/pistachionotch/standins/platform_servers.py
@@ -2,12 +2,14 @@
 
 ``PUT /faults`` sets the switches of ``ServerFaults``. ``GET /runs`` lists the accepted orders and
 the requests that were run, each with the number of the event after which its stream resumed.
+``GET /arrivals`` reports the windows with more requests than the limit that the server named.
 """
 
 from __future__ import annotations
 
 import errno
 import json
+import math
 import time
 from collections.abc import Iterable, Iterator
 from http import HTTPStatus
@@ -17,6 +19,7 @@
 import gevent
 
 from ..clock import MS_PER_SECOND
+from .arrivals import ArrivalWindows
 from .http import Environ, StartResponse, read_body, respond_json
 
 NOT_RUN_HEADER = ("Not-Run", "1")
@@ -53,6 +56,8 @@
     slow_ms: int = 0
     # Say in each response that the server is leaving.
     leaving: bool = False
+    # Values of the header that names a rate limit, each in a header of its own.
+    limit: list[str] = attrs.field(factory=list)
     # Fail each request whose id ends with this text.
     fail_suffix: str = ""
     # Close without a response to an order and don't carry it out.
@@ -72,6 +77,7 @@
     runs: list[dict[str, Any]] = attrs.field(factory=list)
     orders: list[dict[str, Any]] = attrs.field(factory=list)
     loading: bool = False
+    windows: ArrivalWindows = attrs.field(factory=ArrivalWindows)
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         """Handle one request."""
@@ -79,10 +85,33 @@
         if path == "/faults":
             for name, value in json.loads(read_body(environ)).items():
                 setattr(self.faults, name, value)
+            self.windows.name_limit(self._named_limit(), time.monotonic())
             return respond_json(start_response, 200, attrs.asdict(self.faults))
         if path == "/runs":
             found = {"runs": self.runs, "orders": self.orders, "versions": self.versions}
             return respond_json(start_response, 200, found)
+        if path == "/arrivals":
+            windows = {"total": self.windows.total, "breaches": self.windows.breaches}
+            return respond_json(start_response, 200, windows)
+        self.windows.record(time.monotonic())
+        named = [("Server-Limit", value) for value in self.faults.limit]
+
+        def start_named(status: str, headers: list[tuple[str, str]]) -> Any:
+            return start_response(status, [*headers, *named])
+
+        return self._answer(environ, start_named)
+
+    def _named_limit(self) -> float:
+        limits = []
+        for value in self.faults.limit:
+            try:
+                limits.append(float(value))
+            except ValueError:
+                continue
+        return min((limit for limit in limits if limit >= 0.0), default=math.inf)
+
+    def _answer(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        path = environ["PATH_INFO"]
         expected = environ.get("HTTP_EXPECT_INSTANCE", self.instance)
         if expected != self.instance:
             headers = [NOT_RUN_HEADER, ("Instance", self.instance)]
