Keep the rate limits of upstreams by permits that one gateway grants for all

Cause: the header was read by nobody. Class of fault: word of one server that no decision outside the gateway that heard it, and none for other kinds of requests, takes into account.

A gateway dates what it hears and tells it the watchers; the others get it with the copies of the listing of upstreams. One gateway, the first by a hash of the upstream, paces all requests to a limited upstream with a token bucket; every request needs its permit at the one place where requests are sent: calls, items, rewards, reports, orders and second attempts on a new connection. Other upstreams take the excess; a call that none can take is refused at once, with a time to return that follows from the limit.

--- a/src/pistachionotch/batches/attempts.py
+++ b/src/pistachionotch/batches/attempts.py
@@ -9,9 +9,11 @@
 
 from ..clock import Clock
 from ..gateway.exchange import Exchange, UpstreamClient
+from ..gateway.limits import RateLimitedError
 from ..gateway.upstream_protocol import RequestPurpose, UpstreamProtocol, UpstreamRequest
 from ..gateway.upstreams import Upstream
 from ..http_client import ExchangeError
+from ..limits.pacer import PermitWant
 from .model import Submission
 from .run import ItemProgress
 
@@ -21,6 +23,8 @@
 HEAD_TIMEOUTS_MS = (1_000, 2_000, 3_000)
 # Timeout for the next event of a stream; extended for engines whose events are slow.
 EVENT_TIMEOUT_MS = 1_500
+# Time that an item waits for its permit at a rate-limited engine. Another engine may become free.
+PERMIT_WAIT_MS = 150
 # Refusals have short bodies; no more than this is read.
 MAX_REFUSAL_BYTES = 64 * 1024
 UNPROCESSABLE_CONTENT = 422
@@ -34,6 +38,7 @@
     DONE = "done"
     # After these, the item waits for another attempt.
     REFUSED = "refused"
+    RATE_LIMITED = "rate limit"
     BROKEN = "broken"
     STALE = "stale weights"
     FAILED = "generation failed"
@@ -51,18 +56,25 @@
     log: Any
 
     def run(
-        self, submission: Submission, state: ItemProgress, upstream: Upstream
+        self,
+        submission: Submission,
+        state: ItemProgress,
+        upstream: Upstream,
+        priority: int = 0,
     ) -> AttemptOutcome:
         """Run one attempt; adds the text it receives to ``state``."""
         upstream.in_flight += 1
         exchange = None
         try:
-            request = self._request(submission, state, upstream)
+            request = self._request(submission, state, upstream, priority)
             timeout_ms = HEAD_TIMEOUTS_MS[min(state.unanswered_attempts, len(HEAD_TIMEOUTS_MS) - 1)]
             state.unanswered_attempts += 1
             exchange = self.client.send_request(upstream, request, timeout_ms, repeatable=True)
             state.unanswered_attempts = 0
             outcome = self._receive(submission, state, exchange)
+        except RateLimitedError:
+            state.unanswered_attempts = max(0, state.unanswered_attempts - 1)
+            outcome = AttemptOutcome.RATE_LIMITED
         except (ExchangeError, ValueError) as error:
             upstream.record_failure(self.clock.now_ms())
             outcome = AttemptOutcome.BROKEN
@@ -81,7 +93,7 @@
         return outcome
 
     def _request(
-        self, submission: Submission, state: ItemProgress, upstream: Upstream
+        self, submission: Submission, state: ItemProgress, upstream: Upstream, priority: int
     ) -> UpstreamRequest:
         return UpstreamRequest(
             request_id=state.item.id,
@@ -93,6 +105,7 @@
             instance=upstream.record.instance,
             resume_after=state.last_event,
             purpose=RequestPurpose.ITEM,
+            want=PermitWant(urgency=priority, max_wait_ms=PERMIT_WAIT_MS),
         )
 
     def _receive(
--- a/src/pistachionotch/batches/dispatch.py
+++ b/src/pistachionotch/batches/dispatch.py
@@ -77,6 +77,8 @@
     other_region: bool = False
     # Whether it fails some of its requests while it answers others.
     suspect: bool = False
+    # Whether it has announced a rate limit; ``free_slots`` is then at most what it accepts at once.
+    rate_limited: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -253,6 +255,8 @@
     """
     moves = []
     intervals_ms = {engine.instance: engine.recent_event_ms for engine in engines}
+    # A short slowdown is not worth one of the few requests of a rate-limited engine.
+    targets = [engine for engine in engines if not (engine.suspect or engine.rate_limited)]
     known_ms = sorted(engine.event_ms for engine in engines if engine.event_ms is not None)
     typical_ms = known_ms[len(known_ms) // 3] if known_ms else None
     for item in sorted(running, key=lambda item: (item.optional, -item.events, item.item)):
@@ -265,8 +269,8 @@
             interval_ms = max(interval_ms, float(item.silent_ms))
         target = None
         target_ms = interval_ms / TRANSIENT_MOVE_FACTOR
-        for engine in engines:
-            if engine.free_slots <= 0 or engine.suspect or engine.instance == item.instance:
+        for engine in targets:
+            if engine.free_slots <= 0 or engine.instance == item.instance:
                 continue
             if engine.versions.get(item.model, -1) < item.min_version:
                 continue
--- a/src/pistachionotch/batches/owner.py
+++ b/src/pistachionotch/batches/owner.py
@@ -16,7 +16,7 @@
 from ..gateway.upstreams import Upstream, UpstreamTable
 from ..measures import Measures
 from ..tasks import keep_running
-from .attempts import AttemptOutcome, ItemRunner
+from .attempts import PERMIT_WAIT_MS, AttemptOutcome, ItemRunner
 from .dispatch import (
     EngineCandidate,
     Move,
@@ -146,17 +146,22 @@
             if max(upstream.full_until_ms, upstream.backoff_until_ms) > now_ms:
                 continue
             record = upstream.record
+            if self.table.rate_limits.rejected_for_ms(record) > PERMIT_WAIT_MS:
+                continue
+            burst = self.table.burst(upstream)
+            free_slots = upstream.free_slots()
             models = record.versions.keys() | upstream.seen_versions.keys()
             engines.append(
                 EngineCandidate(
                     instance=record.instance,
-                    free_slots=upstream.free_slots(),
+                    free_slots=free_slots if burst is None else min(free_slots, burst),
                     slots=record.slots,
                     versions={model: upstream.version(model) for model in models},
                     event_ms=upstream.event_interval_ms(now_ms),
                     recent_event_ms=upstream.recent_event_interval_ms(now_ms),
                     other_region=self.zone_regions.get(record.zone) != self.region,
                     suspect=upstream.is_suspect(now_ms),
+                    rate_limited=burst is not None,
                 )
             )
         return engines
@@ -205,7 +210,10 @@
 
     def _run_item(self, run: BatchRun, state: ItemProgress, upstream: Upstream) -> None:
         try:
-            outcome = self.item_runner.run(run.head.submission, state, upstream)
+            catalog = self.catalog()
+            route = batch_route(catalog, run) if catalog else None
+            priority = route.priority if route else 0
+            outcome = self.item_runner.run(run.head.submission, state, upstream, priority)
         finally:
             state.running = False
             self.tasks.pop((run.id, state.item.id), None)
--- a/src/pistachionotch/batches/rewards.py
+++ b/src/pistachionotch/batches/rewards.py
@@ -42,6 +42,8 @@
     # Whether it recently refused a call (full) or failed one (failing).
     full: bool
     failing: bool
+    # How many calls it accepts at once; None if it has announced no rate limit.
+    burst: int | None = None
 
 
 def count_free_slots(servers: Iterable[ServerCapacity]) -> int:
@@ -52,6 +54,8 @@
         if server.full:
             continue
         free_slots = max(1, int(server.slots * MAX_REWARD_SLOT_SHARE)) - server.in_flight
+        if server.burst is not None:
+            free_slots = min(free_slots, server.burst)
         if free_slots <= 0:
             continue
         if server.failing:
--- a/src/pistachionotch/batches/scoring.py
+++ b/src/pistachionotch/batches/scoring.py
@@ -81,8 +81,10 @@
             ServerCapacity(
                 slots=upstream.record.slots,
                 in_flight=upstream.in_flight,
-                full=upstream.full_until_ms > now_ms,
+                full=upstream.full_until_ms > now_ms
+                or self.table.rate_limits.rejected_for_ms(upstream.record) > 0,
                 failing=upstream.backoff_until_ms > now_ms,
+                burst=self.table.burst(upstream),
             )
             for service in services
             for upstream in self.table.available_for(service)
--- a/src/pistachionotch/gateway/calls.py
+++ b/src/pistachionotch/gateway/calls.py
@@ -10,10 +10,12 @@
 
 from ..clock import Clock
 from ..http_client import ExchangeError
+from ..limits.pacer import PermitWant
 from ..measures import Measures
 from .catalog import Route
 from .exchange import Exchange, UpstreamClient
-from .load_balancing import NoCapacity, select_upstream
+from .limits import RateLimitedError
+from .load_balancing import NoCapacity, SelectedUpstream, select_upstream
 from .responses import (
     BufferedResponse,
     CallFailure,
@@ -26,6 +28,10 @@
 from .upstream_protocol import UpstreamProtocol, UpstreamRequest
 from .upstreams import Upstream, UpstreamTable
 
+# A call waits for its permit for at most these shares of its route's objective and of its
+# remaining time.
+PERMIT_WAIT_OBJECTIVE_SHARE = 0.5
+PERMIT_WAIT_BUDGET_SHARE = 0.25
 # Minimum remaining time for an attempt.
 MIN_ATTEMPT_MS = 10
 # Timeout for the response head of a repeatable attempt, as a multiple of the upstream's average
@@ -51,6 +57,8 @@
     deadline_ms: int
     service: str
     tried: set[str] = attrs.field(factory=set)
+    # Upstreams that rejected the call by their rate limit, and the time to return.
+    rate_limited: dict[str, int] = attrs.field(factory=dict)
     # Whether an upstream may have executed an attempt.
     may_have_run: bool = False
     failure: BufferedResponse | None = None
@@ -94,9 +102,7 @@
     def _select_upstream(self, progress: _Progress, service: str) -> Upstream | None:
         candidates = self.table.available_for(service)
         now_ms = self.clock.now_ms()
-        choice = select_upstream(
-            candidates, progress.tried, self.zone, self.regions, now_ms, self.rng
-        )
+        choice = self._select(progress, candidates, now_ms)
         if isinstance(choice, NoCapacity):
             progress.reason = progress.reason or choice.reason
             progress.retry_after_ms = choice.retry_after_ms
@@ -110,11 +116,67 @@
             in_flight=choice.upstream.in_flight,
             listing=self.table.revision,
             candidates=len(candidates),
+            limit=self.table.rate_limits.limit(choice.upstream.record),
             left_ms=progress.deadline_ms - now_ms,
             reason=choice.reason,
         )
         return choice.upstream
 
+    def _select(
+        self, progress: _Progress, candidates: list[Upstream], now_ms: int
+    ) -> SelectedUpstream | NoCapacity:
+        """Select among the upstreams that may accept a request now, or else ask one of the others.
+
+        The latter happens once, to learn when the call should return.
+        """
+        limits = self.table.rate_limits
+        excluded = progress.tried | progress.rate_limited.keys()
+        limited = {
+            each.record.instance for each in candidates if limits.limit(each.record) is not None
+        }
+        rejecting = {
+            each.record.instance
+            for each in candidates
+            if limits.rejected_for_ms(each.record, progress.route.priority)
+        }
+        choice = select_upstream(
+            candidates, excluded | rejecting, self.zone, self.regions, now_ms, self.rng, limited
+        )
+        if not isinstance(choice, NoCapacity):
+            return choice
+        if rejecting - excluded and not progress.rate_limited:
+            others = select_upstream(
+                candidates, excluded, self.zone, self.regions, now_ms, self.rng, limited
+            )
+            if not isinstance(others, NoCapacity):
+                return others
+        if not progress.rate_limited:
+            return choice
+        retry_ms = min(progress.rate_limited.values())
+        if all(each.record.instance in excluded | rejecting for each in candidates):
+            return NoCapacity("rate limits", retry_ms)
+        return NoCapacity(choice.reason, min(retry_ms, choice.retry_after_ms))
+
+    def _permit_want(self, progress: _Progress) -> PermitWant:
+        route = progress.route
+        left_ms = progress.deadline_ms - self.clock.now_ms()
+        limits = self.table.rate_limits
+        alternatives = sum(
+            1
+            for each in self.table.available_for(progress.service)
+            if limits.limit(each.record) is not None
+        )
+        return PermitWant(
+            urgency=route.priority,
+            max_wait_ms=int(
+                min(
+                    route.objective_ms * PERMIT_WAIT_OBJECTIVE_SHARE,
+                    left_ms * PERMIT_WAIT_BUDGET_SHARE,
+                )
+            ),
+            alternatives=alternatives,
+        )
+
     def _attempt(self, progress: _Progress, upstream: Upstream) -> ClientResponse | None:
         """Return the response of one attempt, or None if another attempt may follow."""
         upstream.in_flight += 1
@@ -123,6 +185,9 @@
             answer = self._exchange(progress, upstream)
             streaming = isinstance(answer, StreamingResponse)
             return answer
+        except RateLimitedError as error:
+            self._record_rejection(progress, upstream, error)
+            return None
         except ExchangeError as error:
             upstream.record_failure(self.clock.now_ms())
             progress.may_have_run = progress.may_have_run or error.sent
@@ -134,6 +199,14 @@
             if not streaming:
                 upstream.in_flight -= 1
 
+    def _record_rejection(
+        self, progress: _Progress, upstream: Upstream, error: RateLimitedError
+    ) -> None:
+        """Exclude an upstream that has no permit for the call; this is no attempt."""
+        progress.tried.discard(upstream.record.instance)
+        progress.rate_limited[upstream.record.instance] = error.retry_ms
+        progress.reason = error.reason
+
     def _log_failure(
         self, progress: _Progress, upstream: Upstream, reason: str, may_have_run: bool
     ) -> None:
@@ -150,7 +223,7 @@
     def _exchange(self, progress: _Progress, upstream: Upstream) -> ClientResponse | None:
         started_ms = self.clock.now_ms()
         left_ms = progress.deadline_ms - started_ms
-        request = _upstream_request(progress.call, upstream, left_ms)
+        request = self._upstream_request(progress, upstream, left_ms)
         repeatable = progress.route.repeatable()
         patience_ms = self._first_byte_timeout_ms(progress, upstream, left_ms)
         exchange = self.client.send_request(upstream, request, patience_ms, repeatable)
@@ -284,13 +357,17 @@
             if upstream is None or left_ms < MIN_ATTEMPT_MS:
                 return None
             progress.tried.add(upstream.record.instance)
-            request = _upstream_request(progress.call, upstream, left_ms)
+            request = self._upstream_request(progress, upstream, left_ms)
             request = attrs.evolve(request, resume_after=last)
             upstream.in_flight += 1
             try:
                 exchange = self.client.send_request(
                     upstream, request, min(left_ms, MIN_FIRST_BYTE_TIMEOUT_MS), True
                 )
+            except RateLimitedError as error:
+                upstream.in_flight -= 1
+                self._record_rejection(progress, upstream, error)
+                continue
             except ExchangeError as error:
                 upstream.in_flight -= 1
                 upstream.record_failure(self.clock.now_ms())
@@ -305,6 +382,24 @@
             self._log_failure(progress, upstream, reason, not exchange.response.not_run)
         return None
 
+    def _upstream_request(
+        self, progress: _Progress, upstream: Upstream, left_ms: int
+    ) -> UpstreamRequest:
+        call = progress.call
+        return UpstreamRequest(
+            request_id=call.request_id,
+            method=call.method,
+            target=call.target,
+            host=call.host,
+            headers=call.headers,
+            body=call.body,
+            instance=upstream.record.instance,
+            budget_ms=left_ms,
+            resume_after=call.resume_after,
+            purpose=call.purpose,
+            want=self._permit_want(progress),
+        )
+
     def _timed_out(self, progress: _Progress) -> ClientResponse:
         if progress.failure is not None:
             return progress.failure
@@ -338,18 +433,3 @@
 def _deadline_ms(call: ClientCall, route: Route) -> int:
     limits = [limit for limit in (call.budget_ms, route.timeout_ms) if limit]
     return call.received_ms + min(limits, default=EVENT_TIMEOUT_MS)
-
-
-def _upstream_request(call: ClientCall, upstream: Upstream, left_ms: int) -> UpstreamRequest:
-    return UpstreamRequest(
-        request_id=call.request_id,
-        method=call.method,
-        target=call.target,
-        host=call.host,
-        headers=call.headers,
-        body=call.body,
-        instance=upstream.record.instance,
-        budget_ms=left_ms,
-        resume_after=call.resume_after,
-        purpose=call.purpose,
-    )
--- a/src/pistachionotch/gateway/cluster_state.py
+++ b/src/pistachionotch/gateway/cluster_state.py
@@ -82,6 +82,12 @@
         follower = self.shared.get(prefix)
         return None if follower is None else follower.copy(token, wait_ms)
 
+    def wake_copies(self) -> None:
+        """Answer the waiting requests for copies of the upstreams, which carry the rate limits."""
+        follower = self.shared.get(self.listings.upstreams_prefix)
+        if follower is not None:
+            follower.wake()
+
     def _follower(self, prefix: str, changed: OnChange, wait_ms: int = LONG_WAIT_MS) -> Follower:
         object_cache = ObjectCache(self.store, prefix, clock=self.clock)
         return Follower(object_cache, self.clock, changed, logger("gateway"), wait_ms=wait_ms)
--- a/src/pistachionotch/gateway/daemon.py
+++ b/src/pistachionotch/gateway/daemon.py
@@ -34,6 +34,7 @@
 from .calls import CallForwarder
 from .cluster_state import ClusterState
 from .exchange import UpstreamClient
+from .limits import RateLimits
 from .orders import OrderDuty
 from .peers import GatewayRegistry, PeerInterface
 from .settings import GatewaySettings
@@ -83,6 +84,7 @@
     demands: ModelDemands = attrs.field(init=False)
     watchers: Watchers = attrs.field(init=False)
     cluster: ClusterState = attrs.field(init=False)
+    limits: RateLimits = attrs.field(init=False)
     client: UpstreamClient = attrs.field(init=False)
     forwarder: CallForwarder = attrs.field(init=False)
     owner: BatchOwner = attrs.field(init=False)
@@ -116,7 +118,10 @@
         )
         self.cluster = ClusterState(self.store, self.clock, self.listings, self.watchers, self.pool)
         table = self.cluster.table
-        self.client = UpstreamClient(self.clock, self.protocol, self.pool, self.measures)
+        self.limits = self._rate_limits()
+        self.client = UpstreamClient(
+            self.clock, self.protocol, self.pool, self.measures, self.limits
+        )
         self.forwarder = CallForwarder(
             self.clock,
             self.rng,
@@ -177,6 +182,25 @@
             self.measures,
         )
 
+    def _rate_limits(self) -> RateLimits:
+        table = self.cluster.table
+        limits = RateLimits(
+            self.settings.node,
+            self.clock,
+            self.rng,
+            self.pool,
+            lambda: self.gateways.addresses,
+            self.watchers.active_watchers,
+            logger("limits"),
+            self.measures,
+            changed=self.cluster.wake_copies,
+            listed=lambda: {each.record.incarnation for each in table.upstreams.values()},
+        )
+        table.rate_limits = limits
+        self.watchers.limits = limits
+        self.watchers.limits_prefix = self.listings.upstreams_prefix
+        return limits
+
     def _lease(self) -> Lease:
         list_cache = LeaseListCache(self.store, self.clock)
         return Lease(
@@ -204,8 +228,9 @@
                 settings.listen_peers,
                 PeerInterface(
                     PeerApp(self.batches, self.batches.local_owner.incarnation),
-                    CopiesApp(self.cluster.copy_of),
+                    CopiesApp(self.cluster.copy_of, self.limits),
                     self.direct_store,
+                    self.limits,
                 ),
             ),
         ):
@@ -222,6 +247,8 @@
             self.owner.run,
             self.orders.keep_lease,
             self.orders.run,
+            self.limits.exchange,
+            self.limits.evict,
         ):
             self._spawn(task)
         self.state = "serving"
@@ -285,6 +312,7 @@
             "running_items": len(self.owner.tasks),
             "upstream_connections": self.pool.opened,
             "holds_orders": self.orders.holds_lease(),
+            "rate_limits": self.limits.board.limited(),
         }
 
     def _serve_probe(self, environ: dict[str, Any], start_response: Any) -> list[bytes]:
--- a/src/pistachionotch/gateway/exchange.py
+++ b/src/pistachionotch/gateway/exchange.py
@@ -4,14 +4,13 @@
 
 from collections.abc import Callable
 from http import HTTPStatus
-from typing import Any
 
 import attrs
 
 from ..clock import Clock
 from ..http_client import Connection, ConnectionPool, ExchangeError
-from ..logs import logger
 from ..measures import Measures
+from .limits import RateLimitedError, RateLimits, SendPermit
 from .upstream_protocol import UpstreamProtocol, UpstreamRequest, UpstreamResponse
 from .upstreams import Upstream
 
@@ -36,7 +35,8 @@
     protocol: UpstreamProtocol
     pool: ConnectionPool
     measures: Measures = attrs.field(factory=Measures)
-    log: Any = attrs.field(factory=lambda: logger("limits"))
+    # None if the upstreams announce no rate limits.
+    limits: RateLimits | None = None
 
     def send_request(
         self,
@@ -55,37 +55,84 @@
         resent on a new connection; a request that is not repeatable always uses a new connection.
         """
         started_ms = self.clock.now_ms()
-        record = upstream.record
-        connect_ms = min(timeout_ms, CONNECT_TIMEOUT_MS)
-        connection = self.pool.take(record.address, record.incarnation, connect_ms, not repeatable)
+        permit = self._acquire_permit(upstream, request)
+        connection = self._connect(upstream, timeout_ms, not repeatable, permit)
+        if permit is None:
+            # The limit may have become known while the connection was being established.
+            permit = self._acquire_permit(upstream, request, connection)
         if may_send is not None and not may_send():
             connection.close()
+            self._give_back(permit)
             raise ExchangeError("no longer permitted", sent=False)
+        if permit is not None and permit.expires_ms <= self.clock.now_ms():
+            connection.close()
+            raise RateLimitedError("the permit has expired", 1, 1)
         kept = connection.exchanges > 0
         try:
-            return self._send(connection, upstream, request, timeout_ms)
+            return self._send(connection, upstream, request, timeout_ms, started_ms)
         except ExchangeError:
             closed_early = self.clock.now_ms() - started_ms < timeout_ms
             if not (kept and closed_early and connection.parser.get_code() == 0):
                 raise
-        left_ms = timeout_ms - (self.clock.now_ms() - started_ms)
-        connection = self.pool.take(record.address, record.incarnation, connect_ms, fresh=True)
-        return self._send(connection, upstream, request, left_ms)
+        # The upstream may have counted the first request, so the second one needs its own permit.
+        permit = self._acquire_permit(upstream, request)
+        connection = self._connect(upstream, timeout_ms, True, permit)
+        return self._send(connection, upstream, request, timeout_ms, started_ms)
+
+    def _acquire_permit(
+        self, upstream: Upstream, request: UpstreamRequest, connection: Connection | None = None
+    ) -> SendPermit | None:
+        """Return the permit for a request; closes the connection if there is none in time."""
+        if self.limits is None:
+            return None
+        try:
+            return self.limits.acquire(upstream.record, request)
+        except BaseException:
+            if connection is not None:
+                connection.close()
+            raise
+
+    def _connect(
+        self, upstream: Upstream, timeout_ms: int, fresh: bool, permit: SendPermit | None
+    ) -> Connection:
+        record = upstream.record
+        connect_ms = min(timeout_ms, CONNECT_TIMEOUT_MS)
+        try:
+            return self.pool.take(record.address, record.incarnation, connect_ms, fresh)
+        except BaseException:
+            self._give_back(permit)
+            raise
+
+    def _give_back(self, permit: SendPermit | None) -> None:
+        if permit is not None and self.limits is not None:
+            self.limits.give_back(permit)
 
     def _send(
-        self, connection: Connection, upstream: Upstream, request: UpstreamRequest, timeout_ms: int
+        self,
+        connection: Connection,
+        upstream: Upstream,
+        request: UpstreamRequest,
+        timeout_ms: int,
+        started_ms: int,
     ) -> Exchange:
+        """Send on a connection; ``timeout_ms`` and the budget count from ``started_ms``."""
+        sent_ms = self.clock.now_ms()
+        left_ms = max(1, timeout_ms - (sent_ms - started_ms))
+        if request.budget_ms is not None:
+            budget_ms = max(1, request.budget_ms - (sent_ms - started_ms))
+            request = attrs.evolve(request, budget_ms=budget_ms)
         try:
             headers = self.protocol.request_headers(request)
             self.measures.count("upstream_requests", request.purpose.value)
-            connection.send(request.method, request.target, headers, request.body, timeout_ms)
-            response = self.protocol.read_response(request, connection.read_head(timeout_ms))
+            connection.send(request.method, request.target, headers, request.body, left_ms)
+            response = self.protocol.read_response(request, connection.read_head(left_ms))
             if not response.matches:
                 raise ExchangeError("the response belongs to another request", sent=True)
             if response.leaving:
                 # The listing shows this later, or not at all during an outage of the object API.
                 upstream.announced_leaving = True
-            self._record_rate_limit(upstream, request, response)
+            if self.limits is not None:
+                self.limits.record_response(upstream.record, request, response, sent_ms)
             # Report and order requests have neither a request ID nor a proof.
             success = HTTPStatus.OK <= response.head.status < HTTPStatus.MULTIPLE_CHOICES
             if request.request_id and success and not response.proof:
@@ -95,31 +142,6 @@
             raise
         return Exchange(connection, response, upstream)
 
-    def _record_rate_limit(
-        self, upstream: Upstream, request: UpstreamRequest, response: UpstreamResponse
-    ) -> None:
-        named = response.rate_limit
-        if named.questionable:
-            self.log.warning(
-                "questionable rate limit",
-                upstream=upstream.record.instance,
-                request=request.request_id,
-                value=named.questionable,
-                used=named.per_second,
-            )
-        if named.per_second == upstream.announced_limit:
-            return
-        self.log.info(
-            "rate limit announced",
-            upstream=upstream.record.instance,
-            limit=named.per_second,
-            former=upstream.announced_limit,
-            request=request.request_id,
-            purpose=request.purpose.value,
-            status=response.head.status,
-        )
-        upstream.announced_limit = named.per_second
-
     def release(self, exchange: Exchange) -> None:
         """Return the connection to the pool after the whole body has been read."""
         record = exchange.upstream.record
--- a/src/pistachionotch/gateway/following.py
+++ b/src/pistachionotch/gateway/following.py
@@ -112,6 +112,10 @@
         self.change_log.add(self.shared, self.object_cache.objects)
         self.shared = dict(self.object_cache.objects)
         self.changed(self.object_cache.objects, self.object_cache.revision)
+        self.wake()
+
+    def wake(self) -> None:
+        """Answer the waiting requests for copies now, although nothing has changed."""
         self.change_event.set()
         self.change_event = Event()
 
--- a/src/pistachionotch/gateway/load_balancing.py
+++ b/src/pistachionotch/gateway/load_balancing.py
@@ -22,6 +22,9 @@
 OTHER_REGION_RTT_MS = 24.0
 # Time lost by a failed attempt: about the timeout of an upstream that does not respond.
 FAILED_ATTEMPT_COST_MS = 600.0
+# Cost of a request to a rate-limited upstream: its permit, and load on a server in need. Others get
+# the request unless they are much slower or their slots are taken.
+RATE_LIMIT_COST_MS = 25.0
 # An upstream counts as full when this process has this many open calls to it per slot.
 MAX_CALLS_PER_SLOT = 2
 # Retry-After when all upstreams are full: about the time until a slot becomes free.
@@ -63,8 +66,12 @@
     regions: dict[str, str],
     now_ms: int,
     rng: random.Random,
+    limited: Collection[str] = (),
 ) -> SelectedUpstream | NoCapacity:
-    """Return the upstream with the lowest expected response time."""
+    """Return the upstream with the lowest expected response time.
+
+    ``limited`` has the instances that have announced a rate limit.
+    """
     untried = [upstream for upstream in candidates if upstream.record.instance not in tried]
     if not untried:
         return NoCapacity(
@@ -84,6 +91,8 @@
     for upstream in healthy or available:
         expected_ms = _expected_ms(upstream) + round_trip_ms(zone, upstream.record.zone, regions)
         expected_ms += upstream.recent_failure_rate(now_ms) * FAILED_ATTEMPT_COST_MS
+        if upstream.record.instance in limited:
+            expected_ms += RATE_LIMIT_COST_MS
         # Random jitter spreads calls over equal candidates.
         expected_ms += rng.random()
         if best is None or expected_ms < best_ms:
--- a/src/pistachionotch/gateway/orders.py
+++ b/src/pistachionotch/gateway/orders.py
@@ -11,6 +11,7 @@
 from ..clock import Clock
 from ..http_client import ExchangeError
 from ..lease.lease import Lease
+from ..limits.pacer import PermitWant
 from ..malformed import MALFORMED
 from ..measures import Measures
 from ..weights.assignment import AnnouncedVersion, EngineWeights, WeightLoad, plan_loads
@@ -35,6 +36,11 @@
 LOAD_CHECK_INTERVAL_MS = 250
 # A load that takes longer is left to the next planning round.
 LOAD_TIMEOUT_MS = 4_000
+# At a rate-limited engine, an order and the report before it precede all other requests: without
+# the new weights, the engine is of no use to the next step. The reports that follow are optional,
+# since responses to items show the version too.
+ORDER_WANT = PermitWant(urgency=-1, max_wait_ms=2_000)
+CHECK_WANT = PermitWant(urgency=100, max_wait_ms=200)
 # Pause before the next order to an engine that did not accept or answer one.
 ORDER_RETRY_MS = 600
 # Version that engines start with before a trainer announces one.
@@ -150,7 +156,7 @@
 
     def _order(self, upstream: Upstream, load: WeightLoad, keep_running: bool) -> bool:
         """Send one order and wait for the load; returns whether the load is confirmed."""
-        report = self._report(upstream)
+        report = self._report(upstream, ORDER_WANT)
         if report is None or report.busy:
             return False
         for model, version in report.versions.items():
@@ -191,7 +197,7 @@
         while self.clock.now_ms() - started_ms < LOAD_TIMEOUT_MS:
             if upstream.version(load.model) >= load.version:
                 return True
-            report = self._report(upstream)
+            report = self._report(upstream, CHECK_WANT)
             if report is not None and report.versions.get(load.model, 0) >= load.version:
                 upstream.record_version(load.model, report.versions[load.model])
                 return True
@@ -201,8 +207,9 @@
         )
         return False
 
-    def _report(self, upstream: Upstream) -> EngineReport | None:
+    def _report(self, upstream: Upstream, want: PermitWant) -> EngineReport | None:
         request = self.protocol.report_request(upstream.record.instance)
+        request = attrs.evolve(request, want=want)
         reply = self._exchange(upstream, request)
         if reply is None or reply[0] != 200:
             return None
@@ -216,6 +223,7 @@
 
     def _send(self, upstream: Upstream, order: LoadOrder) -> OrderAnswer | None:
         request = self.protocol.order_request(upstream.record.instance, order)
+        request = attrs.evolve(request, want=ORDER_WANT)
         # The lease may expire while the connection is being established.
         reply = self._exchange(
             upstream, request, lambda: self.may_order() and self.lease.fence == order.fence
--- a/src/pistachionotch/gateway/peers.py
+++ b/src/pistachionotch/gateway/peers.py
@@ -20,6 +20,7 @@
 from ..malformed import MALFORMED
 from ..objects.api import ObjectStore, StoredObject, VersionConflict
 from ..objects.relay import RELAY_PATH, handle_relayed_call
+from .limits import LIMITS_PREFIX, RateLimits
 from .sharing import COPIES_PREFIX, CopiesApp
 
 GATEWAYS_PREFIX = "gateways/"
@@ -128,24 +129,30 @@
 
 @attrs.frozen
 class PeerInterface:
-    """WSGI application for other gateways: batches, listing copies and relayed object API calls."""
+    """WSGI application for other gateways.
+
+    Serves batches, listing copies, relayed object API calls and rate limits.
+    """
 
     batches: PeerApp
     copies: CopiesApp
     # The direct store, so that a relayed call is not relayed again.
     store: ObjectStore
+    limits: RateLimits
 
     def __call__(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
         """Serve one request."""
         path = environ["PATH_INFO"]
-        if path != RELAY_PATH and not path.startswith(COPIES_PREFIX):
+        if path != RELAY_PATH and not path.startswith((COPIES_PREFIX, LIMITS_PREFIX)):
             return self.batches(environ, start_response)
         status, body = HTTPStatus.OK, b""
         try:
             if path == RELAY_PATH:
                 body = handle_relayed_call(self.store, environ["wsgi.input"].read())
+            elif path.startswith(LIMITS_PREFIX):
+                status, body = self.limits.answer(path, environ["wsgi.input"].read())
             else:
                 status, body = self.copies.answer(environ)
         except MALFORMED as error:
--- a/src/pistachionotch/gateway/sharing.py
+++ b/src/pistachionotch/gateway/sharing.py
@@ -13,7 +13,7 @@
 from collections import deque
 from collections.abc import Callable, Mapping
 from http import HTTPStatus
-from typing import Any
+from typing import Any, Protocol
 from urllib.parse import parse_qs, urlencode
 
 import attrs
@@ -58,6 +58,24 @@
     token: str
     is_snapshot: bool
     objects: Delta
+    # Changes of rate limits for the requesting gateway; None if it did not ask for them.
+    limits: Any = None
+
+
+class LimitChanges(Protocol):
+    """Source and target of the rate limits that travel with the copies."""
+
+    # State last received, by the gateway that sent it.
+    tokens: dict[str, str]
+
+    def has_changes(self, token: str) -> bool:
+        """Return whether limits have changed since the state that a token identifies."""
+
+    def changes(self, token: str) -> list[Any]:
+        """Return the token of the current state, and the changes since that of ``token``."""
+
+    def apply_changes(self, node: str, changes: Any) -> None:
+        """Apply the changes received from another gateway; raises one of ``MALFORMED``."""
 
 
 @attrs.define
@@ -118,6 +136,9 @@
     rng: random.Random
     # Addresses of the other gateways by node.
     other_gateways: Callable[[], Mapping[str, Address]]
+    # The rate limits, and the prefix of the listing with whose copies they travel.
+    limits: LimitChanges | None = None
+    limits_prefix: str = ""
     avoided: dict[str, int] = attrs.field(factory=dict)
     # The watcher in use until it fails, and the last state received from it by prefix.
     current: str = ""
@@ -179,8 +200,11 @@
 
     def _request_copy(self, address: Address, prefix: str, token: str) -> ListingCopy | None:
         connection: Connection | None = None
-        query = urlencode({"since": token, "wait_ms": WAIT_MS})
-        target = f"{COPIES_PREFIX}{prefix}?{query}"
+        fields = {"since": token, "wait_ms": str(WAIT_MS)}
+        node = self.current
+        if self.limits is not None and prefix == self.limits_prefix:
+            fields["limits"] = self.limits.tokens.get(node, "")
+        target = f"{COPIES_PREFIX}{prefix}?{urlencode(fields)}"
         try:
             connection = self.pool.take(address, COPIES_PREFIX, CONNECT_TIMEOUT_MS)
             connection.send("GET", target, [("Host", str(address))], b"", RESPONSE_TIMEOUT_MS)
@@ -197,7 +221,10 @@
         if head.status != HTTPStatus.OK:
             return None
         try:
-            return load_copy(body)
+            copy = load_copy(body)
+            if copy.limits is not None and self.limits is not None:
+                self.limits.apply_changes(node, copy.limits)
+            return copy
         except MALFORMED as error:
             logger("gateway").warning(
                 "malformed listing copy", peer=str(address), error=repr(error)
@@ -211,12 +238,22 @@
 
     # Returns the changes under a prefix since a state; waits if there are none yet.
     copy_of: Callable[[str, str, int], ListingCopy | None]
+    limits: LimitChanges | None = None
 
     def answer(self, environ: dict[str, Any]) -> tuple[HTTPStatus, bytes]:
         """Return status and body for one request."""
         prefix = environ["PATH_INFO"].removeprefix(COPIES_PREFIX)
         query = parse_qs(environ["QUERY_STRING"], keep_blank_values=True)
-        copy = self.copy_of(prefix, query["since"][0], int(query["wait_ms"][0]))
+        wait_ms = int(query["wait_ms"][0])
+        limits_token = query["limits"][0] if "limits" in query else None
+        if self.limits is None or limits_token is None:
+            copy = self.copy_of(prefix, query["since"][0], wait_ms)
+        else:
+            if self.limits.has_changes(limits_token):
+                wait_ms = 0
+            copy = self.copy_of(prefix, query["since"][0], wait_ms)
+            if copy is not None:
+                copy = attrs.evolve(copy, limits=self.limits.changes(limits_token))
         if copy is None:
             return HTTPStatus.NOT_FOUND, b""
         return HTTPStatus.OK, dump_copy(copy)
@@ -228,12 +265,15 @@
         key: None if stored is None else [stored.version, stored.value]
         for key, stored in copy.objects.items()
     }
-    return cbor2.dumps([copy.revision, copy.age_ms, copy.token, copy.is_snapshot, objects])
+    fields = [copy.revision, copy.age_ms, copy.token, copy.is_snapshot, objects]
+    if copy.limits is not None:
+        fields.append(copy.limits)
+    return cbor2.dumps(fields)
 
 
 def load_copy(body: bytes) -> ListingCopy:
     """Decode a copy from CBOR; raises one of ``MALFORMED``."""
-    revision, age_ms, token, is_snapshot, fields = load_cbor(body)
+    revision, age_ms, token, is_snapshot, fields, *limits = load_cbor(body)
     objects: Delta = {}
     for key, each in fields.items():
         objects[str(key)] = None if each is None else decode_stored_object(key, each[0], each[1])
@@ -243,4 +283,5 @@
         token=str(token),
         is_snapshot=bool(is_snapshot),
         objects=objects,
+        limits=limits[0] if limits else None,
     )
--- a/src/pistachionotch/gateway/upstream_protocol.py
+++ b/src/pistachionotch/gateway/upstream_protocol.py
@@ -10,6 +10,7 @@
 from returns.result import Result
 
 from ..http_client import Header, ResponseHead
+from ..limits.pacer import PermitWant
 from ..objects.api import StoredObject, StoreError
 from .catalog import Catalog
 from .upstreams import UpstreamRecord
@@ -27,13 +28,15 @@
 
 @attrs.frozen(kw_only=True)
 class RateLimitHeader:
-    """The rate limit named in the head of a response."""
+    """What the head of a response states about the upstream's rate limit."""
 
-    # Requests per second that the upstream accepts from all gateways together; None if no valid
-    # limit is named.
+    # Requests per second that the upstream accepts from all gateways together; None if it names no
+    # limit, or none that can be read.
     per_second: float | None = None
-    # The header's value if part of it could not be read or it occurs several times.
+    # The named values if one of them could not be read or there are several.
     questionable: str = ""
+    # Whether the response states anything; otherwise the former limit still holds.
+    stated: bool = True
 
 
 @attrs.frozen(kw_only=True)
@@ -55,6 +58,8 @@
     # Priority; 0 is the highest.
     urgency: int | None = None
     purpose: RequestPurpose = RequestPurpose.CALL
+    # How the request waits for a permit if the upstream has announced a rate limit.
+    want: PermitWant = PermitWant()
 
 
 @attrs.frozen(kw_only=True)
--- a/src/pistachionotch/gateway/upstreams.py
+++ b/src/pistachionotch/gateway/upstreams.py
@@ -4,10 +4,12 @@
 
 import math
 from collections.abc import Iterable
+from typing import Protocol
 
 import attrs
 
 from ..config.spec import Address
+from ..limits.pacer import BURST_S
 
 # Weight of a new sample in the moving average of response times.
 RESPONSE_TIME_WEIGHT = 0.2
@@ -86,8 +88,6 @@
     attempt_ms: int = 0
     # Whether one of its responses announced that it is leaving.
     announced_leaving: bool = False
-    # Rate limit in requests per second that its last response named; None if it named none.
-    announced_limit: float | None = None
     # Highest weight versions seen in its responses; registrations lag behind.
     seen_versions: dict[str, int] = attrs.field(factory=dict)
 
@@ -189,6 +189,28 @@
     return average + weight * (sample - average)
 
 
+class RateLimitView(Protocol):
+    """The rate limits of upstreams, as far as the selection of an upstream needs them."""
+
+    def limit(self, upstream: UpstreamRecord) -> float | None:
+        """Return the limit of an upstream in requests per second, None if there is none."""
+
+    def rejected_for_ms(self, upstream: UpstreamRecord, urgency: int = 0) -> int:
+        """Return the time for which requests of this urgency would be rejected, 0 if none."""
+
+
+class Unlimited:
+    """The view of a process whose upstreams announce no limits."""
+
+    def limit(self, upstream: UpstreamRecord) -> float | None:
+        """Return None."""
+        return None
+
+    def rejected_for_ms(self, upstream: UpstreamRecord, urgency: int = 0) -> int:
+        """Return 0."""
+        return 0
+
+
 @attrs.define
 class UpstreamTable:
     """All known upstreams by instance."""
@@ -198,6 +220,7 @@
     leaving_incarnations: dict[str, int] = attrs.field(factory=dict)
     # Revision of the newest applied listing.
     revision: int = -1
+    rate_limits: RateLimitView = attrs.field(factory=Unlimited)
 
     def replace(
         self, records: Iterable[UpstreamRecord], revision: int, now_ms: int = 0
@@ -228,6 +251,11 @@
                 del self.leaving_incarnations[peer]
         return gone
 
+    def burst(self, upstream: Upstream) -> int | None:
+        """Return how many requests an upstream accepts at once, None if it has no rate limit."""
+        limit = self.rate_limits.limit(upstream.record)
+        return None if limit is None else max(1, int(limit * BURST_S))
+
     def available_for(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service that accept new requests."""
         return [
--- /dev/null
+++ b/src/pistachionotch/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Rate limits that upstreams announce, and the permits by which gateways share them."""
--- a/src/pistachionotch/platform/upstream.py
+++ b/src/pistachionotch/platform/upstream.py
@@ -131,7 +131,12 @@
             not_run=bool(head.get(NOT_RUN_HEADER)) or misdirected,
             proof=head.get(PROOF_HEADER),
             leaving=bool(head.get(LEAVING_HEADER)),
-            rate_limit=_parse_rate_limit(head.get_all(RATE_LIMIT_HEADER)),
+            # A misdirected request is answered by another server, which has its own limit.
+            rate_limit=(
+                RateLimitHeader(stated=False)
+                if misdirected
+                else _parse_rate_limit(head.get_all(RATE_LIMIT_HEADER))
+            ),
             versions=_parse_versions(head.get(VERSIONS_HEADER)),
         )
 
@@ -200,6 +205,7 @@
     return RateLimitHeader(
         per_second=min(limits, default=None),
         questionable="" if sound else ",".join(parts) or "(empty)",
+        stated=bool(limits) or not parts,
     )
 
 
--- a/tests/unit/gateway/test_malformed_messages.py
+++ b/tests/unit/gateway/test_malformed_messages.py
@@ -19,6 +19,7 @@
 from pistachionotch.batches.peers import PeerApp, PeerClient, PeerRequestFailed, PeerUnreachable
 from pistachionotch.clock import SystemClock
 from pistachionotch.config.spec import Address
+from pistachionotch.gateway.limits import RateLimits
 from pistachionotch.gateway.peers import PeerInterface
 from pistachionotch.gateway.sharing import CopiesApp, Watchers
 from pistachionotch.http_client import ConnectionPool
@@ -194,16 +195,36 @@
         return lambda *arguments: None
 
 
+def make_limits():
+    return RateLimits(
+        "gateway-1",
+        SystemClock(),
+        random.Random(1),
+        ConnectionPool(SystemClock()),
+        dict,
+        dict,
+        structlog.get_logger(),
+    )
+
+
 @FEW
 @given(
     st.sampled_from(["POST", "PUT", "GET", "DELETE"]),
-    st.sampled_from(["/batches/b", "/owners/b", "/copies/servers/", "/relay", "/other"]),
+    st.sampled_from(
+        ["/batches/b", "/owners/b", "/copies/servers/", "/relay", "/other"]
+        + ["/limits/permits", "/limits/announcements"]
+    ),
     BODIES,
-    st.sampled_from(["", "position=x&wait_ms=1", "since=&wait_ms=-", "node=n", "since=a"]),
+    st.sampled_from(
+        ["", "position=x&wait_ms=1", "since=&wait_ms=-", "node=n", "since=a", "since=&limits=x:y"]
+    ),
 )
 def test_a_malformed_question_of_a_peer_gets_a_400(method, path, body, query):
     statuses = []
-    app = PeerInterface(PeerApp(Nothing(), "1"), CopiesApp(lambda *arguments: None), MemoryStore())
+    limits = make_limits()
+    app = PeerInterface(
+        PeerApp(Nothing(), "1"), CopiesApp(lambda *arguments: None, limits), MemoryStore(), limits
+    )
     app(Environ(method, path, body, query), lambda status, headers: statuses.append(status))
     assert statuses and int(statuses[0][:3]) in (200, 400, 404, 410, 503)
 
--- a/tests/unit/platform/test_rate_limit_header.py
+++ b/tests/unit/platform/test_rate_limit_header.py
@@ -26,7 +26,8 @@
     "value", ["", "-1", "+1", "inf", "Infinity", "nan", "1e3", "1.", ".5", "0x2", "1_0", "9" * 400]
 )
 def test_other_values_are_no_limit_but_reported(value):
-    assert read(value) == RateLimitHeader(per_second=None, questionable=value or "(empty)")
+    expected = RateLimitHeader(per_second=None, questionable=value or "(empty)", stated=False)
+    assert read(value) == expected
 
 
 def test_repeated_header_counts_with_its_lowest_limit():
@@ -35,5 +36,12 @@
     assert read("x", "4") == RateLimitHeader(per_second=4.0, questionable="x,4")
 
 
+def test_answer_of_another_server_states_nothing():
+    protocol = ServerProtocol()
+    head = ResponseHead(421, (("server-limit", "3"), ("not-run", "1")))
+    stated = protocol.read_response(protocol.report_request("i-1"), head).rate_limit
+    assert stated == RateLimitHeader(stated=False)
+
+
 def test_absent_header_is_no_limit():
     assert read() == RateLimitHeader()
