--- a/src/pistachionotch/batches/dispatch.py
+++ b/src/pistachionotch/batches/dispatch.py
@@ -58,6 +58,8 @@
     started: bool = False
     # Whether the trainer can do without the item's group.
     optional: bool = False
+    # Priority of the batch's route; 0 is the highest.
+    priority: int = 0
     # Engines to avoid, for example those that failed this item.
     avoid: frozenset[str] = frozenset()
 
@@ -79,6 +81,12 @@
     suspect: bool = False
     # Whether it has announced a rate limit; ``free_slots`` is then at most what it accepts at once.
     rate_limited: bool = False
+    # Its rate limit leaves nothing for items of this or a less urgent priority.
+    rejects_from: int | None = None
+
+    def accepts(self, priority: int) -> bool:
+        """Return whether its rate limit leaves room for an item of this priority."""
+        return self.rejects_from is None or priority < self.rejects_from
 
 
 @attrs.frozen(kw_only=True)
@@ -186,7 +194,9 @@
     best = None
     best_cost = math.inf
     eligible = [
-        engine for engine in engines if engine.versions.get(item.model, -1) >= item.min_version
+        engine
+        for engine in engines
+        if engine.versions.get(item.model, -1) >= item.min_version and engine.accepts(item.priority)
     ]
     preferred = [engine for engine in eligible if engine.instance not in item.avoid]
     for engine in preferred or eligible:
@@ -224,7 +234,7 @@
             continue
         target = None
         for engine in engines:
-            if engine.free_slots <= 0 or engine.event_ms is None:
+            if engine.free_slots <= 0 or engine.event_ms is None or engine.rejects_from is not None:
                 continue
             if engine.versions.get(item.model, -1) < item.min_version:
                 continue
--- a/src/pistachionotch/batches/owner.py
+++ b/src/pistachionotch/batches/owner.py
@@ -137,7 +137,7 @@
                 if not (state.running or state.reward_call_running or state.finished):
                     self._finish(run, state, False, "its time in the queue is up")
             return []
-        return run.waiting()
+        return run.waiting(route.priority)
 
     def _engine_candidates(self, service: str) -> list[EngineCandidate]:
         now_ms = self.clock.now_ms()
@@ -146,8 +146,6 @@
             if max(upstream.full_until_ms, upstream.backoff_until_ms) > now_ms:
                 continue
             record = upstream.record
-            if self.table.rate_limits.rejected_for_ms(record) > PERMIT_WAIT_MS:
-                continue
             burst = self.table.burst(upstream)
             free_slots = upstream.free_slots()
             models = record.versions.keys() | upstream.seen_versions.keys()
@@ -162,6 +160,7 @@
                     other_region=self.zone_regions.get(record.zone) != self.region,
                     suspect=upstream.is_suspect(now_ms),
                     rate_limited=burst is not None,
+                    rejects_from=self.table.rate_limits.rejects_from(record, PERMIT_WAIT_MS),
                 )
             )
         return engines
--- a/src/pistachionotch/batches/run.py
+++ b/src/pistachionotch/batches/run.py
@@ -130,8 +130,8 @@
         """Whether items may start."""
         return not (self.ended or self.stopped)
 
-    def waiting(self) -> list[WaitingItem]:
-        """Return the items that may start."""
+    def waiting(self, priority: int = 0) -> list[WaitingItem]:
+        """Return the items that may start, with the priority of their route."""
         if not self.open:
             return []
         submission = self.head.submission
@@ -146,6 +146,7 @@
                 expected_tokens=state.item.expected_tokens,
                 started=bool(state.texts),
                 optional=state.item.group in self.optional,
+                priority=priority,
                 avoid=frozenset({*state.avoid, state.moved_from} - {""}),
             )
             for state in self.progress.values()
--- a/src/pistachionotch/batches/scoring.py
+++ b/src/pistachionotch/batches/scoring.py
@@ -63,7 +63,8 @@
                 by_services.setdefault(services, []).append((waiting, route))
         for services, pairs in by_services.items():
             routes = {(waiting.batch, waiting.item): route for waiting, route in pairs}
-            free = count_free_slots(self._server_capacities(services, now_ms))
+            priority = min(route.priority for _waiting, route in pairs)
+            free = count_free_slots(self._server_capacities(services, priority, now_ms))
             for waiting in plan_reward_calls((waiting for waiting, _route in pairs), free, now_ms):
                 run = by_id[waiting.batch]
                 route = routes[(waiting.batch, waiting.item)]
@@ -76,13 +77,15 @@
             task.kill(block=False)
         return stopped
 
-    def _server_capacities(self, services: tuple[str, ...], now_ms: int) -> list[ServerCapacity]:
+    def _server_capacities(
+        self, services: tuple[str, ...], priority: int, now_ms: int
+    ) -> list[ServerCapacity]:
         return [
             ServerCapacity(
                 slots=upstream.record.slots,
                 in_flight=upstream.in_flight,
                 full=upstream.full_until_ms > now_ms
-                or self.table.rate_limits.rejected_for_ms(upstream.record) > 0,
+                or self.table.rate_limits.rejected_for_ms(upstream.record, priority) > 0,
                 failing=upstream.backoff_until_ms > now_ms,
                 burst=self.table.burst(upstream),
             )
--- a/src/pistachionotch/gateway/calls.py
+++ b/src/pistachionotch/gateway/calls.py
@@ -130,6 +130,7 @@
         The latter happens once, to learn when the call should return.
         """
         limits = self.table.rate_limits
+        want = self._permit_want(progress)
         excluded = progress.tried | progress.rate_limited.keys()
         limited = {
             each.record.instance for each in candidates if limits.limit(each.record) is not None
@@ -137,7 +138,7 @@
         rejecting = {
             each.record.instance
             for each in candidates
-            if limits.rejected_for_ms(each.record, progress.route.priority)
+            if limits.rejected_for_ms(each.record, want.urgency) > want.max_wait_ms
         }
         choice = select_upstream(
             candidates, excluded | rejecting, self.zone, self.regions, now_ms, self.rng, limited
--- a/src/pistachionotch/gateway/limits.py
+++ b/src/pistachionotch/gateway/limits.py
@@ -181,7 +181,7 @@
         """Return the limit of an upstream in requests per second, None if there is none."""
         return self.board.limit(upstream.incarnation)
 
-    def rejected_for_ms(self, upstream: UpstreamRecord, urgency: int = 0) -> int:
+    def rejected_for_ms(self, upstream: UpstreamRecord, urgency: int) -> int:
         """Return the time for which requests of this urgency would be rejected, 0 if none."""
         key = upstream.incarnation
         rejection = self.rejections.get(key)
@@ -189,6 +189,14 @@
             return 0
         return max(0, rejection.until_ms - self.clock.now_ms())
 
+    def rejects_from(self, upstream: UpstreamRecord, max_wait_ms: int) -> int | None:
+        """Return the urgency from which requests that wait no longer are rejected, if any."""
+        rejection = self.rejections.get(upstream.incarnation)
+        if rejection is None:
+            return None
+        rejected_ms = self.rejected_for_ms(upstream, rejection.urgency)
+        return rejection.urgency if rejected_ms > max_wait_ms else None
+
     def acquire(self, upstream: UpstreamRecord, request: UpstreamRequest) -> SendPermit | None:
         """Wait for the permit of a request; returns None if the upstream has no limit.
 
--- a/src/pistachionotch/gateway/upstreams.py
+++ b/src/pistachionotch/gateway/upstreams.py
@@ -195,9 +195,12 @@
     def limit(self, upstream: UpstreamRecord) -> float | None:
         """Return the limit of an upstream in requests per second, None if there is none."""
 
-    def rejected_for_ms(self, upstream: UpstreamRecord, urgency: int = 0) -> int:
+    def rejected_for_ms(self, upstream: UpstreamRecord, urgency: int) -> int:
         """Return the time for which requests of this urgency would be rejected, 0 if none."""
 
+    def rejects_from(self, upstream: UpstreamRecord, max_wait_ms: int) -> int | None:
+        """Return the urgency from which requests that wait no longer are rejected, if any."""
+
 
 class Unlimited:
     """The view of a process whose upstreams announce no limits."""
@@ -206,10 +209,14 @@
         """Return None."""
         return None
 
-    def rejected_for_ms(self, upstream: UpstreamRecord, urgency: int = 0) -> int:
+    def rejected_for_ms(self, upstream: UpstreamRecord, urgency: int) -> int:
         """Return 0."""
         return 0
 
+    def rejects_from(self, upstream: UpstreamRecord, max_wait_ms: int) -> int | None:
+        """Return None."""
+        return None
+
 
 @attrs.define
 class UpstreamTable:
--- a/tests/support/soak.py
+++ b/tests/support/soak.py
@@ -88,6 +88,8 @@
             self._store_trouble,
             self._server_trouble,
             self._leave,
+            self._name_limits,
+            self._name_limits,
             self._name_version,
             self._name_version,
             self._change_config,
@@ -184,6 +186,14 @@
         self.platform.register(name)
         self.leaving.discard(name)
 
+    def _name_limits(self):
+        """Let a server name several limits one after the other; the last one stays."""
+        name = self.rng.choice(self.platform.servers)
+        for _ in range(self.rng.randint(1, 3)):
+            limit = self.rng.choice([[], ["0.5"], ["1"], ["3"], ["8"], ["x"], ["6", "2"], ["0"]])
+            self.platform.faults(name, limit=limit)
+            gevent.sleep(self.rng.uniform(0.1, 3.0))
+
     def _name_version(self):
         self.named += 1
         self.platform.write("versions", MODEL, {"model": MODEL, "version": self.named})
@@ -196,6 +206,7 @@
             proxy.mend()
         self.platform.faults("store", outage=False, lose_answers=0, lose_writes=0, slow_ms=0)
         for name in self.platform.servers:
+            self.platform.faults(name, limit=[])
             self.platform.register(name)
 
 
--- a/tests/support/soak_oracle.py
+++ b/tests/support/soak_oracle.py
@@ -30,9 +30,19 @@
     problems += check_departures(shop_runs + item_runs, departures, leaving_bound_s)
     for name in platform.servers:
         problems += check_orders(name, platform.fetch(name, "/runs")["orders"])
+        problems += check_limits(name, platform.fetch(name, "/arrivals")["breaches"])
     return problems
 
 
+def check_limits(name, breaches):
+    """Check that a server got no more requests in any window than its named limits allow."""
+    return [
+        f"{name}: {breach['requests']} requests in 4 s at {breach['at']:.1f}, "
+        f"allowed {breach['allowed']:.1f}"
+        for breach in breaches
+    ]
+
+
 def check_calls(calls, runs):
     """Check that unsafe calls run once, refusals are true and answers are one's own."""
     problems = []
--- a/tests/unit/batches/test_dispatch.py
+++ b/tests/unit/batches/test_dispatch.py
@@ -270,3 +270,32 @@
     with_moves_ms = sum(last_item_ms(True, seed) for seed in range(20)) / 20
     without_moves_ms = sum(last_item_ms(False, seed) for seed in range(20)) / 20
     assert with_moves_ms - undelayed_ms < (without_moves_ms - undelayed_ms) / 2
+
+
+def test_items_that_an_engine_rejects_by_its_rate_limit_start_elsewhere_or_wait():
+    engines = [engine("limited", rate_limited=True, rejects_from=1, free_slots=4)]
+    assert plan_starts([waiting("a", priority=1)], engines, {("b", "g"): "limited"}) == []
+    starts = plan_starts([waiting("a", priority=1), waiting("u", priority=0)], engines, {})
+    assert [start.item.item for start in starts] == ["u"]
+    engines.append(engine("free"))
+    (start,) = plan_starts([waiting("a", priority=1)], engines, {("b", "g"): "limited"})
+    assert start.instance == "free"
+
+
+def test_short_slowdowns_do_not_spend_requests_of_rate_limited_engines():
+    item = RunningItem(
+        batch="b",
+        item="long",
+        instance="slow",
+        model="m",
+        min_version=5,
+        due_ms=0,
+        started_ms=0,
+        events=LONG_ITEM_EVENTS,
+    )
+    engines = [engine("slow", event_ms=50.0, recent_event_ms=200.0)]
+    engines.append(engine("other", event_ms=50.0, recent_event_ms=50.0))
+    now_ms = TRANSIENT_MIN_STAY_MS
+    assert len(plan_transient_moves([item], engines, set(), now_ms)) == 1
+    engines[1] = engine("other", event_ms=50.0, recent_event_ms=50.0, rate_limited=True)
+    assert plan_transient_moves([item], engines, set(), now_ms) == []
