Hand pacing over when a gateway stops, and split the permits from the exchange of limits

A stopping gateway now tells that it no longer grants permits, so its deputy grants the whole limit at once; a restarted one, which its peers know already, shares for 2 s only. A rate-limited engine that refuses a request is left alone for 800 ms, since refused requests count too.

--- a/src/pistachionotch/batches/attempts.py
+++ b/src/pistachionotch/batches/attempts.py
@@ -134,7 +134,10 @@
     def _handle_refusal(self, state: ItemProgress, exchange: Exchange) -> AttemptOutcome:
         status = exchange.response.head.status
         if exchange.response.not_run:
-            exchange.upstream.record_engine_refusal(self.clock.now_ms())
+            upstream = exchange.upstream
+            limits = self.client.limits
+            rate_limited = limits is not None and limits.limit(upstream.record) is not None
+            upstream.record_engine_refusal(self.clock.now_ms(), rate_limited)
             return AttemptOutcome.REFUSED
         if status == UNPROCESSABLE_CONTENT:
             return AttemptOutcome.IMPOSSIBLE
--- /dev/null
+++ b/src/pistachionotch/gateway/call_selection.py
@@ -0,0 +1,90 @@
+"""Selection of the upstream for a call when some upstreams have announced a rate limit."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Collection, Mapping
+
+import attrs
+
+from ..clock import Clock
+from ..limits.pacer import PermitWant
+from .catalog import Route
+from .load_balancing import NoCapacity, SelectedUpstream, select_upstream
+from .upstreams import UpstreamTable
+
+# A call waits for its permit for at most these shares of its route's objective and of its
+# remaining time.
+PERMIT_WAIT_OBJECTIVE_SHARE = 0.5
+PERMIT_WAIT_BUDGET_SHARE = 0.25
+
+
+@attrs.define
+class CallSelector:
+    """Selects upstreams for calls, those without a rate limit first."""
+
+    clock: Clock
+    rng: random.Random
+    zone: str
+    regions: dict[str, str]
+    table: UpstreamTable
+
+    def select(
+        self,
+        service: str,
+        want: PermitWant,
+        tried: Collection[str],
+        rate_limited: Mapping[str, int],
+    ) -> SelectedUpstream | NoCapacity:
+        """Return an upstream that may accept the call now.
+
+        ``rate_limited`` has the upstreams that have rejected the call by their rate limit, and the
+        times to return in ms. If all others are known to reject it too, one of them is selected
+        nevertheless, once, since its rejection tells when the call should return.
+        """
+        now_ms = self.clock.now_ms()
+        limits = self.table.rate_limits
+        candidates = self.table.available_for(service)
+        excluded = {*tried, *rate_limited}
+        rejecting = set()
+        limited = set()
+        for each in candidates:
+            if limits.limit(each.record) is None:
+                continue
+            limited.add(each.record.instance)
+            if limits.rejected_for_ms(each.record, want.urgency) > want.max_wait_ms:
+                rejecting.add(each.record.instance)
+        choice = select_upstream(
+            candidates, excluded | rejecting, self.zone, self.regions, now_ms, self.rng, limited
+        )
+        if not isinstance(choice, NoCapacity):
+            return choice
+        if rate_limited:
+            return _describe_limits(choice, rate_limited)
+        if not rejecting - excluded:
+            return choice
+        return select_upstream(
+            candidates, excluded, self.zone, self.regions, now_ms, self.rng, limited
+        )
+
+    def permit_want(self, route: Route, service: str, left_ms: int) -> PermitWant:
+        """Return how a call waits for its permit at a rate-limited upstream."""
+        limits = self.table.rate_limits
+        alternatives = 0
+        for each in self.table.available_for(service):
+            if limits.limit(each.record) is not None:
+                alternatives += 1
+        objective_ms = route.objective_ms * PERMIT_WAIT_OBJECTIVE_SHARE
+        return PermitWant(
+            urgency=route.priority,
+            max_wait_ms=int(min(objective_ms, left_ms * PERMIT_WAIT_BUDGET_SHARE)),
+            alternatives=alternatives,
+        )
+
+
+def _describe_limits(choice: NoCapacity, rate_limited: Mapping[str, int]) -> NoCapacity:
+    """Return the failure of a call that rate limits contributed to."""
+    retry_ms = min(rate_limited.values())
+    if choice.left == 0:
+        return NoCapacity("rate limits", retry_ms)
+    return NoCapacity(choice.reason, min(retry_ms, choice.retry_after_ms), choice.left)
--- a/src/pistachionotch/gateway/calls.py
+++ b/src/pistachionotch/gateway/calls.py
@@ -10,12 +10,12 @@
 
 from ..clock import Clock
 from ..http_client import ExchangeError
-from ..limits.pacer import PermitWant
 from ..measures import Measures
+from .call_selection import CallSelector
 from .catalog import Route
 from .exchange import Exchange, UpstreamClient
 from .limits import RateLimitedError
-from .load_balancing import NoCapacity, SelectedUpstream, select_upstream
+from .load_balancing import NoCapacity
 from .responses import (
     BufferedResponse,
     CallFailure,
@@ -28,10 +28,6 @@
 from .upstream_protocol import UpstreamProtocol, UpstreamRequest
 from .upstreams import Upstream, UpstreamTable
 
-# A call waits for its permit for at most these shares of its route's objective and of its
-# remaining time.
-PERMIT_WAIT_OBJECTIVE_SHARE = 0.5
-PERMIT_WAIT_BUDGET_SHARE = 0.25
 # Minimum remaining time for an attempt.
 MIN_ATTEMPT_MS = 10
 # Timeout for the response head of a repeatable attempt, as a multiple of the upstream's average
@@ -80,6 +76,10 @@
     protocol: UpstreamProtocol
     log: Any
     measures: Measures = attrs.field(factory=Measures)
+    selector: CallSelector = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.selector = CallSelector(self.clock, self.rng, self.zone, self.regions, self.table)
 
     def forward(self, call: ClientCall, route: Route) -> ClientResponse:
         """Return the response to a call, retrying at other upstreams if the route allows it."""
@@ -100,9 +100,9 @@
         return self._fail(progress)
 
     def _select_upstream(self, progress: _Progress, service: str) -> Upstream | None:
-        candidates = self.table.available_for(service)
         now_ms = self.clock.now_ms()
-        choice = self._select(progress, candidates, now_ms)
+        want = self.selector.permit_want(progress.route, service, progress.deadline_ms - now_ms)
+        choice = self.selector.select(service, want, progress.tried, progress.rate_limited)
         if isinstance(choice, NoCapacity):
             progress.reason = progress.reason or choice.reason
             progress.retry_after_ms = choice.retry_after_ms
@@ -115,69 +115,13 @@
             expected_ms=round(choice.expected_ms),
             in_flight=choice.upstream.in_flight,
             listing=self.table.revision,
-            candidates=len(candidates),
+            candidates=len(self.table.available_for(service)),
             limit=self.table.rate_limits.limit(choice.upstream.record),
             left_ms=progress.deadline_ms - now_ms,
             reason=choice.reason,
         )
         return choice.upstream
 
-    def _select(
-        self, progress: _Progress, candidates: list[Upstream], now_ms: int
-    ) -> SelectedUpstream | NoCapacity:
-        """Select among the upstreams that may accept a request now, or else ask one of the others.
-
-        The latter happens once, to learn when the call should return.
-        """
-        limits = self.table.rate_limits
-        want = self._permit_want(progress)
-        excluded = progress.tried | progress.rate_limited.keys()
-        limited = {
-            each.record.instance for each in candidates if limits.limit(each.record) is not None
-        }
-        rejecting = {
-            each.record.instance
-            for each in candidates
-            if limits.rejected_for_ms(each.record, want.urgency) > want.max_wait_ms
-        }
-        choice = select_upstream(
-            candidates, excluded | rejecting, self.zone, self.regions, now_ms, self.rng, limited
-        )
-        if not isinstance(choice, NoCapacity):
-            return choice
-        if rejecting - excluded and not progress.rate_limited:
-            others = select_upstream(
-                candidates, excluded, self.zone, self.regions, now_ms, self.rng, limited
-            )
-            if not isinstance(others, NoCapacity):
-                return others
-        if not progress.rate_limited:
-            return choice
-        retry_ms = min(progress.rate_limited.values())
-        if all(each.record.instance in excluded | rejecting for each in candidates):
-            return NoCapacity("rate limits", retry_ms)
-        return NoCapacity(choice.reason, min(retry_ms, choice.retry_after_ms))
-
-    def _permit_want(self, progress: _Progress) -> PermitWant:
-        route = progress.route
-        left_ms = progress.deadline_ms - self.clock.now_ms()
-        limits = self.table.rate_limits
-        alternatives = sum(
-            1
-            for each in self.table.available_for(progress.service)
-            if limits.limit(each.record) is not None
-        )
-        return PermitWant(
-            urgency=route.priority,
-            max_wait_ms=int(
-                min(
-                    route.objective_ms * PERMIT_WAIT_OBJECTIVE_SHARE,
-                    left_ms * PERMIT_WAIT_BUDGET_SHARE,
-                )
-            ),
-            alternatives=alternatives,
-        )
-
     def _attempt(self, progress: _Progress, upstream: Upstream) -> ClientResponse | None:
         """Return the response of one attempt, or None if another attempt may follow."""
         upstream.in_flight += 1
@@ -398,7 +342,7 @@
             budget_ms=left_ms,
             resume_after=call.resume_after,
             purpose=call.purpose,
-            want=self._permit_want(progress),
+            want=self.selector.permit_want(progress.route, progress.service, left_ms),
         )
 
     def _timed_out(self, progress: _Progress) -> ClientResponse:
--- a/src/pistachionotch/gateway/daemon.py
+++ b/src/pistachionotch/gateway/daemon.py
@@ -197,7 +197,7 @@
             listed=lambda: {each.record.incarnation for each in table.upstreams.values()},
         )
         table.rate_limits = limits
-        self.watchers.limits = limits
+        self.watchers.limits = limits.exchange
         self.watchers.limits_prefix = self.listings.upstreams_prefix
         return limits
 
@@ -228,7 +228,7 @@
                 settings.listen_peers,
                 PeerInterface(
                     PeerApp(self.batches, self.batches.local_owner.incarnation),
-                    CopiesApp(self.cluster.copy_of, self.limits),
+                    CopiesApp(self.cluster.copy_of, self.limits.exchange),
                     self.direct_store,
                     self.limits,
                 ),
@@ -247,7 +247,7 @@
             self.owner.run,
             self.orders.keep_lease,
             self.orders.run,
-            self.limits.exchange,
+            self.limits.exchange.run,
             self.limits.evict,
         ):
             self._spawn(task)
@@ -277,6 +277,8 @@
         while True:
             if not self.gateways.registered:
                 self.gateways.register()
+                if self.gateways.restarted:
+                    self.limits.broker.shorten_overlap()
             self.clock.sleep_ms(REGISTER_RETRY_MS)
 
     def _prune_gateways(self) -> None:
@@ -349,6 +351,7 @@
             return
         started_ms = self.clock.now_ms()
         self.state = "draining"
+        self.limits.broker.resigned = True
         logger("gateway").info("draining", reason=reason, open_requests=self.open_requests)
         self.clock.sleep_ms(READINESS_DELAY_MS)
         self.batches.draining = True
--- a/src/pistachionotch/gateway/limits.py
+++ b/src/pistachionotch/gateway/limits.py
@@ -1,61 +1,44 @@
-"""Permits for requests to rate-limited upstreams, and the exchange of limits between gateways.
+"""Permits for requests to upstreams that have announced a rate limit.
 
-A request to an upstream that has announced a limit needs a permit of the gateway that paces this
-upstream. Announcements are pushed to the watchers, and reach the other gateways with the listing
-copies that these fetch from the watchers.
+Each such request needs a permit of the gateway that paces this upstream. Requests of this process
+that wait at the same time are combined into one message.
 """
 
 from __future__ import annotations
 
 import random
-import secrets
 from collections import deque
 from collections.abc import Callable, Mapping
 from http import HTTPStatus
 from typing import Any
 
 import attrs
-import cbor2
 import gevent
-from gevent.event import AsyncResult, Event
+from gevent.event import AsyncResult
 
 from ..clock import MS_PER_SECOND, Clock
 from ..config.spec import Address
 from ..http_client import ConnectionPool, ExchangeError
 from ..limits.announcements import AnnouncementBoard
 from ..limits.broker import PermitBroker, PermitReply, PermitRequest
-from ..limits.messages import (
-    announcement_fields,
-    dump_reply,
-    dump_request,
-    load_reply,
-    load_request,
-    read_announcements,
-)
+from ..limits.messages import dump_reply, dump_request, load_reply, load_request
 from ..limits.pacer import MIN_PER_SECOND, Denial, Permit, PermitWant
-from ..malformed import MALFORMED, load_cbor
+from ..malformed import MALFORMED
 from ..measures import Measures
+from .limit_exchange import ANNOUNCEMENTS_PATH, LIMITS_PREFIX, LimitExchange, post_to_gateway
 from .upstream_protocol import UpstreamRequest, UpstreamResponse
 from .upstreams import UpstreamRecord
 
-LIMITS_PREFIX = "/limits/"
 PERMITS_PATH = LIMITS_PREFIX + "permits"
-ANNOUNCEMENTS_PATH = LIMITS_PREFIX + "announcements"
 # Timeout for each part of a request for permits. Round trips take at most 24 ms, and a client waits
 # meanwhile.
 PERMITS_TIMEOUT_MS = 200
-ANNOUNCEMENTS_TIMEOUT_MS = 400
 # A permit expires this long after its time, for example if this process was suspended.
 PERMIT_VALIDITY_MS = 1_000
-# Pause between two pushes of announcements, to coalesce bursts of changes.
-PUSH_PAUSE_MS = 100
-# Interval at which the watchers compare their announcements.
-COMPARE_INTERVAL_MS = 1_000
 # Interval at which state of upstreams that are gone is removed.
 EVICTION_INTERVAL_MS = 10_000
 # Period over which this gateway's own rate of requests is measured for the log.
 OWN_RATE_PERIOD_MS = 4_000
-CBOR_TYPE = ("Content-Type", "application/cbor")
 
 
 class RateLimitedError(ExchangeError):
@@ -115,10 +98,9 @@
     changed: Callable[[], None] = lambda: None
     # Incarnations of the listed upstreams.
     listed: Callable[[], set[str]] = set
-    # Distinguishes the versions of this board from those of earlier starts.
-    incarnation: str = attrs.field(factory=lambda: secrets.token_hex(4))
     board: AnnouncementBoard = attrs.field(factory=AnnouncementBoard)
     broker: PermitBroker = attrs.field(init=False)
+    exchange: LimitExchange = attrs.field(init=False)
     waiting: dict[str, list[_Waiter]] = attrs.field(factory=dict)
     asking: set[str] = attrs.field(factory=set)
     rejections: dict[str, _Rejection] = attrs.field(factory=dict)
@@ -126,10 +108,6 @@
     unused: dict[str, deque[SendPermit]] = attrs.field(factory=dict)
     # Times of this gateway's own requests under a limit.
     sent: dict[str, deque[int]] = attrs.field(factory=dict)
-    # Version of the board that each watcher has, and the state last received from it.
-    pushed: dict[str, int] = attrs.field(factory=dict)
-    tokens: dict[str, str] = attrs.field(factory=dict)
-    dirty: Event = attrs.field(factory=Event)
 
     def __attrs_post_init__(self) -> None:
         self.broker = PermitBroker(
@@ -140,6 +118,15 @@
             lambda: self.addresses().keys(),
             self._ask_gateway,
         )
+        self.exchange = LimitExchange(
+            self.node,
+            self.clock,
+            self.pool,
+            self.board,
+            self.active_watchers,
+            self.log,
+            self.changed,
+        )
 
     def record_response(
         self,
@@ -175,7 +162,7 @@
             purpose=request.purpose.value,
             status=response.head.status,
         )
-        self._publish()
+        self.exchange.publish()
 
     def limit(self, upstream: UpstreamRecord) -> float | None:
         """Return the limit of an upstream in requests per second, None if there is none."""
@@ -359,7 +346,10 @@
         address = self.addresses().get(node)
         if address is None:
             return None
-        body = self._post(address, PERMITS_PATH, dump_request(request), PERMITS_TIMEOUT_MS)
+        message = dump_request(request)
+        body = post_to_gateway(
+            self.pool, address, PERMITS_PATH, message, PERMITS_TIMEOUT_MS, self.log
+        )
         if body is None:
             self.measures.count("permit_requests", "unanswered")
             return None
@@ -372,108 +362,17 @@
         self.measures.count("permit_requests", "relayed" if request.relayed else "answered")
         return reply
 
-    def _post(self, address: Address, path: str, body: bytes, timeout_ms: int) -> bytes | None:
-        try:
-            head, reply = self.pool.ask(address, "POST", path, (CBOR_TYPE,), body, timeout_ms)
-        except ExchangeError as error:
-            self.log.warning("gateway unreachable", peer=str(address), reason=error.reason)
-            return None
-        if head.status != HTTPStatus.OK:
-            self.log.warning("request to a gateway failed", peer=str(address), status=head.status)
-            return None
-        return reply
-
     def answer(self, path: str, body: bytes) -> tuple[HTTPStatus, bytes]:
         """Answer a request of another gateway; raises one of ``MALFORMED``."""
         if path == PERMITS_PATH:
             version = self.board.version
             reply = self.broker.handle(load_request(body))
-            self._publish_since(version)
+            self.exchange.publish_since(version)
             return HTTPStatus.OK, dump_reply(reply)
         if path == ANNOUNCEMENTS_PATH:
-            token, fields = load_cbor(body)
-            self._merge(fields, "pushed")
-            return HTTPStatus.OK, cbor2.dumps(self.changes(str(token)))
+            return HTTPStatus.OK, self.exchange.answer(body)
         return HTTPStatus.NOT_FOUND, b""
 
-    def has_changes(self, token: str) -> bool:
-        """Return whether limits have changed since the state that a token identifies."""
-        return token != self._token()
-
-    def changes(self, token: str) -> list[Any]:
-        """Return the token of the current state, and the changes since that of ``token``."""
-        incarnation, _, number = token.partition(":")
-        known = incarnation == self.incarnation and number.isdigit()
-        since = self.board.since(int(number) if known else 0)
-        return [self._token(), announcement_fields(since, self.clock.now_ms())]
-
-    def apply_changes(self, node: str, changes: Any) -> None:
-        """Apply the changes received from another gateway; raises one of ``MALFORMED``."""
-        token, fields = changes
-        self._merge(fields, "copied")
-        self.tokens[node] = str(token)
-
-    def _token(self) -> str:
-        return f"{self.incarnation}:{self.board.version}"
-
-    def _merge(self, fields: Any, source: str) -> None:
-        version = self.board.version
-        for upstream, stated in read_announcements(fields, self.clock.now_ms()).items():
-            former = self.board.limit(upstream)
-            if not self.board.merge(upstream, stated):
-                continue
-            self.log.info(
-                "rate limit received",
-                upstream=upstream,
-                limit=stated.per_second,
-                former=former,
-                age_ms=self.clock.now_ms() - stated.stated_ms,
-                source=source,
-            )
-        self._publish_since(version)
-
-    def _publish_since(self, version: int) -> None:
-        if self.board.version != version:
-            self._publish()
-
-    def _publish(self) -> None:
-        self.dirty.set()
-        self.changed()
-
-    def exchange(self) -> None:
-        """Push changed limits to the watchers, and compare the watchers' limits, forever."""
-        while True:
-            self.dirty.wait(COMPARE_INTERVAL_MS / MS_PER_SECOND)
-            self.dirty.clear()
-            self.push_announcements()
-            self.clock.sleep_ms(PUSH_PAUSE_MS)
-
-    def push_announcements(self) -> None:
-        """Send each watcher what it may not know; watchers also fetch what they miss."""
-        watchers = self.active_watchers()
-        for node, address in watchers.items():
-            if address is None:
-                continue
-            version = self.board.version
-            if self.pushed.get(node) == version and self.node not in watchers:
-                continue
-            self._push(node, address, version)
-
-    def _push(self, node: str, address: Address, version: int) -> None:
-        since = self.board.since(self.pushed.get(node, 0))
-        fields = announcement_fields(since, self.clock.now_ms())
-        body = cbor2.dumps([self.tokens.get(node, ""), fields])
-        reply = self._post(address, ANNOUNCEMENTS_PATH, body, ANNOUNCEMENTS_TIMEOUT_MS)
-        if reply is None:
-            # The watcher may have been replaced by one that knows nothing.
-            self.pushed.pop(node, None)
-            return
-        self.pushed[node] = version
-        try:
-            self.apply_changes(node, load_cbor(reply))
-        except MALFORMED as error:
-            self.log.warning("malformed rate limits", peer=node, error=repr(error))
-
     def evict(self) -> None:
         """Remove the state of upstreams that are gone, forever."""
         while True:
--- a/src/pistachionotch/gateway/load_balancing.py
+++ b/src/pistachionotch/gateway/load_balancing.py
@@ -48,6 +48,8 @@
 
     reason: str
     retry_after_ms: int
+    # Number of upstreams that would be used if they were not full.
+    left: int = 0
 
 
 def round_trip_ms(zone: str, other: str, regions: dict[str, str]) -> float:
@@ -84,7 +86,7 @@
         and upstream.in_flight < upstream.record.slots * MAX_CALLS_PER_SLOT
     ]
     if not available:
-        return NoCapacity("all upstreams are full", BUSY_RETRY_MS)
+        return NoCapacity("all upstreams are full", BUSY_RETRY_MS, len(untried))
     healthy = [upstream for upstream in available if upstream.backoff_until_ms <= now_ms]
     best = None
     best_ms = 0.0
--- a/src/pistachionotch/gateway/peers.py
+++ b/src/pistachionotch/gateway/peers.py
@@ -20,7 +20,8 @@
 from ..malformed import MALFORMED
 from ..objects.api import ObjectStore, StoredObject, VersionConflict
 from ..objects.relay import RELAY_PATH, handle_relayed_call
-from .limits import LIMITS_PREFIX, RateLimits
+from .limit_exchange import LIMITS_PREFIX
+from .limits import RateLimits
 from .sharing import COPIES_PREFIX, CopiesApp
 
 GATEWAYS_PREFIX = "gateways/"
@@ -39,6 +40,8 @@
     processor: float = 0.0
     records: dict[str, GatewayRecord] = attrs.field(factory=dict)
     registered: bool = False
+    # Whether an earlier process of this gateway was registered when this one started.
+    restarted: bool = False
     versions: dict[str, int] = attrs.field(factory=dict)
     # Consecutive probes without an answer, by node.
     missed_probes: dict[str, int] = attrs.field(factory=dict)
@@ -77,6 +80,7 @@
         if isinstance(written, Failure):
             error = written.failure()
             if isinstance(error, VersionConflict) and error.current is not None:
+                self.restarted = True
                 written = self.store.put(key, value, error.current.version)
         self.registered = not isinstance(written, Failure)
         if not self.registered:
--- a/src/pistachionotch/gateway/upstreams.py
+++ b/src/pistachionotch/gateway/upstreams.py
@@ -19,6 +19,8 @@
 # request, it is probably loading weights. Loading takes 0.9 s, of which a third is left on average.
 LOADING_MAX_LOAD = 0.5
 LOADING_BACKOFF_MS = 300
+# The same for an engine with a rate limit, which counts the rejected requests too.
+RATE_LIMITED_BACKOFF_MS = 800
 # After a failed attempt, an upstream is only used as a last resort for this time. The backoff
 # doubles with each further failure up to the maximum.
 FAILURE_BACKOFF_MS = 400
@@ -162,10 +164,11 @@
         """Record that the upstream rejected a request because it was full."""
         self.full_until_ms = now_ms + FULL_BACKOFF_MS
 
-    def record_engine_refusal(self, now_ms: int) -> None:
+    def record_engine_refusal(self, now_ms: int, rate_limited: bool = False) -> None:
         """Record a rejection by an engine, which may be loading weights instead of being full."""
         loading = self.in_flight <= self.record.slots * LOADING_MAX_LOAD
-        self.full_until_ms = now_ms + (LOADING_BACKOFF_MS if loading else FULL_BACKOFF_MS)
+        backoff_ms = LOADING_BACKOFF_MS if loading else FULL_BACKOFF_MS
+        self.full_until_ms = now_ms + (RATE_LIMITED_BACKOFF_MS if rate_limited else backoff_ms)
 
     def record_failure(self, now_ms: int) -> None:
         """Record a broken or missing response; failures during a backoff do not extend it."""
--- a/src/pistachionotch/limits/broker.py
+++ b/src/pistachionotch/limits/broker.py
@@ -18,7 +18,7 @@
 
 from ..clock import Clock
 from .announcements import Announcement, AnnouncementBoard
-from .pacer import BURST_S, PermitWant, RatePacer, Verdict
+from .pacer import PermitWant, RatePacer, Verdict
 
 # Number of gateways that may pace an upstream: the first by hash, and its deputy.
 PACING_GATEWAYS = 2
@@ -28,6 +28,8 @@
 OVERLAP_SHARE = 0.5
 # Peers have listed a new gateway after this time at the latest.
 START_OVERLAP_MS = 5_000
+# Peers that have already listed a restarted gateway ask it again after this time at the latest.
+RESTART_OVERLAP_MS = 2_000
 # A gateway that has not answered for this time counts as lost.
 DEPUTY_OVERLAP_MS = 10_000
 # Pause before a gateway that did not answer is asked again.
@@ -57,17 +59,24 @@
     per_second: float | None
     age_ms: int
     verdicts: tuple[Verdict, ...]
-    # The gateway that decided, and the share of the limit that it grants.
+    # The gateway that decided, and the share of the limit that it grants. A gateway that is about
+    # to stop grants nothing any more; there are no verdicts then either.
     node: str
     share: float
 
+    @property
+    def resigned(self) -> bool:
+        """Whether the gateway is about to stop and leaves the decision to its deputy."""
+        return self.share <= 0.0
+
 
 @attrs.define
 class _Outage:
-    """A gateway that does not answer."""
+    """A gateway that does not answer, or has resigned."""
 
     since_ms: int
     retry_at_ms: int
+    resigned: bool
 
 
 AskGateway = Callable[[str, PermitRequest], PermitReply | None]
@@ -85,12 +94,20 @@
     other_gateways: Callable[[], Collection[str]]
     # Asks another gateway; returns None if it does not answer.
     ask: AskGateway
-    started_ms: int = attrs.field(init=False)
+    # Time until which other gateways may still be asked in place of this one.
+    overlap_until_ms: int = attrs.field(init=False)
+    # Whether this process is about to stop and no longer paces upstreams.
+    resigned: bool = False
     pacers: dict[str, RatePacer] = attrs.field(factory=dict)
     outages: dict[str, _Outage] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
-        self.started_ms = self.clock.now_ms()
+        self.overlap_until_ms = self.clock.now_ms() + START_OVERLAP_MS
+
+    def shorten_overlap(self) -> None:
+        """Record that the other gateways listed this one before its process started."""
+        shortened_ms = self.overlap_until_ms - START_OVERLAP_MS + RESTART_OVERLAP_MS
+        self.overlap_until_ms = min(self.overlap_until_ms, shortened_ms)
 
     def request(self, upstream: str, wants: Sequence[PermitWant]) -> PermitReply:
         """Return verdicts for this gateway's own requests."""
@@ -104,7 +121,7 @@
         reply = self._ask_first(ranked[:PACING_GATEWAYS], request)
         if reply is not None:
             return reply
-        if self.node in ranked[:PACING_GATEWAYS]:
+        if self.node in ranked[:PACING_GATEWAYS] and not self.resigned:
             return self._grant(request, self._pacing_share(ranked))
         # Cut off from both pacing gateways: all gateways in this state together stay within the
         # share of an overlap.
@@ -113,6 +130,8 @@
     def handle(self, request: PermitRequest) -> PermitReply:
         """Return verdicts for the requests of another gateway."""
         self._merge(request.upstream, request.per_second, request.age_ms)
+        if self.resigned:
+            return self._reply(request.upstream, (), 0.0)
         ranked = self._ranked(request.upstream)
         if not request.relayed:
             relayed = attrs.evolve(request, relayed=True)
@@ -142,6 +161,8 @@
         """Ask the gateways in turn, up to this one; returns None if none of them answers."""
         for node in nodes:
             if node == self.node:
+                if self.resigned:
+                    continue
                 return None
             reply = self._ask(node, request)
             if reply is not None:
@@ -154,9 +175,10 @@
             return None
         reply = self.ask(node, request)
         now_ms = self.clock.now_ms()
-        if reply is None:
+        if reply is None or reply.resigned:
             since_ms = now_ms if outage is None else outage.since_ms
-            self.outages[node] = _Outage(since_ms, now_ms + AVOID_MS)
+            resigned = reply is not None or (outage is not None and outage.resigned)
+            self.outages[node] = _Outage(since_ms, now_ms + AVOID_MS, resigned)
             return None
         self.outages.pop(node, None)
         self._merge(request.upstream, reply.per_second, reply.age_ms)
@@ -172,13 +194,15 @@
     def _pacing_share(self, ranked: Sequence[str]) -> float:
         """Return the share of the limit that this gateway may grant."""
         now_ms = self.clock.now_ms()
-        if now_ms - self.started_ms < START_OVERLAP_MS and len(ranked) > 1:
+        if now_ms < self.overlap_until_ms and len(ranked) > 1:
             return OVERLAP_SHARE
         first = ranked[0]
         if first == self.node:
             return 1.0
         outage = self.outages.get(first)
-        lost = outage is not None and now_ms - outage.since_ms >= DEPUTY_OVERLAP_MS
+        if outage is None:
+            return OVERLAP_SHARE
+        lost = outage.resigned or now_ms - outage.since_ms >= DEPUTY_OVERLAP_MS
         return 1.0 if lost else OVERLAP_SHARE
 
     def _grant(self, request: PermitRequest, share: float) -> PermitReply:
@@ -189,16 +213,19 @@
         if limit is not None:
             pacer = self.pacers.get(upstream)
             if pacer is None:
-                # Another gateway may just have granted a burst, unless there is no overlap.
-                tokens = limit * BURST_S if share == 1.0 else 0.0
+                # Another gateway, or unlimited traffic, may just have been a burst.
+                tokens = 1.0 if share == 1.0 else 0.0
                 pacer = RatePacer(self.rng, limit * share, now_ms, tokens)
                 self.pacers[upstream] = pacer
             pacer.change_rate(limit * share, now_ms)
             verdicts.extend(pacer.decide(want, now_ms) for want in request.wants)
+        return self._reply(upstream, tuple(verdicts), share)
+
+    def _reply(self, upstream: str, verdicts: tuple[Verdict, ...], share: float) -> PermitReply:
         return PermitReply(
-            per_second=limit,
+            per_second=self.board.limit(upstream),
             age_ms=self._age_ms(upstream),
-            verdicts=tuple(verdicts),
+            verdicts=verdicts,
             node=self.node,
             share=share,
         )
