--- a/src/pistachionotch/batches/dispatch.py
+++ b/src/pistachionotch/batches/dispatch.py
@@ -79,7 +79,7 @@
     other_region: bool = False
     # Whether it fails some of its requests while it answers others.
     suspect: bool = False
-    # Whether it has announced a rate limit; ``free_slots`` is then at most what it accepts at once.
+    # Whether it has announced a rate limit, which then bounds ``free_slots`` too.
     rate_limited: bool = False
     # Its rate limit leaves nothing for items of this or a less urgent priority.
     rejects_from: int | None = None
--- a/src/pistachionotch/batches/owner.py
+++ b/src/pistachionotch/batches/owner.py
@@ -146,20 +146,20 @@
             if max(upstream.full_until_ms, upstream.backoff_until_ms) > now_ms:
                 continue
             record = upstream.record
-            burst = self.table.burst(upstream)
+            permits = self.table.rate_limits.expected_permits(record)
             free_slots = upstream.free_slots()
             models = record.versions.keys() | upstream.seen_versions.keys()
             engines.append(
                 EngineCandidate(
                     instance=record.instance,
-                    free_slots=free_slots if burst is None else min(free_slots, burst),
+                    free_slots=free_slots if permits is None else min(free_slots, permits),
                     slots=record.slots,
                     versions={model: upstream.version(model) for model in models},
                     event_ms=upstream.event_interval_ms(now_ms),
                     recent_event_ms=upstream.recent_event_interval_ms(now_ms),
                     other_region=self.zone_regions.get(record.zone) != self.region,
                     suspect=upstream.is_suspect(now_ms),
-                    rate_limited=burst is not None,
+                    rate_limited=permits is not None,
                     rejects_from=self.table.rate_limits.rejects_from(record, PERMIT_WAIT_MS),
                 )
             )
--- a/src/pistachionotch/batches/rewards.py
+++ b/src/pistachionotch/batches/rewards.py
@@ -42,8 +42,8 @@
     # Whether it recently refused a call (full) or failed one (failing).
     full: bool
     failing: bool
-    # How many calls it accepts at once; None if it has announced no rate limit.
-    burst: int | None = None
+    # How many calls its rate limit leaves room for; None if it has announced none.
+    permits: int | None = None
 
 
 def count_free_slots(servers: Iterable[ServerCapacity]) -> int:
@@ -54,8 +54,8 @@
         if server.full:
             continue
         free_slots = max(1, int(server.slots * MAX_REWARD_SLOT_SHARE)) - server.in_flight
-        if server.burst is not None:
-            free_slots = min(free_slots, server.burst)
+        if server.permits is not None:
+            free_slots = min(free_slots, server.permits)
         if free_slots <= 0:
             continue
         if server.failing:
--- a/src/pistachionotch/batches/scoring.py
+++ b/src/pistachionotch/batches/scoring.py
@@ -87,7 +87,7 @@
                 full=upstream.full_until_ms > now_ms
                 or self.table.rate_limits.rejected_for_ms(upstream.record, priority) > 0,
                 failing=upstream.backoff_until_ms > now_ms,
-                burst=self.table.burst(upstream),
+                permits=self.table.rate_limits.expected_permits(upstream.record),
             )
             for service in services
             for upstream in self.table.available_for(service)
--- a/src/pistachionotch/gateway/limits.py
+++ b/src/pistachionotch/gateway/limits.py
@@ -22,7 +22,7 @@
 from ..limits.announcements import AnnouncementBoard
 from ..limits.broker import PermitBroker, PermitReply, PermitRequest
 from ..limits.messages import dump_reply, dump_request, load_reply, load_request
-from ..limits.pacer import MIN_PER_SECOND, Denial, Permit, PermitWant
+from ..limits.pacer import BURST_S, MIN_PER_SECOND, Denial, Permit, PermitWant
 from ..malformed import MALFORMED
 from ..measures import Measures
 from .limit_exchange import ANNOUNCEMENTS_PATH, LIMITS_PREFIX, LimitExchange, post_to_gateway
@@ -184,6 +184,19 @@
         rejected_ms = self.rejected_for_ms(upstream, rejection.urgency)
         return rejection.urgency if rejected_ms > max_wait_ms else None
 
+    def expected_permits(self, upstream: UpstreamRecord) -> int | None:
+        """Return how many requests an upstream may accept now, None if it has no limit."""
+        limit = self.board.limit(upstream.incarnation)
+        if limit is None:
+            return None
+        permits = int(limit * BURST_S)
+        rejection = self.rejections.get(upstream.incarnation)
+        if rejection is not None:
+            # One permit became available at the end of the rejection, more of them since then.
+            since_ms = max(0, self.clock.now_ms() - rejection.until_ms)
+            permits = min(permits, 1 + int(since_ms * limit / MS_PER_SECOND))
+        return max(1, permits)
+
     def acquire(self, upstream: UpstreamRecord, request: UpstreamRequest) -> SendPermit | None:
         """Wait for the permit of a request; returns None if the upstream has no limit.
 
--- a/src/pistachionotch/gateway/upstreams.py
+++ b/src/pistachionotch/gateway/upstreams.py
@@ -9,7 +9,6 @@
 import attrs
 
 from ..config.spec import Address
-from ..limits.pacer import BURST_S
 
 # Weight of a new sample in the moving average of response times.
 RESPONSE_TIME_WEIGHT = 0.2
@@ -204,6 +203,9 @@
     def rejects_from(self, upstream: UpstreamRecord, max_wait_ms: int) -> int | None:
         """Return the urgency from which requests that wait no longer are rejected, if any."""
 
+    def expected_permits(self, upstream: UpstreamRecord) -> int | None:
+        """Return how many requests an upstream may accept now, None if it has no limit."""
+
 
 class Unlimited:
     """The view of a process whose upstreams announce no limits."""
@@ -220,6 +222,10 @@
         """Return None."""
         return None
 
+    def expected_permits(self, upstream: UpstreamRecord) -> int | None:
+        """Return None."""
+        return None
+
 
 @attrs.define
 class UpstreamTable:
@@ -261,11 +267,6 @@
                 del self.leaving_incarnations[peer]
         return gone
 
-    def burst(self, upstream: Upstream) -> int | None:
-        """Return how many requests an upstream accepts at once, None if it has no rate limit."""
-        limit = self.rate_limits.limit(upstream.record)
-        return None if limit is None else max(1, int(limit * BURST_S))
-
     def available_for(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service that accept new requests."""
         return [
