--- a/tests/support/soak.py
+++ b/tests/support/soak.py
@@ -59,6 +59,7 @@
         try:
             tasks = load.start()
             faults = [gevent.spawn(self._faults) for _ in range(2)]
+            faults.append(gevent.spawn(self._name_limits))
             gevent.joinall(faults, raise_error=True)
             self._mend()
             gevent.sleep(SETTLE_S)
@@ -88,8 +89,6 @@
             self._store_trouble,
             self._server_trouble,
             self._leave,
-            self._name_limits,
-            self._name_limits,
             self._name_version,
             self._name_version,
             self._change_config,
@@ -187,12 +186,15 @@
         self.leaving.discard(name)
 
     def _name_limits(self):
-        """Let a server name several limits one after the other; the last one stays."""
-        name = self.rng.choice(self.platform.servers)
-        for _ in range(self.rng.randint(1, 3)):
-            limit = self.rng.choice([[], ["0.5"], ["1"], ["3"], ["8"], ["x"], ["6", "2"], ["0"]])
+        """Let servers name changing limits; the other faults of a seed stay the same."""
+        rng = random.Random(self.seed + 2)
+        end = time.monotonic() + self.seconds
+        while time.monotonic() < end:
+            name = rng.choice(self.platform.servers)
+            limit = rng.choice([[], ["0.5"], ["1"], ["3"], ["8"], ["x"], ["6", "2"], ["0"]])
+            print(f"  {time.monotonic():.2f} {name} names {limit}", file=sys.stderr)
             self.platform.faults(name, limit=limit)
-            gevent.sleep(self.rng.uniform(0.1, 3.0))
+            gevent.sleep(rng.uniform(0.1, 2.0))
 
     def _name_version(self):
         self.named += 1
--- a/tests/unit/support/test_soak_oracle.py
+++ b/tests/unit/support/test_soak_oracle.py
@@ -6,6 +6,7 @@
     WHOLE,
     check_calls,
     check_departures,
+    check_limits,
     check_orders,
     check_steps,
 )
@@ -77,3 +78,9 @@
     assert check_orders("s", [order(1), order(1, "g2", later)])
     assert check_orders("s", [order(1), order(2, "g2", 0.1)])
     assert check_orders("s", [order(1, version=3), order(1, version=2)])
+
+
+def test_requests_beyond_a_limit_are_found():
+    assert check_limits("shop-1", []) == []
+    breach = {"at": 7.0, "requests": 12, "allowed": 11.0}
+    assert check_limits("shop-1", [breach]) == ["shop-1: 12 requests in 4 s at 7.0, allowed 11.0"]
