Do not hold reward calls, nor callers, to a time to return that a limit may outlive

Trace: the item's reward call was denied by a server that accepted 0.5 requests a second, was told to return after 15.1 s, behind all callers rejected before, and was not tried meanwhile although the other server's limit had ended 7 s later. The gateway repeats reward calls itself and knows the servers' state, so it waits for a second at most, and its calls take no place in the order of return. Neither do calls that a server without a limit can take. The longest time to return is 10 s instead of 30. The test of the reward call failed before.

Also found by reading: a second attempt on a new connection that gets no permit was reported as not run, though the first one may have run; an unused permit was passed over while a rejection lasted; an unexpected error while asking for permits was not logged.

--- a/src/pistachionotch/batches/scoring.py
+++ b/src/pistachionotch/batches/scoring.py
@@ -27,6 +27,9 @@
 MIN_BUDGET_MS = 2_000
 # Minimum delay before an unsuccessful call is repeated.
 RETRY_DELAY_MS = 150
+# Maximum delay, whatever the refusal says: the servers' state is known here, and a limit may end or
+# another server become free at any time.
+MAX_RETRY_DELAY_MS = 1_000
 
 # Finishes an item: run, progress, whether it is done, reason, reward.
 FinishItem = Callable[[BatchRun, ItemProgress, bool, str, str], None]
@@ -154,7 +157,8 @@
             finish(run, state, False, f"its reward call failed {state.reward_failures} times", "")
             return
         retry_after_ms = answer.retry_after_ms if isinstance(answer, CallFailure) else None
-        state.reward_retry_at_ms = self.clock.now_ms() + max(RETRY_DELAY_MS, retry_after_ms or 0)
+        delay_ms = min(MAX_RETRY_DELAY_MS, max(RETRY_DELAY_MS, retry_after_ms or 0))
+        state.reward_retry_at_ms = self.clock.now_ms() + delay_ms
 
 
 def reward_route(catalog: Catalog, reward: RewardCall | None) -> Route | None:
--- a/src/pistachionotch/gateway/call_selection.py
+++ b/src/pistachionotch/gateway/call_selection.py
@@ -11,6 +11,8 @@
 from ..limits.pacer import PermitWant
 from .catalog import Route
 from .load_balancing import NoCapacity, SelectedUpstream, select_upstream
+from .responses import ClientCall
+from .upstream_protocol import RequestPurpose
 from .upstreams import UpstreamTable
 
 # A call waits for its permit for at most these shares of its route's objective and of its
@@ -67,13 +69,17 @@
             candidates, excluded, self.zone, self.regions, now_ms, self.rng, limited
         )
 
-    def permit_want(self, route: Route, service: str, left_ms: int) -> PermitWant:
+    def permit_want(self, call: ClientCall, route: Route, service: str, left_ms: int) -> PermitWant:
         """Return how a call waits for its permit at a rate-limited upstream."""
         limits = self.table.rate_limits
-        alternatives = 0
-        for each in self.table.available_for(service):
-            if limits.limit(each.record) is not None:
-                alternatives += 1
+        candidates = self.table.available_for(service)
+        # Reward calls are repeated by this process, which needs no time to return.
+        alternatives = 0 if call.purpose is RequestPurpose.REWARD else len(candidates)
+        for each in candidates:
+            if limits.limit(each.record) is None:
+                # An upstream without a limit takes the call, or tells by itself when to return.
+                alternatives = 0
+                break
         objective_ms = route.objective_ms * PERMIT_WAIT_OBJECTIVE_SHARE
         return PermitWant(
             urgency=route.priority,
--- a/src/pistachionotch/gateway/calls.py
+++ b/src/pistachionotch/gateway/calls.py
@@ -10,6 +10,7 @@
 
 from ..clock import Clock
 from ..http_client import ExchangeError
+from ..limits.pacer import PermitWant
 from ..measures import Measures
 from .call_selection import CallSelector
 from .catalog import Route
@@ -101,7 +102,7 @@
 
     def _select_upstream(self, progress: _Progress, service: str) -> Upstream | None:
         now_ms = self.clock.now_ms()
-        want = self.selector.permit_want(progress.route, service, progress.deadline_ms - now_ms)
+        want = self._permit_want(progress, now_ms)
         choice = self.selector.select(service, want, progress.tried, progress.rate_limited)
         if isinstance(choice, NoCapacity):
             progress.reason = progress.reason or choice.reason
@@ -342,9 +343,13 @@
             budget_ms=left_ms,
             resume_after=call.resume_after,
             purpose=call.purpose,
-            want=self.selector.permit_want(progress.route, progress.service, left_ms),
+            want=self._permit_want(progress, self.clock.now_ms()),
         )
 
+    def _permit_want(self, progress: _Progress, now_ms: int) -> PermitWant:
+        left_ms = progress.deadline_ms - now_ms
+        return self.selector.permit_want(progress.call, progress.route, progress.service, left_ms)
+
     def _timed_out(self, progress: _Progress) -> ClientResponse:
         if progress.failure is not None:
             return progress.failure
--- a/src/pistachionotch/gateway/exchange.py
+++ b/src/pistachionotch/gateway/exchange.py
@@ -16,6 +16,8 @@
 
 # Connect timeout; round trips on the platform's links take at most 24 ms.
 CONNECT_TIMEOUT_MS = 500
+# Retry-After if this process was held up for longer than its permit was valid.
+EXPIRED_PERMIT_RETRY_MS = 100
 
 
 @attrs.frozen
@@ -66,7 +68,9 @@
             raise ExchangeError("no longer permitted", sent=False)
         if permit is not None and permit.expires_ms <= self.clock.now_ms():
             connection.close()
-            raise RateLimitedError("the permit has expired", 1, 1)
+            raise RateLimitedError(
+                "the permit has expired", EXPIRED_PERMIT_RETRY_MS, EXPIRED_PERMIT_RETRY_MS
+            )
         kept = connection.exchanges > 0
         try:
             return self._send(connection, upstream, request, timeout_ms, started_ms)
@@ -75,7 +79,10 @@
             if not (kept and closed_early and connection.parser.get_code() == 0):
                 raise
         # The upstream may have counted the first request, so the second one needs its own permit.
-        permit = self._acquire_permit(upstream, request)
+        try:
+            permit = self._acquire_permit(upstream, request)
+        except RateLimitedError as error:
+            raise ExchangeError(f"no second attempt: {error.reason}", sent=True) from error
         connection = self._connect(upstream, timeout_ms, True, permit)
         return self._send(connection, upstream, request, timeout_ms, started_ms)
 
--- a/src/pistachionotch/gateway/limits.py
+++ b/src/pistachionotch/gateway/limits.py
@@ -22,7 +22,7 @@
 from ..limits.announcements import AnnouncementBoard
 from ..limits.broker import PermitBroker, PermitReply, PermitRequest
 from ..limits.messages import dump_reply, dump_request, load_reply, load_request
-from ..limits.pacer import BURST_S, MIN_PER_SECOND, Denial, Permit, PermitWant
+from ..limits.pacer import BURST_S, MAX_RETRY_MS, MIN_PER_SECOND, Denial, Permit, PermitWant
 from ..malformed import MALFORMED
 from ..measures import Measures
 from .limit_exchange import ANNOUNCEMENTS_PATH, LIMITS_PREFIX, LimitExchange, post_to_gateway
@@ -205,9 +205,9 @@
         key = upstream.incarnation
         if self.board.limit(key) is None:
             return None
-        self._reject_early(upstream, request)
         permit = self._take_unused(key)
         if permit is None:
+            self._reject_early(upstream, request)
             permit = self._request_permit(upstream, request)
         if permit is not None:
             self.sent.setdefault(key, deque()).append(self.clock.now_ms())
@@ -232,7 +232,8 @@
             return
         rejection = self.rejections[upstream.incarnation]
         limit = max(self.board.limit(upstream.incarnation) or 0.0, MIN_PER_SECOND)
-        retry_ms = max(next_ms, round(rejection.return_ms - self.clock.now_ms()))
+        return_ms = min(MAX_RETRY_MS, round(rejection.return_ms - self.clock.now_ms()))
+        retry_ms = max(next_ms, return_ms)
         if request.want.alternatives:
             rejection.return_ms += MS_PER_SECOND / limit / request.want.alternatives
         self._reject(upstream, request, Denial(next_ms=next_ms, retry_ms=retry_ms), None)
@@ -341,6 +342,9 @@
                         self._keep_unused(key, verdict)
                         continue
                     waiter.verdict.set((verdict, reply))
+        except Exception as error:
+            self.measures.count("task_failures", "ask for permits")
+            self.log.error("permits not requested", upstream=key, error=repr(error))
         finally:
             self.asking.discard(key)
             # After an unexpected error nobody may wait forever; the requests are sent unpaced only
--- a/src/pistachionotch/limits/pacer.py
+++ b/src/pistachionotch/limits/pacer.py
@@ -25,7 +25,7 @@
 # two requests if that is longer.
 PRECEDENCE_MS = 500
 # Maximum time to return that a rejected caller is told.
-MAX_RETRY_MS = 30_000
+MAX_RETRY_MS = 10_000
 # Times to return are extended by up to this share, so that callers do not return all at once.
 RETRY_JITTER = 0.1
 
--- a/tests/unit/batches/test_scoring.py
+++ b/tests/unit/batches/test_scoring.py
@@ -18,7 +18,7 @@
 from pistachionotch.batches.model import RewardCall
 from pistachionotch.batches.owner import BatchOwner
 from pistachionotch.batches.run import BatchRun
-from pistachionotch.batches.scoring import RewardCallRunner
+from pistachionotch.batches.scoring import MAX_RETRY_DELAY_MS, RewardCallRunner
 from pistachionotch.clock import ManualClock
 from pistachionotch.config.spec import Address
 from pistachionotch.gateway.calls import BufferedResponse, CallFailure, FailureCause
@@ -163,6 +163,15 @@
     assert step.listed()["i0"].text == "text of i0"
 
 
+def test_a_reward_call_does_not_wait_for_a_distant_time_to_return():
+    step = ScoringStep()
+    step.reward_server.answers["r-i0"] = [CallFailure(FailureCause.NOT_RUN, "rate limit", 15_000)]
+    step.generate("i0")
+    step.score()
+    step.score(after_ms=MAX_RETRY_DELAY_MS)
+    assert step.listed()["i0"].done
+
+
 def test_an_item_is_given_up_after_its_route_s_limit_of_failed_calls():
     step = ScoringStep()
     step.reward_server.answers["r-i0"] = [
--- a/tests/unit/gateway/test_permits.py
+++ b/tests/unit/gateway/test_permits.py
@@ -9,12 +9,13 @@
 
 from pistachionotch.clock import SystemClock
 from pistachionotch.config.spec import Address
+from pistachionotch.gateway.exchange import UpstreamClient
 from pistachionotch.gateway.limits import RateLimitedError, RateLimits
 from pistachionotch.gateway.sharing import CopiesApp, ListingCopy, load_copy
 from pistachionotch.gateway.upstream_protocol import UpstreamRequest
-from pistachionotch.gateway.upstreams import UpstreamRecord
-from pistachionotch.http_client import ResponseHead
-from pistachionotch.limits.pacer import BURST_S, PermitWant
+from pistachionotch.gateway.upstreams import Upstream, UpstreamRecord
+from pistachionotch.http_client import ExchangeError, ResponseHead
+from pistachionotch.limits.pacer import BURST_S, MAX_RETRY_MS, PermitWant
 from pistachionotch.platform.upstream import ServerProtocol
 
 RECORD = UpstreamRecord(
@@ -256,3 +257,38 @@
     first.active_watchers = lambda: {"gateway-2": Address("127.0.0.1", 9)}
     first.push_announcements()
     assert first.board.limited() == second.board.limited() == {"a@1": 2.0, "b@1": 3.0}
+
+
+def test_time_to_return_is_bounded_however_many_callers_are_rejected(limits):
+    hear(limits, "0.5")
+    limits.acquire(RECORD, request())
+    for _ in range(100):
+        with pytest.raises(RateLimitedError) as caught:
+            limits.acquire(RECORD, request())
+    assert caught.value.retry_ms <= MAX_RETRY_MS
+
+
+def test_second_attempt_without_a_permit_does_not_claim_that_nothing_ran(limits):
+    class Parser:
+        def get_code(self):
+            return 0
+
+    class Connection:
+        exchanges = 1
+        parser = Parser()
+
+        def send(self, *arguments):
+            raise ExchangeError("send: connection reset", sent=True)
+
+        def close(self):
+            pass
+
+    class Pool:
+        def take(self, *arguments, **more):
+            return Connection()
+
+    client = UpstreamClient(limits.clock, ServerProtocol(), Pool(), limits=limits)
+    hear(limits, "1")
+    with pytest.raises(ExchangeError) as caught:
+        client.send_request(Upstream(RECORD), request(), 500, repeatable=True)
+    assert caught.value.sent and not isinstance(caught.value, RateLimitedError)
--- a/tests/unit/gateway/test_server_limits.py
+++ b/tests/unit/gateway/test_server_limits.py
@@ -68,7 +68,7 @@
     refused = [answer for answer in answers if answer[2] == 503]
     for _at, request, _status, headers in refused:
         assert request not in runs
-        assert 0.0 < float(headers["retry-after"]) <= 30.0
+        assert 0.0 < float(headers["retry-after"]) <= 10.0
     assert {status for _at, _request, status, _headers in answers} <= {200, 503}
     settled = [answer for answer in answers if answer[0] > started_s + 1.0]
     served = sum(1 for answer in settled if answer[2] == 200)
