--- a/src/pistachionotch/gateway/call_selection.py
+++ b/src/pistachionotch/gateway/call_selection.py
@@ -19,6 +19,8 @@
 # remaining time.
 PERMIT_WAIT_OBJECTIVE_SHARE = 0.5
 PERMIT_WAIT_BUDGET_SHARE = 0.25
+# Number of upstreams whose rejections decide when a call should return.
+MAX_REJECTIONS = 3
 
 
 @attrs.define
@@ -41,33 +43,40 @@
         """Return an upstream that may accept the call now.
 
         ``rate_limited`` has the upstreams that have rejected the call by their rate limit, and the
-        times to return in ms. If all others are known to reject it too, one of them is selected
-        nevertheless, once, since its rejection tells when the call should return.
+        times to return in ms. If all others are known to reject it too, those that do so for the
+        shortest time are selected nevertheless, since their rejections tell when to return.
         """
         now_ms = self.clock.now_ms()
         limits = self.table.rate_limits
         candidates = self.table.available_for(service)
         excluded = {*tried, *rate_limited}
-        rejecting = set()
+        rejecting: dict[str, int] = {}
         limited = set()
         for each in candidates:
             if limits.limit(each.record) is None:
                 continue
             limited.add(each.record.instance)
-            if limits.rejected_for_ms(each.record, want.urgency) > want.max_wait_ms:
-                rejecting.add(each.record.instance)
+            rejected_ms = limits.rejected_for_ms(each.record, want.urgency)
+            if rejected_ms > want.max_wait_ms:
+                rejecting[each.record.instance] = rejected_ms
         choice = select_upstream(
-            candidates, excluded | rejecting, self.zone, self.regions, now_ms, self.rng, limited
+            candidates,
+            excluded | rejecting.keys(),
+            self.zone,
+            self.regions,
+            now_ms,
+            self.rng,
+            limited,
         )
         if not isinstance(choice, NoCapacity):
             return choice
-        if rate_limited:
-            return _describe_limits(choice, rate_limited)
-        if not rejecting - excluded:
-            return choice
-        return select_upstream(
-            candidates, excluded, self.zone, self.regions, now_ms, self.rng, limited
-        )
+        unasked = [
+            each for each in candidates if each.record.instance in rejecting.keys() - excluded
+        ]
+        if unasked and len(rate_limited) < MAX_REJECTIONS:
+            soonest = min(unasked, key=lambda each: rejecting[each.record.instance])
+            return SelectedUpstream(soonest, rejecting[soonest.record.instance], "least rejected")
+        return _describe_limits(choice, rate_limited) if rate_limited else choice
 
     def permit_want(self, call: ClientCall, route: Route, service: str, left_ms: int) -> PermitWant:
         """Return how a call waits for its permit at a rate-limited upstream."""
