Save up requests that nobody sent between the naming of a limit and its first permit

A new bucket of the pacing gateway now fills from that moment on, or from the end of its overlap with another gateway.

--- a/src/pistachionotch/limits/announcements.py
+++ b/src/pistachionotch/limits/announcements.py
@@ -35,6 +35,8 @@
     announcements: dict[str, Announcement] = attrs.field(factory=dict)
     version: int = 0
     changed_at: dict[str, int] = attrs.field(factory=dict)
+    # Time of this process's clock since which an upstream has had a limit.
+    limited_since_ms: dict[str, int] = attrs.field(factory=dict)
 
     def limit(self, upstream: str) -> float | None:
         """Return the limit of an upstream in requests per second, None if there is none."""
@@ -69,6 +71,10 @@
         if known is not None and not _supersedes(stated, known):
             return False
         self.announcements[upstream] = stated
+        if stated.per_second is None:
+            self.limited_since_ms.pop(upstream, None)
+        else:
+            self.limited_since_ms.setdefault(upstream, stated.stated_ms)
         if (None if known is None else known.per_second) == stated.per_second:
             return False
         self.version += 1
@@ -90,6 +96,7 @@
                 continue
             del self.announcements[upstream]
             self.changed_at.pop(upstream, None)
+            self.limited_since_ms.pop(upstream, None)
 
 
 def _supersedes(stated: Announcement, known: Announcement) -> bool:
--- a/src/pistachionotch/limits/broker.py
+++ b/src/pistachionotch/limits/broker.py
@@ -213,14 +213,20 @@
         if limit is not None:
             pacer = self.pacers.get(upstream)
             if pacer is None:
-                # Another gateway, or unlimited traffic, may just have been a burst.
-                tokens = 1.0 if share == 1.0 else 0.0
-                pacer = RatePacer(self.rng, limit * share, now_ms, tokens)
+                pacer = RatePacer(self.rng, limit * share, *self._bucket(upstream, share))
                 self.pacers[upstream] = pacer
             pacer.change_rate(limit * share, now_ms)
             verdicts.extend(pacer.decide(want, now_ms) for want in request.wants)
         return self._reply(upstream, tuple(verdicts), share)
 
+    def _bucket(self, upstream: str, share: float) -> tuple[int, float]:
+        """Return the time from which a new token bucket fills, and its tokens at that time."""
+        if share < 1.0:
+            # Another gateway may just have granted a burst.
+            return self.clock.now_ms(), 0.0
+        since_ms = self.board.limited_since_ms.get(upstream, self.clock.now_ms())
+        return max(since_ms, self.overlap_until_ms), 1.0
+
     def _reply(self, upstream: str, verdicts: tuple[Verdict, ...], share: float) -> PermitReply:
         return PermitReply(
             per_second=self.board.limit(upstream),
--- a/tests/unit/limits/test_permit_sharing.py
+++ b/tests/unit/limits/test_permit_sharing.py
@@ -105,6 +105,18 @@
     assert fleet.busiest_window() <= TOLERANCE * WINDOW_S
 
 
+def test_requests_that_nobody_sent_since_the_limit_was_named_are_saved_up():
+    fleet = Fleet(4, 5.0)
+    fleet.settle()
+    fleet.request(fleet.paced_by())
+    fleet.brokers[fleet.paced_by()].pacers.clear()
+    fleet.clock.advance(1_200)
+    assert sum(fleet.request("gateway-2") for _ in range(20)) == 7
+    fleet.brokers[fleet.paced_by()].pacers.clear()
+    fleet.clock.advance(60_000)
+    assert sum(fleet.request("gateway-2") for _ in range(20)) == 10
+
+
 def test_one_busy_gateway_gets_the_whole_limit():
     fleet = Fleet(20, 4.0)
     fleet.settle()
