Let the deputy of a stopping gateway start without saved-up requests

Found by reading: with the whole share at once, its new bucket was filled since the limit had been named, right after the stopping gateway's burst: 161 requests in 4 s at a limit of 20 (allowed 125). The test failed before.

--- a/src/pistachionotch/limits/broker.py
+++ b/src/pistachionotch/limits/broker.py
@@ -111,9 +111,12 @@
 
     def request(self, upstream: str, wants: Sequence[PermitWant]) -> PermitReply:
         """Return verdicts for this gateway's own requests."""
+        limit = self.board.limit(upstream)
+        if limit is None:
+            return self._reply(upstream, (), 1.0)
         request = PermitRequest(
             upstream=upstream,
-            per_second=self.board.limit(upstream),
+            per_second=limit,
             age_ms=self._age_ms(upstream),
             wants=tuple(wants),
         )
@@ -213,15 +216,15 @@
         if limit is not None:
             pacer = self.pacers.get(upstream)
             if pacer is None:
-                pacer = RatePacer(self.rng, limit * share, *self._bucket(upstream, share))
+                pacer = RatePacer(self.rng, limit * share, *self._new_bucket(upstream, share))
                 self.pacers[upstream] = pacer
             pacer.change_rate(limit * share, now_ms)
             verdicts.extend(pacer.decide(want, now_ms) for want in request.wants)
         return self._reply(upstream, tuple(verdicts), share)
 
-    def _bucket(self, upstream: str, share: float) -> tuple[int, float]:
+    def _new_bucket(self, upstream: str, share: float) -> tuple[int, float]:
         """Return the time from which a new token bucket fills, and its tokens at that time."""
-        if share < 1.0:
+        if share < 1.0 or self._ranked(upstream)[0] != self.node:
             # Another gateway may just have granted a burst.
             return self.clock.now_ms(), 0.0
         since_ms = self.board.limited_since_ms.get(upstream, self.clock.now_ms())
--- a/tests/unit/limits/test_permit_sharing.py
+++ b/tests/unit/limits/test_permit_sharing.py
@@ -152,6 +152,20 @@
     assert fleet.busiest_window() <= fleet.allowed()
 
 
+def test_deputy_of_a_stopping_gateway_does_not_add_a_burst_of_its_own():
+    fleet = Fleet(5, 20.0)
+    fleet.settle()
+    first = fleet.paced_by()
+    for node in sorted(fleet.listed):
+        fleet.request(node)
+    fleet.clock.advance(10_000)
+    others = sorted(fleet.listed - {first})
+    run(fleet, 2, 5, others)
+    fleet.brokers[first].resigned = True
+    run(fleet, 4, 5, others)
+    assert fleet.busiest_window() <= fleet.allowed()
+
+
 def test_pacing_gateway_that_returns_is_used_again_by_its_deputy():
     fleet = Fleet(5, 4.0)
     fleet.settle()
