Count requests against a limit from the first response that names it

Trace: the server had been cut off when its limit was set and answered 2.1 s later; seven requests that had waited in the cut reached it together, before any gateway could know. The platform's rule counts from the first answer that names the limit, and so does the stand-in now.

--- a/src/pistachionotch/standins/platform_servers.py
+++ b/src/pistachionotch/standins/platform_servers.py
@@ -85,7 +85,6 @@
         if path == "/faults":
             for name, value in json.loads(read_body(environ)).items():
                 setattr(self.faults, name, value)
-            self.windows.name_limit(self._named_limit(), time.monotonic())
             return respond_json(start_response, 200, attrs.asdict(self.faults))
         if path == "/runs":
             found = {"runs": self.runs, "orders": self.orders, "versions": self.versions}
@@ -97,6 +96,8 @@
         named = [("Server-Limit", value) for value in self.faults.limit]
 
         def start_named(status: str, headers: list[tuple[str, str]]) -> Any:
+            # A limit, or its end, is named once a response says so.
+            self.windows.name_limit(self._named_limit(), time.monotonic())
             return start_response(status, [*headers, *named])
 
         return self._answer(environ, start_named)
--- a/tests/unit/gateway/test_server_limits.py
+++ b/tests/unit/gateway/test_server_limits.py
@@ -11,6 +11,7 @@
 import pytest
 
 from pistachionotch.http_client import ExchangeError
+from pistachionotch.limits.broker import START_OVERLAP_MS
 from tests.support.platform import Platform, new_id
 
 LIMITS = {"shop-1": 2.0, "shop-2": 3.0}
@@ -27,6 +28,8 @@
 @pytest.fixture(scope="module")
 def platform():
     found = Platform(gateways=3)
+    # New gateways grant half of a limit until all others have listed them.
+    gevent.sleep(START_OVERLAP_MS / 1_000)
     yield found
     found.stop()
 
