Give control requests their whole timeout after the wait for a permit

Found by reading: an order may wait up to 2 s for its permit, and the wait counted towards its timeout of 800 ms. At a limit of about 1 request per second an order would have been sent with 1 ms left for its answer, so that it was never known to be accepted, and repeated. Requests with a budget, which are those of clients, still pay for the wait. The test failed before (399 of 800 ms).

--- a/src/pistachionotch/gateway/exchange.py
+++ b/src/pistachionotch/gateway/exchange.py
@@ -50,6 +50,8 @@
     ) -> Exchange:
         """Send a request and read the head of its response; raises ``ExchangeError``.
 
+        The time that a request with a budget waits for its permit counts towards the timeout.
+
         If ``may_send`` is given, it is called once the connection is established, and the request
         is not sent if it returns False.
 
@@ -58,6 +60,8 @@
         """
         started_ms = self.clock.now_ms()
         permit = self._acquire_permit(upstream, request)
+        if request.budget_ms is None:
+            started_ms = self.clock.now_ms()
         connection = self._connect(upstream, timeout_ms, not repeatable, permit)
         if permit is None:
             # The limit may have become known while the connection was being established.
--- a/tests/unit/gateway/test_permits.py
+++ b/tests/unit/gateway/test_permits.py
@@ -292,3 +292,32 @@
     with pytest.raises(ExchangeError) as caught:
         client.send_request(Upstream(RECORD), request(), 500, repeatable=True)
     assert caught.value.sent and not isinstance(caught.value, RateLimitedError)
+
+
+@pytest.mark.parametrize(("budget_ms", "left_ms"), [(None, 800), (900, 400)])
+def test_wait_for_a_permit_shortens_the_timeout_of_requests_with_a_budget_only(
+    limits, budget_ms, left_ms
+):
+    timeouts = []
+
+    class Connection:
+        exchanges = 0
+
+        def send(self, method, target, headers, body, timeout_ms):
+            timeouts.append(timeout_ms)
+            raise ExchangeError("send: stopped here", sent=True)
+
+        def close(self):
+            pass
+
+    class Pool:
+        def take(self, *arguments, **more):
+            return Connection()
+
+    client = UpstreamClient(limits.clock, ServerProtocol(), Pool(), limits=limits)
+    hear(limits, "2.5")
+    limits.acquire(RECORD, request())
+    waiting = attrs.evolve(request(PermitWant(max_wait_ms=2_000)), budget_ms=budget_ms)
+    with pytest.raises(ExchangeError):
+        client.send_request(Upstream(RECORD), waiting, 800, repeatable=False)
+    assert left_ms - 100 <= timeouts[0] <= left_ms + 20
