--- a/src/pistachionotch/gateway/limits.py
+++ b/src/pistachionotch/gateway/limits.py
@@ -347,8 +347,7 @@
             self.log.error("permits not requested", upstream=key, error=repr(error))
         finally:
             self.asking.discard(key)
-            # After an unexpected error nobody may wait forever; the requests are sent unpaced only
-            # if the limit has ended.
+            # After an unexpected error nobody may wait forever.
             self._answer_all([each for each in waiters if not each.verdict.ready()], None)
             self._answer_all(self.waiting.pop(key, []), None)
 
@@ -363,9 +362,8 @@
         address = self.addresses().get(node)
         if address is None:
             return None
-        message = dump_request(request)
         body = post_to_gateway(
-            self.pool, address, PERMITS_PATH, message, PERMITS_TIMEOUT_MS, self.log
+            self.pool, address, PERMITS_PATH, dump_request(request), PERMITS_TIMEOUT_MS, self.log
         )
         if body is None:
             self.measures.count("permit_requests", "unanswered")
--- a/tests/unit/gateway/test_permits.py
+++ b/tests/unit/gateway/test_permits.py
@@ -73,6 +73,31 @@
     raise AssertionError("no such peer")
 
 
+class FailingConnection:
+    """A connection, and its own pool and parser, that is reset when a request is sent."""
+
+    def __init__(self):
+        self.exchanges = 0
+        self.timeouts = []
+        self.parser = self
+
+    def client(self, limits):
+        return UpstreamClient(limits.clock, ServerProtocol(), self, limits=limits)
+
+    def take(self, *arguments, **more):
+        return self
+
+    def send(self, method, target, headers, body, timeout_ms):
+        self.timeouts.append(timeout_ms)
+        raise ExchangeError("send: connection reset", sent=True)
+
+    def get_code(self):
+        return 0
+
+    def close(self):
+        pass
+
+
 @pytest.fixture
 def limits():
     return make()
@@ -269,25 +294,9 @@
 
 
 def test_second_attempt_without_a_permit_does_not_claim_that_nothing_ran(limits):
-    class Parser:
-        def get_code(self):
-            return 0
-
-    class Connection:
-        exchanges = 1
-        parser = Parser()
-
-        def send(self, *arguments):
-            raise ExchangeError("send: connection reset", sent=True)
-
-        def close(self):
-            pass
-
-    class Pool:
-        def take(self, *arguments, **more):
-            return Connection()
-
-    client = UpstreamClient(limits.clock, ServerProtocol(), Pool(), limits=limits)
+    connection = FailingConnection()
+    connection.exchanges = 1
+    client = connection.client(limits)
     hear(limits, "1")
     with pytest.raises(ExchangeError) as caught:
         client.send_request(Upstream(RECORD), request(), 500, repeatable=True)
@@ -298,26 +307,11 @@
 def test_wait_for_a_permit_shortens_the_timeout_of_requests_with_a_budget_only(
     limits, budget_ms, left_ms
 ):
-    timeouts = []
-
-    class Connection:
-        exchanges = 0
-
-        def send(self, method, target, headers, body, timeout_ms):
-            timeouts.append(timeout_ms)
-            raise ExchangeError("send: stopped here", sent=True)
-
-        def close(self):
-            pass
-
-    class Pool:
-        def take(self, *arguments, **more):
-            return Connection()
-
-    client = UpstreamClient(limits.clock, ServerProtocol(), Pool(), limits=limits)
+    connection = FailingConnection()
+    client = connection.client(limits)
     hear(limits, "2.5")
     limits.acquire(RECORD, request())
     waiting = attrs.evolve(request(PermitWant(max_wait_ms=2_000)), budget_ms=budget_ms)
     with pytest.raises(ExchangeError):
         client.send_request(Upstream(RECORD), waiting, 800, repeatable=False)
-    assert left_ms - 100 <= timeouts[0] <= left_ms + 20
+    assert left_ms - 100 <= connection.timeouts[0] <= left_ms + 20
