Grant permits from the start of a gateway, and half of a limit until it knows the others

What callers saw: for up to 5 s after the start of a fleet a limited server got no request at all (shop-1: 0 permits in seconds 0 to 4 of a probe, 39 denials by its pacing gateway), so calls were refused that it would have taken.

Cause, three parts.

A gateway now grants half of a limit until it has read a list of the others from 2 s after its start (after a restart: any list), a bucket is never dated into the future, and only an entry of another incarnation shows a restart.

--- a/src/pistachionotch/batches/attempts.py
+++ b/src/pistachionotch/batches/attempts.py
@@ -9,7 +9,7 @@
 
 from ..clock import Clock
 from ..gateway.exchange import Exchange, UpstreamClient
-from ..gateway.limits import RateLimitedError
+from ..gateway.permits import RateLimitedError
 from ..gateway.upstream_protocol import RequestPurpose, UpstreamProtocol, UpstreamRequest
 from ..gateway.upstreams import Upstream
 from ..http_client import ExchangeError
--- a/src/pistachionotch/bench/limit_sharing.py
+++ b/src/pistachionotch/bench/limit_sharing.py
@@ -113,6 +113,7 @@
                 random.Random(1),
                 AnnouncementBoard(),
                 _others(nodes, node),
+                self.clock.now_ms,
                 self._ask,
             )
             for node in nodes
--- a/src/pistachionotch/gateway/calls.py
+++ b/src/pistachionotch/gateway/calls.py
@@ -15,8 +15,8 @@
 from .call_selection import CallSelector
 from .catalog import Route
 from .exchange import Exchange, UpstreamClient
-from .limits import RateLimitedError
 from .load_balancing import NoCapacity
+from .permits import RateLimitedError
 from .responses import (
     BufferedResponse,
     CallFailure,
--- a/src/pistachionotch/gateway/cluster_state.py
+++ b/src/pistachionotch/gateway/cluster_state.py
@@ -45,6 +45,7 @@
     upstreams_listed: bool = False
     # Followers whose copies are served to other gateways, by prefix.
     shared: dict[str, Follower] = attrs.field(factory=dict)
+    gateways_follower: Follower | None = None
     confirmed_evacuations: dict[str, bytes] = attrs.field(factory=dict)
 
     def complete(self) -> bool:
@@ -60,6 +61,7 @@
         upstreams.object_cache.deletion_grace_ms = DELETION_GRACE_MS
         other_gateways = self._follower(GATEWAYS_PREFIX, gateways.apply_listing, GATEWAYS_WATCH_MS)
         other_gateways.pause_ms = GATEWAYS_PAUSE_MS
+        self.gateways_follower = other_gateways
         duties = [
             self._follower(
                 listings.versions_prefix,
@@ -82,6 +84,11 @@
         follower = self.shared.get(prefix)
         return None if follower is None else follower.copy(token, wait_ms)
 
+    def gateways_listed_ms(self) -> int | None:
+        """Return when the list of the gateways was last known to be current, None before that."""
+        follower = self.gateways_follower
+        return None if follower is None else follower.current_ms
+
     def wake_copies(self) -> None:
         """Answer the waiting requests for copies of the upstreams, which carry the rate limits."""
         follower = self.shared.get(self.listings.upstreams_prefix)
--- a/src/pistachionotch/gateway/daemon.py
+++ b/src/pistachionotch/gateway/daemon.py
@@ -190,6 +190,7 @@
             self.rng,
             self.pool,
             lambda: self.gateways.addresses,
+            self.cluster.gateways_listed_ms,
             self.watchers.active_watchers,
             logger("limits"),
             self.measures,
--- a/src/pistachionotch/gateway/exchange.py
+++ b/src/pistachionotch/gateway/exchange.py
@@ -10,7 +10,8 @@
 from ..clock import Clock
 from ..http_client import Connection, ConnectionPool, ExchangeError
 from ..measures import Measures
-from .limits import RateLimitedError, RateLimits, SendPermit
+from .limits import RateLimits
+from .permits import RateLimitedError, SendPermit
 from .upstream_protocol import UpstreamProtocol, UpstreamRequest, UpstreamResponse
 from .upstreams import Upstream
 
--- a/src/pistachionotch/gateway/limits.py
+++ b/src/pistachionotch/gateway/limits.py
@@ -18,7 +18,7 @@
 
 from ..clock import MS_PER_SECOND, Clock
 from ..config.spec import Address
-from ..http_client import ConnectionPool, ExchangeError
+from ..http_client import ConnectionPool
 from ..limits.announcements import AnnouncementBoard
 from ..limits.broker import PermitBroker, PermitReply, PermitRequest
 from ..limits.messages import dump_reply, dump_request, load_reply, load_request
@@ -26,6 +26,7 @@
 from ..malformed import MALFORMED
 from ..measures import Measures
 from .limit_exchange import ANNOUNCEMENTS_PATH, LIMITS_PREFIX, LimitExchange, post_to_gateway
+from .permits import RateLimitedError, SendPermit
 from .upstream_protocol import UpstreamRequest, UpstreamResponse
 from .upstreams import UpstreamRecord
 
@@ -41,26 +42,6 @@
 OWN_RATE_PERIOD_MS = 4_000
 
 
-class RateLimitedError(ExchangeError):
-    """The request was not sent because of the upstream's rate limit.
-
-    A permit can be expected after ``next_ms``; the caller should return after ``retry_ms``.
-    """
-
-    def __init__(self, reason: str, next_ms: int, retry_ms: int) -> None:
-        super().__init__(reason, sent=False)
-        self.next_ms = next_ms
-        self.retry_ms = retry_ms
-
-
-@attrs.frozen
-class SendPermit:
-    """A permit for one request; it must be sent before ``expires_ms``."""
-
-    upstream: str
-    expires_ms: int
-
-
 @attrs.define(eq=False)
 class _Waiter:
     """A request that waits for the verdict of the pacing gateway."""
@@ -90,6 +71,8 @@
     pool: ConnectionPool
     # Addresses of the other gateways by node.
     addresses: Callable[[], Mapping[str, Address]]
+    # Time at which their list was last known to be current; None if it has not been read yet.
+    peers_listed_ms: Callable[[], int | None]
     # The watchers by node; None stands for this gateway.
     active_watchers: Callable[[], Mapping[str, Address | None]]
     log: Any
@@ -116,6 +99,7 @@
             self.rng,
             self.board,
             lambda: self.addresses().keys(),
+            self.peers_listed_ms,
             self._ask_gateway,
         )
         self.exchange = LimitExchange(
--- a/src/pistachionotch/gateway/peers.py
+++ b/src/pistachionotch/gateway/peers.py
@@ -80,13 +80,22 @@
         if isinstance(written, Failure):
             error = written.failure()
             if isinstance(error, VersionConflict) and error.current is not None:
-                self.restarted = True
+                self.restarted |= self._is_of_earlier_process(error.current.value)
                 written = self.store.put(key, value, error.current.version)
         self.registered = not isinstance(written, Failure)
         if not self.registered:
             self.log.warning("gateway registration failed", reason=str(written.failure()))
         return self.registered
 
+    def _is_of_earlier_process(self, value: bytes) -> bool:
+        """Return whether a registration of this gateway was stored by another process."""
+        try:
+            incarnation = json.loads(value)["incarnation"]
+        except MALFORMED as error:
+            self.log.warning("malformed own registration", error=repr(error))
+            return False
+        return bool(incarnation != self.local_owner.incarnation)
+
     def apply_listing(self, objects: dict[str, StoredObject], revision: int) -> None:
         """Replace the known gateways with a newer listing."""
         found = {}
--- a/src/pistachionotch/limits/broker.py
+++ b/src/pistachionotch/limits/broker.py
@@ -30,6 +30,8 @@
 START_OVERLAP_MS = 5_000
 # Peers that have already listed a restarted gateway ask it again after this time at the latest.
 RESTART_OVERLAP_MS = 2_000
+# Gateways that start at the same time have registered after this time.
+REGISTRATION_MS = 2_000
 # A gateway that has not answered for this time counts as lost.
 DEPUTY_OVERLAP_MS = 10_000
 # Pause before a gateway that did not answer is asked again.
@@ -92,22 +94,29 @@
     board: AnnouncementBoard
     # Names of the other gateways.
     other_gateways: Callable[[], Collection[str]]
+    # Time at which their list was last known to be current; None if it has not been read yet.
+    peers_listed_ms: Callable[[], int | None]
     # Asks another gateway; returns None if it does not answer.
     ask: AskGateway
+    started_ms: int = attrs.field(init=False)
     # Time until which other gateways may still be asked in place of this one.
     overlap_until_ms: int = attrs.field(init=False)
+    # Time from which a list of the other gateways is complete.
+    list_complete_ms: int = attrs.field(init=False)
     # Whether this process is about to stop and no longer paces upstreams.
     resigned: bool = False
     pacers: dict[str, RatePacer] = attrs.field(factory=dict)
     outages: dict[str, _Outage] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
-        self.overlap_until_ms = self.clock.now_ms() + START_OVERLAP_MS
+        self.started_ms = self.clock.now_ms()
+        self.overlap_until_ms = self.started_ms + START_OVERLAP_MS
+        self.list_complete_ms = self.started_ms + REGISTRATION_MS
 
     def shorten_overlap(self) -> None:
-        """Record that the other gateways listed this one before its process started."""
-        shortened_ms = self.overlap_until_ms - START_OVERLAP_MS + RESTART_OVERLAP_MS
-        self.overlap_until_ms = min(self.overlap_until_ms, shortened_ms)
+        """Record that this gateway and the others were registered before its process started."""
+        self.overlap_until_ms = self.started_ms + RESTART_OVERLAP_MS
+        self.list_complete_ms = self.started_ms
 
     def request(self, upstream: str, wants: Sequence[PermitWant]) -> PermitReply:
         """Return verdicts for this gateway's own requests."""
@@ -197,7 +206,11 @@
     def _pacing_share(self, ranked: Sequence[str]) -> float:
         """Return the share of the limit that this gateway may grant."""
         now_ms = self.clock.now_ms()
-        if now_ms < self.overlap_until_ms and len(ranked) > 1:
+        listed_ms = self.peers_listed_ms()
+        if listed_ms is None or listed_ms < self.list_complete_ms:
+            # An unlisted gateway may pace the upstream too.
+            return OVERLAP_SHARE
+        if now_ms < self.overlap_until_ms:
             return OVERLAP_SHARE
         first = ranked[0]
         if first == self.node:
@@ -227,8 +240,9 @@
         if share < 1.0 or self._ranked(upstream)[0] != self.node:
             # Another gateway may just have granted a burst.
             return self.clock.now_ms(), 0.0
-        since_ms = self.board.limited_since_ms.get(upstream, self.clock.now_ms())
-        return max(since_ms, self.overlap_until_ms), 1.0
+        now_ms = self.clock.now_ms()
+        since_ms = self.board.limited_since_ms.get(upstream, now_ms)
+        return min(now_ms, max(since_ms, self.overlap_until_ms)), 1.0
 
     def _reply(self, upstream: str, verdicts: tuple[Verdict, ...], share: float) -> PermitReply:
         return PermitReply(
--- a/tests/unit/gateway/test_call_selection.py
+++ b/tests/unit/gateway/test_call_selection.py
@@ -8,8 +8,8 @@
 
 from pistachionotch.gateway.call_selection import MAX_REJECTIONS, CallSelector
 from pistachionotch.gateway.catalog import Route, RouteKind, ServiceShare
-from pistachionotch.gateway.limits import RateLimitedError
 from pistachionotch.gateway.load_balancing import NoCapacity
+from pistachionotch.gateway.permits import RateLimitedError
 from pistachionotch.gateway.responses import ClientCall
 from pistachionotch.gateway.upstream_protocol import RequestPurpose, UpstreamRequest
 from pistachionotch.gateway.upstreams import UpstreamTable
--- a/tests/unit/gateway/test_gateways.py
+++ b/tests/unit/gateway/test_gateways.py
@@ -50,6 +50,28 @@
     assert len(fleet.store.objects) == 3
 
 
+def test_only_an_entry_of_an_earlier_process_shows_a_restart():
+    fleet = Fleet()
+    fresh = fleet.all[0]
+    # A listing from before the registration makes the gateway register again.
+    fresh.apply_listing({}, 0)
+    assert not fresh.registered and fresh.register()
+    assert not fresh.restarted
+    again = GatewayRegistry(
+        Owner(node="g0", incarnation="2", address=Address("10.0.0.1", 7_000)),
+        fleet.store,
+        structlog.get_logger(),
+    )
+    assert again.register() and again.restarted
+    fleet.store.put(GATEWAYS_PREFIX + "g9", b"[]", None)
+    other = GatewayRegistry(
+        Owner(node="g9", incarnation="1", address=Address("10.0.0.1", 7_009)),
+        fleet.store,
+        structlog.get_logger(),
+    )
+    assert other.register() and not other.restarted
+
+
 def test_unreachable_gateway_is_deleted_and_registers_again_if_it_still_runs():
     fleet = Fleet()
     for _ in range(MAX_MISSED_PROBES - 1):
--- a/tests/unit/gateway/test_malformed_messages.py
+++ b/tests/unit/gateway/test_malformed_messages.py
@@ -202,6 +202,7 @@
         random.Random(1),
         ConnectionPool(SystemClock()),
         dict,
+        lambda: None,
         dict,
         structlog.get_logger(),
     )
--- a/tests/unit/limits/test_permit_sharing.py
+++ b/tests/unit/limits/test_permit_sharing.py
@@ -56,6 +56,7 @@
             random.Random(1),
             AnnouncementBoard(),
             lambda: self.listed - {node},
+            self.clock.now_ms,
             ask,
         )
 
@@ -216,6 +217,24 @@
         assert fleet.busiest_window() <= fleet.allowed(), new
 
 
+def test_gateways_that_list_nobody_at_their_start_neither_wait_nor_grant_the_whole_limit_each():
+    fleet = Fleet(3, 4.0)
+    for node, broker in fleet.brokers.items():
+        broker.other_gateways = lambda: set()
+        broker.peers_listed_ms = lambda: None
+        assert broker._ranked(SERVER) == [node]
+    served = run(fleet, 4, 20)
+    assert 0.9 * 3 * 2.0 * 4 <= served <= 1.1 * 3 * 2.0 * 4
+    assert fleet.busiest_window() <= fleet.allowed()
+    # The list of the others, read once they have registered, ends the state.
+    for node, broker in fleet.brokers.items():
+        broker.other_gateways = lambda node=node: fleet.listed - {node}
+        broker.peers_listed_ms = fleet.clock.now_ms
+    fleet.clock.advance(START_OVERLAP_MS)
+    fleet.sent.clear()
+    assert 0.95 * 4 * 10 <= run(fleet, 10, 20) <= 4 * 10 + 8
+
+
 def test_end_of_a_limit_reaches_gateways_that_heard_of_it_earlier():
     fleet = Fleet(3, 1.0)
     fleet.settle()
