Name the content of calls in log lines, and whether a server ended the connection

The lines could not tell whether two request ids are the same request, nor whether a server crashed or a time ran out.

--- a/src/pistachionotch/batches/scoring.py
+++ b/src/pistachionotch/batches/scoring.py
@@ -18,6 +18,7 @@
 from ..gateway.upstream_protocol import RequestPurpose
 from ..gateway.upstreams import UpstreamTable
 from ..measures import Measures
+from ..quarantine.fingerprint import fingerprint
 from .model import RewardCall
 from .rewards import ServerCapacity, WaitingReward, count_free_slots, plan_reward_calls
 from .run import BatchRun, ItemProgress
@@ -126,6 +127,7 @@
             received_ms=now_ms,
             budget_ms=max(MIN_BUDGET_MS, run.due_ms - now_ms),
             purpose=RequestPurpose.REWARD,
+            content=fingerprint("POST", reward.host, reward.target, (), reward.body),
         )
 
     def _handle_answer(
--- a/src/pistachionotch/gateway/calls.py
+++ b/src/pistachionotch/gateway/calls.py
@@ -111,6 +111,7 @@
             route=progress.route.name,
             upstream=choice.upstream.record.instance,
             software=choice.upstream.record.software,
+            content=progress.call.content,
             begun_by=progress.call.begun_by,
             begun_with=progress.origin.software if progress.origin is not None else "",
             resume_after=progress.call.resume_after,
@@ -141,7 +142,7 @@
             progress.unreachable += not error.sent
             progress.reason = error.reason
             progress.retry_after_ms = None
-            self._log_failure(progress, upstream, error.reason, error.sent)
+            self._log_failure(progress, upstream, error.reason, error.sent, error.closed)
             return None
         finally:
             if not streaming:
@@ -156,15 +157,24 @@
         progress.reason = error.reason
 
     def _log_failure(
-        self, progress: CallProgress, upstream: Upstream, reason: str, may_have_run: bool
+        self,
+        progress: CallProgress,
+        upstream: Upstream,
+        reason: str,
+        may_have_run: bool,
+        closed: bool = False,
     ) -> None:
         self.measures.count("attempts_failed", "may have run" if may_have_run else "not run")
         self.log.warning(
             "attempt failed",
             request=progress.call.request_id,
+            content=progress.call.content,
             upstream=upstream.record.instance,
             reason=reason,
             may_have_run=may_have_run,
+            # Whether the upstream ended the connection, and the other calls that it took with it.
+            closed=closed,
+            in_flight=upstream.in_flight,
             left_ms=progress.deadline_ms - self.clock.now_ms(),
         )
 
@@ -324,7 +334,7 @@
                 upstream.in_flight -= 1
                 progress.unreachable += not error.sent
                 upstream.record_failure(self.clock.now_ms())
-                self._log_failure(progress, upstream, error.reason, error.sent)
+                self._log_failure(progress, upstream, error.reason, error.sent, error.closed)
                 continue
             if exchange.response.is_stream():
                 return exchange
--- a/src/pistachionotch/gateway/responses.py
+++ b/src/pistachionotch/gateway/responses.py
@@ -28,6 +28,8 @@
     # Request ID of the attempt that brought the stream's first event; empty if not stated.
     begun_by: str = ""
     purpose: RequestPurpose = RequestPurpose.CALL
+    # Identity of the request across the attempts of its caller; empty if it has none.
+    content: str = ""
 
     def takes_up(self) -> bool:
         """Return whether the client has events of the stream and wants those after them."""
--- a/src/pistachionotch/http_client.py
+++ b/src/pistachionotch/http_client.py
@@ -41,12 +41,24 @@
 
 
 class ExchangeError(Exception):
-    """No complete response was received; if ``sent``, the request may have been executed."""
+    """No complete response was received; if ``sent``, the request may have been executed.
 
-    def __init__(self, reason: str, sent: bool) -> None:
+    ``closed`` tells that the peer ended the connection after the request had been sent.
+    """
+
+    def __init__(self, reason: str, sent: bool, closed: bool = False) -> None:
         super().__init__(reason)
         self.reason = reason
         self.sent = sent
+        self.closed = closed
+
+
+class _ClosedEarlyError(HTTPParseError):  # type: ignore[misc, unused-ignore]
+    """The peer closed the connection before the end of the response."""
+
+
+def _is_closed(error: Exception) -> bool:
+    return isinstance(error, ConnectionError | _ClosedEarlyError)
 
 
 @attrs.frozen
@@ -123,7 +135,7 @@
             _set_timeout(self.sock, timeout_ms)
             self.sock.sendall(head + body)
         except OSError as error:
-            raise ExchangeError(f"send: {error}", sent=True) from error
+            raise ExchangeError(f"send: {error}", True, _is_closed(error)) from error
 
     def read_head(self, timeout_ms: int) -> ResponseHead:
         """Wait for the status and headers of the final response."""
@@ -136,7 +148,7 @@
                         raise HTTPParseError("the head is too large")
                     received += self._feed(MAX_HEAD_BYTES)
         except (OSError, HTTPParseError) as error:
-            raise ExchangeError(f"response: {error}", sent=True) from error
+            raise ExchangeError(f"response: {error}", True, _is_closed(error)) from error
         headers = tuple(
             (str(name).lower(), str(value)) for name, value in self.parser.info().items()
         )
@@ -163,7 +175,7 @@
                 _set_timeout(self.sock, left_ms)
                 received += self._feed(READ_BYTES)
         except (OSError, HTTPParseError) as error:
-            raise ExchangeError(f"body: {error}", sent=True) from error
+            raise ExchangeError(f"body: {error}", True, _is_closed(error)) from error
         part = bytes(self.parser._body_buffer)
         self.parser._body_buffer.clear()
         self.body_ended = not part
@@ -193,7 +205,7 @@
             if not self.parser.has_excess_bytes:
                 raise
         if not data and not self.parser.message_complete:
-            raise HTTPParseError("connection closed before the end of the response")
+            raise _ClosedEarlyError("connection closed before the end of the response")
         return len(data)
 
     def can_be_reused(self) -> bool:
--- a/src/pistachionotch/platform/ingress.py
+++ b/src/pistachionotch/platform/ingress.py
@@ -27,9 +27,16 @@
     StreamingResponse,
 )
 from ..http_client import Header
+from ..quarantine.fingerprint import fingerprint
 from ..server import CLIENT_SOCKET, RAW_HEADERS, RAW_TARGET
 from .batches import encode_page, read_submission
-from .upstream import BEGUN_BY_HEADER, BUDGET_HEADER, REQUEST_ID_HEADER, RESUME_AFTER_HEADER
+from .upstream import (
+    BEGUN_BY_HEADER,
+    BUDGET_HEADER,
+    REQUEST_ID_HEADER,
+    RESUME_AFTER_HEADER,
+    lasting_headers,
+)
 
 BATCH_PREFIX = "/api/lots/"
 ITEM_PREFIX = "/api/items/"
@@ -188,7 +195,9 @@
                 if batch_error is None
                 else _batch_failure(batch_error)
             )
-        return self.forwarder.forward(call, route)
+        headers = lasting_headers(call.headers)
+        content = fingerprint(call.method, call.host, call.target, headers, call.body)
+        return self.forwarder.forward(attrs.evolve(call, content=content), route)
 
     def _handle_batch(self, call: ClientCall, batch: str, query: str) -> ClientResponse:
         if call.method == "DELETE":
--- a/src/pistachionotch/platform/upstream.py
+++ b/src/pistachionotch/platform/upstream.py
@@ -4,7 +4,7 @@
 
 import json
 import re
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from http import HTTPStatus
 
 from ..gateway.upstream_protocol import (
@@ -183,6 +183,16 @@
         return [header for header in head.headers if header[0] not in _DROPPED_RESPONSE_HEADERS]
 
 
+def lasting_headers(headers: Iterable[Header]) -> list[Header]:
+    """Return the headers of a request that are the same in each attempt of its client."""
+    return [
+        header
+        for header in headers
+        if header[0].lower() not in _DROPPED_REQUEST_HEADERS
+        and header[0].lower() != BEGUN_BY_HEADER.lower()
+    ]
+
+
 def _control_request(
     method: str, target: str, body: bytes, instance: str, purpose: RequestPurpose
 ) -> UpstreamRequest:
--- /dev/null
+++ b/src/pistachionotch/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Requests under which upstreams crashed: suspicion, trial and condemnation."""
