--- a/src/pistachionotch/standins/platform_servers.py
+++ b/src/pistachionotch/standins/platform_servers.py
@@ -11,7 +11,7 @@
 import json
 import math
 import time
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from http import HTTPStatus
 from typing import Any
 
@@ -62,6 +62,9 @@
     fail_suffix: str = ""
     # Close without a response to an order and don't carry it out.
     ignore_orders: int = 0
+    # Crash this long after the start of a run whose request has this text in its body.
+    crash_text: str = ""
+    crash_after_ms: int = 30
 
 
 @attrs.define
@@ -80,6 +83,8 @@
     orders: list[dict[str, Any]] = attrs.field(factory=list)
     loading: bool = False
     windows: ArrivalWindows = attrs.field(factory=ArrivalWindows)
+    # Ends the server; called with the run under which it crashes.
+    crash: Callable[[dict[str, Any]], None] = lambda _run: None
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         """Handle one request."""
@@ -180,6 +185,7 @@
             "ended": None,
         }
         self.runs.append(run)
+        self._crash_if_deadly(run)
         if not self._consume_fault("unproved"):
             headers.append(("Server-Stamp", run["proof"]))
         suffix = self.faults.fail_suffix
@@ -202,6 +208,13 @@
             return self._stream(model, after, run)
         return self._plain(environ, start_response, headers, body)
 
+    def _crash_if_deadly(self, run: dict[str, Any]) -> None:
+        if not self.faults.crash_text or self.faults.crash_text not in run["body"]:
+            return
+        gevent.sleep(self.faults.crash_after_ms / MS_PER_SECOND)
+        self.crash(run)
+        raise ConnectionResetError(errno.ECONNRESET, "stand-in crashes")
+
     def _plain(
         self, environ: Environ, start_response: StartResponse, headers: Any, body: bytes
     ) -> Iterable[bytes]:
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -78,6 +78,8 @@
         self.path = path or (lambda _user, _target, port: port)
         self.deployment = Deployment()
         self.folder = Path(tempfile.mkdtemp(prefix="pistachionotch-platform-"))
+        # One line for each crash of a server, with its runs.
+        self.crash_file = self.folder / "crashes.jsonl"
         self.ports = {}
         # Version of the software of each server.
         self.software = {}
@@ -104,14 +106,18 @@
         self.ports[name] = free_port()
         self.software[name] = software
         script = "tests.support.platform_process"
-        command = [sys.executable, "-m", script, kind, name, str(self.ports[name]), software]
-        self.deployment.spawn(name, command)
+        arguments = [kind, name, str(self.ports[name]), software, str(self.crash_file)]
+        self.deployment.spawn(name, [sys.executable, "-m", script, *arguments])
 
     def start_engine(self, software):
         """Start and register one more engine, of the software version; returns its name."""
-        engines = [name for name in self.servers if name.startswith("engine")]
-        name = f"engine-{len(engines) + 1}"
-        self.start_standin(name, "engine", software)
+        return self.start_server("engine", software)
+
+    def start_server(self, kind, software="v1"):
+        """Start and register one more ``engine`` or ``shop``; returns its name."""
+        same = [name for name in self.servers if name.startswith(kind)]
+        name = f"{kind}-{len(same) + 1}"
+        self.start_standin(name, "engine" if kind == "engine" else "plain", software)
         self.wait(lambda: self.fetch(name, "/runs") is not None)
         self.servers.append(name)
         self.register(name)
@@ -259,9 +265,19 @@
         found = []
         for name in self.servers:
             if name.startswith(kind):
-                found.extend({**run, "server": name} for run in self.fetch(name, "/runs")["runs"])
+                listed = self.fetch(name, "/runs") or {"runs": []}
+                found.extend({**run, "server": name} for run in listed["runs"])
+        for crash in self.crashes():
+            if crash["server"].startswith(kind):
+                found.extend(crash["runs"])
         return found
 
+    def crashes(self):
+        """Return the crashes of servers by a request, in their order."""
+        if not self.crash_file.exists():
+            return []
+        return [json.loads(line) for line in self.crash_file.read_text().splitlines()]
+
     def faults(self, name, **switches):
         assert self.fetch(name, "/faults", "PUT", switches) is not None
 
@@ -271,7 +287,7 @@
         headers = [("Request-Id", request), ("Deadline-Ms", str(budget_ms))]
         return Client(self.address(gateway)).ask("POST", target, headers, body)
 
-    def stream(self, gateway, request, begun_by="", last=None, budget_ms=6_000):
+    def stream(self, gateway, request, begun_by="", last=None, budget_ms=6_000, body=b"prompt"):
         """Return status, events as numbers and texts, and whether the answer ended as complete.
 
         ``begun_by`` and ``last`` take up the stream that another request began.
@@ -279,7 +295,7 @@
         headers = [("Request-Id", request), ("Deadline-Ms", str(budget_ms)), ("Model", MODEL)]
         if last is not None:
             headers += [("Last-Event-Id", str(last)), ("Resumes", begun_by)]
-        return Client(self.address(gateway)).stream("/streams/x", headers)
+        return Client(self.address(gateway)).stream("/streams/x", headers, body)
 
     def submit(self, gateway, batch, groups=3, size=2, min_version=1):
         items = []
--- a/tests/support/platform_process.py
+++ b/tests/support/platform_process.py
@@ -1,6 +1,12 @@
-"""Process of one stand-in of the users' platform: ``store``, ``engine`` or ``plain``."""
+"""Process of one stand-in of the users' platform: ``store``, ``engine`` or ``plain``.
 
+A server that crashes leaves its runs in the file named last on the command line.
+"""
+
+import json
+import os
 import sys
+from pathlib import Path
 
 from gevent import monkey
 
@@ -14,15 +20,25 @@
 
 
 def main():
-    kind, name, port, software = sys.argv[1:]
+    kind, name, port, software, crashes = sys.argv[1:]
+
+    def crash(run):
+        runs = [{**each, "server": name} for each in application.runs]
+        with Path(crashes).open("a") as file:
+            file.write(json.dumps({"server": name, "crashed_by": run, "runs": runs}) + "\n")
+        os._exit(1)
+
     if kind == "store":
         application = PlatformStoreStandIn()
     elif kind == "engine":
         application = PlatformServerStandIn(
-            name, software=software, versions={"m0": 1}, events=8, event_ms=40
+            name, software=software, versions={"m0": 1}, events=8, event_ms=40, crash=crash
         )
     else:
-        application = PlatformServerStandIn(name)
+        application = PlatformServerStandIn(name, crash=crash)
+    # Each start of a server crashes under the same requests.
+    if kind != "store":
+        application.faults.crash_text = "deadly"
     make_server("127.0.0.1", int(port), application).start()
     while True:
         gevent.sleep(3600)
