Count a request as sent when its kept connection broke and the server then refuses a new one

What callers saw: 503, which promises that nothing ran, for a call under which a server had crashed. Cause: a repeatable request that loses a kept connection is sent once more on a new one; if that is refused, the error of the second connection hid that the first request had been sent. The error now says that the request was sent and that the server ended the connection.

--- a/src/pistachionotch/gateway/exchange.py
+++ b/src/pistachionotch/gateway/exchange.py
@@ -79,16 +79,19 @@
         kept = connection.exchanges > 0
         try:
             return self._send(connection, upstream, request, timeout_ms, started_ms)
-        except ExchangeError:
+        except ExchangeError as error:
             closed_early = self.clock.now_ms() - started_ms < timeout_ms
             if not (kept and closed_early and connection.parser.get_code() == 0):
                 raise
+            first = error
         # The upstream may have counted the first request, so the second one needs its own permit.
         try:
             permit = self._acquire_permit(upstream, request)
-        except RateLimitedError as error:
-            raise ExchangeError(f"no second attempt: {error.reason}", sent=True) from error
-        connection = self._connect(upstream, timeout_ms, True, permit)
+            connection = self._connect(upstream, timeout_ms, True, permit)
+        except (RateLimitedError, ExchangeError) as error:
+            # The upstream may have executed the first request.
+            reason = f"no second attempt: {error.reason}"
+            raise ExchangeError(reason, sent=True, closed=first.closed) from error
         return self._send(connection, upstream, request, timeout_ms, started_ms)
 
     def _acquire_permit(
