Notice that a server ends a connection within a body

What callers saw: on a trial installation whose callers stream, one stream still crashed engine after engine. Cause: where a body ends early, the parser raises its own error before the check for an early end, so the crash went unnoticed by the quarantine. Evidence: four cases of test_an_answer_that_breaks_off_shows_that_the_server_ended_it, which all failed before.

--- a/src/pistachionotch/http_client.py
+++ b/src/pistachionotch/http_client.py
@@ -205,7 +205,9 @@
         data = self.sock.recv(max_bytes)
         try:
             self.parser.feed(data)
-        except HTTPParseError:
+        except HTTPParseError as error:
+            if not data:
+                raise _ClosedEarlyError(str(error)) from error
             # Data after a complete response belongs to no request; the response itself is valid.
             if not self.parser.has_excess_bytes:
                 raise
--- a/tests/unit/gateway/test_crashed_upstreams.py
+++ b/tests/unit/gateway/test_crashed_upstreams.py
@@ -1,5 +1,6 @@
 """Guards against taking a crashed upstream for one to which nothing was sent."""
 
+import gevent
 import pytest
 from gevent.server import StreamServer
 
@@ -18,7 +19,9 @@
 class CrashingServer:
     """Answers on kept connections and ends with all of them under a request with ``deadly``."""
 
-    def __init__(self):
+    def __init__(self, beginning=b""):
+        # Sent of the answer before the crash.
+        self.beginning = beginning
         self.server = StreamServer(("127.0.0.1", 0), self.serve)
         self.server.start()
         self.socks = []
@@ -27,6 +30,9 @@
         self.socks.append(sock)
         while request := sock.recv(65536):
             if b"deadly" in request:
+                if self.beginning:
+                    sock.sendall(self.beginning)
+                    gevent.sleep(0.05)
                 self.crash()
                 return
             identity = request.partition(b"Request-Id: ")[2].partition(b"\r\n")[0]
@@ -76,3 +82,25 @@
         client.send_request(upstream, request(b"deadly"), 1_000, repeatable=True)
     assert raised.value.sent
     assert raised.value.closed
+
+
+BEGINNING = b"HTTP/1.1 200 OK\r\nRequest-Id: q1\r\nServer-Stamp: p.1\r\n"
+
+
+@pytest.mark.parametrize(
+    "beginning",
+    [
+        b"HTTP/1.1 200",
+        BEGINNING + b"Content-Length: 9\r\n\r\nhalf",
+        BEGINNING + b"Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+        BEGINNING + b"Transfer-Encoding: chunked\r\n\r\n",
+    ],
+)
+def test_an_answer_that_breaks_off_shows_that_the_server_ended_it(beginning):
+    server = CrashingServer(beginning)
+    client = UpstreamClient(CLOCK, ServerProtocol(), ConnectionPool(CLOCK))
+    with pytest.raises(ExchangeError) as raised:
+        exchange = client.send_request(server.upstream(), request(b"deadly"), 1_000, True)
+        exchange.connection.read_body(1_000)
+    assert raised.value.sent
+    assert raised.value.closed
