Answer a stream that fails before its first part with a status instead of 500

What callers saw: status 500 of the gateway, without a reason, when a server crashed between the head and the first event of a stream. Cause: the head was passed on only with the first part, and the failure came after the response had been handed to the HTTP server. Now the first part is awaited as part of the call, so the client gets 502, 503 or the final answer.

--- a/src/pistachionotch/gateway/call_progress.py
+++ b/src/pistachionotch/gateway/call_progress.py
@@ -10,6 +10,12 @@
 from .responses import BufferedResponse, ClientCall
 from .streams import EVENT_TIMEOUT_MS
 from .upstream_protocol import RequestPurpose
+from .upstreams import Upstream
+
+# Timeout for the response head of a repeatable attempt, as a multiple of the upstream's average
+# response time. An unresponsive upstream then costs one attempt instead of the whole time budget.
+FIRST_BYTE_TIMEOUT_FACTOR = 8
+MIN_FIRST_BYTE_TIMEOUT_MS = 600
 
 
 @attrs.define
@@ -52,6 +58,13 @@
         most = max(1, self.route.max_attempts)
         return len(self.tried) - self.unreachable < most and len(self.tried) < 2 * most
 
+    def first_byte_timeout_ms(self, upstream: Upstream, left_ms: int) -> int:
+        """Return the timeout in ms for the response head of an attempt."""
+        if not (self.route.repeatable() and self.may_try_again()):
+            return left_ms
+        usual_ms = int((upstream.response_ms or 0.0) * FIRST_BYTE_TIMEOUT_FACTOR)
+        return min(left_ms, max(MIN_FIRST_BYTE_TIMEOUT_MS, usual_ms))
+
     def must_stream(self) -> bool:
         """Return whether a success that is no event stream would follow a client's events."""
         return self.route.resumable and self.call.resume_after is not None
--- a/src/pistachionotch/gateway/calls.py
+++ b/src/pistachionotch/gateway/calls.py
@@ -15,7 +15,7 @@
 from ..measures import Measures
 from ..quarantine.board import CrashBoard, Verdict
 from .call_log import CallLog
-from .call_progress import CallProgress, deadline_ms
+from .call_progress import MIN_FIRST_BYTE_TIMEOUT_MS, CallProgress, deadline_ms
 from .call_selection import CallSelector
 from .catalog import Route
 from .exchange import Exchange, UpstreamClient
@@ -28,6 +28,7 @@
     ClientCall,
     ClientResponse,
     FailureCause,
+    RejoinedParts,
     StreamingResponse,
 )
 from .stream_origins import StreamOrigins
@@ -38,17 +39,12 @@
 
 # Minimum remaining time for an attempt.
 MIN_ATTEMPT_MS = 10
-# Timeout for the response head of a repeatable attempt, as a multiple of the upstream's average
-# response time. An unresponsive upstream then costs one attempt instead of the whole time budget.
-FIRST_BYTE_TIMEOUT_FACTOR = 8
-MIN_FIRST_BYTE_TIMEOUT_MS = 600
 OK = 200
 SERVER_ERROR = 500
 # Limit on the body of a response that states that the request was not run; these bodies are short.
 MAX_REFUSAL_BYTES = 64 * 1024
 # Larger bodies are streamed to the client, which rules out a retry.
 MAX_BUFFERED_BYTES = 1024 * 1024
-LOWEST_SERVER_ERROR = 500
 
 
 @attrs.define
@@ -99,12 +95,24 @@
                 break
             progress.tried.add(upstream.record.instance)
             answer = self._attempt(progress, upstream)
+            if isinstance(answer, StreamingResponse):
+                return self._begin_response(progress, answer)
             if answer is not None:
                 return answer
             if progress.may_have_run and not route.repeatable():
                 break
         return self._fail(progress)
 
+    def _begin_response(self, progress: CallProgress, answer: StreamingResponse) -> ClientResponse:
+        """Wait for the first part, so that a client that has got nothing gets a status."""
+        try:
+            first = next(answer.parts, b"")
+        except ExchangeError as error:
+            progress.may_have_run = True
+            progress.reason = progress.reason or error.reason
+            return self._fail(progress)
+        return attrs.evolve(answer, parts=RejoinedParts(first, answer.parts))
+
     def _admit(self, progress: CallProgress, left_ms: int) -> bool:
         """Return whether another attempt is allowed as far as crashes of upstreams matter."""
         call = progress.call
@@ -188,7 +196,7 @@
         left_ms = progress.deadline_ms - started_ms
         request = self._upstream_request(progress, upstream, left_ms)
         repeatable = progress.route.repeatable()
-        patience_ms = self._first_byte_timeout_ms(progress, upstream, left_ms)
+        patience_ms = progress.first_byte_timeout_ms(upstream, left_ms)
         exchange = self.client.send_request(upstream, request, patience_ms, repeatable)
         self.suspects.record_answer(upstream)
         done = False
@@ -222,7 +230,7 @@
             if not done:
                 exchange.connection.close()
         now_ms = self.clock.now_ms()
-        if response.head.status >= LOWEST_SERVER_ERROR:
+        if response.head.status >= SERVER_ERROR:
             # Server errors don't count in the response time: a fast failure would attract calls.
             upstream.record_attempt(False, now_ms)
         else:
@@ -233,7 +241,7 @@
         )
         progress.may_have_run = True
         self.suspects.record_success(progress.call.content)
-        if reply.status >= LOWEST_SERVER_ERROR and repeatable:
+        if reply.status >= SERVER_ERROR and repeatable:
             progress.failure = reply
             progress.reason = f"status {reply.status}"
             self.call_log.failed(progress, upstream, progress.reason, True)
@@ -279,16 +287,6 @@
                 exchange.connection.close()
             exchange.upstream.in_flight -= 1
 
-    def _first_byte_timeout_ms(
-        self, progress: CallProgress, upstream: Upstream, left_ms: int
-    ) -> int:
-        if not (progress.route.repeatable() and progress.may_try_again()):
-            return left_ms
-        expected_ms = upstream.response_ms or 0.0
-        return min(
-            left_ms, max(MIN_FIRST_BYTE_TIMEOUT_MS, int(expected_ms * FIRST_BYTE_TIMEOUT_FACTOR))
-        )
-
     def _stream(self, progress: CallProgress, exchange: Exchange) -> Iterator[bytes]:
         resumable = progress.route.resumable
         relay = StreamRelay(
--- a/src/pistachionotch/gateway/responses.py
+++ b/src/pistachionotch/gateway/responses.py
@@ -58,6 +58,27 @@
     parts: Iterator[bytes]
 
 
+@attrs.define
+class RejoinedParts:
+    """An iterator over the parts of a body whose first one has been taken from it already."""
+
+    first: bytes
+    rest: Iterator[bytes]
+
+    def __iter__(self) -> RejoinedParts:
+        return self
+
+    def __next__(self) -> bytes:
+        if self.first:
+            part, self.first = self.first, b""
+            return part
+        return next(self.rest)
+
+    def close(self) -> None:
+        """Release the rest."""
+        self.rest.close()  # type: ignore[attr-defined]
+
+
 class FailureCause(enum.Enum):
     """Reason why there is no upstream response for a call."""
 
