Let an odd object of another writer cost that object only

Shown by a test: an entry nested 1,000 deep, with a number of 5,000 digits, 1e999 or bytes that are no UTF-8 made the whole listing or watch malformed, so that a gateway kept an old state for ever. Port 0, 0.0.0.0, 10**400 slots and names that can't be sent in a header were accepted as servers. Cause: an answer of the store was decoded as one, and the decoders checked types but no bounds. Class of fault: a unit of failure larger than the unit of writing. Now a value that can't be represented makes its own object unreadable; decoders of our own objects and messages refuse numbers beyond 64 bits, and registrations are checked for bounds. An unusable object is logged and counted once, until its reason changes; before, each write of it was logged.

--- a/src/pistachionotch/agent/engine_reports.py
+++ b/src/pistachionotch/agent/engine_reports.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any
@@ -12,7 +11,7 @@
 from ..clock import Clock
 from ..config.spec import Address
 from ..http_client import ConnectionPool, ExchangeError
-from ..malformed import MALFORMED
+from ..malformed import MALFORMED, load_json
 from ..prefixes.view import CacheEventPage, parse_event_page
 from .upstream import EngineUpstream
 
@@ -100,7 +99,7 @@
         address = Address(self.upstream.host, self.upstream.port)
         try:
             head, body = self.pool.ask(address, "GET", path, (), b"", TIMEOUT_MS)
-            answer = json.loads(body) if head.status == HTTPStatus.OK else None
+            answer = load_json(body) if head.status == HTTPStatus.OK else None
         except (ExchangeError, *MALFORMED) as error:
             self._log_first_failure(path, repr(error))
             return None
--- a/src/pistachionotch/agent/orders.py
+++ b/src/pistachionotch/agent/orders.py
@@ -15,7 +15,7 @@
 from ..config.spec import Address
 from ..http_client import ConnectionPool, ExchangeError
 from ..lease.fence import read_fence
-from ..malformed import MALFORMED
+from ..malformed import MALFORMED, load_json
 from ..objects.api import ObjectStore
 from ..weights.gate import Admitted, CorrectionNeeded, EngineOrder, OrderGate
 from ..weights.publish import read_desired
@@ -175,7 +175,7 @@
             head, text = ConnectionPool(self.clock).ask(
                 address, method, path, headers, body, ORDER_TIMEOUT_MS, fresh=True
             )
-            answer = json.loads(text) if head.status == HTTPStatus.OK else {}
+            answer = load_json(text) if head.status == HTTPStatus.OK else {}
         # After a lost answer, the version that is read back shows whether the order took effect.
         except (ExchangeError, *MALFORMED) as error:
             self.log.info("engine call failed", path=path, reason=repr(error))
--- a/src/pistachionotch/batches/log.py
+++ b/src/pistachionotch/batches/log.py
@@ -8,11 +8,10 @@
 
 from __future__ import annotations
 
-import json
-
 import attrs
 from returns.result import Failure, Result, Success
 
+from ..malformed import load_json
 from ..objects.api import (
     ObjectStore,
     StoredObject,
@@ -102,7 +101,7 @@
 
 
 def _decode_items(stored: StoredObject) -> list[object]:
-    found: list[object] = json.loads(stored.value)
+    found: list[object] = load_json(stored.value)
     return found
 
 
--- a/src/pistachionotch/batches/records.py
+++ b/src/pistachionotch/batches/records.py
@@ -9,6 +9,7 @@
 import attrs
 
 from ..config.spec import Address
+from ..malformed import load_json
 from ..software.origin import Origin
 from .model import (
     BatchHead,
@@ -94,7 +95,7 @@
 
 def read_head(value: bytes) -> tuple[BatchHead, int]:
     """Parse a batch's head with its first items, and the number of objects with the others."""
-    fields = json.loads(value)
+    fields = load_json(value)
     submission = Submission(
         id=fields["id"],
         host=fields["host"],
@@ -172,7 +173,7 @@
 
 def read_state(value: bytes) -> BatchState:
     """Parse the state of a batch that another owner hands off."""
-    fields = json.loads(value)
+    fields = load_json(value)
     head, _parts = read_head(fields["head"].encode())
     unlisted = tuple(read_result(result) for result in fields["unlisted"])
     if not fields.get("single_origins"):
@@ -202,7 +203,7 @@
 
 def read_entry(value: bytes) -> LogEntry:
     """Parse a log entry."""
-    fields = json.loads(value)
+    fields = load_json(value)
     owner = fields.get("owner")
     return LogEntry(
         token=fields["token"],
--- a/src/pistachionotch/config/spec.py
+++ b/src/pistachionotch/config/spec.py
@@ -38,6 +38,15 @@
             host = str(ipaddress.IPv4Address(host))
         return cls(host, int(port))
 
+    @classmethod
+    def parse_peer(cls, text: str) -> Address:
+        """Parse the address of another process, or raise ``ValueError`` with the reason."""
+        found = cls.parse(text)
+        host = ipaddress.ip_address(found.host)
+        if found.port == 0 or host.is_unspecified or host.is_multicast:
+            raise ValueError(f"'{text}' is no address of a process")
+        return found
+
 
 @attrs.frozen
 class TextSpec:
--- a/src/pistachionotch/gateway/crash_store.py
+++ b/src/pistachionotch/gateway/crash_store.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Callable
 from typing import Any
 
@@ -11,7 +10,7 @@
 
 from ..batches.records import canonical_json
 from ..clock import Clock
-from ..malformed import MALFORMED
+from ..malformed import MALFORMED, load_json
 from ..objects.api import ObjectStore, StoredObject, VersionConflict
 from ..quarantine.board import EVIDENCE_MS, CrashBoard, CrashReport
 
@@ -74,7 +73,7 @@
         now_ms = self.clock.now_ms()
         offset_ms = self.unix_ms() - now_ms
         added = 0
-        for content, service, upstream, unix_ms in json.loads(stored.value)["reports"]:
+        for content, service, upstream, unix_ms in load_json(stored.value)["reports"]:
             at_ms = min(now_ms, int(unix_ms) - offset_ms)
             report = CrashReport(str(content), str(service), str(upstream), at_ms)
             added += self.board.apply(report, now_ms)
--- a/src/pistachionotch/gateway/daemon.py
+++ b/src/pistachionotch/gateway/daemon.py
@@ -107,6 +107,7 @@
         self.gateways = GatewayRegistry(
             me, self.store, logger("gateway"), settings.region, settings.processor
         )
+        self.gateways.odd.measures = self.demands.odd.measures = self.measures
         self.watchers = Watchers(
             settings.node,
             self.pool,
--- a/src/pistachionotch/gateway/peers.py
+++ b/src/pistachionotch/gateway/peers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import traceback
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
@@ -17,8 +16,10 @@
 from ..batches.records import canonical_json
 from ..config.spec import Address
 from ..logs import logger
-from ..malformed import MALFORMED
+from ..malformed import MALFORMED, load_json
+from ..measures import Measures
 from ..objects.api import ObjectStore, StoredObject, VersionConflict
+from ..objects.odd_objects import OddObjects
 from ..objects.relay import RELAY_PATH, handle_relayed_call
 from .crash_exchange import CRASHES_PREFIX, CrashExchange
 from .limit_exchange import LIMITS_PREFIX
@@ -45,9 +46,14 @@
     # Whether an earlier process of this gateway was registered when this one started.
     restarted: bool = False
     versions: dict[str, int] = attrs.field(factory=dict)
+    measures: Measures = attrs.field(factory=Measures)
+    odd: OddObjects = attrs.field(init=False)
     # Consecutive probes without an answer, by node.
     missed_probes: dict[str, int] = attrs.field(factory=dict)
 
+    def __attrs_post_init__(self) -> None:
+        self.odd = OddObjects(self.log, self.measures)
+
     @property
     def addresses(self) -> dict[str, Address]:
         """Return the addresses of the other gateways by node."""
@@ -92,7 +98,7 @@
     def _is_of_earlier_process(self, value: bytes) -> bool:
         """Return whether a registration of this gateway was stored by another process."""
         try:
-            incarnation = json.loads(value)["incarnation"]
+            incarnation = load_json(value)["incarnation"]
         except MALFORMED as error:
             self.log.warning("malformed own registration", error=repr(error))
             return False
@@ -103,6 +109,7 @@
         found = {}
         # If another gateway deleted this registration as lost, it has to be stored again.
         self.registered = self.registered and GATEWAYS_PREFIX + self.local_owner.node in objects
+        self.odd.keep(GATEWAYS_PREFIX, objects.keys())
         self.versions = {key: stored.version for key, stored in objects.items()}
         for key, stored in objects.items():
             node = key.removeprefix(GATEWAYS_PREFIX)
@@ -110,8 +117,9 @@
                 continue
             try:
                 found[node] = _read_record(stored.value)
+                self.odd.forget(key)
             except MALFORMED as error:
-                self.log.warning("malformed gateway registration", key=key, error=repr(error))
+                self.odd.report(key, stored.version, error)
         self.records = found
         self.log.info("gateways listed", revision=revision, others=sorted(found))
 
@@ -133,9 +141,9 @@
 
 
 def _read_record(value: bytes) -> GatewayRecord:
-    fields = json.loads(value)
+    fields = load_json(value)
     return GatewayRecord(
-        address=Address.parse(fields["address"]),
+        address=Address.parse_peer(fields["address"]),
         # Gateways of earlier versions don't store these fields.
         region=str(fields.get("region", "")),
         processor=float(fields.get("processor", 0.0)),
--- a/src/pistachionotch/idempotency/claim.py
+++ b/src/pistachionotch/idempotency/claim.py
@@ -8,6 +8,8 @@
 
 import attrs
 
+from ..malformed import load_json
+
 
 @attrs.frozen
 class StoredResult:
@@ -60,7 +62,7 @@
 def parse_claim(value: bytes) -> StoredClaim | None:
     """Parse the value of a claim object; return None if it is malformed."""
     try:
-        fields = json.loads(value)
+        fields = load_json(value)
         return StoredClaim(
             str(fields["token"]),
             str(fields["agent"]),
--- a/src/pistachionotch/idempotency/cleanup.py
+++ b/src/pistachionotch/idempotency/cleanup.py
@@ -22,6 +22,7 @@
 from returns.result import Failure, Success
 
 from ..clock import Clock
+from ..malformed import load_json
 from ..objects.api import ObjectStore, StoredObject, VersionConflict
 from ..objects.read_back import put_with_read_back
 from .claim import ClaimPhase, parse_claim
@@ -69,7 +70,7 @@
 def parse_ledger(value: bytes) -> AgeLedger:
     """Parse the value of the ledger object; a malformed one starts again from zero."""
     try:
-        fields = json.loads(value)
+        fields = load_json(value)
         marks = tuple((int(revision), int(at_ms)) for revision, at_ms in fields["marks"])
         return AgeLedger(int(fields["active_ms"]), marks)
     except (ValueError, KeyError, TypeError):
--- a/src/pistachionotch/idempotency/keys.py
+++ b/src/pistachionotch/idempotency/keys.py
@@ -15,6 +15,8 @@
 
 import attrs
 
+from ..malformed import load_json
+
 PREFIX = "pnk1."
 
 
@@ -49,7 +51,7 @@
     if not hmac.compare_digest(mac.encode(), expected.encode()):
         return None
     try:
-        agent, incarnation, sequence = json.loads(base64.urlsafe_b64decode(payload))
+        agent, incarnation, sequence = load_json(base64.urlsafe_b64decode(payload))
     except (ValueError, TypeError, binascii.Error):
         return None
     return IssuedKey(str(agent), str(incarnation), int(sequence))
--- a/src/pistachionotch/lease/record.py
+++ b/src/pistachionotch/lease/record.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from ..malformed import load_json
+
 
 @attrs.frozen
 class LeaseRecord:
@@ -30,7 +32,7 @@
 def parse_lease(value: bytes) -> LeaseRecord | None:
     """Parse the value of a lease object; return None if it is malformed."""
     try:
-        fields = json.loads(value)
+        fields = load_json(value)
         if isinstance(fields, dict):
             # Earlier versions stored a JSON object. A malformed lease would never be taken again.
             fields = [fields[field.name] for field in attrs.fields(LeaseRecord)]
--- a/src/pistachionotch/membership/directory.py
+++ b/src/pistachionotch/membership/directory.py
@@ -8,6 +8,8 @@
 
 import attrs
 
+from ..malformed import load_json
+
 # The mark of a leaving incarnation must outlive every object that still names it as live. 300 VMs
 # are restarted or replaced a day, so this many marks last for about two weeks.
 MAX_LEAVING_MARKS = 4_096
@@ -51,7 +53,7 @@
 def decode_members(value: bytes) -> tuple[Member, ...]:
     """Decode the value of a directory object; raise ``ValueError`` if it is malformed."""
     try:
-        return tuple(_decode_member(item) for item in json.loads(value))
+        return tuple(_decode_member(item) for item in load_json(value))
     except (TypeError, KeyError, AttributeError) as error:
         raise ValueError(f"malformed directory object: {error}") from error
 
--- a/src/pistachionotch/membership/registration.py
+++ b/src/pistachionotch/membership/registration.py
@@ -10,6 +10,7 @@
 from returns.result import Failure
 
 from ..clock import Clock
+from ..malformed import load_json
 from ..objects.api import ObjectStore, VersionConflict
 from ..objects.read_back import put_with_read_back
 from .directory import Member, decode_members
@@ -29,7 +30,7 @@
 def decode_registration(value: bytes) -> Member | None:
     """Decode the value of a member object; return None if it is malformed."""
     try:
-        item = json.loads(value)["member"]
+        item = load_json(value)["member"]
         return decode_members(json.dumps([item]).encode())[0]
     except (ValueError, KeyError, TypeError):
         return None
--- a/src/pistachionotch/objects/client.py
+++ b/src/pistachionotch/objects/client.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import base64
-import json
 from collections.abc import Mapping
 from http import HTTPStatus
 from typing import Any
@@ -23,6 +22,7 @@
 from returns.result import Failure, Result, Success
 
 from ..clock import MS_PER_SECOND
+from ..malformed import load_json
 from .api import (
     Change,
     Snapshot,
@@ -283,7 +283,7 @@
 
 
 def _parse_snapshot(body: bytes) -> Snapshot:
-    fields = json.loads(body)
+    fields = load_json(body)
     objects = tuple(
         StoredObject(item["key"], int(item["version"]), base64.b64decode(item["value"]))
         for item in fields["objects"]
@@ -292,7 +292,7 @@
 
 
 def _parse_batch(body: bytes) -> WatchBatch:
-    fields = json.loads(body)
+    fields = load_json(body)
     changes = tuple(
         Change(item["key"], int(item["version"]), _decode_value(item["value"]))
         for item in fields["changes"]
--- a/src/pistachionotch/objects/vms.py
+++ b/src/pistachionotch/objects/vms.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from http import HTTPStatus
 from typing import Protocol
 
@@ -11,6 +10,7 @@
 from geventhttpclient import HTTPClient
 
 from ..clock import Clock, SystemClock
+from ..malformed import load_json
 from ..membership.directory import MemberState
 
 CONNECT_TIMEOUT_S = 1.0
@@ -79,7 +79,7 @@
             return self.states
         if response.status_code != HTTPStatus.OK:
             return None
-        items = json.loads(text)
+        items = load_json(text)
         self.etag = str(response.get("etag") or "")
         return {str(item["name"]): MemberState(item["state"]) for item in items}
 
--- a/src/pistachionotch/platform/batches.py
+++ b/src/pistachionotch/platform/batches.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from ..batches.model import BatchItem, ItemResult, ResultPage, RewardCall, Submission
-from ..malformed import MALFORMED
+from ..malformed import MALFORMED, load_json
 
 LENGTH_HINT = "length-hint"
 
@@ -16,7 +16,7 @@
 def read_submission(batch: str, host: str, target: str, body: bytes) -> Submission:
     """Decode a submission; raises ``ValueError`` if it is malformed."""
     try:
-        fields = json.loads(body)
+        fields = load_json(body)
         items = tuple(_parse_item(item) for item in fields["items"])
         if not items or len({item.id for item in items}) != len(items):
             raise ValueError("no items, or two with one id")
--- a/src/pistachionotch/platform/decode.py
+++ b/src/pistachionotch/platform/decode.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-import json
+import re
 from collections.abc import Mapping
 from typing import Any
 
 from ..config.spec import Address
 from ..gateway.catalog import Catalog, ClientLimits, Route, RouteKind, Service, ServiceShare
 from ..gateway.upstreams import UpstreamRecord
+from ..malformed import load_json
 from ..objects.api import StoredObject
 
 CONFIG_PREFIX = "config/"
@@ -17,6 +18,13 @@
 VERSIONS_PREFIX = "versions/"
 RETIREMENTS_PREFIX = "retirements/"
 MS_PER_SECOND = 1000
+MAX_SLOTS = 100_000
+MAX_VERSION = 2**53
+# The year 5138, in Unix milliseconds.
+MAX_TIME_MS = 10**14
+# Names of servers are sent in headers.
+_INSTANCE = re.compile(r"[\x21-\x7e]{1,256}")
+_TEXT = re.compile(r"[^\x00-\x1f\x7f\ud800-\udfff]{1,256}")
 
 _ROUTE_KINDS = {
     "safe": RouteKind.SAFE,
@@ -29,7 +37,7 @@
 
 def read_catalog(stored: StoredObject) -> Catalog:
     """Decode the configuration; raises one of ``MALFORMED`` if that fails."""
-    fields = json.loads(stored.value)
+    fields = load_json(stored.value)
     routes = tuple(_parse_route(item) for item in fields["routes"])
     services = {item["name"]: _parse_service(item) for item in fields["services"]}
     return Catalog(
@@ -74,32 +82,46 @@
 
 def read_upstream(stored: StoredObject) -> UpstreamRecord:
     """Decode a server's registration; raises one of ``MALFORMED`` if the server can't be used."""
-    fields = json.loads(stored.value)
+    fields = load_json(stored.value)
     state = fields["state"]
     if state not in ("ready", "draining"):
         raise ValueError(f"unknown state {state!r}")
-    slots = fields["slots"]
-    if not isinstance(slots, int) or slots < 1:
-        raise ValueError(f"invalid number of slots {slots!r}")
+    instance = stored.key.partition("/")[2]
+    if not _INSTANCE.fullmatch(instance):
+        raise ValueError("the name can't be sent in a header")
     texts = [fields[name] for name in ("service", "address", "zone", "version")]
-    if not all(isinstance(text, str) and text for text in texts):
-        raise ValueError("service, address, zone and version must be texts")
+    if not all(isinstance(text, str) and _TEXT.fullmatch(text) for text in texts):
+        raise ValueError("service, address, zone and version must be short texts")
     return UpstreamRecord(
         # The platform identifies a server only by the name of its object.
-        instance=stored.key.partition("/")[2],
+        instance=instance,
         service=texts[0],
-        address=Address.parse(texts[1]),
+        address=Address.parse_peer(texts[1]),
         zone=texts[2],
-        slots=slots,
+        slots=_bounded(fields["slots"], 1, MAX_SLOTS),
         leaving=state == "draining",
-        started_ms=int(fields.get("born") or 0),
+        started_ms=_bounded(fields.get("born") or 0, 0, MAX_TIME_MS),
         # The object's own field "version" is the server's software version, not a weight version.
         software=texts[3],
-        versions={str(m["name"]): int(m["version"]) for m in fields.get("models") or ()},
+        versions=dict(_read_model(item) for item in fields.get("models") or ()),
     )
 
 
+def _read_model(item: Mapping[str, Any]) -> tuple[str, int]:
+    name = item["name"]
+    if not isinstance(name, str):
+        raise TypeError(f"{type(name).__name__} as the name of a model")
+    return name, _bounded(item["version"], 0, MAX_VERSION)
+
+
+def _bounded(value: Any, least: int, most: int) -> int:
+    """Return an integer within bounds; raises ``ValueError``."""
+    if isinstance(value, bool) or not isinstance(value, int) or not least <= value <= most:
+        raise ValueError(f"{value!r} is no integer from {least} to {most}")
+    return value
+
+
 def read_named_version(stored: StoredObject) -> tuple[str, int]:
     """Decode a model and the newest weight version that a trainer has named for it."""
-    fields = json.loads(stored.value)
-    return str(fields["model"]), int(fields["version"])
+    fields = load_json(stored.value)
+    return _read_model({"name": fields["model"], "version": fields["version"]})
--- a/src/pistachionotch/platform/listings.py
+++ b/src/pistachionotch/platform/listings.py
@@ -11,7 +11,9 @@
 from ..gateway.catalog import Catalog
 from ..gateway.upstreams import UpstreamRecord
 from ..malformed import MALFORMED
+from ..measures import Measures
 from ..objects.api import StoredObject, StoreError
+from ..objects.odd_objects import OddObjects
 from .decode import (
     CONFIG_KEY,
     CONFIG_PREFIX,
@@ -33,14 +35,17 @@
 
     store: PlatformStore
     log: Any
-    # Keys and versions of the unreadable objects logged so far, so that each is logged once.
-    reported: set[tuple[str, int]] = attrs.field(factory=set)
+    measures: Measures = attrs.field(factory=Measures)
+    odd: OddObjects = attrs.field(init=False)
     catalog_prefix: str = CONFIG_PREFIX
     upstreams_prefix: str = SERVERS_PREFIX
     versions_prefix: str = VERSIONS_PREFIX
     # The platform calls the request to evacuate a VM a "retirement".
     evacuations_prefix: str = RETIREMENTS_PREFIX
 
+    def __attrs_post_init__(self) -> None:
+        self.odd = OddObjects(self.log, self.measures)
+
     def catalog(self, objects: Mapping[str, StoredObject]) -> Catalog | None:
         """Return the configuration, or None if it is missing or unreadable."""
         stored = objects.get(CONFIG_KEY)
@@ -48,6 +53,7 @@
 
     def upstreams(self, objects: Mapping[str, StoredObject]) -> list[UpstreamRecord]:
         """Return the registrations of usable servers; others are skipped."""
+        self.odd.keep(SERVERS_PREFIX, objects.keys())
         records = (self._read(read_upstream, stored) for stored in objects.values())
         return [record for record in records if record is not None]
 
@@ -62,11 +68,9 @@
 
     def _read(self, read: Callable[[StoredObject], T], stored: StoredObject) -> T | None:
         try:
-            return read(stored)
+            found = read(stored)
         except MALFORMED as error:
-            if (stored.key, stored.version) not in self.reported:
-                self.reported.add((stored.key, stored.version))
-                self.log.warning(
-                    "unreadable object", key=stored.key, version=stored.version, error=repr(error)
-                )
+            self.odd.report(stored.key, stored.version, error)
             return None
+        self.odd.forget(stored.key)
+        return found
--- a/src/pistachionotch/platform/main.py
+++ b/src/pistachionotch/platform/main.py
@@ -58,6 +58,7 @@
     from ..gateway.daemon import GatewayDaemon
     from ..http_client import ConnectionPool
     from ..logs import logger
+    from ..measures import Measures
     from .ingress import IngressApp
     from .listings import PlatformListings
     from .store import PlatformStore
@@ -66,6 +67,7 @@
     clock = SystemClock()
     pool = ConnectionPool(clock)
     store = PlatformStore(settings.object_api, pool)
+    measures = Measures()
 
     def ingress(daemon: GatewayDaemon) -> IngressApp:
         return IngressApp(
@@ -84,10 +86,11 @@
         store,
         pool,
         ServerProtocol(),
-        PlatformListings(store, logger("listings")),
+        PlatformListings(store, logger("listings"), measures),
         ingress,
         "/api/readyz",
         clock,
+        measures=measures,
     )
 
 
--- a/src/pistachionotch/platform/store.py
+++ b/src/pistachionotch/platform/store.py
@@ -16,7 +16,8 @@
 
 from ..config.spec import Address
 from ..http_client import Connection, ConnectionPool, ExchangeError
-from ..malformed import MALFORMED
+from ..logs import logger
+from ..malformed import MALFORMED, describe
 from ..objects.api import (
     Change,
     Snapshot,
@@ -29,6 +30,7 @@
     WatchExpired,
     WriteAmbiguous,
 )
+from .tolerant_json import dump_value, load_tolerantly
 
 CONNECT_TIMEOUT_MS = 500
 # A slow store takes a hundred times its usual 4 ms; one that exceeds this limit counts as down.
@@ -89,7 +91,8 @@
             if reply.status != HTTPStatus.OK:
                 return Failure(StoreUnavailable(f"status {reply.status}"))
             try:
-                page = [_parse_object(kind, item) for item in reply.fields["items"]]
+                items = reply.fields["items"]
+                page = [stored for item in items if (stored := _parse_entry(kind, item))]
                 more = bool(reply.fields["has_more"])
                 revision = int(reply.fields["current_rev"])
             except MALFORMED as error:
@@ -139,8 +142,9 @@
         if reply.status != HTTPStatus.OK:
             return Failure(StoreUnavailable(f"status {reply.status}"))
         try:
-            changes = tuple(_parse_change(kind, event) for event in reply.fields["events"])
-            return Success(WatchBatch(int(reply.fields["current_rev"]), changes))
+            events = reply.fields["events"]
+            changes = [change for event in events if (change := _parse_change(kind, event))]
+            return Success(WatchBatch(int(reply.fields["current_rev"]), tuple(changes)))
         except MALFORMED as error:
             return Failure(StoreUnavailable(f"malformed answer: {error!r}"))
 
@@ -200,7 +204,7 @@
 
 def _json_or_none(text: bytes) -> Any:
     try:
-        return json.loads(text)
+        return load_tolerantly(text)
     except MALFORMED:
         # The status may be enough; a caller that needs the fields reports them as malformed.
         return None
@@ -224,12 +228,21 @@
 
 def _parse_object(kind: str, fields: Any) -> StoredObject:
     metadata = fields["metadata"]
-    spec = fields.get("spec")
-    value = json.dumps(spec, separators=(",", ":")).encode()
     name = str(metadata["name"]).replace("~", "/")
-    return StoredObject(f"{kind}/{name}", int(metadata["revision"]), value)
+    return StoredObject(f"{kind}/{name}", int(metadata["revision"]), dump_value(fields.get("spec")))
 
 
-def _parse_change(kind: str, event: Any) -> Change:
-    stored = _parse_object(kind, event["object"])
+def _parse_entry(kind: str, fields: Any) -> StoredObject | None:
+    """Decode one object of several; None if it can't even be named."""
+    try:
+        return _parse_object(kind, fields)
+    except MALFORMED as error:
+        logger("objects").warning("object without name", kind=kind, error=describe(error))
+        return None
+
+
+def _parse_change(kind: str, event: Any) -> Change | None:
+    stored = _parse_entry(kind, event["object"])
+    if stored is None:
+        return None
     return Change(stored.key, stored.version, None if event["removed"] else stored.value)
--- a/src/pistachionotch/platform/upstream.py
+++ b/src/pistachionotch/platform/upstream.py
@@ -18,6 +18,7 @@
     UpstreamResponse,
 )
 from ..http_client import Header, ResponseHead
+from ..malformed import load_json
 
 # Names of response headers are in lower case, as ``ResponseHead`` has them.
 REQUEST_ID_HEADER = "Request-Id"
@@ -151,7 +152,7 @@
 
     def read_report(self, body: bytes) -> EngineReport:
         """Decode a server's report; raises one of ``MALFORMED`` if that fails."""
-        fields = json.loads(body)
+        fields = load_json(body)
         return EngineReport(
             busy=bool(fields["busy"]),
             # Here "seq" is the number of accepted orders; in other messages it counts other things.
--- a/src/pistachionotch/weights/demand.py
+++ b/src/pistachionotch/weights/demand.py
@@ -8,7 +8,9 @@
 import attrs
 from returns.result import Failure
 
+from ..malformed import MALFORMED, load_json
 from ..objects.api import ObjectStore, StoredObject, VersionConflict
+from ..objects.odd_objects import OddObjects
 
 DEMANDS_PREFIX = "demands/"
 # A step updates the estimate only if its work differs by more than this share.
@@ -22,6 +24,10 @@
     store: ObjectStore
     log: Any
     tokens: dict[str, int] = attrs.field(factory=dict)
+    odd: OddObjects = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.odd = OddObjects(self.log)
 
     def record_step(self, model: str, tokens: int) -> None:
         """Update the estimate with the work of a step, and store it if it changed enough."""
@@ -50,8 +56,9 @@
         """Apply a newer listing of the stored estimates."""
         for key, stored in objects.items():
             try:
-                tokens = int(json.loads(stored.value)["tokens"])
-            except (ValueError, KeyError, TypeError) as error:
-                self.log.warning("unreadable demand", key=key, error=repr(error))
+                tokens = int(load_json(stored.value)["tokens"])
+            except MALFORMED as error:
+                self.odd.report(key, stored.version, error)
                 continue
+            self.odd.forget(key)
             self.tokens[key.removeprefix(DEMANDS_PREFIX)] = tokens
