Call no software version gone that has just joined, nor absent that is listed again

A stream joined from two versions could not be brought about: a gateway stopped by SIGSTOP while a version joins, and the state machine of origins with listings of any age, keep each stream at its version. Found beside it, by reading and then by tests: - What callers saw: 421, 'will never succeed', for a stream whose version's servers had just joined, from a gateway that had not listed them yet. Cause: 'not in my listing' was taken for 'gone'. Now a version that this gateway never listed is uncertain (503 with Retry-After) while the stream is younger than what the listing may lack. test_a_gateway_that_stood_still_while_a_version_joined_joins_no_two_versions got 421. - A lease holder out of step marked listed versions absent in the history, and nothing took the mark back. A quarter of an hour later the version could lapse the moment its servers left, and its streams be joined to another one. test_a_version_wrongly_marked_absent_stays_possible_once_it_leaves guards it.

--- a/src/pistachionotch/gateway/stream_origins.py
+++ b/src/pistachionotch/gateway/stream_origins.py
@@ -76,6 +76,9 @@
     maintained_ms: int = 0
     # Revision of the listing and version of the configuration that ``recorded`` belongs to.
     seen: tuple[int, int] = (-1, -1)
+    formerly_listed: frozenset[Origin] = frozenset()
+    # Time at which the listing of the upstreams was last known to be current.
+    listed_ms: Callable[[], int | None] = lambda: None
     wake: Event = attrs.field(factory=Event)
     changed: Event = attrs.field(factory=Event)
 
@@ -119,6 +122,8 @@
         facts = TakeUpFacts(
             remembered=self.memory.find(call.begun_by, started_ms),
             serving=serving,
+            formerly_listed=self._note_listed(),
+            listing_age_ms=started_ms - (self.listed_ms() or started_ms),
             now_ms=started_ms,
         )
         if facts.remembered is None:
@@ -140,12 +145,22 @@
             age_ms=decision.age_ms,
             possible=None if facts.possible is None else len(facts.possible),
             listing=self.table.revision,
+            listing_age_ms=facts.listing_age_ms,
             outcome=decision.outcome.value,
             reason=decision.reason,
             took_ms=self.clock.now_ms() - started_ms,
         )
         return decision
 
+    def _note_listed(self) -> frozenset[Origin]:
+        """Return all origins that have been listed since the start of this process."""
+        listed = {
+            Origin(each.record.service, each.record.software)
+            for each in self.table.upstreams.values()
+        }
+        self.formerly_listed |= listed
+        return self.formerly_listed
+
     def _serving(self, route: Route) -> frozenset[Origin]:
         found = set()
         for share in route.shares:
@@ -250,6 +265,7 @@
         seen = (self.table.revision, catalog.version)
         if seen == self.seen:
             return True
+        self._note_listed()
         needed = self._needed_beginnings(catalog)
         # A version that left and comes back may have lapsed from the history.
         self.recorded &= needed
--- a/src/pistachionotch/software/history.py
+++ b/src/pistachionotch/software/history.py
@@ -85,13 +85,16 @@
         return frozenset(found)
 
     def update_absent(self, listed: Collection[Origin], now_ms: int) -> bool:
-        """Mark origins without servers and forget those that lapsed; returns whether any did.
+        """Mark origins without servers and forget those that lapsed; returns if it has changed.
 
         ``now_ms`` is Unix time, which may jump by seconds.
         """
         changed = False
         for beginning, since_ms in list(self.absent_since_ms.items()):
             if beginning.origin in listed:
+                # A holder whose listing was outdated may have taken it for absent.
+                changed = changed or since_ms is not None
+                self.absent_since_ms[beginning] = None
                 continue
             if since_ms is None:
                 self.absent_since_ms[beginning] = now_ms
--- a/src/pistachionotch/software/take_up.py
+++ b/src/pistachionotch/software/take_up.py
@@ -14,6 +14,9 @@
 
 from .origin import BegunStream, KnownBy, Origin
 
+# Changes of the listing are known after this time at most.
+MAX_LISTING_AGE_MS = 2_500
+
 
 class TakeUpOutcome(enum.Enum):
     """What happens to a stream that a client takes up; the values go into logs and metrics."""
@@ -39,6 +42,10 @@
     possible: frozenset[Origin] | None = None
     # Origins of servers that take new requests on the route of the call.
     serving: frozenset[Origin] = frozenset()
+    # Origins that were listed before; None for all.
+    formerly_listed: frozenset[Origin] | None = None
+    # Time since the listing was last known to be current.
+    listing_age_ms: int = 0
     now_ms: int = 0
 
 
@@ -59,7 +66,7 @@
     known_by, stream = _known_stream(facts)
     if stream is not None:
         origin, age_ms = stream.origin, max(0, facts.now_ms - stream.begun_ms)
-        return _decide_known(origin, known_by, age_ms, facts.serving)
+        return _decide_known(origin, known_by, age_ms, facts)
     if facts.possible is None:
         return TakeUpDecision(
             outcome=TakeUpOutcome.UNCERTAIN,
@@ -68,7 +75,7 @@
         )
     if len(facts.possible) == 1:
         (origin,) = facts.possible
-        return _decide_known(origin, KnownBy.ONLY_VERSION, None, facts.serving)
+        return _decide_known(origin, KnownBy.ONLY_VERSION, None, facts)
     return TakeUpDecision(
         outcome=TakeUpOutcome.ORIGIN_UNKNOWN,
         known_by=KnownBy.NOTHING,
@@ -88,12 +95,20 @@
 
 
 def _decide_known(
-    origin: Origin, known_by: KnownBy, age_ms: int | None, serving: frozenset[Origin]
+    origin: Origin, known_by: KnownBy, age_ms: int | None, facts: TakeUpFacts
 ) -> TakeUpDecision:
-    if origin in serving:
+    if origin in facts.serving:
         return TakeUpDecision(
             outcome=TakeUpOutcome.GO_ON, known_by=known_by, origin=origin, age_ms=age_ms
         )
+    if _may_have_joined(origin, age_ms, facts):
+        return TakeUpDecision(
+            outcome=TakeUpOutcome.UNCERTAIN,
+            known_by=known_by,
+            origin=origin,
+            age_ms=age_ms,
+            reason=f"servers may have joined since the listing of {facts.listing_age_ms} ms ago",
+        )
     return TakeUpDecision(
         outcome=TakeUpOutcome.VERSION_GONE,
         known_by=known_by,
@@ -101,3 +116,12 @@
         age_ms=age_ms,
         reason="no server of the software version that began the stream takes requests",
     )
+
+
+def _may_have_joined(origin: Origin, age_ms: int | None, facts: TakeUpFacts) -> bool:
+    """Return whether servers of an origin may have joined that the listing doesn't have yet."""
+    if facts.listing_age_ms > MAX_LISTING_AGE_MS:
+        return True
+    if facts.formerly_listed is None or origin in facts.formerly_listed:
+        return False
+    return age_ms is not None and age_ms < facts.listing_age_ms + MAX_LISTING_AGE_MS
--- a/tests/unit/platform/test_joined_streams.py
+++ b/tests/unit/platform/test_joined_streams.py
@@ -1,5 +1,8 @@
 """Guards against a client's stream whose text comes from two software versions of its engines."""
 
+import time
+
+import gevent
 import pytest
 
 from tests.support.platform import Platform, new_id
@@ -46,3 +49,39 @@
     restart_gateways(platform)
     _status, more, _complete = platform.stream("gateway-2", new_id(), request, events[-1][0])
     assert software_of(events + more) == {"v1"}
+
+
+def test_a_gateway_that_stood_still_while_a_version_joined_joins_no_two_versions(platform):
+    platform.deployment.freeze("gateway-2")
+    platform.register(NEW)
+    platform.unregister(OLD)
+    platform.faults(NEW, break_after=3)
+
+    def begin():
+        request = new_id()
+        _status, events, _complete = platform.stream("gateway-1", request)
+        return (request, events) if software_of(events) == {"v2"} else None
+
+    begun = None
+    for _ in range(40):
+        begun = begin()
+        if begun is not None:
+            break
+        time.sleep(0.1)
+    request, events = begun
+    assert len(events) < 8
+    # The gateway that stood still knows the old server only; that server still answers.
+    take_up = gevent.spawn(platform.stream, "gateway-2", new_id(), request, events[-1][0])
+    time.sleep(0.3)
+    platform.deployment.thaw("gateway-2")
+    status, more, _complete = take_up.get(timeout=10)
+    assert software_of(events + more) == {"v2"}
+    # Another server of the version has joined, so it is not gone for good.
+    assert status != 421
+    for _ in range(20):
+        if status == 200:
+            break
+        time.sleep(0.3)
+        status, more, _complete = platform.stream("gateway-2", new_id(), request, events[-1][0])
+    assert status == 200
+    assert software_of(events + more) == {"v2"}
--- a/tests/unit/software/test_take_up.py
+++ b/tests/unit/software/test_take_up.py
@@ -2,6 +2,7 @@
 
 import itertools
 
+import attrs
 import pytest
 
 from pistachionotch.software.history import LAPSE_MS, UNREADABLE, Beginning, OriginHistory
@@ -13,7 +14,12 @@
     read_streams,
     streams_bytes,
 )
-from pistachionotch.software.take_up import TakeUpFacts, TakeUpOutcome, decide_take_up
+from pistachionotch.software.take_up import (
+    MAX_LISTING_AGE_MS,
+    TakeUpFacts,
+    TakeUpOutcome,
+    decide_take_up,
+)
 
 OLD, NEW, OTHER = Origin("s", "v1"), Origin("s", "v2"), Origin("t", "v1")
 BOTH = frozenset({OLD, NEW})
@@ -117,6 +123,44 @@
     assert history.possible_origins("h", "/p/") == {NEW}
 
 
+def test_a_version_wrongly_marked_absent_stays_possible_once_it_leaves():
+    """A lease holder that is out of step marks a version absent whose servers have just joined."""
+    history = OriginHistory()
+    history.add([scope(OLD), scope(NEW)])
+    history.update_absent({OLD}, 0)
+    assert history.update_absent(BOTH, 60_000)
+    # Much later its servers leave for good.
+    history.update_absent({OLD}, LAPSE_MS + 60_000)
+    assert history.possible_origins("h", "/p/") == BOTH
+    history.update_absent({OLD}, 2 * LAPSE_MS + 60_000)
+    assert history.possible_origins("h", "/p/") == {OLD}
+
+
+@pytest.mark.parametrize("field", ["remembered", "recorded", "told"])
+def test_a_gateway_out_of_step_calls_no_version_gone(field):
+    facts = TakeUpFacts(
+        **{field: begun(NEW)},
+        serving=frozenset({OLD}),
+        listing_age_ms=MAX_LISTING_AGE_MS + 1,
+        now_ms=2_000,
+    )
+    assert decide_take_up(facts).outcome is TakeUpOutcome.UNCERTAIN
+
+
+def test_a_version_that_a_gateway_has_not_listed_yet_is_not_gone():
+    facts = TakeUpFacts(
+        recorded=begun(NEW, 1_500),
+        serving=frozenset({OLD}),
+        formerly_listed=frozenset({OLD}),
+        now_ms=2_000,
+    )
+    assert decide_take_up(facts).outcome is TakeUpOutcome.UNCERTAIN
+    known = attrs.evolve(facts, formerly_listed=BOTH)
+    assert decide_take_up(known).outcome is TakeUpOutcome.VERSION_GONE
+    later = attrs.evolve(facts, now_ms=1_500 + MAX_LISTING_AGE_MS)
+    assert decide_take_up(later).outcome is TakeUpOutcome.VERSION_GONE
+
+
 def test_an_unreadable_history_leaves_every_origin_possible():
     history = OriginHistory({UNREADABLE: 0})
     history.add([scope(NEW)])
