Take a lost connection for a crash if the registration ends, and tell gateways missed by a cut

What callers saw, in the soak with servers behind forwarders: one request crashed all servers of a service and one stream 17 engines. Cause: what accepts connections in the place of a dead server hides the crash. Now a request that lost its connection is a suspect too if the server's registration ends within 6 s without an announcement. A gateway that was cut off alone told the others one by one; it tells all of them as soon as one answers.

--- a/src/pistachionotch/gateway/cluster_state.py
+++ b/src/pistachionotch/gateway/cluster_state.py
@@ -50,6 +50,8 @@
     confirmed_evacuations: dict[str, bytes] = attrs.field(factory=dict)
     # Called after a change of the configuration or of the upstreams.
     changed: Callable[[], Any] = lambda: None
+    # Called with the registrations that ended.
+    removed: Callable[[list[UpstreamRecord]], Any] = lambda _records: None
 
     def complete(self) -> bool:
         """Return whether both the configuration and the upstreams are known."""
@@ -92,6 +94,11 @@
         follower = self.gateways_follower
         return None if follower is None else follower.current_ms
 
+    def upstreams_listed_ms(self) -> int | None:
+        """Return when the list of the upstreams was last known to be current."""
+        follower = self.shared.get(self.listings.upstreams_prefix)
+        return None if follower is None else follower.current_ms
+
     def wake_copies(self) -> None:
         """Answer the waiting requests for copies of the upstreams, which carry the rate limits."""
         follower = self.shared.get(self.listings.upstreams_prefix)
@@ -128,6 +135,7 @@
         records = self.listings.upstreams(objects)
         gone = self.table.replace(records, revision, self.clock.now_ms())
         self.upstreams_listed = True
+        self.removed(gone)
         for record in gone:
             self.pool.forget(record.address, record.incarnation)
             self._check_software(record)
--- a/src/pistachionotch/gateway/crash_exchange.py
+++ b/src/pistachionotch/gateway/crash_exchange.py
@@ -122,7 +122,9 @@
         for address, until_ms in list(self.missed.items()):
             if now_ms >= until_ms or address not in addresses:
                 del self.missed[address]
-        peer = self.rng.choice(list(self.missed) or addresses)
+        if self.missed:
+            self._spread(list(self.missed), self.board.reports())
+        peer = self.rng.choice(addresses)
         reply = self._post(peer, STATE_PATH, cbor2.dumps([self.own_address, self.digest()]))
         if reply is None:
             return
--- a/src/pistachionotch/gateway/crash_store.py
+++ b/src/pistachionotch/gateway/crash_store.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import attrs
@@ -31,6 +31,8 @@
     unix_ms: Callable[[], int]
     board: CrashBoard
     log: Any
+    # Whether only crashes under condemned requests are stored.
+    condemned_only: bool = True
     # Crashes under requests of this gateway, by content and upstream.
     seen: dict[tuple[str, str], CrashReport] = attrs.field(factory=dict)
     was_read: bool = False
@@ -56,8 +58,14 @@
         if isinstance(listed, Failure):
             self.log.warning("crashes not read", reason=str(listed.failure()))
             return False
+        self.apply_objects(listed.unwrap())
+        self.was_read = True
+        return True
+
+    def apply_objects(self, objects: Iterable[StoredObject]) -> None:
+        """Add stored crashes to the board."""
         added = 0
-        for stored in listed.unwrap():
+        for stored in objects:
             if stored.key == CRASHES_KEY_PREFIX + self.node:
                 self.own_version = stored.version
             try:
@@ -65,9 +73,7 @@
             except MALFORMED as error:
                 self.log.error("malformed record of crashes", key=stored.key, error=repr(error))
         if added:
-            self.log.info("crashes read", reports=added, gateways=len(listed.unwrap()))
-        self.was_read = True
-        return True
+            self.log.info("crashes read", reports=added)
 
     def _apply(self, stored: StoredObject) -> int:
         now_ms = self.clock.now_ms()
@@ -85,6 +91,7 @@
         """Write this gateway's part if it has changed; returns whether it is stored."""
         now_ms = self.clock.now_ms()
         condemned = set(self.board.condemned())
+        stored_always = not self.condemned_only
         for seen, report in list(self.seen.items()):
             gone = not self.board.is_suspect(report.content)
             if gone or now_ms - report.at_ms >= EVIDENCE_MS:
@@ -93,7 +100,7 @@
         fields = [
             [report.content, report.service, report.upstream, report.at_ms + offset_ms]
             for report in self.seen.values()
-            if report.content in condemned
+            if stored_always or report.content in condemned
         ]
         signature = canonical_json([each[:3] for each in fields])
         if signature == (self.saved or canonical_json([])):
--- a/src/pistachionotch/gateway/daemon.py
+++ b/src/pistachionotch/gateway/daemon.py
@@ -133,6 +133,7 @@
             lambda: self.orders.holds_lease(),
             self.measures,
         )
+        self.origins.listed_ms = self.cluster.upstreams_listed_ms
         self.cluster.changed = self.origins.wake.set
         self.suspects = share_suspects(
             me,
@@ -144,6 +145,7 @@
             lambda: self.gateways.addresses,
             self.measures,
         )
+        self.cluster.removed = self.suspects.guard.record_gone
         self.forwarder = CallForwarder(
             self.clock,
             self.rng,
--- a/src/pistachionotch/gateway/suspects.py
+++ b/src/pistachionotch/gateway/suspects.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import attrs
@@ -23,6 +23,10 @@
 SECOND_CHECK_MS = 50
 # A check also answers for connections that the same upstream closed this much later.
 CHECK_VALIDITY_MS = 500
+# A lost connection counts as a crash if the registration of its upstream ends within this time;
+# registrations of upstreams that are silent lapse after some seconds.
+GONE_AFTER_MS = 6_000
+MAX_UNEXPLAINED = 50
 # A failed call is answered once the other gateways know of the crash, but no later than this.
 SPREAD_WAIT_MS = 300
 # Longest wait of a suspect for the trial of another one, and its share of the remaining time.
@@ -48,6 +52,8 @@
     reserved: Counter[str] = attrs.field(factory=Counter)
     checks: dict[str, tuple[int, AsyncResult]] = attrs.field(factory=dict)
     trial_ended: Event = attrs.field(factory=Event)
+    # Requests that lost their connection to an upstream which accepted others, by incarnation.
+    unexplained: dict[str, list[CrashReport]] = attrs.field(factory=dict)
 
     # Admission
 
@@ -154,19 +160,47 @@
         """
         if not error.sent and error.refused:
             self._record_unreachable(upstream)
-        if not error.closed or not self._has_crashed(upstream):
+        if not error.closed:
             return
         record = upstream.record
         report = CrashReport(content, record.service, record.incarnation, self.clock.now_ms())
+        if not self._has_crashed(upstream):
+            self._remember_unexplained(report)
+            return
+        self._record_crash(report, request, upstream.in_flight)
+
+    def record_gone(self, records: Iterable[UpstreamRecord]) -> None:
+        """Note that upstreams are no longer listed, or that others have taken their place.
+
+        One that ended connections shortly before, and did not say that it would leave, has crashed
+        and was started again, or something else accepts its connections.
+        """
+        now_ms = self.clock.now_ms()
+        for record in records:
+            for report in self.unexplained.pop(record.incarnation, ()):
+                if not record.leaving and now_ms - report.at_ms < GONE_AFTER_MS:
+                    self._record_crash(report, "", 0)
+
+    def _remember_unexplained(self, report: CrashReport) -> None:
+        now_ms = self.clock.now_ms()
+        for key, reports in list(self.unexplained.items()):
+            if now_ms - reports[-1].at_ms >= GONE_AFTER_MS:
+                del self.unexplained[key]
+        found = self.unexplained.setdefault(report.upstream, [])
+        found.append(report)
+        del found[:-MAX_UNEXPLAINED]
+
+    def _record_crash(self, report: CrashReport, request: str, in_flight: int) -> None:
+        content = report.content
         is_new = self.board.apply(report, self.clock.now_ms())
         self.measures.count("crashes", "under a request" if content else "under an item")
         self.log.warning(
             "upstream crashed",
             request=request,
             content=content,
-            upstream=record.instance,
-            service=record.service,
-            in_flight=upstream.in_flight,
+            upstream=report.upstream,
+            service=report.service,
+            in_flight=in_flight,
             crashes=self._crashes(content),
             listing=self.table.revision,
         )
