Keep calls of the own interface under which upstreams crashed from further agents

What callers saw: an entry sent a call to the agent of one crashed upstream after the other, up to four times an attempt and at each entry anew.

--- a/src/pistachionotch/agent/attempts.py
+++ b/src/pistachionotch/agent/attempts.py
@@ -188,12 +188,12 @@
             self._refuse_unsent(outcome.reason)
             return False
         if self.submit.idempotent:
-            self._send_finished(0, (), Execution.FAILED, outcome.reason)
+            self._send_finished(0, (), Execution.FAILED, outcome.reason, outcome.crashed)
             return False
         self.claim_manager.record_unknown_outcome(
             self.submit.scope, self.submit.key, self.permission_id
         )
-        self._send_finished(0, (), Execution.UNKNOWN, outcome.reason)
+        self._send_finished(0, (), Execution.UNKNOWN, outcome.reason, outcome.crashed)
         return False
 
     def _refuse_unsent(self, reason: str) -> None:
@@ -204,13 +204,18 @@
         self.refuse(reason, Execution.NOT_RUN, not_run_proved=True, revoked=issued)
 
     def _send_finished(
-        self, status: int, headers: tuple[tuple[str, str], ...], execution: Execution, reason: str
+        self,
+        status: int,
+        headers: tuple[tuple[str, str], ...],
+        execution: Execution,
+        reason: str,
+        crashed: bool = False,
     ) -> None:
         spans = self.spans.finish().value_or(())
         message = finished_message(
             self.submit.attempt, self.counter, status, headers, spans, execution, reason, self.usage
         )
-        self.session.send_blocking(message, SEND_TIMEOUT_S)
+        self.session.send_blocking(attrs.evolve(message, crashed=crashed), SEND_TIMEOUT_S)
 
     def refuse(
         self,
--- a/src/pistachionotch/agent/upstream.py
+++ b/src/pistachionotch/agent/upstream.py
@@ -78,12 +78,19 @@
     usage: PrefixCacheUsage | None = None
 
 
+# Pauses before the checks whether an upstream has crashed. A process that ends may close its
+# connections before it stops to listen.
+CRASH_CHECK_PAUSES_MS = (0, 50)
+
+
 @attrs.frozen
 class UpstreamFailed:
     """Report that there is no complete response; if ``sent``, the call may have been executed."""
 
     reason: str
     sent: bool
+    # Whether the upstream ended during the call and accepts no connections any more.
+    crashed: bool = False
 
 
 Emit = Callable[[UpstreamPiece], None]
@@ -98,13 +105,28 @@
         connection.open(CONNECT_TIMEOUT_MS)
         return _exchange(upstream, connection, submit, clock, emit)
     except ExchangeError as error:
-        return UpstreamFailed(error.reason, error.sent)
+        connection.close()
+        crashed = error.closed and has_crashed(connection.address, clock)
+        return UpstreamFailed(error.reason, error.sent, crashed)
     except MALFORMED as error:
         return UpstreamFailed(f"{type(error).__name__}: {error}", sent=connection.exchanges > 0)
     finally:
         connection.close()
 
 
+def has_crashed(address: Address, clock: Clock) -> bool:
+    """Return whether an upstream that closed a connection accepts no new ones."""
+    for pause_ms in CRASH_CHECK_PAUSES_MS:
+        clock.sleep_ms(pause_ms)
+        probe = Connection(address)
+        try:
+            probe.open(CONNECT_TIMEOUT_MS)
+        except ExchangeError as error:
+            return error.refused
+        probe.close()
+    return False
+
+
 @singledispatch
 def _exchange(
     upstream: Upstream, connection: Connection, submit: Submit, clock: Clock, emit: Emit
--- a/src/pistachionotch/entry/daemon.py
+++ b/src/pistachionotch/entry/daemon.py
@@ -47,6 +47,7 @@
 from .router import RoutedCall
 from .routing_state import RoutingState
 from .steps import StepService
+from .suspects import SharedCrashes, share_crashes, unix_ms
 from .table import LinkTable
 
 # Time after the listener is closed in which requests that were already sent are still read.
@@ -85,6 +86,7 @@
     policy: PolicyView = attrs.field(init=False)
     table: LinkTable = attrs.field(init=False)
     routing: RoutingState = attrs.field(init=False)
+    shared_crashes: SharedCrashes = attrs.field(init=False)
     control: ControlWatch = attrs.field(init=False)
     steps: StepService = attrs.field(init=False)
     rollouts: RolloutDuties = attrs.field(init=False)
@@ -103,6 +105,9 @@
         decisions = DecisionLog(logger("route"), self.clock)
         self.routing = RoutingState(self.table, self.clock, location, self.rng, decisions)
         self.routing.attempt_prefix = f"{settings.node}-{self.incarnation}"
+        self.shared_crashes = share_crashes(
+            settings.node, self.store, self.routing.suspects, unix_ms
+        )
         self.control = ControlWatch(
             self.store,
             self.clock,
@@ -186,6 +191,7 @@
         gevent.spawn(self.rollouts.run)
         gevent.spawn(self._claim_cleanup().run)
         gevent.spawn(MoveTask(self.routing).run)
+        gevent.spawn(self.shared_crashes.run)
         listen = settings.listen.http
         assert listen is not None
         self.interface = self._interface()
--- a/src/pistachionotch/entry/routing_state.py
+++ b/src/pistachionotch/entry/routing_state.py
@@ -11,6 +11,7 @@
 
 from ..clock import Clock
 from ..config.schema import Hedging
+from ..logs import logger
 from ..outcomes import RequestClass
 from ..routing.candidates import Location
 from ..routing.hedge import LatencyTail
@@ -19,6 +20,7 @@
 from .calls import Call
 from .decisions import DecisionLog
 from .links import AgentLink
+from .suspects import EntrySuspects
 from .table import LinkTable
 
 
@@ -50,9 +52,11 @@
     attempt_numbers: Iterator[int] = attrs.field(factory=itertools.count)
     # Calls that may be queued at an agent, by object id, in the order in which they started.
     open_calls: dict[int, OpenCall] = attrs.field(factory=dict)
+    suspects: EntrySuspects = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.table.on_leaving = self.withdraw_queued
+        self.suspects = EntrySuspects(self.clock, self.table, logger("suspects"))
 
     def withdraw_queued(self, link: AgentLink) -> None:
         """Withdraw all work that is queued at an agent whose VM is leaving."""
--- a/src/pistachionotch/wire/messages.py
+++ b/src/pistachionotch/wire/messages.py
@@ -131,6 +131,8 @@
     # Number of prompt tokens that the engine had cached, and in total; -1 if it does not report it.
     cached_tokens: int = -1
     prompt_tokens: int = -1
+    # Whether the upstream ended during the call and accepts no connections any more.
+    crashed: bool = False
 
 
 @attrs.frozen
--- a/tests/unit/calls/upstreams.py
+++ b/tests/unit/calls/upstreams.py
@@ -31,6 +31,8 @@
     idempotent: bool
     at_ms: int
     body: bytes | None = None
+    # Whether the upstream crashed under it.
+    crashed: bool = False
 
 
 # Software versions of engines; the second one marks its tokens.
@@ -55,6 +57,8 @@
     faults: dict = attrs.field(factory=dict)
     # Software version of each agent's engine; "" if the engine names none.
     software: dict = attrs.field(factory=dict)
+    # An upstream that runs a request with this text in its body crashes.
+    deadly: bytes = b"deadly"
 
     def call(self, agent, submit, clock, emit):
         queue = self.faults.get(agent)
@@ -64,6 +68,9 @@
         ran = UpstreamRun(submit.request, submit.key, submit.idempotent, self.clock.now_ms())
         self.ledger.append(ran)
         gevent.sleep((SLOW_MS if fault == "slow" else SERVICE_MS) / 1000)
+        if self.deadly in submit.body:
+            ran.crashed = True
+            return UpstreamFailed("connection reset", sent=True, crashed=True)
         if fault == "break":
             return UpstreamFailed("connection reset", sent=True)
         software = self.software.get(agent, SOFTWARE[0])
