Let servers of the soak crash by requests, beside kills and all other faults

A client sends three requests that crash servers, again and again at any gateway; a supervisor starts the servers again. Checked from the client's side: no more than three runs later than 4 s after the third crash, never all three servers of the shop down by one request, no innocent call or stream refused for good.

--- a/tests/support/forwarder.py
+++ b/tests/support/forwarder.py
@@ -28,10 +28,16 @@
         self.closed_to_new = False
         self.server = StreamServer((HOST, 0), self._serve)
         self.server.start()
+        self.port = self.server.server_port
 
-    @property
-    def port(self):
-        return self.server.server_port
+    def refuse(self):
+        """Refuse connections, as the host of a process that has ended does."""
+        self.server.close()
+
+    def accept(self):
+        """Accept connections again."""
+        self.server = StreamServer((HOST, self.port), self._serve)
+        self.server.start()
 
     def silence_open(self):
         """Swallow everything on the connections that are open now, without closing them."""
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -78,6 +78,8 @@
         self.path = path or (lambda _user, _target, port: port)
         self.deployment = Deployment()
         self.folder = Path(tempfile.mkdtemp(prefix="pistachionotch-platform-"))
+        # Number of starts of each server that was started again.
+        self.starts = {}
         # One line for each crash of a server, with its runs.
         self.crash_file = self.folder / "crashes.jsonl"
         self.ports = {}
@@ -123,6 +125,12 @@
         self.register(name)
         return name
 
+    def start_again(self, name):
+        """Start a server that has crashed."""
+        self.starts[name] = self.starts.get(name, 1) + 1
+        self.deployment.restart(name)
+        self.wait(lambda: self.fetch(name, "/runs") is not None)
+
     def start_gateway(self, name):
         ports = self.ports.setdefault(name, [free_port() for _ in range(3)])
         path = self.folder / f"{name}.conf"
@@ -250,7 +258,7 @@
             "state": state,
             "cold_left_ms": 0,
             "seq": 1,
-            "born": 1,
+            "born": self.starts.get(name, 1),
         }
         if engine:
             versions = (self.fetch(name, "/runs") or {"versions": {MODEL: 1}})["versions"]
@@ -279,7 +287,8 @@
         return [json.loads(line) for line in self.crash_file.read_text().splitlines()]
 
     def faults(self, name, **switches):
-        assert self.fetch(name, "/faults", "PUT", switches) is not None
+        # A server that has crashed is back after a moment.
+        self.wait(lambda: self.fetch(name, "/faults", "PUT", switches) is not None)
 
     # Clients
 
--- a/tests/support/soak.py
+++ b/tests/support/soak.py
@@ -15,6 +15,7 @@
 import signal
 import sys
 import time
+import zlib
 from collections import defaultdict
 
 import attrs
@@ -23,6 +24,7 @@
 
 from tests.support.forwarder import Forwarder
 from tests.support.platform import MODEL, REWARD_SUFFIX, Platform
+from tests.support.soak_crashes import check_crashes
 from tests.support.soak_load import SoakLoad
 from tests.support.soak_oracle import check_all, check_retirements, count_take_ups
 
@@ -52,6 +54,10 @@
     # Engines that a release has replaced, and the number of software versions so far.
     retired: set = attrs.field(factory=set)
     releases: int = 1
+    # Servers that are down after a crash, and who was down from when to when.
+    crashed: set = attrs.field(factory=set)
+    downtimes: list = attrs.field(factory=list)
+    stopped: bool = False
     # One process fault at a time for each gateway.
     locks: dict = attrs.field(factory=lambda: defaultdict(BoundedSemaphore))
     platform: Platform = attrs.field(init=False)
@@ -67,6 +73,8 @@
 
     def run(self):
         self.platform = Platform(GATEWAYS, self.proxy)
+        self.platform.start_server("shop")
+        supervisor = gevent.spawn(self._supervise)
         load = SoakLoad(self.platform, random.Random(self.seed + 1))
         try:
             tasks = load.start()
@@ -78,10 +86,13 @@
             gevent.sleep(SETTLE_S)
             load.stop()
             gevent.joinall(tasks, timeout=20, raise_error=True)
+            self.stopped = True
+            supervisor.get(timeout=20)
             print(f"  take-ups: {count_take_ups(load.streams)}", file=sys.stderr)
             problems = check_all(self.platform, load, self.departures, LEAVING_BOUND_S)
             runs = self.platform.runs("engine")
             problems += check_retirements(runs, self.retirements, self.outages, LEAVING_BOUND_S)
+            problems += check_crashes(self.platform.crashes(), self.downtimes)
             problems += [f"{name} did not recover" for name in self._dead()]
             if problems:
                 print(f"logs: {self.platform.deployment.folder}", file=sys.stderr)
@@ -89,6 +100,26 @@
         finally:
             self.platform.stop()
 
+    def _supervise(self):
+        """Start servers again that have crashed; until then nobody listens in their place."""
+        while not self.stopped or self.crashed:
+            for name in list(self.platform.servers):
+                ended = self.platform.deployment.processes[name].poll() is not None
+                if ended and name not in self.crashed:
+                    self.crashed.add(name)
+                    self.proxies[("gateways", name)].refuse()
+                    gevent.spawn(self._revive, name, time.monotonic())
+            gevent.sleep(0.01)
+
+    def _revive(self, name, down_since):
+        gevent.sleep(1.0 + 2.0 * (zlib.crc32(name.encode()) % 100) / 100)
+        self.platform.start_again(name)
+        self.downtimes.append((name, down_since, time.monotonic()))
+        self.proxies[("gateways", name)].accept()
+        if name not in self.leaving and name not in self.retired:
+            self.platform.register(name)
+        self.crashed.discard(name)
+
     def _dead(self):
         return [name for name in self.platform.names if not self.platform.ready(name)]
 
--- a/tests/support/soak_load.py
+++ b/tests/support/soak_load.py
@@ -8,6 +8,7 @@
 
 from pistachionotch.http_client import ExchangeError
 from tests.support.platform import Client, new_id
+from tests.support.soak_crashes import send_deadly
 
 CALLERS = 4
 TRAINERS = 2
@@ -61,6 +62,7 @@
     def start(self):
         tasks = [gevent.spawn(self._call) for _ in range(CALLERS)]
         tasks += [gevent.spawn(self._stream) for _ in range(STREAMERS)]
+        tasks.append(gevent.spawn(send_deadly, self))
         return tasks + [gevent.spawn(self._train, number) for number in range(TRAINERS)]
 
     def stop(self):
--- a/tests/support/soak_oracle.py
+++ b/tests/support/soak_oracle.py
@@ -4,6 +4,7 @@
 from collections import Counter
 
 from tests.support.platform import MODEL, REWARD_SUFFIX
+from tests.support.soak_crashes import DEADLY, check_innocent
 from tests.support.soak_load import NOT_RUN
 
 EVENTS = 8
@@ -27,7 +28,9 @@
     shop_runs = platform.runs("shop")
     rewards = [run for run in shop_runs if run["request"].endswith(REWARD_SUFFIX)]
     runs = [run for run in shop_runs if not run["request"].endswith(REWARD_SUFFIX)]
+    runs = [run for run in runs if run["body"].encode() not in DEADLY]
     item_runs = platform.runs("engine")
+    item_runs = [run for run in item_runs if run["body"].encode() not in DEADLY]
     for step in load.steps:
         if step.accepted:
             load.read_again(step)
@@ -59,6 +62,7 @@
     for request in counts.keys() - calls.keys():
         problems.append(f"{request}: run though nobody sent it")
     for request, (kind, status, headers, body) in calls.items():
+        problems += check_innocent(request, status)
         if kind == "unsafe" and counts[request] > 1:
             problems.append(f"{request}: unsafe and run {counts[request]} times")
         if kind == "unsafe" and status in NOT_RUN and counts[request]:
@@ -79,6 +83,8 @@
         numbers = [number for number, _text in stream.events]
         if numbers != list(range(1, len(numbers) + 1)):
             problems.append(f"stream {stream.request}: events {numbers}, tries {stream.tries}")
+        for status, *_rest in stream.tries:
+            problems += check_innocent(stream.request, status)
         versions = {text.rpartition(" ")[2] for _number, text in stream.events}
         if len(versions) > 1:
             problems.append(f"stream {stream.request}: {versions}, tries {stream.tries}")
