--- a/src/pistachionotch/cli/trace.py
+++ b/src/pistachionotch/cli/trace.py
@@ -12,7 +12,7 @@
 from .output import ExitCode, complain, print_json
 
 # Fields of a log line that may hold the wanted id.
-ID_FIELDS = ("request", "batch", "item", "upstream", "reward_call")
+ID_FIELDS = ("request", "batch", "item", "upstream", "reward_call", "content")
 # Parts of events that tell what a node knows, apart from any request.
 KNOWLEDGE = (
     "configuration in force",
--- a/src/pistachionotch/gateway/suspects.py
+++ b/src/pistachionotch/gateway/suspects.py
@@ -198,7 +198,7 @@
             "upstream crashed",
             request=request,
             content=content,
-            upstream=report.upstream,
+            upstream=_instance(report),
             service=report.service,
             in_flight=in_flight,
             crashes=self._crashes(content),
@@ -229,7 +229,7 @@
         self.log.info(
             "crash reported" if report.upstream else "exoneration reported",
             content=report.content,
-            upstream=report.upstream,
+            upstream=_instance(report),
             age_ms=self.clock.now_ms() - report.at_ms,
             crashes=self._crashes(report.content),
         )
@@ -267,3 +267,8 @@
         # A process that ends may close its connections before it stops to listen.
         self.clock.sleep_ms(SECOND_CHECK_MS)
         return self.pool.refuses(address, CHECK_TIMEOUT_MS)
+
+
+def _instance(report: CrashReport) -> str:
+    """Return the name of the upstream of a report without that of its start."""
+    return report.upstream.partition("@")[0]
