Let the check of a crashed server go on when the client that asked for it leaves

Found by reading: the first request that lost its connection checked the server for all others; when its client left meanwhile, they waited for ever, items among them. test_a_client_that_leaves_holds_up_no_other_request_of_its_server failed before.

--- a/src/pistachionotch/gateway/calls.py
+++ b/src/pistachionotch/gateway/calls.py
@@ -386,5 +386,6 @@
         cause = FailureCause.UNKNOWN if progress.may_have_run else FailureCause.NOT_RUN
         if progress.is_condemned() and not progress.may_have_run:
             cause = FailureCause.CONDEMNED
+            progress.retry_after_ms = None
         self.call_log.given_up(progress, cause)
         return CallFailure(cause, progress.reason, progress.retry_after_ms, progress.server_errors)
--- a/src/pistachionotch/gateway/crash_exchange.py
+++ b/src/pistachionotch/gateway/crash_exchange.py
@@ -174,7 +174,7 @@
         if reply is not None:
             self.missed.pop(head, None)
             return
-        self.missed[head] = self.clock.now_ms() + MISSED_MEMORY_MS
+        self.missed.setdefault(head, self.clock.now_ms() + MISSED_MEMORY_MS)
         if rest:
             self._spread(rest, reports)
 
--- a/src/pistachionotch/gateway/suspects.py
+++ b/src/pistachionotch/gateway/suspects.py
@@ -7,7 +7,8 @@
 from typing import Any
 
 import attrs
-from gevent.event import AsyncResult, Event
+import gevent
+from gevent.event import Event
 
 from ..clock import MS_PER_SECOND, Clock
 from ..http_client import ConnectionPool, ExchangeError
@@ -50,7 +51,7 @@
     observed: Callable[[CrashReport], None] = lambda _report: None
     # Running trials by the incarnation of the upstream.
     reserved: Counter[str] = attrs.field(factory=Counter)
-    checks: dict[str, tuple[int, AsyncResult]] = attrs.field(factory=dict)
+    checks: dict[str, tuple[int, gevent.Greenlet]] = attrs.field(factory=dict)
     trial_ended: Event = attrs.field(factory=Event)
     # Requests that lost their connection to an upstream which accepted others, by incarnation.
     unexplained: dict[str, list[CrashReport]] = attrs.field(factory=dict)
@@ -243,22 +244,16 @@
 
     def _has_crashed(self, upstream: Upstream) -> bool:
         """Return whether an upstream refuses connections; asks once for all that it closed."""
-        key = upstream.record.incarnation
         now_ms = self.clock.now_ms()
-        started_ms, result = self.checks.get(key, (0, None))
-        if result is not None and now_ms - started_ms < CHECK_VALIDITY_MS:
-            return bool(result.get())
-        result = AsyncResult()
-        self.checks[key] = (now_ms, result)
-        refused = self._refuses_connections(upstream)
-        result.set(refused)
-        for other, (checked_ms, _result) in list(self.checks.items()):
-            if now_ms - checked_ms >= CHECK_VALIDITY_MS:
-                del self.checks[other]
-        if not refused:
-            self.measures.count("crashes", "connection lost only")
-            self.log.info("connection lost, upstream is up", upstream=upstream.record.instance)
-        return refused
+        for key, (started_ms, _check) in list(self.checks.items()):
+            if now_ms - started_ms >= CHECK_VALIDITY_MS:
+                del self.checks[key]
+        key = upstream.record.incarnation
+        if key not in self.checks:
+            # A greenlet of its own, since that of a request ends when its client leaves.
+            check = gevent.spawn(self._refuses_connections, upstream)
+            self.checks[key] = (now_ms, check)
+        return bool(self.checks[key][1].get())
 
     def _refuses_connections(self, upstream: Upstream) -> bool:
         address = upstream.record.address
@@ -266,7 +261,11 @@
             return True
         # A process that ends may close its connections before it stops to listen.
         self.clock.sleep_ms(SECOND_CHECK_MS)
-        return self.pool.refuses(address, CHECK_TIMEOUT_MS)
+        if self.pool.refuses(address, CHECK_TIMEOUT_MS):
+            return True
+        self.measures.count("crashes", "connection lost only")
+        self.log.info("connection lost, upstream is up", upstream=upstream.record.instance)
+        return False
 
 
 def _instance(report: CrashReport) -> str:
--- a/src/pistachionotch/quarantine/board.py
+++ b/src/pistachionotch/quarantine/board.py
@@ -62,7 +62,7 @@
     reason: str = ""
     # Crashes under the request that count.
     crashes: int = 0
-    # When the request may come back, in ms; 0 unless it is refused for now.
+    # Time until the request may be tried, in ms; 0 if it may be tried now.
     retry_after_ms: int = 0
 
 
@@ -186,25 +186,26 @@
         settled_ms = last_ms + SETTLE_MS
         if number >= CRASHES_TO_CONDEMN and now_ms < settled_ms:
             return Ruling(Verdict.HOLD, "other gateways may know more", number, settled_ms - now_ms)
-        needed = self._crashes_needed(content)
-        if number >= needed and self._explains(content):
-            doublings = min(number - needed, MAX_DOUBLINGS)
-            if now_ms < last_ms + (CONDEMNED_MS << doublings):
-                return Ruling(Verdict.CONDEMNED, f"{number} servers crashed under it", number)
+        reason = f"{number} servers crashed under it"
+        if self._is_condemned(content, number):
+            doublings = min(number - CRASHES_TO_CONDEMN, MAX_DOUBLINGS)
+            left_ms = last_ms + (CONDEMNED_MS << doublings) - now_ms
+            if left_ms > 0:
+                return Ruling(Verdict.CONDEMNED, reason, number, left_ms)
         if content in self.trials:
             return Ruling(Verdict.HOLD, "it is being tried", number, TRIAL_RETRY_MS)
         at_stake = sum(1 for tried in self.trials.values() if tried == service)
         if stakes.up - at_stake < min(MIN_UP_FOR_TRIAL, stakes.listed):
             retry_ms = TRIAL_RETRY_MS if at_stake else RECOVERY_RETRY_MS
             return Ruling(Verdict.HOLD, "too few servers are up", number, retry_ms)
-        return Ruling(Verdict.TRY_ALONE, f"{number} servers crashed under it", number)
+        return Ruling(Verdict.TRY_ALONE, reason, number)
 
     def condemned(self) -> list[str]:
         """Return the contents that are condemned, whether they may be tried again or not."""
         return [
             content
             for content, crashes in self.by_content.items()
-            if len(crashes) >= self._crashes_needed(content) and self._explains(content)
+            if self._is_condemned(content, len(crashes))
         ]
 
     def is_down(self, upstream: str, now_ms: int) -> bool:
@@ -222,6 +223,13 @@
         """Note the end of a trial, whatever its result."""
         self.trials.pop(content, None)
 
+    def _is_condemned(self, content: str, crashes: int) -> bool:
+        return (
+            crashes >= CRASHES_TO_CONDEMN
+            and crashes >= self._crashes_needed(content)
+            and self._explains(content)
+        )
+
     def _crashes_needed(self, content: str) -> int:
         """Return the number of crashes that condemn a request.
 
--- a/tests/unit/gateway/test_suspects.py
+++ b/tests/unit/gateway/test_suspects.py
@@ -22,10 +22,11 @@
     def __init__(self):
         self.refusing = set()
         self.checks = 0
+        self.pause_s = 0.0
 
     def refuses(self, address, _timeout_ms):
         self.checks += 1
-        gevent.sleep(0)
+        gevent.sleep(self.pause_s)
         return address.port in self.refusing
 
 
@@ -79,6 +80,19 @@
     assert pool.checks == 1
 
 
+def test_a_client_that_leaves_holds_up_no_other_request_of_its_server():
+    guard, pool, servers = make()
+    pool.refusing.add(1)
+    pool.pause_s = 0.05
+    leaving = gevent.spawn(guard.record_failure, "q", "a", servers[0], CLOSED)
+    gevent.sleep(0)
+    staying = gevent.spawn(guard.record_failure, "q", "b", servers[0], CLOSED)
+    gevent.sleep(0)
+    leaving.kill()
+    staying.get(timeout=1.0)
+    assert verdict(guard, "b") is Verdict.TRY_ALONE
+
+
 def test_a_server_that_was_started_again_behind_a_proxy_has_crashed():
     guard, _pool, servers = make()
     guard.record_failure("q", "a", servers[0], CLOSED)
