--- a/src/pistachionotch/gateway/suspects.py
+++ b/src/pistachionotch/gateway/suspects.py
@@ -240,6 +240,7 @@
         return {
             "suspects": len(self.board.by_content),
             "condemned": len(self.board.condemned()),
+            "crashes_forgotten": self.board.forgotten,
         }
 
     def _has_crashed(self, upstream: Upstream) -> bool:
--- a/src/pistachionotch/quarantine/board.py
+++ b/src/pistachionotch/quarantine/board.py
@@ -108,8 +108,7 @@
     trials: dict[str, str] = attrs.field(factory=dict)
     # Upstreams that answered after their crash.
     alive: set[str] = attrs.field(factory=set)
-    # Changes with each crash and exoneration.
-    version: int = 0
+    # Number of crashes forgotten before their time.
     forgotten: int = 0
 
     # Evidence
@@ -132,7 +131,6 @@
         if report.content:
             crash.contents.add(report.content)
             self.by_content.setdefault(report.content, []).append(crash)
-        self.version += 1
         self._limit_size()
         return True
 
@@ -165,7 +163,6 @@
             if crash.at_ms <= at_ms:
                 crash.contents.discard(content)
         self._set_crashes(content, later)
-        self.version += 1
         return True
 
     def _set_crashes(self, content: str, crashes: list[Crash]) -> None:
