Let a call under which an upstream crashed not wait for a slow object API at an entry

Found by reading: an entry stores a crash before it answers, so that other entries know, and the store may take seconds.

--- a/src/pistachionotch/entry/suspects.py
+++ b/src/pistachionotch/entry/suspects.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 import attrs
+import gevent
 
 from ..clock import MS_PER_SECOND, Clock
 from ..gateway.crash_store import CRASHES_KEY_PREFIX, CrashStore
@@ -29,6 +30,8 @@
 # Long-poll time for what other entries have stored, and pause after a failed read.
 WATCH_MS = 3_000
 RETRY_PAUSE_MS = 1_000
+# Longest wait of a failed call for the object API.
+SAVE_WAIT_MS = 300
 UNPROCESSABLE = 422
 UNAVAILABLE = 503
 
@@ -102,7 +105,7 @@
         if self.store is not None and content:
             self.store.record(report)
             # Other entries should know before the caller gets its answer and tries again.
-            self.store.save()
+            gevent.spawn(self.store.save).join(SAVE_WAIT_MS / MS_PER_SECOND)
 
     def record_success(self, call: Call, agent: str) -> None:
         """Note that a call was served whole."""
--- a/tests/unit/calls/test_crashing_calls.py
+++ b/tests/unit/calls/test_crashing_calls.py
@@ -5,7 +5,7 @@
 from call_world import SERVICE, World
 
 from pistachionotch.entry.calls import Call, CallDone
-from pistachionotch.entry.suspects import share_crashes
+from pistachionotch.entry.suspects import SAVE_WAIT_MS, share_crashes
 from pistachionotch.outcomes import Execution, RequestClass
 from pistachionotch.quarantine.board import CONDEMNED_MS, SETTLE_MS
 
@@ -89,6 +89,17 @@
     assert len(crashes(world)) == MOST_CRASHES
 
 
+def test_a_slow_object_api_holds_up_no_answer(world):
+    suspects = world.entries["e0"].routing.suspects
+    shared = share_crashes("e0", world.store, suspects, world.clock.now_ms)
+    shared.store.read()
+    world.store.slow_ms = 2_500
+    first = send(world)
+    assert first.answers
+    # Two crashes, each of which waits a little for the object API.
+    assert first.answered_ms <= 50 + 2 * (SAVE_WAIT_MS + 50)
+
+
 def test_work_of_a_step_is_owed_whatever_crashes(world):
     for number in range(4):
         send(world, retain=f"sample {number}")
