--- a/tests/unit/gateway/test_cut_answers.py
+++ b/tests/unit/gateway/test_cut_answers.py
@@ -246,6 +246,15 @@
     assert received == b"" and not looks_whole(status, complete)
 
 
+@pytest.mark.parametrize("resumable", [True, False])
+def test_a_stream_that_ends_before_its_first_event_fails_with_a_reason(fleet, resumable):
+    whole, body_at = answer(events(), "chunks")
+    fleet.list_servers(0)
+    fleet.servers[0].reply = whole[:body_at]
+    status, received, _complete = fleet.stream(resumable=resumable, attempts=1)
+    assert status != 200 and received == b""
+
+
 @pytest.mark.parametrize("numbers", [(1, 3), (1, 1), (2, 3), (1, 2, 1)])
 @pytest.mark.parametrize("resumable", [True, False])
 def test_a_wrong_number_within_a_stream_ends_it_visibly(fleet, numbers, resumable):
