Bound the ownership of a batch in time: a paused owner starts nothing and answers nothing

Cause: an owner learned of a takeover only at its next log entry. Nothing limited how long it acted on what it had in memory. The two cases are one fault: starting and answering.

Change: an ownership is used for 3 s after the start of a store call that showed no other owner, and not after a pause of the process (batches/tenure.py). Entries of the log confirm it; a read of the next entry does so while nothing is listed. It is checked again once the connection to the engine is open, before a second send, before reward calls and after the wait of a read. A new owner whose predecessor is silent and may still answer lists nothing until the predecessor's time is over.

Test doubles got the new arguments: SilentClient.send_request, start_calls in ScoringStep.

--- a/scripts/model_check.sh
+++ b/scripts/model_check.sh
@@ -65,6 +65,11 @@
   "fail batch_log FORGET_PENDING"
   "fail batch_log OVERWRITE"
   "fail batch_log AFTER_END"
+  "pass tenure"
+  "fail tenure WITHOUT_TENURE"
+  "fail tenure WITHOUT_HOLD"
+  "fail tenure CONFIRMED_LATE"
+  "fail tenure EARLY_CHECK"
 )
 
 jobs_started=()
--- a/src/pistachionotch/batches/attempts.py
+++ b/src/pistachionotch/batches/attempts.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Callable
 from typing import Any
 
 import attrs
 
 from ..clock import Clock
 from ..gateway.exchange import Exchange, UpstreamClient
-from ..gateway.permits import RateLimitedError
+from ..gateway.permits import NotPermittedError, RateLimitedError
 from ..gateway.suspects import SuspectGuard
 from ..gateway.upstream_protocol import RequestPurpose, UpstreamProtocol, UpstreamRequest
 from ..gateway.upstreams import Upstream
@@ -43,6 +44,7 @@
     RATE_LIMITED = "rate limit"
     BROKEN = "broken"
     STALE = "stale weights"
+    NOT_OWNER = "ownership not confirmed"
     FAILED = "generation failed"
     # No engine can ever generate the item.
     IMPOSSIBLE = "impossible"
@@ -65,20 +67,27 @@
         state: ItemProgress,
         upstream: Upstream,
         priority: int = 0,
+        may_send: Callable[[], bool] | None = None,
     ) -> AttemptOutcome:
-        """Run one attempt; adds the text it receives to ``state``."""
+        """Run one attempt; adds the text it receives to ``state``.
+
+        ``may_send`` is asked right before the request is sent.
+        """
         upstream.in_flight += 1
         exchange = None
         try:
             request = self._request(submission, state, upstream, priority)
             timeout_ms = HEAD_TIMEOUTS_MS[min(state.unanswered_attempts, len(HEAD_TIMEOUTS_MS) - 1)]
             state.unanswered_attempts += 1
-            exchange = self.client.send_request(upstream, request, timeout_ms, repeatable=True)
+            exchange = self.client.send_request(upstream, request, timeout_ms, True, may_send)
             state.unanswered_attempts = 0
             outcome = self._receive(submission, state, exchange)
         except RateLimitedError:
             state.unanswered_attempts = max(0, state.unanswered_attempts - 1)
             outcome = AttemptOutcome.RATE_LIMITED
+        except NotPermittedError:
+            state.unanswered_attempts -= 1
+            outcome = AttemptOutcome.NOT_OWNER
         except (ExchangeError, ValueError) as error:
             upstream.record_failure(self.clock.now_ms())
             outcome = AttemptOutcome.BROKEN
--- a/src/pistachionotch/batches/listing.py
+++ b/src/pistachionotch/batches/listing.py
@@ -28,10 +28,14 @@
     completes: bool
     # When the oldest text that is only in memory was completed; None if there is none.
     oldest_unsaved_ms: int | None = None
+    # Earliest time to list results; see ``tenure.first_listing_ms``.
+    from_ms: int = 0
 
 
 def should_list(state: ListingState, now_ms: int) -> bool:
     """Return whether to write a log entry now."""
+    if now_ms < state.from_ms:
+        return False
     unsaved_ms = state.oldest_unsaved_ms
     if unsaved_ms is not None and now_ms - unsaved_ms >= MAX_UNSAVED_TEXT_MS:
         return True
--- a/src/pistachionotch/batches/owner.py
+++ b/src/pistachionotch/batches/owner.py
@@ -33,11 +33,14 @@
 from .model import LogEntry, Owner
 from .run import BatchRun, ItemProgress
 from .scoring import RewardCallRunner
+from .tenure import HANDOFF_TENURE_MS, TENURE_MS
 
 # Interval between two scheduling passes if no event triggers one earlier.
 POLL_INTERVAL_MS = 50
 # Delay before a log entry is written again after the object API failed.
 LISTING_RETRY_MS = 250
+# Maximum time that a read waits for the confirmation that this process still owns the batch.
+CONFIRM_WAIT_MS = 300
 # Timeout for stopping the tasks of a batch's items, which close their connections.
 STOP_TIMEOUT_MS = 300
 # An item that failed on fewer engines than its route's limit of attempts is given up only after
@@ -91,7 +94,75 @@
             self.wake.wait(POLL_INTERVAL_MS / 1000)
             self.wake.clear()
             self.start_items()
-            self.reward_calls.start_calls(self.runs.values(), self._finish)
+            runs = [run for run in self.runs.values() if self.may_act(run)]
+            self.reward_calls.start_calls(runs, self.may_act, self._finish)
+
+    def may_act(self, run: BatchRun) -> bool:
+        """Return whether this process may start work of a batch now."""
+        return run.open and run.tenure.holds(self.clock.now_ms())
+
+    def may_answer(self, run: BatchRun) -> bool:
+        """Return whether this process may answer reads with its state of a batch.
+
+        Confirms the ownership first if necessary, which takes up to ``CONFIRM_WAIT_MS``.
+        """
+        if run.final or self._holds(run):
+            return True
+        gevent.spawn(self.confirm, run).join(CONFIRM_WAIT_MS / MS_PER_SECOND)
+        return run.final or self._holds(run)
+
+    def _holds(self, run: BatchRun) -> bool:
+        if run.owner != self.local_owner:
+            return False
+        max_age_ms = HANDOFF_TENURE_MS if run.handing_off else TENURE_MS
+        return run.tenure.holds(self.clock.now_ms(), max_age_ms)
+
+    def confirm(self, run: BatchRun) -> None:
+        """Check in its log whether a batch still belongs to this process."""
+        with run.write_lock:
+            if run.ended or run.owner != self.local_owner:
+                return
+            started_ms = self.clock.now_ms()
+            if run.tenure.confirmed_ms == started_ms or not run.tenure.begin_attempt(started_ms):
+                return
+            if run.log.pending is not None:
+                self._append_entry(run, run.log.pending)
+                return
+            while run.owner == self.local_owner:
+                started_ms = self.clock.now_ms()
+                read = run.log.read_next()
+                if isinstance(read, Failure):
+                    self._log_unconfirmed(run, str(read.failure()))
+                    return
+                entry = read.unwrap()
+                if entry is None:
+                    self._record_confirmation(run, started_ms)
+                    break
+                run.apply(entry, self.clock.now_ms())
+        self.stop_if_closed(run)
+
+    def _record_confirmation(self, run: BatchRun, started_ms: int) -> None:
+        run.tenure.confirm(started_ms, self.clock.now_ms())
+        if run.unconfirmed_logged:
+            run.unconfirmed_logged = False
+            self.log.info("ownership confirmed", batch=run.id, entry=run.log.position)
+
+    def _log_unconfirmed(self, run: BatchRun, reason: str) -> None:
+        """Log that an ownership cannot be confirmed; repeated only after it was confirmed again."""
+        self.measures.count("ownership", "not confirmed")
+        confirmed_ms = run.tenure.confirmed_ms
+        if run.tenure.holds(self.clock.now_ms()) or run.unconfirmed_logged:
+            return
+        run.unconfirmed_logged = True
+        self.log.warning(
+            "ownership not confirmed",
+            batch=run.id,
+            entry=run.log.position,
+            age_ms=None if confirmed_ms is None else self.clock.now_ms() - confirmed_ms,
+            # A pause of this process that began after the last confirmation.
+            paused_ms=run.tenure.paused_ms if confirmed_ms is None else 0,
+            reason=reason,
+        )
 
     def start_items(self) -> None:
         """Start and move the items that can start or move now."""
@@ -101,7 +172,7 @@
         waiting_by_service: dict[str, list[WaitingItem]] = {}
         running_by_service: dict[str, list[RunningItem]] = {}
         for run in self.runs.values():
-            if not run.open:
+            if not self.may_act(run):
                 continue
             route = batch_route(catalog, run)
             if route is None:
@@ -224,7 +295,9 @@
             catalog = self.catalog()
             route = batch_route(catalog, run) if catalog else None
             priority = route.priority if route else 0
-            outcome = self.item_runner.run(run.head.submission, state, upstream, priority)
+            outcome = self.item_runner.run(
+                run.head.submission, state, upstream, priority, lambda: self.may_act(run)
+            )
         finally:
             state.running = False
             state.waiting_since_ms = self.clock.now_ms()
@@ -309,6 +382,8 @@
     def _list_results(self, run: BatchRun) -> None:
         """Write results to the log until the batch is complete, ended, stopped or lost."""
         while run.open:
+            if run.tenure.renewal_due(self.clock.now_ms()):
+                self.confirm(run)
             if not should_list(run.listing_state(), self.clock.now_ms()):
                 if len(run.listed) == len(run.progress):
                     return
@@ -317,6 +392,9 @@
             if not self.list_once(run):
                 self.clock.sleep_ms(LISTING_RETRY_MS)
 
+    def _may_list(self, run: BatchRun) -> bool:
+        return run.open and self.clock.now_ms() >= run.list_from_ms
+
     def list_once(self, run: BatchRun) -> bool:
         """Write one log entry if there is anything to list; returns False if the write failed."""
         with run.write_lock:
@@ -329,6 +407,8 @@
             return self._append_entry(run, entry)
 
     def _append_entry(self, run: BatchRun, entry: LogEntry) -> bool:
+        started_ms = self.clock.now_ms()
+        token = (run.log.pending or entry).token
         appended = run.log.append(entry)
         if isinstance(appended, Failure):
             self.measures.count("listings", "failed")
@@ -336,6 +416,8 @@
             return False
         found = appended.unwrap()
         run.apply(found, self.clock.now_ms())
+        if found.token == token:
+            self._record_confirmation(run, started_ms)
         self.log.info(
             "results listed",
             batch=run.id,
@@ -353,7 +435,12 @@
         if run.owner != self.local_owner and not run.stopped:
             run.stopped = True
             self.log.warning(
-                "batch taken over by another owner", batch=run.id, owner=run.owner.node
+                "batch taken over by another owner",
+                batch=run.id,
+                owner=run.owner.node,
+                entry=run.log.position - 1,
+                last_pause_ms=run.tenure.paused_ms,
+                unlisted=len(run.unlisted),
             )
         if not run.open:
             self.stop_items(run)
@@ -383,7 +470,7 @@
 
     def release(self, run: BatchRun) -> None:
         """List the finished items of a batch and stop running it, so that it can be handed off."""
-        while run.open and run.unlisted and self.list_once(run):
+        while self._may_list(run) and run.unlisted and self.list_once(run):
             continue
         run.stopped = True
         tasks = [task for (batch, _item), task in self.tasks.items() if batch == run.id]
--- a/src/pistachionotch/batches/ownership_transfer.py
+++ b/src/pistachionotch/batches/ownership_transfer.py
@@ -31,6 +31,7 @@
 from .ownership import GatewayRecord
 from .peers import PeerClient
 from .run import BatchRun
+from .tenure import first_listing_ms
 
 # Maximum number of gateways that are asked to take a handoff, because the time of a drain is short.
 MAX_SUCCESSORS = 2
@@ -80,6 +81,8 @@
             run.handing_off = False
 
     def _transfer(self, run: BatchRun) -> None:
+        # The next owner does not know that an earlier one may still answer reads.
+        self.clock.sleep_ms(max(0, run.list_from_ms - self.clock.now_ms()))
         self.owner.release(run)
         with run.write_lock:
             # A pending entry may be in the log already, which this state does not include.
@@ -114,7 +117,7 @@
                 run = self.new_run(state.head, route)
                 run.restore(state, self.clock.now_ms())
                 # The claim fails if another owner has written the next log entry in the meantime.
-                if not isinstance(self._claim(run, state.head.owner), BatchRun):
+                if not isinstance(self._claim(run, state.head.owner, False), BatchRun):
                     return None
         return self.local_owner
 
@@ -132,12 +135,17 @@
     def local_run(self, batch: str) -> BatchRun | None:
         """Return a batch if this process answers requests for it, otherwise None."""
         run = self.owner.runs.get(batch)
-        if run is None or (run.stopped and not (run.ended or run.handing_off)):
+        if run is None or run.ended:
+            return run
+        if run.owner != self.local_owner or (run.stopped and not run.handing_off):
             return None
         return run
 
-    def take_over(self, batch: str, lost: Owner) -> Any:
-        """Become the owner of a batch unless another process has done so already."""
+    def take_over(self, batch: str, lost: Owner, silent: bool = False) -> Any:
+        """Become the owner of a batch unless another process has done so already.
+
+        ``silent`` says that the former owner did not answer and may still run.
+        """
         with self.locks.setdefault(batch, BoundedSemaphore()):
             run = self.local_run(batch)
             if run is not None:
@@ -155,7 +163,7 @@
                 return OwnerChanged()
             if self.draining:
                 return BatchError(BatchErrorKind.UNAVAILABLE, "draining", 0)
-            return self._claim(found, lost)
+            return self._claim(found, lost, silent)
 
     def _replay_log(self, batch: str) -> BatchRun | BatchError:
         loaded = load_head(self.store, batch)
@@ -181,9 +189,10 @@
                 return run
             run.apply(entry, self.clock.now_ms())
 
-    def _claim(self, run: BatchRun, lost: Owner) -> Any:
+    def _claim(self, run: BatchRun, lost: Owner, silent: bool) -> Any:
         token = f"{self.rng.getrandbits(64):016x}"
         while not run.ended:
+            started_ms = self.clock.now_ms()
             appended = run.log.append(LogEntry(token=token, owner=self.local_owner))
             if isinstance(appended, Failure):
                 return BatchError(
@@ -192,6 +201,9 @@
             entry = appended.unwrap()
             run.apply(entry, self.clock.now_ms())
             if entry.token == token:
+                now_ms = self.clock.now_ms()
+                run.tenure.confirm(started_ms, now_ms)
+                run.list_from_ms = first_listing_ms(now_ms, silent)
                 break
             if entry.owner is not None:
                 self.owner_cache.remember(run.id, entry.owner)
@@ -203,6 +215,7 @@
             "batch taken over",
             batch=run.id,
             former=lost.node,
+            former_silent=silent,
             listed=len(run.listed),
             total=len(run.progress),
             # Texts of gateways that did not record their software version.
--- a/src/pistachionotch/batches/peers.py
+++ b/src/pistachionotch/batches/peers.py
@@ -205,7 +205,7 @@
 class LocalBatches(Protocol):
     """Operations that peers request from this process; None means that it cannot perform them."""
 
-    def local_page(self, batch: str, position: int, wait_ms: int) -> ResultPage | None:
+    def local_page(self, batch: str, position: int, wait_ms: int) -> ResultPage | BatchError | None:
         """Return listed results, waiting for the first if there is none yet."""
 
     def local_body(self, batch: str, item: str) -> bytes | PeerItemNotFound | None:
@@ -304,10 +304,14 @@
             if isinstance(body, PeerItemNotFound):
                 return HTTPStatus.GONE, b""
             return (HTTPStatus.NOT_FOUND, b"") if body is None else (HTTPStatus.OK, body)
-        query = parse_qs(environ["QUERY_STRING"])
+        return self._handle_read(batch, parse_qs(environ["QUERY_STRING"]))
+
+    def _handle_read(self, batch: str, query: dict[str, list[str]]) -> tuple[HTTPStatus, bytes]:
         page = self.batches.local_page(batch, int(query["position"][0]), int(query["wait_ms"][0]))
         if page is None:
             return HTTPStatus.NOT_FOUND, b""
+        if isinstance(page, BatchError):
+            return HTTPStatus.SERVICE_UNAVAILABLE, b""
         fields = {
             "total": page.total,
             "results": [result_fields(result) for result in page.results],
--- a/src/pistachionotch/batches/run.py
+++ b/src/pistachionotch/batches/run.py
@@ -25,6 +25,7 @@
     ResultPage,
 )
 from .rewards import WaitingReward
+from .tenure import Tenure
 
 # Maximum text size of a page of results with more than one result.
 MAX_PAGE_BYTES = 900_000
@@ -116,6 +117,12 @@
     # Set during a handoff, while this process still answers requests for listed results.
     handing_off: bool = False
     changed: Event = attrs.field(factory=Event)
+    # How long this process may act as the owner.
+    tenure: Tenure = attrs.field(factory=Tenure)
+    # Whether the log says that the ownership is not confirmed.
+    unconfirmed_logged: bool = False
+    # Earliest time to list results, after a takeover from an owner that may still answer reads.
+    list_from_ms: int = 0
     # Number of stored texts that were discarded, since it is not known what generated them.
     discarded_texts: int = 0
     # Held from building the next log entry until its outcome is applied.
@@ -143,6 +150,11 @@
         """Whether items may start."""
         return not (self.ended or self.stopped)
 
+    @property
+    def final(self) -> bool:
+        """Whether the listed results are the same at whichever owner, now and later."""
+        return self.ended or len(self.listed) == len(self.progress)
+
     def waiting(self, priority: int = 0, now_ms: int = 0) -> list[WaitingItem]:
         """Return the items that may start, with the priority of their route."""
         if not self.open:
@@ -283,6 +295,7 @@
             unlisted=len(self.unlisted),
             oldest_unlisted_ms=self.oldest_unlisted_ms,
             completes=self._listing_completes(),
+            from_ms=self.list_from_ms,
             oldest_unsaved_ms=min(
                 (state.complete_ms for state in self._unsaved_texts()), default=None
             ),
--- a/src/pistachionotch/batches/scoring.py
+++ b/src/pistachionotch/batches/scoring.py
@@ -48,8 +48,10 @@
     measures: Measures = attrs.field(factory=Measures)
     tasks: dict[tuple[str, str], Any] = attrs.field(factory=dict)
 
-    def start_calls(self, runs: Iterable[BatchRun], finish: FinishItem) -> None:
-        """Start the calls that can start now."""
+    def start_calls(
+        self, runs: Iterable[BatchRun], may_act: Callable[[BatchRun], bool], finish: FinishItem
+    ) -> None:
+        """Start the calls that can start now; ``may_act`` is asked again before each is sent."""
         catalog = self.catalog()
         if catalog is None:
             return
@@ -72,7 +74,7 @@
             for waiting in plan_reward_calls((waiting for waiting, _route in pairs), free, now_ms):
                 run = by_id[waiting.batch]
                 route = routes[(waiting.batch, waiting.item)]
-                self._start(run, run.progress[waiting.item], route, finish)
+                self._start(run, run.progress[waiting.item], route, may_act, finish)
 
     def stop(self, batch: str) -> list[Any]:
         """Cancel the calls of a batch and return their tasks."""
@@ -97,16 +99,31 @@
             for upstream in self.table.available_for(service)
         ]
 
-    def _start(self, run: BatchRun, state: ItemProgress, route: Route, finish: FinishItem) -> None:
+    def _start(
+        self,
+        run: BatchRun,
+        state: ItemProgress,
+        route: Route,
+        may_act: Callable[[BatchRun], bool],
+        finish: FinishItem,
+    ) -> None:
         state.reward_call_running = True
         # Set before the call, so that the delay also applies if it ends with an unexpected error.
         state.reward_retry_at_ms = self.clock.now_ms() + RETRY_DELAY_MS
         key = (run.id, state.item.id)
-        self.tasks[key] = gevent.spawn(self._run, run, state, route, finish)
+        self.tasks[key] = gevent.spawn(self._run, run, state, route, lambda: may_act(run), finish)
 
-    def _run(self, run: BatchRun, state: ItemProgress, route: Route, finish: FinishItem) -> None:
+    def _run(
+        self,
+        run: BatchRun,
+        state: ItemProgress,
+        route: Route,
+        may_send: Callable[[], bool],
+        finish: FinishItem,
+    ) -> None:
         try:
-            answer = self.forward(self._call(run, state), route)
+            call = attrs.evolve(self._call(run, state), may_send=may_send)
+            answer = self.forward(call, route)
         finally:
             state.reward_call_running = False
             self.tasks.pop((run.id, state.item.id), None)
--- a/src/pistachionotch/batches/service.py
+++ b/src/pistachionotch/batches/service.py
@@ -45,6 +45,7 @@
     PeerUnreachable,
 )
 from .run import BatchRun, find_item_body, wait_for_page
+from .tenure import TENURE_MS
 
 # An owner that does not answer for this time loses its batch to a takeover. Restarts of the owner's
 # process and refused connections are detected earlier.
@@ -194,7 +195,11 @@
         if stored.owner != self.local_owner:
             self.owner_cache.remember(submission.id, stored.owner)
         elif submission.id not in self.owner.runs:
-            self.owner.add(self.ownership_transfer.new_run(stored, route))
+            run = self.ownership_transfer.new_run(stored, route)
+            # If the batch is new, no log entry can be older than its head.
+            if stored is head:
+                run.tenure.confirm(started_ms, self.clock.now_ms())
+            self.owner.add(run)
             gevent.spawn(self._record_demand, submission)
             gevent.spawn(self.owner_cache.announce, submission.id)
         return None
@@ -230,15 +235,28 @@
 
     def read(self, batch: str, position: int, wait_ms: int) -> ResultPage | BatchError:
         """Return a page of listed results, waiting for the first result if there is none yet."""
-        run = self.ownership_transfer.local_run(batch)
-        if run is not None:
-            return wait_for_page(run, position, wait_ms)
-        found = self._query_owner(
-            batch, lambda owner: self.peers.read(owner, batch, position, wait_ms)
-        )
-        if isinstance(found, BatchRun):
-            return wait_for_page(found, position, wait_ms)
-        return found
+        page = self.local_page(batch, position, wait_ms)
+        if page is not None:
+            return page
+        found = self._query_owner(batch, lambda owner: self._read(owner, batch, position, wait_ms))
+        if not isinstance(found, BatchRun):
+            return found
+        page = self.local_page(batch, position, wait_ms)
+        if page is None:
+            return BatchError(BatchErrorKind.UNAVAILABLE, "the owner changes", UNAVAILABLE_RETRY_MS)
+        return page
+
+    def _read(
+        self, owner: Owner, batch: str, position: int, wait_ms: int
+    ) -> ResultPage | BatchError | PeerError:
+        """Return the owner's page, unless it is too old because this process was held up."""
+        asked_ms = self.clock.now_ms()
+        page = self.peers.read(owner, batch, position, wait_ms)
+        age_ms = self.clock.now_ms() - asked_ms
+        if isinstance(page, ResultPage) and age_ms > wait_ms + TENURE_MS:
+            self.log.warning("late page discarded", batch=batch, owner=owner.node, age_ms=age_ms)
+            return PeerRequestFailed("the owner's answer is too old")
+        return page
 
     def item_body(self, batch: str, item: str) -> bytes | BatchError:
         """Return the request body of an item."""
@@ -252,14 +270,13 @@
 
     def end(self, batch: str) -> None | BatchError:
         """End a batch; None means that it has ended permanently."""
-        run = self.ownership_transfer.local_run(batch)
-        if run is None:
+        ended = self.local_end(batch)
+        if ended is None:
             found = self._query_owner(batch, lambda owner: self.peers.end(owner, batch))
             if not isinstance(found, BatchRun):
                 return found
-            run = found
-        if run.ended or self.owner.end(run):
-            self.log.info("batch ended", batch=batch, listed=len(run.listed))
+            ended = self.local_end(batch)
+        if ended:
             return None
         return BatchError(BatchErrorKind.UNAVAILABLE, "the end is not stored", UNAVAILABLE_RETRY_MS)
 
@@ -275,10 +292,23 @@
         for batch in self.owner_cache.evict_expired(retention_ms):
             self.ownership_transfer.locks.pop(batch, None)
 
-    def local_page(self, batch: str, position: int, wait_ms: int) -> ResultPage | None:
-        """Return listed results of a batch that runs here, None if it does not."""
+    def local_page(self, batch: str, position: int, wait_ms: int) -> ResultPage | BatchError | None:
+        """Return listed results of a batch that runs here, None if it does not.
+
+        The result is an error while another process may have taken the batch over.
+        """
         run = self.ownership_transfer.local_run(batch)
-        return None if run is None else wait_for_page(run, position, wait_ms)
+        if run is None:
+            return None
+        page = wait_for_page(run, position, wait_ms)
+        # Checked after the wait, in which the batch may be lost.
+        if self.owner.may_answer(run):
+            return page
+        if self.ownership_transfer.local_run(batch) is None:
+            return None
+        return BatchError(
+            BatchErrorKind.UNAVAILABLE, "the ownership is not confirmed", UNAVAILABLE_RETRY_MS
+        )
 
     def local_body(self, batch: str, item: str) -> bytes | PeerItemNotFound | None:
         """Return the body of an item of a batch that runs here, None if it does not."""
@@ -291,7 +321,13 @@
     def local_end(self, batch: str) -> bool | None:
         """End a batch that runs here; None if it does not, False if the end may not be stored."""
         run = self.ownership_transfer.local_run(batch)
-        return None if run is None else run.ended or self.owner.end(run)
+        if run is None:
+            return None
+        if run.ended or self.owner.end(run):
+            self.log.info("batch ended", batch=batch, listed=len(run.listed))
+            return True
+        # The end may have found the entry of another owner.
+        return None if self.ownership_transfer.local_run(batch) is None else False
 
     def _query_owner(self, batch: str, query: Any) -> Any:
         """Return the owner's answer, or the run of the batch if this process has taken it over."""
@@ -312,7 +348,8 @@
         if isinstance(answer, OwnerChanged):
             return answer
         if isinstance(answer, NotOwner | PeerUnreachable):
-            return self.ownership_transfer.take_over(batch, cached.owner)
+            silent = isinstance(answer, PeerUnreachable) and not answer.refused
+            return self.ownership_transfer.take_over(batch, cached.owner, silent)
         cached.unreachable_since_ms = None
         if isinstance(answer, PeerItemNotFound):
             return BatchError(BatchErrorKind.NOT_FOUND, "no such item")
--- a/src/pistachionotch/gateway/calls.py
+++ b/src/pistachionotch/gateway/calls.py
@@ -21,7 +21,7 @@
 from .exchange import Exchange, UpstreamClient
 from .load_balancing import NoCapacity
 from .origin_guard import OriginGuard
-from .permits import RateLimitedError
+from .permits import NotPermittedError, RateLimitedError
 from .responses import (
     BufferedResponse,
     CallFailure,
@@ -162,6 +162,9 @@
         except RateLimitedError as error:
             self._record_rejection(progress, upstream, error)
             return None
+        except NotPermittedError as error:
+            progress.reason = error.reason
+            return None
         except ExchangeError as error:
             progress.may_have_run = progress.may_have_run or error.sent
             progress.reason = error.reason
@@ -197,7 +200,8 @@
         request = self._upstream_request(progress, upstream, left_ms)
         repeatable = progress.route.repeatable()
         patience_ms = progress.first_byte_timeout_ms(upstream, left_ms)
-        exchange = self.client.send_request(upstream, request, patience_ms, repeatable)
+        may_send = progress.call.may_send
+        exchange = self.client.send_request(upstream, request, patience_ms, repeatable, may_send)
         self.suspects.record_answer(upstream)
         done = False
         try:
--- a/src/pistachionotch/gateway/exchange.py
+++ b/src/pistachionotch/gateway/exchange.py
@@ -11,7 +11,7 @@
 from ..http_client import Connection, ConnectionPool, ExchangeError
 from ..measures import Measures
 from .limits import RateLimits
-from .permits import RateLimitedError, SendPermit
+from .permits import NotPermittedError, RateLimitedError, SendPermit
 from .upstream_protocol import UpstreamProtocol, UpstreamRequest, UpstreamResponse
 from .upstreams import Upstream
 
@@ -54,7 +54,7 @@
         The time that a request with a budget waits for its permit counts towards the timeout.
 
         If ``may_send`` is given, it is called once the connection is established, and the request
-        is not sent if it returns False.
+        is not sent if it returns False; raises ``NotPermittedError`` then.
 
         The server may just have closed a keep-alive connection. A repeatable request is then
         resent on a new connection; a request that is not repeatable always uses a new connection.
@@ -70,7 +70,7 @@
         if may_send is not None and not may_send():
             connection.close()
             self._give_back(permit)
-            raise ExchangeError("no longer permitted", sent=False)
+            raise NotPermittedError
         if permit is not None and permit.expires_ms <= self.clock.now_ms():
             connection.close()
             raise RateLimitedError(
@@ -92,6 +92,11 @@
             # The upstream may have executed the first request.
             reason = f"no second attempt: {error.reason}"
             raise ExchangeError(reason, sent=True, closed=first.closed) from error
+        if may_send is not None and not may_send():
+            connection.close()
+            self._give_back(permit)
+            reason = "no second attempt: no longer permitted"
+            raise ExchangeError(reason, sent=True, closed=first.closed) from first
         return self._send(connection, upstream, request, timeout_ms, started_ms)
 
     def _acquire_permit(
--- a/src/pistachionotch/gateway/permits.py
+++ b/src/pistachionotch/gateway/permits.py
@@ -1,4 +1,4 @@
-"""Result of asking for the permission to send a request to a rate-limited upstream."""
+"""Results of asking for the permission to send a request to an upstream."""
 
 from __future__ import annotations
 
@@ -19,6 +19,16 @@
         self.retry_ms = retry_ms
 
 
+class NotPermittedError(ExchangeError):
+    """The request was not sent because its sender may no longer do so.
+
+    It says nothing about the upstream.
+    """
+
+    def __init__(self) -> None:
+        super().__init__("no longer permitted", sent=False)
+
+
 @attrs.frozen
 class SendPermit:
     """A permit for one request; it must be sent before ``expires_ms``."""
--- a/src/pistachionotch/gateway/responses.py
+++ b/src/pistachionotch/gateway/responses.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import attrs
 
@@ -30,6 +30,8 @@
     purpose: RequestPurpose = RequestPurpose.CALL
     # Identity of the request across the attempts of its caller; empty if it has none.
     content: str = ""
+    # Asked right before each attempt is sent; None if the call may always be sent.
+    may_send: Callable[[], bool] | None = None
 
     def takes_up(self) -> bool:
         """Return whether the client has events of the stream and wants those after them."""
--- a/tests/unit/batches/test_item_attempts.py
+++ b/tests/unit/batches/test_item_attempts.py
@@ -38,7 +38,7 @@
         self.clock = clock
         self.timeouts = []
 
-    def send_request(self, upstream, request, timeout_ms, repeatable):
+    def send_request(self, upstream, request, timeout_ms, repeatable, may_send):
         self.timeouts.append(timeout_ms)
         self.clock.advance(timeout_ms)
         raise ExchangeError("no response", sent=True)
--- a/tests/unit/batches/test_scoring.py
+++ b/tests/unit/batches/test_scoring.py
@@ -122,7 +122,9 @@
 
     def score(self, after_ms=0):
         self.clock.advance(after_ms)
-        self.reward_calls.start_calls(self.owner.runs.values(), self.owner._finish)
+        self.reward_calls.start_calls(
+            self.owner.runs.values(), lambda run: run.open, self.owner._finish
+        )
         for _ in range(3):
             gevent.sleep(0)
 
