Count sizes in bytes, store large texts in pieces, and never retry a rejected write

Cause: the size of a log entry was counted in characters, and an entry that the object API rejects for good stayed pending in front of all others, the end included.

Change: objects/values.py counts the bytes of a value for every writer; a write over the limit is not sent. A text that is too large for an entry is stored in pieces. A rejected entry is dropped and smaller ones follow; an item that can't be stored at all ends as a failure, logged once. An end takes the place of an entry that can't be stored: creation at one position makes them exclusive.

The log's part of batches/owner.py moved to log_writer.py, items' progress and pieces out of run.py; tests call the writer directly.

--- a/spec/batch_log.pml
+++ b/spec/batch_log.pml
@@ -100,6 +100,8 @@
     :: atomic { owns && !over && pending == EMPTY -> pending = END }
     :: atomic { !owns && !over && pending == EMPTY && position < ENTRIES &&
         log[position] == EMPTY -> pending = OWNER(me) }
+    /* An end takes the place of results whose write has an unknown outcome. */
+    :: atomic { owns && !over && IS_RESULT(pending) -> pending = END }
     /* Write: with an answer, without one, or taking effect later. */
     :: atomic { pending != EMPTY && position < ENTRIES ->
         if
--- a/src/pistachionotch/batches/attempts.py
+++ b/src/pistachionotch/batches/attempts.py
@@ -18,7 +18,7 @@
 from ..limits.pacer import PermitWant
 from ..software.origin import Origin
 from .model import Submission
-from .run import ItemProgress
+from .progress import ItemProgress
 
 # Timeouts for the start of a response, by the number of previous attempts in a row without one. A
 # first event takes a tenth of a second, so no response within a second most likely means an engine
@@ -28,6 +28,9 @@
 EVENT_TIMEOUT_MS = 1_500
 # Time that an item waits for its permit at a rate-limited engine. Another engine may become free.
 PERMIT_WAIT_MS = 150
+# Maximum length of an item's text in characters. The longest texts that engines have memory for
+# are a tenth of this; gateways read answers of up to 16 MB from each other.
+MAX_TEXT_CHARACTERS = 8 * 1024 * 1024
 # Refusals have short bodies; no more than this is read.
 MAX_REFUSAL_BYTES = 64 * 1024
 UNPROCESSABLE_CONTENT = 422
@@ -35,6 +38,10 @@
 SERVER_ERROR = 500
 
 
+class _TextTooLargeError(Exception):
+    """The text of an item exceeds the limit."""
+
+
 class AttemptOutcome(enum.Enum):
     """Result of an attempt; the values are metric labels and go into logs."""
 
@@ -48,6 +55,7 @@
     FAILED = "generation failed"
     # No engine can ever generate the item.
     IMPOSSIBLE = "impossible"
+    TOO_LARGE = "text too large"
 
 
 @attrs.define
@@ -88,6 +96,8 @@
         except NotPermittedError:
             state.unanswered_attempts -= 1
             outcome = AttemptOutcome.NOT_OWNER
+        except _TextTooLargeError:
+            outcome = AttemptOutcome.TOO_LARGE
         except (ExchangeError, ValueError) as error:
             upstream.record_failure(self.clock.now_ms())
             outcome = AttemptOutcome.BROKEN
@@ -190,6 +200,8 @@
                     upstream.record_version(submission.model, version)
                 state.add_event(event.number, event.data, version, origin)
                 state.last_event_ms = now_ms
+            if state.characters > MAX_TEXT_CHARACTERS:
+                raise _TextTooLargeError
             if events and previous_ms is not None:
                 upstream.record_event_gap((now_ms - previous_ms) / len(events), now_ms)
             if events:
--- a/src/pistachionotch/batches/log.py
+++ b/src/pistachionotch/batches/log.py
@@ -16,13 +16,14 @@
     ObjectStore,
     StoredObject,
     StoreError,
+    StoreRejected,
     StoreUnavailable,
     VersionConflict,
 )
 from ..objects.read_back import put_with_read_back
+from ..objects.values import ValueLimit, canonical_json, json_size
 from .model import BatchHead, BatchItem, LogEntry
 from .records import (
-    canonical_json,
     entry_bytes,
     head_bytes,
     item_fields,
@@ -34,20 +35,22 @@
 HEADS_PREFIX = "batches/"
 PARTS_PREFIX = "batch-parts/"
 LOGS_PREFIX = "batch-log/"
-# Maximum share of the store's value size limit that the items of one object take. The rest is for
-# its other fields.
+# Maximum share of a value that the items of one object take. The rest is for its other fields.
 ITEMS_SHARE = 0.7
 
 
 def create_batch(
-    store: ObjectStore, head: BatchHead, max_value_bytes: int
+    store: ObjectStore, head: BatchHead, max_object_bytes: int
 ) -> Result[BatchHead, StoreError]:
     """Store a batch and return it, or the stored one if it had been accepted before."""
     batch = head.submission.id
-    chunks = _split_items(head.submission.items, int(max_value_bytes * ITEMS_SHARE))
+    limit = ValueLimit(max_object_bytes)
+    chunks = _split_items(head.submission.items, int(limit.max_value_bytes * ITEMS_SHARE))
     for number, items in enumerate(chunks[1:], start=1):
         # A part depends on the submission only, so an existing part has the same content.
         part = store.put(f"{PARTS_PREFIX}{batch}.{number}", canonical_json(items), None)
+        if isinstance(part, Failure) and isinstance(part.failure(), StoreRejected):
+            return Failure(part.failure())
         if isinstance(part, Failure) and not isinstance(part.failure(), VersionConflict):
             # A batch exists only once its head is stored, so it is certainly not accepted, even if
             # the part may have been stored.
@@ -67,7 +70,7 @@
     size = max_bytes
     for item in items:
         fields = item_fields(item)
-        length = len(canonical_json(fields))
+        length = json_size(fields)
         if size + length > max_bytes:
             chunks.append([])
             size = 0
@@ -132,6 +135,7 @@
 
         After a failure the entry stays pending. The next calls retry the pending entry instead of
         the given one until its outcome is known, so the returned entry may differ from ``entry``.
+        An entry that the object API rejects does not stay pending, since it is never stored.
         """
         if self.pending is None:
             self.pending = entry
@@ -142,8 +146,18 @@
         error = answer.failure()
         if isinstance(error, VersionConflict) and error.current is not None:
             return Success(self._advance(read_entry(error.current.value)))
+        if isinstance(error, StoreRejected):
+            self.pending = None
         return Failure(error)
 
+    def supersede(self, entry: LogEntry) -> None:
+        """Write ``entry`` in place of the pending one.
+
+        Only one of the two can become the entry at this position. If the pending one is stored
+        already, the next ``append`` returns it, and the caller appends ``entry`` after it.
+        """
+        self.pending = entry
+
     def _advance(self, entry: LogEntry) -> LogEntry:
         self.pending = None
         self.position += 1
--- a/src/pistachionotch/batches/model.py
+++ b/src/pistachionotch/batches/model.py
@@ -75,6 +75,18 @@
     versions: tuple[int, ...] = ()
     # Proof in the response to the item's reward call; empty for items without a reward call.
     reward: str = ""
+    # In the log only: identifies the pieces that come before ``text``; empty if there are none.
+    pieces: str = ""
+
+
+@attrs.frozen
+class TextPiece:
+    """A part of a text that is too large for one log entry; the result follows in a later entry."""
+
+    # The item, the text that the piece belongs to, and the piece.
+    id: str
+    text_id: str
+    text: str
 
 
 @attrs.frozen(kw_only=True)
@@ -109,13 +121,14 @@
 class LogEntry:
     """One entry of a batch's log.
 
-    An entry lists results at the next positions, saves texts that wait for their rewards, records a
-    new owner, or ends the batch.
+    An entry lists results at the next positions, stores a piece of a large text, saves texts that
+    wait for their rewards, records a new owner, or ends the batch.
     """
 
     token: str
     results: tuple[ItemResult, ...] = ()
     texts: tuple[PartialResult, ...] = ()
+    piece: TextPiece | None = None
     owner: Owner | None = None
     ended: bool = False
 
--- a/src/pistachionotch/batches/owner.py
+++ b/src/pistachionotch/batches/owner.py
@@ -9,12 +9,12 @@
 import attrs
 import gevent
 from gevent.event import Event
-from returns.result import Failure
 
 from ..clock import MS_PER_SECOND, Clock
 from ..gateway.catalog import Catalog, Route
 from ..gateway.upstreams import Upstream, UpstreamTable
 from ..measures import Measures
+from ..objects.values import ValueLimit
 from ..tasks import keep_running
 from .attempts import AttemptOutcome, ItemRunner
 from .dispatch import (
@@ -29,18 +29,14 @@
     plan_transient_moves,
 )
 from .engines import engine_candidates, listed_origins
-from .listing import should_list
-from .model import LogEntry, Owner
-from .run import BatchRun, ItemProgress
+from .log_writer import LogWriter
+from .model import Owner
+from .progress import ItemProgress
+from .run import ENTRY_OVERHEAD_BYTES, MAX_ENTRY_BYTES, BatchRun
 from .scoring import RewardCallRunner
-from .tenure import HANDOFF_TENURE_MS, TENURE_MS
 
 # Interval between two scheduling passes if no event triggers one earlier.
-POLL_INTERVAL_MS = 50
-# Delay before a log entry is written again after the object API failed.
-LISTING_RETRY_MS = 250
-# Maximum time that a read waits for the confirmation that this process still owns the batch.
-CONFIRM_WAIT_MS = 300
+PASS_INTERVAL_MS = 50
 # Timeout for stopping the tasks of a batch's items, which close their connections.
 STOP_TIMEOUT_MS = 300
 # An item that failed on fewer engines than its route's limit of attempts is given up only after
@@ -67,14 +63,25 @@
     tasks: dict[tuple[str, str], Any] = attrs.field(factory=dict)
     prompt_engines: dict[tuple[str, str], str] = attrs.field(factory=dict)
     wake: Event = attrs.field(factory=Event)
+    value_limit: ValueLimit = ValueLimit(0)
+    writer: LogWriter = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.writer = LogWriter(
+            self.clock, self.rng, self.local_owner, self.log, self.measures, self.stop_items
+        )
 
     def add(self, run: BatchRun) -> None:
         """Start to run a batch."""
         self.runs[run.id] = run
+        if self.value_limit.max_object_bytes:
+            run.entry_bytes = min(
+                MAX_ENTRY_BYTES, self.value_limit.max_value_bytes - ENTRY_OVERHEAD_BYTES
+            )
         gevent.spawn(
             keep_running,
             "list results",
-            lambda: self._list_results(run),
+            lambda: self.writer.list_results(run),
             self.clock,
             self.log,
             self.measures,
@@ -91,7 +98,7 @@
     def run(self) -> None:
         """Start items and reward calls; never returns."""
         while True:
-            self.wake.wait(POLL_INTERVAL_MS / 1000)
+            self.wake.wait(PASS_INTERVAL_MS / 1000)
             self.wake.clear()
             self.start_items()
             runs = [run for run in self.runs.values() if self.may_act(run)]
@@ -101,69 +108,6 @@
         """Return whether this process may start work of a batch now."""
         return run.open and run.tenure.holds(self.clock.now_ms())
 
-    def may_answer(self, run: BatchRun) -> bool:
-        """Return whether this process may answer reads with its state of a batch.
-
-        Confirms the ownership first if necessary, which takes up to ``CONFIRM_WAIT_MS``.
-        """
-        if run.final or self._holds(run):
-            return True
-        gevent.spawn(self.confirm, run).join(CONFIRM_WAIT_MS / MS_PER_SECOND)
-        return run.final or self._holds(run)
-
-    def _holds(self, run: BatchRun) -> bool:
-        if run.owner != self.local_owner:
-            return False
-        max_age_ms = HANDOFF_TENURE_MS if run.handing_off else TENURE_MS
-        return run.tenure.holds(self.clock.now_ms(), max_age_ms)
-
-    def confirm(self, run: BatchRun) -> None:
-        """Check in its log whether a batch still belongs to this process."""
-        with run.write_lock:
-            if run.ended or run.owner != self.local_owner:
-                return
-            started_ms = self.clock.now_ms()
-            if run.tenure.confirmed_ms == started_ms or not run.tenure.begin_attempt(started_ms):
-                return
-            if run.log.pending is not None:
-                self._append_entry(run, run.log.pending)
-                return
-            while run.owner == self.local_owner:
-                started_ms = self.clock.now_ms()
-                read = run.log.read_next()
-                if isinstance(read, Failure):
-                    self._log_unconfirmed(run, str(read.failure()))
-                    return
-                entry = read.unwrap()
-                if entry is None:
-                    self._record_confirmation(run, started_ms)
-                    break
-                run.apply(entry, self.clock.now_ms())
-        self.stop_if_closed(run)
-
-    def _record_confirmation(self, run: BatchRun, started_ms: int) -> None:
-        run.tenure.confirm(started_ms, self.clock.now_ms())
-        if run.unconfirmed_logged:
-            run.unconfirmed_logged = False
-            self.log.info("ownership confirmed", batch=run.id, entry=run.log.position)
-
-    def _log_unconfirmed(self, run: BatchRun, reason: str) -> None:
-        """Log that an ownership cannot be confirmed; repeated only after it was confirmed again."""
-        self.measures.count("ownership", "not confirmed")
-        confirmed_ms = run.tenure.confirmed_ms
-        if run.tenure.holds(self.clock.now_ms()) or run.unconfirmed_logged:
-            return
-        run.unconfirmed_logged = True
-        self.log.warning(
-            "ownership not confirmed",
-            batch=run.id,
-            entry=run.log.position,
-            age_ms=None if confirmed_ms is None else self.clock.now_ms() - confirmed_ms,
-            # A pause of this process that began after the last confirmation.
-            paused_ms=run.tenure.paused_ms if confirmed_ms is None else 0,
-            reason=reason,
-        )
-
     def start_items(self) -> None:
         """Start and move the items that can start or move now."""
         catalog = self.catalog()
@@ -319,6 +263,9 @@
         if outcome is AttemptOutcome.IMPOSSIBLE:
             self._finish(run, state, False, "the engine can never do it")
             return
+        if outcome is AttemptOutcome.TOO_LARGE:
+            self._finish(run, state, False, "its text is too large")
+            return
         if route is not None and route.single_version:
             # The remaining text could come from other weights than the text so far.
             state.restart()
@@ -379,88 +326,6 @@
     def _age_ms(self, run: BatchRun) -> int:
         return max(0, self.clock.now_ms() - run.accepted_ms)
 
-    def _list_results(self, run: BatchRun) -> None:
-        """Write results to the log until the batch is complete, ended, stopped or lost."""
-        while run.open:
-            if run.tenure.renewal_due(self.clock.now_ms()):
-                self.confirm(run)
-            if not should_list(run.listing_state(), self.clock.now_ms()):
-                if len(run.listed) == len(run.progress):
-                    return
-                self.clock.sleep_ms(POLL_INTERVAL_MS)
-                continue
-            if not self.list_once(run):
-                self.clock.sleep_ms(LISTING_RETRY_MS)
-
-    def _may_list(self, run: BatchRun) -> bool:
-        return run.open and self.clock.now_ms() >= run.list_from_ms
-
-    def list_once(self, run: BatchRun) -> bool:
-        """Write one log entry if there is anything to list; returns False if the write failed."""
-        with run.write_lock:
-            # Another task may have written the results while this one waited for the lock.
-            if not run.open:
-                return True
-            entry = run.next_entry(f"{self.rng.getrandbits(64):016x}")
-            if not (entry.results or entry.texts):
-                return True
-            return self._append_entry(run, entry)
-
-    def _append_entry(self, run: BatchRun, entry: LogEntry) -> bool:
-        started_ms = self.clock.now_ms()
-        token = (run.log.pending or entry).token
-        appended = run.log.append(entry)
-        if isinstance(appended, Failure):
-            self.measures.count("listings", "failed")
-            self.log.warning("results not listed", batch=run.id, reason=str(appended.failure()))
-            return False
-        found = appended.unwrap()
-        run.apply(found, self.clock.now_ms())
-        if found.token == token:
-            self._record_confirmation(run, started_ms)
-        self.log.info(
-            "results listed",
-            batch=run.id,
-            entry=run.log.position - 1,
-            results=len(found.results),
-            texts=len(found.texts),
-            listed=len(run.listed),
-            total=len(run.progress),
-        )
-        self.stop_if_closed(run)
-        return True
-
-    def stop_if_closed(self, run: BatchRun) -> None:
-        """Stop the items of a batch that has ended, was stopped or has another owner."""
-        if run.owner != self.local_owner and not run.stopped:
-            run.stopped = True
-            self.log.warning(
-                "batch taken over by another owner",
-                batch=run.id,
-                owner=run.owner.node,
-                entry=run.log.position - 1,
-                last_pause_ms=run.tenure.paused_ms,
-                unlisted=len(run.unlisted),
-            )
-        if not run.open:
-            self.stop_items(run)
-
-    def end(self, run: BatchRun) -> bool:
-        """End a batch permanently; returns False if the end may not be stored."""
-        with run.write_lock:
-            while not run.ended and run.owner == self.local_owner:
-                token = f"{self.rng.getrandbits(64):016x}"
-                # The log may write a pending results entry first; the end is then appended next.
-                appended = run.log.append(LogEntry(token=token, ended=True))
-                if isinstance(appended, Failure):
-                    self.log.warning(
-                        "end of batch not stored", batch=run.id, reason=str(appended.failure())
-                    )
-                    return False
-                run.apply(appended.unwrap(), self.clock.now_ms())
-        self.stop_if_closed(run)
-        return run.ended
-
     def stop_items(self, run: BatchRun) -> None:
         """Stop the running items and reward calls of a batch."""
         for (batch, _item), task in list(self.tasks.items()):
@@ -470,7 +335,7 @@
 
     def release(self, run: BatchRun) -> None:
         """List the finished items of a batch and stop running it, so that it can be handed off."""
-        while self._may_list(run) and run.unlisted and self.list_once(run):
+        while self.writer.may_list(run) and run.unlisted and self.writer.list_once(run):
             continue
         run.stopped = True
         tasks = [task for (batch, _item), task in self.tasks.items() if batch == run.id]
--- a/src/pistachionotch/batches/records.py
+++ b/src/pistachionotch/batches/records.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import base64
-import json
 from typing import Any
 
 import attrs
 
 from ..config.spec import Address
 from ..malformed import load_json
+from ..objects.values import canonical_json
 from ..software.origin import Origin
 from .model import (
     BatchHead,
@@ -21,14 +21,10 @@
     PartialResult,
     RewardCall,
     Submission,
+    TextPiece,
 )
 
 
-def canonical_json(fields: Any) -> bytes:
-    """Return JSON with sorted keys and without whitespace."""
-    return json.dumps(fields, sort_keys=True, separators=(",", ":")).encode()
-
-
 def item_fields(item: BatchItem) -> dict[str, Any]:
     """Return the JSON fields of an item."""
     fields: dict[str, Any] = {
@@ -124,6 +120,8 @@
     }
     if result.reward:
         fields["reward"] = result.reward
+    if result.pieces:
+        fields["pieces"] = result.pieces
     return fields
 
 
@@ -135,6 +133,7 @@
         text=fields["text"],
         versions=tuple(fields["versions"]),
         reward=fields.get("reward", ""),
+        pieces=fields.get("pieces", ""),
     )
 
 
@@ -194,6 +193,8 @@
         fields["results"] = [result_fields(result) for result in entry.results]
     if entry.texts:
         fields["texts"] = [attrs.asdict(part) for part in entry.texts]
+    if entry.piece is not None:
+        fields["piece"] = attrs.asdict(entry.piece)
     if entry.owner is not None:
         fields["owner"] = owner_fields(entry.owner)
     if entry.ended:
@@ -205,10 +206,12 @@
     """Parse a log entry."""
     fields = load_json(value)
     owner = fields.get("owner")
+    piece = fields.get("piece")
     return LogEntry(
         token=fields["token"],
         results=tuple(read_result(result) for result in fields.get("results", ())),
         texts=tuple(read_part(part) for part in fields.get("texts", ())),
+        piece=None if piece is None else TextPiece(piece["id"], piece["text_id"], piece["text"]),
         owner=None if owner is None else read_owner(owner),
         ended=fields.get("ended", False),
     )
--- a/src/pistachionotch/batches/run.py
+++ b/src/pistachionotch/batches/run.py
@@ -7,8 +7,7 @@
 from gevent.lock import BoundedSemaphore
 
 from ..clock import MS_PER_SECOND
-from ..gateway.upstream_protocol import FIRST_EVENT
-from ..software.origin import Origin
+from ..objects.values import json_size
 from .dispatch import RunningItem, WaitingItem, optional_groups
 from .listing import ListingState
 from .log import BatchLog
@@ -16,7 +15,6 @@
     BatchError,
     BatchErrorKind,
     BatchHead,
-    BatchItem,
     BatchState,
     ItemResult,
     LogEntry,
@@ -24,76 +22,20 @@
     PartialResult,
     ResultPage,
 )
+from .pieces import LargeTexts
+from .progress import ItemProgress
+from .records import result_fields
 from .rewards import WaitingReward
 from .tenure import Tenure
 
-# Maximum text size of a page of results with more than one result.
+# Maximum size of the texts of a page with more than one result, as JSON; the platform allows 1 MB.
 MAX_PAGE_BYTES = 900_000
-# Maximum text size of a log entry with more than one result; well below the value limit of 1 MB of
-# the object API.
+# Maximum size of the results or texts of a log entry, as JSON. A larger text is stored in pieces.
 MAX_ENTRY_BYTES = 600_000
-
-
-@attrs.define
-class ItemProgress:
-    """Progress of one item until it is finished."""
-
-    item: BatchItem
-    running: bool = False
-    # Engine of the current attempt, and its start time.
-    instance: str = ""
-    started_ms: int = 0
-    finished: bool = False
-    # Data of the events received so far, and the number of the last one.
-    texts: list[str] = attrs.field(factory=list)
-    last_event: int | None = None
-    last_event_ms: int = 0
-    # Service and software version that generated the text; None if there is no text.
-    origin: Origin | None = None
-    # Since when it has been waiting for an engine.
-    waiting_since_ms: int = 0
-    versions: list[int] = attrs.field(factory=list)
-    # Number of responses that reported a failed generation; counts towards the route's limit.
-    failures: int = 0
-    # Attempts since the last one that got the start of a response.
-    unanswered_attempts: int = 0
-    # Engines that reported a failed generation.
-    failed_at: set[str] = attrs.field(factory=set)
-    # Engines on which an attempt failed or broke off.
-    avoid: set[str] = attrs.field(factory=set)
-    # Engine from which the item was moved away last, until it starts again.
-    moved_from: str = ""
-    # Whether the text is complete, so that only its reward is missing, and since when.
-    complete: bool = False
-    complete_ms: int = 0
-    # Whether the text is stored in the log.
-    saved: bool = False
-    # Whether the reward call is running, and the earliest time of the next attempt.
-    reward_call_running: bool = False
-    reward_retry_at_ms: int = 0
-    # Number of responses that reported a failure of the reward call; counts towards its route's
-    # limit.
-    reward_failures: int = 0
-
-    def add_event(self, number: int, data: str, version: int, origin: Origin | None = None) -> None:
-        """Add an event; raises ``ValueError`` if it does not follow the last one."""
-        if self.texts and origin != self.origin:
-            raise ValueError(f"text of {self.origin} goes on at {origin}")
-        expected = FIRST_EVENT if self.last_event is None else self.last_event + 1
-        if number != expected:
-            raise ValueError(f"event {number} instead of {expected}")
-        self.last_event = number
-        self.origin = origin
-        self.texts.append(data)
-        if version not in self.versions:
-            self.versions.append(version)
-
-    def restart(self) -> None:
-        """Discard the text so far."""
-        self.texts.clear()
-        self.versions.clear()
-        self.last_event = None
-        self.origin = None
+# Entries are not made smaller than this when the object API rejects them.
+MIN_ENTRY_BYTES = 4_096
+# Size of an entry without its text.
+ENTRY_OVERHEAD_BYTES = 1_024
 
 
 @attrs.define
@@ -123,6 +65,11 @@
     unconfirmed_logged: bool = False
     # Earliest time to list results, after a takeover from an owner that may still answer reads.
     list_from_ms: int = 0
+    # Maximum size of the results or texts of the next log entries; reduced after a rejection.
+    entry_bytes: int = MAX_ENTRY_BYTES
+    texts: LargeTexts = attrs.field(factory=LargeTexts)
+    # Sizes of the texts of the first listed results, as JSON.
+    listed_bytes: list[int] = attrs.field(factory=list)
     # Number of stored texts that were discarded, since it is not known what generated them.
     discarded_texts: int = 0
     # Held from building the next log entry until its outcome is applied.
@@ -283,6 +230,7 @@
             self.discarded_texts += bool(part.texts)
             return
         progress.texts = list(part.texts)
+        progress.characters = sum(len(text) for text in part.texts)
         progress.last_event = part.last_event
         progress.versions = list(part.versions)
         progress.origin = part.origin
@@ -324,24 +272,54 @@
         return sum(1 for count in missing.values() if count == 0)
 
     def next_entry(self, token: str) -> LogEntry:
-        """Return an entry with as many unlisted results as fit, or else with unsaved texts."""
+        """Return an entry with as many unlisted results as fit, or else with unsaved texts.
+
+        If the first result is too large for an entry, the entry has the next piece of its text.
+        """
+        if self.unlisted:
+            max_bytes = self.entry_bytes - ENTRY_OVERHEAD_BYTES
+            piece = self.texts.next_piece(self.unlisted[0], token, max_bytes)
+            if piece is not None:
+                return LogEntry(token=token, piece=piece)
         size = 0
-        count = 0
+        results: list[ItemResult] = []
         for result in self.unlisted:
-            size += len(result.text)
-            if count and size > MAX_ENTRY_BYTES:
+            stored = self.texts.rest(result)
+            size += json_size(result_fields(stored))
+            if results and size > self.entry_bytes:
                 break
-            count += 1
-        if count:
-            return LogEntry(token=token, results=tuple(self.unlisted[:count]))
+            results.append(stored)
+        if results:
+            return LogEntry(token=token, results=tuple(results))
         parts: list[PartialResult] = []
         for state in self._unsaved_texts():
-            size += sum(len(text) for text in state.texts)
-            if parts and size > MAX_ENTRY_BYTES:
+            size += json_size(state.texts)
+            if parts and size > self.entry_bytes:
                 break
             parts.append(_partial_result(state))
         return LogEntry(token=token, texts=tuple(parts))
 
+    def skip_large_texts(self) -> list[str]:
+        """Keep texts that wait for rewards and exceed an entry in memory only; returns the items.
+
+        After a change of owner they are generated again.
+        """
+        skipped = []
+        for state in self._unsaved_texts():
+            if json_size(state.texts) <= self.entry_bytes - ENTRY_OVERHEAD_BYTES:
+                continue
+            state.saved = True
+            skipped.append(state.item.id)
+        return skipped
+
+    def fail_unlisted(self, item: str) -> None:
+        """Replace the result of a finished item that cannot be stored by a failure."""
+        self.texts.forget(item)
+        self.unlisted = [
+            ItemResult(id=item, done=False) if result.id == item else result
+            for result in self.unlisted
+        ]
+
     def apply(self, entry: LogEntry, now_ms: int = 0) -> None:
         """Apply an entry of the log."""
         for part in entry.texts:
@@ -351,11 +329,15 @@
             if not saved.complete:
                 self._restore_part(part, now_ms)
             saved.saved = saved.complete
+        if entry.piece is not None:
+            own = any(result.id == entry.piece.id for result in self.unlisted)
+            self.texts.add(entry.piece, own)
         for result in entry.results:
             state = self.progress.get(result.id)
             if state is not None:
                 state.finished = True
-            self.listed.append(result)
+            self.listed.append(self.texts.join(result))
+            self.texts.forget(result.id)
         if entry.results:
             ids = {result.id for result in entry.results}
             self.unlisted = [result for result in self.unlisted if result.id not in ids]
@@ -368,10 +350,12 @@
 
     def page(self, position: int) -> ResultPage:
         """Return a page of listed results that starts at ``position``."""
+        for result in self.listed[len(self.listed_bytes) :]:
+            self.listed_bytes.append(json_size(result.text))
         size = 0
         results: list[ItemResult] = []
-        for result in self.listed[position:]:
-            size += len(result.text)
+        for number, result in enumerate(self.listed[position:], start=position):
+            size += self.listed_bytes[number]
             if results and size > MAX_PAGE_BYTES:
                 break
             results.append(result)
--- a/src/pistachionotch/batches/scoring.py
+++ b/src/pistachionotch/batches/scoring.py
@@ -20,8 +20,9 @@
 from ..measures import Measures
 from ..quarantine.fingerprint import fingerprint
 from .model import RewardCall
+from .progress import ItemProgress
 from .rewards import ServerCapacity, WaitingReward, count_free_slots, plan_reward_calls
-from .run import BatchRun, ItemProgress
+from .run import BatchRun
 
 # Minimum timeout of a call, for steps that are overdue or due very soon; trainers read late results
 # too.
--- a/src/pistachionotch/batches/service.py
+++ b/src/pistachionotch/batches/service.py
@@ -302,7 +302,7 @@
             return None
         page = wait_for_page(run, position, wait_ms)
         # Checked after the wait, in which the batch may be lost.
-        if self.owner.may_answer(run):
+        if self.owner.writer.may_answer(run):
             return page
         if self.ownership_transfer.local_run(batch) is None:
             return None
@@ -323,7 +323,7 @@
         run = self.ownership_transfer.local_run(batch)
         if run is None:
             return None
-        if run.ended or self.owner.end(run):
+        if run.ended or self.owner.writer.end(run):
             self.log.info("batch ended", batch=batch, listed=len(run.listed))
             return True
         # The end may have found the entry of another owner.
--- a/src/pistachionotch/gateway/crash_store.py
+++ b/src/pistachionotch/gateway/crash_store.py
@@ -8,10 +8,10 @@
 import attrs
 from returns.result import Failure
 
-from ..batches.records import canonical_json
 from ..clock import Clock
 from ..malformed import MALFORMED, load_json
-from ..objects.api import ObjectStore, StoredObject, VersionConflict
+from ..objects.api import ObjectStore, StoredObject, StoreRejected, VersionConflict
+from ..objects.values import canonical_json
 from ..quarantine.board import EVIDENCE_MS, CrashBoard, CrashReport
 
 CRASHES_KEY_PREFIX = "crashes/"
@@ -111,6 +111,9 @@
             error = written.failure()
             if isinstance(error, VersionConflict):
                 self.own_version = None if error.current is None else error.current.version
+            if isinstance(error, StoreRejected):
+                # The same reports would be rejected again.
+                self.saved = signature
             self.log.warning("crashes not written", reason=str(error))
             return False
         self.own_version = written.unwrap().version
--- a/src/pistachionotch/gateway/daemon.py
+++ b/src/pistachionotch/gateway/daemon.py
@@ -26,6 +26,7 @@
 from ..metrics import METRICS_MEDIA_TYPE, render_metrics
 from ..objects.api import ObjectStore
 from ..objects.relay import RelayedStore
+from ..objects.values import ValueLimit
 from ..server import make_server
 from ..tasks import keep_running
 from ..weights.demand import ModelDemands
@@ -102,6 +103,7 @@
             logger("objects"),
             lambda: self.gateways.other_gateways(),
             self.measures,
+            ValueLimit(settings.max_value_bytes),
         )
         self.demands = ModelDemands(self.store, logger("orders"))
         self.gateways = GatewayRegistry(
@@ -123,7 +125,14 @@
         )
         self.origins = StreamOrigins(
             self.clock,
-            OriginStore(self.settings.node, self.store, self.clock, unix_ms, logger("origins")),
+            OriginStore(
+                settings.node,
+                self.store,
+                self.clock,
+                unix_ms,
+                logger("origins"),
+                limit=self.store.limit,
+            ),
             self.cluster.table,
             lambda: self.cluster.catalog,
             lambda: self.gateways.addresses,
@@ -181,6 +190,7 @@
             lambda: self.cluster.catalog,
             logger("batches"),
             self.measures,
+            value_limit=self.store.limit,
         )
         self.batches = BatchService(
             self.clock,
@@ -298,7 +308,8 @@
                 self.gateways.register()
                 if self.gateways.restarted:
                     self.limits.broker.shorten_overlap()
-            self.clock.sleep_ms(REGISTER_RETRY_MS)
+            rejected = self.gateways.rejected
+            self.clock.sleep_ms(CLEANUP_PERIOD_MS if rejected else REGISTER_RETRY_MS)
 
     def _prune_gateways(self) -> None:
         while True:
--- a/src/pistachionotch/gateway/origin_store.py
+++ b/src/pistachionotch/gateway/origin_store.py
@@ -16,6 +16,7 @@
 from ..clock import Clock
 from ..malformed import MALFORMED
 from ..objects.api import ObjectStore, StoredObject, VersionConflict
+from ..objects.values import ValueLimit
 from ..software.history import UNREADABLE, Beginning, OriginHistory
 from ..software.memory import StreamMemory
 from ..software.origin import BegunStream, Origin
@@ -55,6 +56,7 @@
     started_reads: int = 0
     finished_read: int = 0
     last: OriginRecords | None = None
+    limit: ValueLimit = ValueLimit(0)
     read_lock: BoundedSemaphore = attrs.field(factory=BoundedSemaphore)
 
     def add_to_history(self, needed: Collection[Beginning]) -> OriginHistory | None:
@@ -103,8 +105,7 @@
         for _ in range(MAX_CONFLICTS):
             if not self.own_known and not self._read_own(key, memory):
                 return False
-            streams = memory.of_origins(origins, MAX_RECORDED_STREAMS)
-            value = streams_bytes(streams, self._unix_offset_ms())
+            value = self._streams_within_limit(memory, origins)
             written = self.store.put(key, value, self.own_version)
             if not isinstance(written, Failure):
                 self.own_version = written.unwrap().version
@@ -117,6 +118,17 @@
         self.log.warning("begun streams not written", reason="the object changes too often")
         return False
 
+    def _streams_within_limit(self, memory: StreamMemory, origins: frozenset[Origin]) -> bytes:
+        """Return the newest streams that fit into one object; their ids come from clients."""
+        most = MAX_RECORDED_STREAMS
+        while True:
+            streams = memory.of_origins(origins, most)
+            value = streams_bytes(streams, self._unix_offset_ms())
+            if self.limit.allows(value) or not streams:
+                return value
+            most = len(streams) // 2
+            self.log.warning("older begun streams left out", kept=most, size=len(value))
+
     def _read_own(self, key: str, memory: StreamMemory) -> bool:
         read = self.store.get(key)
         if isinstance(read, Failure):
--- a/src/pistachionotch/gateway/peers.py
+++ b/src/pistachionotch/gateway/peers.py
@@ -13,14 +13,14 @@
 from ..batches.model import Owner
 from ..batches.ownership import GatewayRecord, rank_owners
 from ..batches.peers import PeerApp
-from ..batches.records import canonical_json
 from ..config.spec import Address
 from ..logs import logger
 from ..malformed import MALFORMED, load_json
 from ..measures import Measures
-from ..objects.api import ObjectStore, StoredObject, VersionConflict
+from ..objects.api import ObjectStore, StoredObject, StoreRejected, VersionConflict
 from ..objects.odd_objects import OddObjects
 from ..objects.relay import RELAY_PATH, handle_relayed_call
+from ..objects.values import canonical_json
 from .crash_exchange import CRASHES_PREFIX, CrashExchange
 from .limit_exchange import LIMITS_PREFIX
 from .limits import RateLimits
@@ -43,6 +43,8 @@
     processor: float = 0.0
     records: dict[str, GatewayRecord] = attrs.field(factory=dict)
     registered: bool = False
+    # Whether the object API will never accept the registration.
+    rejected: bool = False
     # Whether an earlier process of this gateway was registered when this one started.
     restarted: bool = False
     versions: dict[str, int] = attrs.field(factory=dict)
@@ -91,6 +93,9 @@
                 self.restarted |= self._is_of_earlier_process(error.current.value)
                 written = self.store.put(key, value, error.current.version)
         self.registered = not isinstance(written, Failure)
+        self.rejected = isinstance(written, Failure) and isinstance(
+            written.failure(), StoreRejected
+        )
         if not self.registered:
             self.log.warning("gateway registration failed", reason=str(written.failure()))
         return self.registered
--- a/src/pistachionotch/objects/read_back.py
+++ b/src/pistachionotch/objects/read_back.py
@@ -4,7 +4,14 @@
 
 from returns.result import Failure, Result, Success
 
-from .api import ObjectStore, StoredObject, StoreError, VersionConflict, WriteAmbiguous
+from .api import (
+    ObjectStore,
+    StoredObject,
+    StoreError,
+    StoreRejected,
+    VersionConflict,
+    WriteAmbiguous,
+)
 
 # The first write and one retry. More would delay the caller while the store loses responses.
 MAX_ATTEMPTS = 2
@@ -31,6 +38,9 @@
         error = result.failure()
         if isinstance(error, VersionConflict):
             return _resolve_conflict(error, value, response_lost)
+        if isinstance(error, StoreRejected):
+            # The first attempt had the same value, so it was rejected too.
+            return result
         if not isinstance(error, WriteAmbiguous):
             return Failure(WriteAmbiguous(str(error))) if response_lost else result
         response_lost = True
--- a/src/pistachionotch/objects/relay.py
+++ b/src/pistachionotch/objects/relay.py
@@ -36,6 +36,7 @@
     WatchExpired,
     WriteAmbiguous,
 )
+from .values import ValueLimit
 
 T = TypeVar("T")
 RELAY_PATH = "/objects"
@@ -44,6 +45,8 @@
 RESPONSE_TIMEOUT_MS = 1_500
 # Peers that are tried before the object API is considered unavailable.
 MAX_PEERS_TRIED = 2
+# Number of keys whose last rejection is remembered.
+MAX_REJECTED_KEYS = 200
 # Pause before peers are tried again after none of them could reach the object API.
 PEERS_RETRY_MS = 1_000
 # Interval at which watches try the direct path while calls go through peers.
@@ -88,6 +91,9 @@
     # Returns the addresses of the other processes that may reach the object API.
     peers: Callable[[], Sequence[Address]]
     measures: Measures = attrs.field(factory=Measures)
+    limit: ValueLimit = ValueLimit(0)
+    # Keys of the values that were rejected last, each of which is logged once.
+    rejected: dict[str, str] = attrs.field(factory=dict)
     direct_lost: bool = False
     direct_retry_ms: int = 0
     peers_retry_ms: int = 0
@@ -108,8 +114,33 @@
     def put(
         self, key: str, value: bytes, expected_version: int | None
     ) -> Result[StoredObject, StoreError]:
-        """Write the object if it has ``expected_version``; None requires that it does not exist."""
-        return self._call(RelayCall("put", key, value, expected_version))
+        """Write the object if it has ``expected_version``; None requires that it does not exist.
+
+        A value that is too large is rejected without a call.
+        """
+        if not self.limit.allows(value):
+            status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+            reason = f"{len(value)} bytes, at most {self.limit.max_value_bytes} are allowed"
+            return self._record_outcome(key, Failure(StoreRejected(status, reason)))
+        return self._record_outcome(key, self._call(RelayCall("put", key, value, expected_version)))
+
+    def _record_outcome(
+        self, key: str, result: Result[StoredObject, StoreError]
+    ) -> Result[StoredObject, StoreError]:
+        """Log a value that is never accepted, once until a write of the key is accepted."""
+        error = result.failure() if isinstance(result, Failure) else None
+        if not isinstance(error, StoreRejected):
+            self.rejected.pop(key, None)
+            return result
+        self.measures.count("object_api_rejections", key.partition("/")[0])
+        if self.rejected.get(key) != error.reason:
+            self.rejected[key] = error.reason
+            if len(self.rejected) > MAX_REJECTED_KEYS:
+                del self.rejected[next(iter(self.rejected))]
+            self.log.error(
+                "write rejected for good", key=key, status=error.status, reason=error.reason
+            )
+        return result
 
     def delete(self, key: str, expected_version: int) -> Result[None, StoreError]:
         """Delete the object if it has ``expected_version``."""
--- a/src/pistachionotch/software/records.py
+++ b/src/pistachionotch/software/records.py
@@ -5,8 +5,8 @@
 from collections.abc import Mapping
 from typing import Any
 
-from ..batches.records import canonical_json
 from ..malformed import load_json
+from ..objects.values import canonical_json
 from .history import Beginning, OriginHistory
 from .origin import BegunStream, Origin
 
--- a/tests/unit/batches/batch_cluster.py
+++ b/tests/unit/batches/batch_cluster.py
@@ -157,7 +157,7 @@
     run = service.owner.runs["b1"]
     run.progress[name].add_event(1, "t", 3, ORIGIN)
     run.finish(run.progress[name], True, 0)
-    assert service.owner.list_once(run)
+    assert service.owner.writer.list_once(run)
 
 
 def item_ids(page):
--- a/tests/unit/batches/test_batch_ownership_transfer.py
+++ b/tests/unit/batches/test_batch_ownership_transfer.py
@@ -180,7 +180,7 @@
     run = first.owner.runs["b1"]
     run.progress["i1"].add_event(1, "mine", 3, ORIGIN)
     run.finish(run.progress["i1"], True, 0)
-    first.owner.list_once(run)
+    first.owner.writer.list_once(run)
     assert run.stopped
     cluster.peers.unreachable.clear()
     assert item_ids(first.read("b1", 0, 0)) == ["i0", "i2"]
--- a/tests/unit/batches/test_batch_run.py
+++ b/tests/unit/batches/test_batch_run.py
@@ -71,9 +71,11 @@
     run, batches = make_run(store), make_owner()
     finish(run, "i0")
     finish(run, "i1")
-    gevent.joinall([gevent.spawn(batches.list_once, run) for _ in range(2)], raise_error=True)
+    gevent.joinall(
+        [gevent.spawn(batches.writer.list_once, run) for _ in range(2)], raise_error=True
+    )
     finish(run, "i2")
-    batches.list_once(run)
+    batches.writer.list_once(run)
     assert positions(store) == ["i0", "i1", "i2"]
     assert [result.id for result in run.listed] == ["i0", "i1", "i2"]
 
@@ -83,11 +85,11 @@
     run, batches = make_run(store), make_owner()
     finish(run, "i0")
     store.faults.delay_writes = 2
-    assert not batches.list_once(run)
-    assert batches.end(run)
+    assert not batches.writer.list_once(run)
+    assert batches.writer.end(run)
     assert [result.id for result in run.listed] == ["i0"]
     finish(run, "i1")
-    assert batches.list_once(run)
+    assert batches.writer.list_once(run)
     assert positions(store) == ["i0"], "nothing follows the end"
 
 
@@ -96,7 +98,7 @@
     run, batches = make_run(store), make_owner()
     BatchLog(store, "b1").append(entry("t", owner=owner("b")))
     finish(run, "i0")
-    batches.list_once(run)
+    batches.writer.list_once(run)
     assert run.stopped and not run.open
     assert positions(store) == []
 
@@ -105,7 +107,7 @@
     store = MemoryStore()
     run, batches = make_run(store), make_owner()
     store.faults.outage = True
-    assert not batches.end(run)
+    assert not batches.writer.end(run)
     assert not run.ended
 
 
--- a/tests/unit/batches/test_batch_tenure.py
+++ b/tests/unit/batches/test_batch_tenure.py
@@ -14,8 +14,8 @@
 from pistachionotch.batches.attempts import AttemptOutcome, ItemRunner
 from pistachionotch.batches.listing import should_list
 from pistachionotch.batches.log import BatchLog
+from pistachionotch.batches.log_writer import LogWriter
 from pistachionotch.batches.model import BatchError, BatchErrorKind
-from pistachionotch.batches.owner import BatchOwner
 from pistachionotch.batches.service import TAKE_OVER_AFTER_MS
 from pistachionotch.batches.tenure import MAX_GAP_MS, TENURE_MS, Tenure
 from pistachionotch.clock import ManualClock
@@ -89,7 +89,7 @@
         """Run one pass of the tasks that confirm the ownership and start items."""
         for run in list(service.owner.runs.values()):
             if run.open and run.tenure.renewal_due(self.clock.now_ms()):
-                service.owner.confirm(run)
+                service.owner.writer.confirm(run)
         service.owner.start_items()
 
     def pause(self, node):
@@ -356,7 +356,7 @@
                 run.finish(state, True, now_ms)
             run.oldest_unlisted_ms = now_ms - 900
             if run.open and tenure_allows_listing(run, now_ms):
-                service.owner.list_once(run)
+                service.owner.writer.list_once(run)
 
     @rule(node=st.sampled_from("abc"))
     @precondition(lambda self: len(self.cluster.paused) < 3)
@@ -411,11 +411,11 @@
 @pytest.mark.parametrize("mutant", ["no tenure", "no pause", "lists at once"])
 def test_the_machine_finds_the_fault_without_a_protecting_step(monkeypatch, mutant):
     if mutant == "no tenure":
-        monkeypatch.setattr(BatchOwner, "may_answer", lambda _owner, _run: True)
+        monkeypatch.setattr(LogWriter, "may_answer", lambda _owner, _run: True)
     if mutant == "no pause":
         monkeypatch.setattr(tenure, "MAX_GAP_MS", 1_000_000)
         monkeypatch.setattr(Tenure.holds, "__defaults__", (1_000_000,))
-        monkeypatch.setattr("pistachionotch.batches.owner.TENURE_MS", 1_000_000)
+        monkeypatch.setattr("pistachionotch.batches.log_writer.TENURE_MS", 1_000_000)
     if mutant == "lists at once":
         monkeypatch.setattr(
             "pistachionotch.batches.ownership_transfer.first_listing_ms",
--- a/tests/unit/batches/test_item_origins.py
+++ b/tests/unit/batches/test_item_origins.py
@@ -290,7 +290,7 @@
     started = []
     monkeypatch.setattr(BatchOwner, "_start", lambda _owner, start: started.append(start))
     batches.runs[run.id] = run
-    batches.confirm(run)
+    batches.writer.confirm(run)
     return batches, run, started
 
 
--- a/tests/unit/batches/test_scoring.py
+++ b/tests/unit/batches/test_scoring.py
@@ -130,7 +130,7 @@
 
     def listed(self):
         while self.run.unlisted:
-            assert self.owner.list_once(self.run)
+            assert self.owner.writer.list_once(self.run)
         return {result.id: result for result in self.run.listed}
 
 
@@ -199,7 +199,7 @@
     step.generate("i0")
     step.score()
     step.generate("i1")
-    assert step.owner.end(step.run)
+    assert step.owner.writer.end(step.run)
     gevent.sleep(0.01)
     assert not step.reward_calls.tasks
     step.reward_server.blocked_until.set()
@@ -225,7 +225,7 @@
     state = step.run.listing_state()
     assert not should_list(state, step.clock.now_ms() + MAX_UNSAVED_TEXT_MS - 1)
     assert should_list(state, step.clock.now_ms() + MAX_UNSAVED_TEXT_MS)
-    assert step.owner.list_once(step.run)
+    assert step.owner.writer.list_once(step.run)
     assert not should_list(step.run.listing_state(), step.clock.now_ms() + 60_000)
     successor = ScoringStep(step.store)
     while (entry := successor.run.log.read_next().unwrap()) is not None:
@@ -250,7 +250,7 @@
     assert [w.item for w in successor.waiting_rewards()] == ["i0"]
     assert successor.progress["i0"].reward_failures == 2
     successor.finish(successor.progress["i0"], True, 0, "proof")
-    assert second.owner.list_once(successor)
+    assert second.owner.writer.list_once(successor)
     page = second.read("b1", 0, 0)
     assert item_ids(page) == ["i0"] and page.results[0].reward == "proof"
 
