Derive a drain's times from the grace period and refuse what it can't finish

Cause: the drain ended a fixed 1.5 s early, and it accepted work without regard to its own end.

Change: gateway/draining.py decides both, from the grace period and a clock. What may last longer is refused at once with a true 503 before it is passed on: streams and unsafe calls by their limits, repeatable calls by the usual time of their servers, submissions, reads and ends of batches. Requests without a status at the cut get 502. A batch whose acceptance ends in the drain is handed over too.

--- a/src/pistachionotch/batches/ownership_transfer.py
+++ b/src/pistachionotch/batches/ownership_transfer.py
@@ -74,6 +74,8 @@
         Otherwise the next gateway that gets a request for it takes it over from the object API, and
         the text of its unfinished items is lost unless it was saved in the log.
         """
+        if run.handing_off:
+            return
         run.handing_off = True
         try:
             self._transfer(run)
--- a/src/pistachionotch/batches/service.py
+++ b/src/pistachionotch/batches/service.py
@@ -200,6 +200,9 @@
             if stored is head:
                 run.tenure.confirm(started_ms, self.clock.now_ms())
             self.owner.add(run)
+            if self.draining:
+                # The drain began while the batch was being stored.
+                gevent.spawn(self.ownership_transfer.hand_off, run)
             gevent.spawn(self._record_demand, submission)
             gevent.spawn(self.owner_cache.announce, submission.id)
         return None
--- a/src/pistachionotch/gateway/call_progress.py
+++ b/src/pistachionotch/gateway/call_progress.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 import attrs
 
 from ..quarantine.board import Ruling, Verdict
 from ..software.origin import Origin
-from .catalog import Route
+from .catalog import Route, RouteKind
+from .draining import Call
 from .responses import BufferedResponse, ClientCall
 from .streams import EVENT_TIMEOUT_MS
 from .upstream_protocol import RequestPurpose
@@ -74,3 +77,16 @@
     """Return when the client or the operator stops waiting for the response."""
     limits = [limit for limit in (call.budget_ms, route.timeout_ms) if limit]
     return call.received_ms + min(limits, default=EVENT_TIMEOUT_MS)
+
+
+def expected_call(
+    call: ClientCall, route: Route, upstreams: Iterable[Upstream], now_ms: int
+) -> Call:
+    """Return what is known in advance of the duration of a call to one of some upstreams."""
+    usual = [upstream.response_ms for upstream in upstreams]
+    known = [each for each in usual if each is not None]
+    return Call(
+        deadline_ms(call, route) - now_ms,
+        route.kind is RouteKind.SAFE,
+        max(known) if known and len(known) == len(usual) else None,
+    )
--- a/src/pistachionotch/gateway/calls.py
+++ b/src/pistachionotch/gateway/calls.py
@@ -103,6 +103,10 @@
                 break
         return self._fail(progress)
 
+    def upstreams(self, route: Route) -> list[Upstream]:
+        """Return the upstreams of all services of a route that accept calls."""
+        return [each for share in route.shares for each in self.table.available_for(share.service)]
+
     def _begin_response(self, progress: CallProgress, answer: StreamingResponse) -> ClientResponse:
         """Wait for the first part, so that a client that has got nothing gets a status."""
         try:
--- a/src/pistachionotch/gateway/daemon.py
+++ b/src/pistachionotch/gateway/daemon.py
@@ -18,7 +18,7 @@
 from ..batches.peers import PeerApp, PeerClient
 from ..batches.scoring import RewardCallRunner
 from ..batches.service import BatchService
-from ..clock import MS_PER_SECOND, SystemClock
+from ..clock import SystemClock
 from ..http_client import ConnectionPool
 from ..http_server import NoDelayServer
 from ..logs import logger
@@ -32,6 +32,8 @@
 from ..weights.demand import ModelDemands
 from .calls import CallForwarder
 from .cluster_state import ClusterState
+from .drain_steps import drain_gateway
+from .draining import Drain
 from .exchange import UpstreamClient
 from .limits import RateLimits
 from .orders import OrderDuty
@@ -44,15 +46,6 @@
 from .suspect_sharing import SharedSuspects, share_suspects
 from .upstream_protocol import Listings, UpstreamProtocol
 
-# The platform probes readiness once a second and removes a process after two failed probes.
-READINESS_DELAY_MS = 2_500
-# Part of the grace period reserved for the last responses and the release of batches and lease.
-DRAIN_RESERVE_MS = 1_500
-DRAIN_POLL_MS = 50
-# Time to read requests that are already in transit, so that they are served or rejected.
-FINAL_READ_MS = 100
-# Timeout for handing over batches and releasing the lease through the object API.
-RELEASE_TIMEOUT_MS = 1_500
 REGISTER_RETRY_MS = 1_000
 IngressFactory = Callable[["GatewayDaemon"], Any]
 
@@ -76,6 +69,8 @@
     rejecting_requests: bool = False
     measures: Measures = attrs.field(factory=Measures)
     servers: list[NoDelayServer] = attrs.field(factory=list)
+    ingress: Any = attrs.field(init=False)
+    drain_plan: Drain = attrs.field(init=False)
     store: RelayedStore = attrs.field(init=False)
     gateways: GatewayRegistry = attrs.field(init=False)
     demands: ModelDemands = attrs.field(init=False)
@@ -92,6 +87,7 @@
 
     def __attrs_post_init__(self) -> None:
         settings = self.settings
+        self.drain_plan = Drain(self.clock, others_serve=lambda: bool(self.gateways.addresses))
         me = Owner(
             node=settings.node, incarnation=secrets.token_hex(8), address=settings.listen_peers
         )
@@ -246,8 +242,9 @@
         """Start all tasks."""
         settings = self.settings
         assert settings.listen_clients is not None and settings.listen_probes is not None
+        self.ingress = self.make_ingress(self)
         for address, application in (
-            (settings.listen_clients, self.make_ingress(self)),
+            (settings.listen_clients, self.ingress),
             (settings.listen_probes, self._serve_probe),
             (
                 settings.listen_peers,
@@ -380,32 +377,4 @@
         """Fail the readiness probe, hand over batches, finish open requests and stop."""
         if self.state != "serving":
             return
-        started_ms = self.clock.now_ms()
-        self.state = "draining"
-        self.limits.broker.resigned = True
-        logger("gateway").info("draining", reason=reason, open_requests=self.open_requests)
-        self.clock.sleep_ms(READINESS_DELAY_MS)
-        self.batches.draining = True
-        self._release()
-        # Open requests are still answered; their connections close after the response.
-        for server in self.servers:
-            server.stop_listening()
-        self.clock.sleep_ms(FINAL_READ_MS)
-        limit_ms = started_ms + self.settings.drain_grace_ms - DRAIN_RESERVE_MS
-        while self.open_requests and self.clock.now_ms() < limit_ms:
-            self.clock.sleep_ms(DRAIN_POLL_MS)
-        self.rejecting_requests = True
-        self.clock.sleep_ms(FINAL_READ_MS)
-        for server in self.servers:
-            server.stop(timeout=0)
-        self.state = "stopped"
-        logger("gateway").info("stopped", node=self.settings.node, cut_off=self.open_requests)
-
-    def _release(self) -> None:
-        """Hand over batches and release the lease, with a timeout in case the store hangs."""
-        jobs = [
-            gevent.spawn(self.batches.ownership_transfer.hand_off, run)
-            for run in list(self.owner.runs.values())
-        ]
-        jobs.append(gevent.spawn(self.orders.lease.release))
-        gevent.joinall(jobs, timeout=RELEASE_TIMEOUT_MS / MS_PER_SECOND)
+        drain_gateway(self, reason)
--- a/src/pistachionotch/gateway/disconnect.py
+++ b/src/pistachionotch/gateway/disconnect.py
@@ -1,4 +1,4 @@
-"""Detection of clients that disconnect before they receive a response."""
+"""Reasons to end the work on a request before its client has received a response."""
 
 from __future__ import annotations
 
@@ -13,8 +13,12 @@
     """Raised in a worker greenlet when its client has disconnected."""
 
 
+class DrainEndedError(gevent.GreenletExit):
+    """Raised in a worker greenlet whose process is about to end."""
+
+
 def watch_for_disconnect(sock: Any) -> gevent.Greenlet:
-    """Raise ``ClientGoneError`` in the calling greenlet when the client closes its connection."""
+    """Raise ``ClientDisconnectedError`` in the calling greenlet once its client disconnects."""
     return gevent.spawn(_watch, sock, gevent.getcurrent())
 
 
--- a/src/pistachionotch/platform/ingress.py
+++ b/src/pistachionotch/platform/ingress.py
@@ -15,9 +15,15 @@
 from ..batches.model import BatchError, BatchErrorKind, ResultPage
 from ..batches.service import BatchService
 from ..clock import MS_PER_SECOND, Clock
+from ..gateway.call_progress import expected_call
 from ..gateway.calls import CallForwarder
 from ..gateway.catalog import Catalog, RouteKind
-from ..gateway.disconnect import ClientDisconnectedError, watch_for_disconnect
+from ..gateway.disconnect import (
+    ClientDisconnectedError,
+    DrainEndedError,
+    watch_for_disconnect,
+)
+from ..gateway.draining import BatchEnd, BatchRead, Call, Drain
 from ..gateway.responses import (
     BufferedResponse,
     CallFailure,
@@ -41,6 +47,9 @@
 BATCH_PREFIX = "/api/lots/"
 ITEM_PREFIX = "/api/items/"
 MAX_WAIT_MS = 1_000
+# Time in which a submission has its final answer: a larger gateway may be silent, and the object
+# API slow.
+SUBMISSION_MS = 3_500
 # Retry-After until the first configuration has been read.
 STARTING_RETRY_MS = 500
 _NUMBER = re.compile(r"[0-9]{1,18}")
@@ -82,6 +91,27 @@
     is_rejecting: Callable[[], bool]
     adjust_open_requests: Callable[[int], None]
     log: Any
+    drain: Drain = attrs.field()
+    # Greenlets whose clients have not received a status yet.
+    unanswered: set[Any] = attrs.field(factory=set)
+
+    @drain.default
+    def _no_drain(self) -> Drain:
+        return Drain(self.clock)
+
+    def cut_off(self) -> int:
+        """Answer the open requests that have no status yet with an error; returns their number.
+
+        The error says that they may have run. A stream that has begun is not affected.
+        """
+        for worker in self.unanswered:
+            gevent.get_hub().loop.run_callback(self._end_work, worker)
+        return len(self.unanswered)
+
+    def _end_work(self, worker: Any) -> None:
+        # Its response may have come since; raising the error then would break that off.
+        if worker in self.unanswered:
+            worker.throw(DrainEndedError)
 
     def __call__(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
@@ -90,7 +120,11 @@
         self.adjust_open_requests(1)
         watcher = None
         malformed = False
-        response: ClientResponse = CallFailure(FailureCause.NOT_RUN, "the gateway has stopped", 0)
+        response: ClientResponse = CallFailure(
+            FailureCause.NOT_RUN, "the gateway has stopped", self.drain.retry_after_ms()
+        )
+        worker = gevent.getcurrent()
+        self.unanswered.add(worker)
         try:
             if self.is_rejecting():
                 return self._send(response, start_response, None)
@@ -104,10 +138,14 @@
         except ClientDisconnectedError:
             self.log.info("client left", request=_header(environ, REQUEST_ID_HEADER))
             response = CallFailure(FailureCause.UNKNOWN, "the client left")
+        except DrainEndedError:
+            self.log.warning("unfinished at the end", request=_header(environ, REQUEST_ID_HEADER))
+            response = CallFailure(FailureCause.UNKNOWN, "the gateway stops", 0)
         except BaseException:
             self.adjust_open_requests(-1)
             raise
         finally:
+            self.unanswered.discard(worker)
             if watcher is not None and not isinstance(response, StreamingResponse):
                 watcher.kill(block=False)
         return self._send(response, start_response, watcher, malformed)
@@ -173,7 +211,7 @@
         if path.startswith(BATCH_PREFIX):
             return self._handle_batch(call, path.removeprefix(BATCH_PREFIX), query)
         if path.startswith(ITEM_PREFIX) and call.method == "GET":
-            return self._handle_item(path.removeprefix(ITEM_PREFIX), query)
+            return self._handle_item(call, path.removeprefix(ITEM_PREFIX), query)
         catalog = self.catalog()
         if catalog is None:
             return CallFailure(FailureCause.NOT_RUN, "no configuration yet", STARTING_RETRY_MS)
@@ -191,18 +229,39 @@
             except ValueError as error:
                 self.log.warning("submission refused", request=call.request_id, reason=str(error))
                 return CallFailure(FailureCause.INVALID, str(error))
+            if not self.drain.may_begin(Call(SUBMISSION_MS, False)):
+                return self._refuse_late(call)
             batch_error = self.batches.submit(submission, route)
             return (
                 BufferedResponse(HTTPStatus.ACCEPTED)
                 if batch_error is None
                 else _batch_failure(batch_error)
             )
+        if self.drain.started_ms is not None:
+            expected = expected_call(
+                call, route, self.forwarder.upstreams(route), self.clock.now_ms()
+            )
+            if not self.drain.may_begin(expected):
+                return self._refuse_late(call)
         headers = lasting_headers(call.headers)
         content = fingerprint(call.method, call.host, call.target, headers, call.body)
         return self.forwarder.forward(attrs.evolve(call, content=content), route)
 
+    def _refuse_late(self, call: ClientCall) -> CallFailure:
+        """Refuse a request that may last longer than this process; nothing of it has run."""
+        self.log.info(
+            "refused in drain",
+            request=call.request_id,
+            target=call.target,
+            left_ms=self.drain.left_ms(),
+            budget_ms=call.budget_ms,
+        )
+        return CallFailure(FailureCause.NOT_RUN, "the gateway stops", self.drain.retry_after_ms())
+
     def _handle_batch(self, call: ClientCall, batch: str, query: str) -> ClientResponse:
         if call.method == "DELETE":
+            if not self.drain.may_begin(BatchEnd()):
+                return self._refuse_late(call)
             batch_error = self.batches.end(batch)
             return (
                 BufferedResponse(HTTPStatus.OK)
@@ -212,13 +271,17 @@
         if call.method != "GET":
             return CallFailure(FailureCause.INVALID, "unknown method for a batch")
         position = _parse_number(parse_qs(query).get("after", ["0"])[0]) or 0
-        wait_ms = _parse_number(_header_value(call.headers, "wait-ms")) or 0
-        page = self.batches.read(batch, position, min(wait_ms, MAX_WAIT_MS))
+        if not self.drain.may_begin(BatchRead()):
+            return self._refuse_late(call)
+        wait_ms = min(_parse_number(_header_value(call.headers, "wait-ms")) or 0, MAX_WAIT_MS)
+        page = self.batches.read(batch, position, self.drain.wait_within(wait_ms))
         if isinstance(page, ResultPage):
             return BufferedResponse(HTTPStatus.OK, (JSON_TYPE,), encode_page(page))
         return _batch_failure(page)
 
-    def _handle_item(self, batch: str, query: str) -> ClientResponse:
+    def _handle_item(self, call: ClientCall, batch: str, query: str) -> ClientResponse:
+        if not self.drain.may_begin(BatchRead()):
+            return self._refuse_late(call)
         body = self.batches.item_body(batch, parse_qs(query).get("id", [""])[0])
         if isinstance(body, bytes):
             return BufferedResponse(HTTPStatus.OK, (), body)
--- a/src/pistachionotch/platform/main.py
+++ b/src/pistachionotch/platform/main.py
@@ -79,6 +79,7 @@
             lambda: daemon.rejecting_requests,
             daemon.adjust_open_requests,
             logger("clients"),
+            daemon.drain_plan,
         )
 
     return GatewayDaemon(
