Place nothing after a pause until the listing of upstreams has been read again

Cause: what waited on connections was placed by the listing from before the pause, and an answer that had waited through the pause counted as current, in copies for other gateways too.

Nothing is placed until a read of the listing that began after it has ended; that read does not wait for a change. In an outage the listing stays in use.

Test doubles: the copies' request has a wait; the environ of test_malformed_messages.py reads its body like a file.

--- a/src/pistachionotch/batches/owner.py
+++ b/src/pistachionotch/batches/owner.py
@@ -100,6 +100,8 @@
         while True:
             self.wake.wait(PASS_INTERVAL_MS / 1000)
             self.wake.clear()
+            # Looks at the clock in each pass, so that a pause of the process is noticed.
+            self.table.is_current()
             self.start_items()
             runs = [run for run in self.runs.values() if self.may_act(run)]
             self.reward_calls.start_calls(runs, self.may_act, self._finish)
--- a/src/pistachionotch/gateway/cluster_state.py
+++ b/src/pistachionotch/gateway/cluster_state.py
@@ -16,6 +16,7 @@
 from ..weights.demand import DEMANDS_PREFIX, ModelDemands
 from .catalog import Catalog
 from .following import LONG_WAIT_MS, WATCH_WAIT_MS, Follower
+from .listing_age import ListingAge
 from .orders import OrderDuty
 from .peers import GATEWAYS_PREFIX, GatewayRegistry
 from .sharing import ListingCopy, Watchers
@@ -52,6 +53,11 @@
     changed: Callable[[], Any] = lambda: None
     # Called with the registrations that ended.
     removed: Callable[[list[UpstreamRecord]], Any] = lambda _records: None
+    listing_age: ListingAge = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.listing_age = ListingAge(self.clock)
+        self.table.is_current = self.listing_age.current
 
     def complete(self) -> bool:
         """Return whether both the configuration and the upstreams are known."""
@@ -64,6 +70,7 @@
         listings = self.listings
         upstreams = self._shared_follower(listings.upstreams_prefix, self._apply_upstreams)
         upstreams.object_cache.deletion_grace_ms = DELETION_GRACE_MS
+        upstreams.age = self.listing_age
         other_gateways = self._follower(GATEWAYS_PREFIX, gateways.apply_listing, GATEWAYS_WATCH_MS)
         other_gateways.pause_ms = GATEWAYS_PAUSE_MS
         self.gateways_follower = other_gateways
--- a/src/pistachionotch/gateway/following.py
+++ b/src/pistachionotch/gateway/following.py
@@ -12,6 +12,7 @@
 from ..clock import MS_PER_SECOND, Clock
 from ..objects.api import StoredObject
 from ..objects.cache import ObjectCache
+from .listing_age import ListingAge
 from .sharing import ChangeLog, ListingCopy, Watchers, apply_delta
 
 # Long-poll time for shared listings. It limits the delay by a dead connection to what the platform
@@ -57,6 +58,8 @@
     shared: dict[str, StoredObject] = attrs.field(factory=dict)
     change_log: ChangeLog = attrs.field(factory=lambda: ChangeLog(secrets.token_hex(4)))
     change_event: Event = attrs.field(factory=Event)
+    # Told of each read; after a pause, the next read does not wait for a change.
+    age: ListingAge | None = None
 
     def run(self) -> None:
         """Keep the copy current forever."""
@@ -68,19 +71,24 @@
 
     def step(self) -> None:
         """Run one long poll, or fetch one copy from a watcher."""
-        if self.watchers is not None and self._copy_from(self.watchers):
+        started_ms = self.clock.now_ms()
+        waits = self.age is None or self.age.current()
+        if self.watchers is not None and self._copy_from(self.watchers, waits, started_ms):
+            self._record_read(started_ms)
             self.clock.sleep_ms(COPY_PAUSE_MS)
             return
         changes = self.object_cache.change_count
         started_ms = self.clock.now_ms()
-        if not self.object_cache.refresh(self.wait_ms):
+        refreshed = self.object_cache.refresh(self.wait_ms if waits else 0)
+        self._record_read(started_ms)
+        if not refreshed:
             self._set_connected(False)
             self.clock.sleep_ms(min(MAX_RETRY_PAUSE_MS, RETRY_PAUSE_MS << min(self.failures, 8)))
             self.failures += 1
             return
         self.failures = 0
         self._set_connected(True)
-        self.current_ms = self.clock.now_ms()
+        self.current_ms = self._date_of(started_ms)
         if self.object_cache.change_count != changes:
             self._changed()
         pause_ms = self.pause_ms
@@ -91,14 +99,25 @@
         if self.clock.now_ms() - started_ms < pause_ms:
             self.clock.sleep_ms(pause_ms)
 
-    def _copy_from(self, watchers: Watchers) -> bool:
+    def _record_read(self, started_ms: int) -> None:
+        if self.age is not None:
+            self.age.record_read(started_ms)
+
+    def _date_of(self, started_ms: int) -> int:
+        """Return as of when an answer is current whose request was sent at ``started_ms``."""
+        # The answer may have waited here while this process was paused.
+        if self.age is not None and self.age.paused_since(started_ms):
+            return started_ms
+        return self.clock.now_ms()
+
+    def _copy_from(self, watchers: Watchers, waits: bool, started_ms: int) -> bool:
         """Apply a watcher's copy; returns whether a recent one was available."""
-        copy = watchers.fetch(self.object_cache.prefix, self.object_cache.revision)
+        copy = watchers.fetch(self.object_cache.prefix, self.object_cache.revision, waits)
         if copy is None:
             return False
         self.failures = 0
         self._set_connected(True)
-        self.current_ms = self.clock.now_ms() - copy.age_ms
+        self.current_ms = self._date_of(started_ms) - copy.age_ms
         if not (copy.is_snapshot or copy.objects):
             self.object_cache.replace(None, copy.revision)
             return True
--- a/src/pistachionotch/gateway/sharing.py
+++ b/src/pistachionotch/gateway/sharing.py
@@ -175,10 +175,11 @@
         """Return whether this gateway is one of the watchers."""
         return self.node in self.active_watchers()
 
-    def fetch(self, prefix: str, revision: int) -> ListingCopy | None:
+    def fetch(self, prefix: str, revision: int, waits: bool = True) -> ListingCopy | None:
         """Return a watcher's copy, or None if this gateway has to query the object API itself.
 
-        Copies older than ``revision`` are not used.
+        Copies older than ``revision`` are not used. With ``waits``, the watcher answers once there
+        is a change, or after ``WAIT_MS``.
         """
         active_watchers = self.active_watchers()
         if self.node in active_watchers:
@@ -190,7 +191,8 @@
         node = self.current
         address = active_watchers[node]
         assert address is not None
-        copy = self._request_copy(address, prefix, self.tokens.get(prefix, ""))
+        wait_ms = WAIT_MS if waits else 0
+        copy = self._request_copy(address, prefix, self.tokens.get(prefix, ""), wait_ms)
         if copy is None or copy.age_ms > MAX_AGE_MS or copy.revision < revision:
             self.avoided[node] = self.clock.now_ms() + AVOID_WATCHER_MS
             self.tokens.clear()
@@ -198,9 +200,11 @@
         self.tokens[prefix] = copy.token
         return copy
 
-    def _request_copy(self, address: Address, prefix: str, token: str) -> ListingCopy | None:
+    def _request_copy(
+        self, address: Address, prefix: str, token: str, wait_ms: int = WAIT_MS
+    ) -> ListingCopy | None:
         connection: Connection | None = None
-        fields = {"since": token, "wait_ms": str(WAIT_MS)}
+        fields = {"since": token, "wait_ms": str(wait_ms)}
         node = self.current
         if self.limits is not None and prefix == self.limits_prefix:
             fields["limits"] = self.limits.tokens.get(node, "")
@@ -208,7 +212,7 @@
         try:
             connection = self.pool.take(address, COPIES_PREFIX, CONNECT_TIMEOUT_MS)
             connection.send("GET", target, [("Host", str(address))], b"", RESPONSE_TIMEOUT_MS)
-            head = connection.read_head(WAIT_MS + RESPONSE_TIMEOUT_MS)
+            head = connection.read_head(wait_ms + RESPONSE_TIMEOUT_MS)
             body = connection.read_body(RESPONSE_TIMEOUT_MS)
             self.pool.give_back(connection, COPIES_PREFIX, head)
             connection = None
--- a/src/pistachionotch/gateway/upstreams.py
+++ b/src/pistachionotch/gateway/upstreams.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 import attrs
@@ -243,6 +243,8 @@
     # Revision of the newest applied listing.
     revision: int = -1
     rate_limits: RateLimitView = attrs.field(factory=Unlimited)
+    # Whether the listing may be used; see ``ListingAge``.
+    is_current: Callable[[], bool] = lambda: True
 
     def replace(
         self, records: Iterable[UpstreamRecord], revision: int, now_ms: int = 0
@@ -275,6 +277,8 @@
 
     def available_for(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service that accept new requests."""
+        if not self.is_current():
+            return []
         return [
             upstream
             for upstream in self.upstreams.values()
--- a/tests/unit/gateway/test_malformed_messages.py
+++ b/tests/unit/gateway/test_malformed_messages.py
@@ -4,6 +4,7 @@
 """
 
 import contextlib
+import io
 import json
 import random
 
@@ -186,14 +187,10 @@
                 "REQUEST_METHOD": method,
                 "PATH_INFO": path,
                 "QUERY_STRING": query,
-                "wsgi.input": self,
+                "wsgi.input": io.BytesIO(body),
                 "HTTP_X_INCARNATION": "1",
             }
         )
-        self.body = body
-
-    def read(self):
-        return self.body
 
 
 class Nothing:
--- a/tests/unit/gateway/test_sharing.py
+++ b/tests/unit/gateway/test_sharing.py
@@ -44,7 +44,7 @@
         fleet = self
 
         class CalledWatchers(Watchers):
-            def _request_copy(self, address, prefix, token):
+            def _request_copy(self, address, prefix, token, wait_ms):
                 asked = NODES[address.port]
                 copy = None if asked in fleet.lost else fleet.followers[asked].copy(token, 0)
                 if copy is None:
