Soak: paused owners of batches, odd and large texts, late requests on open connections

Each class is checked from the clients' side: positions that were read are never missing later, at whichever gateway; steps can be ended after the faults and have their whole texts; requests on connections that were open before SIGTERM are finished or refused, and refused ones never ran. The calm stop comes before the other faults, since only then a cut is nobody else's fault.

--- a/src/pistachionotch/standins/platform_servers.py
+++ b/src/pistachionotch/standins/platform_servers.py
@@ -26,6 +26,13 @@
 
 
 DRIP_PAUSE_S = 0.2
+# Repeated texts whose characters have more than one byte in a stored object, and one of plain ones.
+FILLINGS = {
+    "japanese": "審査員は毛並みと歩様を見る",
+    "emoji": "\U0001f416\U0001f9aa",
+    "control": "\x00\x01\x1b\x7f\t",
+    "ascii": "plain text, ",
+}
 ENDLESS_BYTES = 64 * 1024
 
 
@@ -35,6 +42,39 @@
         gevent.sleep(pause_s)
 
 
+@attrs.frozen
+class Play:
+    """What a request asks of a server in its body: ``play work_ms=900 event_ms=40 emoji=5000``."""
+
+    # Duration of a response that is no stream, and pause before each event of one.
+    work_ms: int = 0
+    event_ms: int | None = None
+    # Number of events; 0 for the server's usual one.
+    events: int = 0
+    # Text that each event has in its middle.
+    filling: str = ""
+
+    @classmethod
+    def parse(cls, body: str) -> Play:
+        """Return what a body asks for; a body that asks for nothing changes nothing."""
+        name, *words = body.split()[:8] or [""]
+        if name != "play":
+            return cls()
+        wanted = {key: int(value) for key, _, value in (word.partition("=") for word in words)}
+        filling = ""
+        for kind, text in FILLINGS.items():
+            length = wanted.get(kind, 0)
+            filling += (text * (length // len(text) + 1))[:length]
+        return cls(
+            wanted.get("work_ms", 0), wanted.get("event_ms"), wanted.get("events", 0), filling
+        )
+
+
+def event_text(number: int, events: int, software: str, filling: str = "") -> str:
+    """Return the data of one event."""
+    return f"{number}-of-{events}{filling}" + (f" by {software}" if software else "")
+
+
 @attrs.define
 class ServerFaults:
     """Fault switches; a count is the number of requests that still have the fault."""
@@ -218,7 +258,8 @@
     def _plain(
         self, environ: Environ, start_response: StartResponse, headers: Any, body: bytes
     ) -> Iterable[bytes]:
-        gevent.sleep(self.faults.slow_ms / MS_PER_SECOND)
+        work_ms = self.faults.slow_ms + Play.parse(body.decode()).work_ms
+        gevent.sleep(work_ms / MS_PER_SECOND)
         response_body = json.dumps({"server": self.instance, "received": body.decode()}).encode()
         start_response("200 OK", [*headers, ("Content-Length", str(len(response_body)))])
         if self._consume_fault("surplus"):
@@ -238,18 +279,21 @@
 
     def _stream(self, model: str, after: int, run: dict[str, Any]) -> Iterator[bytes]:
         version = self.versions.get(model, 0)
-        for number in range(after + 1, self.events + 1):
-            gevent.sleep(self.event_ms / MS_PER_SECOND)
+        play = Play.parse(run["body"])
+        event_ms = self.event_ms if play.event_ms is None else play.event_ms
+        events = play.events or self.events
+        for number in range(after + 1, events + 1):
+            gevent.sleep(event_ms / MS_PER_SECOND)
             version_line = ""
             if self.versions.get(model, 0) != version:
                 version = self.versions[model]
                 version_line = f"weight-versions: {version}\n"
-            text = f"{number}-of-{self.events}" + (f" by {self.software}" if self.software else "")
+            text = event_text(number, events, self.software, play.filling)
             event = f"{version_line}id: {number}\ndata: {text}\n\n".encode()
             if self.faults.break_after == number - 1 and after < number - 1:
                 self.faults.break_after = None
                 yield event[: len(event) // 2]
                 raise ConnectionResetError(errno.ECONNRESET, "stand-in breaks off")
-            if number == self.events:
+            if number == events:
                 run["ended"] = time.monotonic()
             yield event
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -1,5 +1,6 @@
 """A small copy of the users' platform on loopback, with gateways as separate processes."""
 
+import base64
 import json
 import random
 import secrets
@@ -306,8 +307,9 @@
             headers += [("Last-Event-Id", str(last)), ("Resumes", begun_by)]
         return Client(self.address(gateway)).stream("/streams/x", headers, body)
 
-    def submit(self, gateway, batch, groups=3, size=2, min_version=1):
+    def submit(self, gateway, batch, groups=3, size=2, min_version=1, prompt="hello"):
         items = []
+        prompt = base64.b64encode(prompt.encode()).decode()
         for group in range(groups):
             for number in range(size):
                 items.append(
@@ -315,7 +317,7 @@
                         "id": f"{batch}-{group}-{number}",
                         "path": f"/steps/{batch}/{group}",
                         "headers": {"Model": MODEL, "Token-Usage": "10,10"},
-                        "body": "aGVsbG8=",
+                        "body": prompt,
                         "token_count": 20,
                         "group_id": f"{batch}-{group}",
                         "scorer": {
@@ -362,6 +364,19 @@
     def end(self, gateway, batch):
         return Client(self.address(gateway)).ask("DELETE", f"/api/lots/{batch}")[0]
 
+    def owner(self, batch):
+        """Return the gateway that the store names as the owner of a batch, empty if unknown."""
+        head = self.fetch("store", f"/api/objects/batches/{batch}")
+        if head is None:
+            return ""
+        owner = head["spec"]["owner"]["node"]
+        for number in range(1_000):
+            entry = self.fetch("store", f"/api/objects/batch-log/{batch}.{number:05d}")
+            if entry is None:
+                break
+            owner = entry["spec"].get("owner", {"node": owner})["node"]
+        return owner
+
     @staticmethod
     def wait(condition, timeout_s=READY_S):
         end = time.monotonic() + timeout_s
--- a/tests/support/soak.py
+++ b/tests/support/soak.py
@@ -12,7 +12,6 @@
 
 import argparse
 import random
-import signal
 import sys
 import time
 import zlib
@@ -24,6 +23,7 @@
 
 from tests.support.forwarder import Forwarder
 from tests.support.platform import MODEL, REWARD_SUFFIX, Platform
+from tests.support.soak_aimed import repeat_pauses, stop_planned
 from tests.support.soak_crashes import check_crashes
 from tests.support.soak_load import SoakLoad
 from tests.support.soak_oracle import check_all, check_retirements, count_take_ups
@@ -44,6 +44,9 @@
     seed: int
     seconds: float
     rng: random.Random = attrs.field(init=False)
+    # Randomness of the aimed faults; the others of a seed stay the same.
+    aimed: random.Random = attrs.field(init=False)
+    load: SoakLoad | None = None
     proxies: dict = attrs.field(factory=dict)
     departures: list = attrs.field(factory=list)
     leaving: set = attrs.field(factory=set)
@@ -64,6 +67,7 @@
 
     def __attrs_post_init__(self):
         self.rng = random.Random(self.seed)
+        self.aimed = random.Random(self.seed + 4)
 
     def proxy(self, user, target, port):
         key = (user, target)
@@ -75,12 +79,16 @@
         self.platform = Platform(GATEWAYS, self.proxy)
         self.platform.start_server("shop")
         supervisor = gevent.spawn(self._supervise)
-        load = SoakLoad(self.platform, random.Random(self.seed + 1))
+        load = self.load = SoakLoad(self.platform, random.Random(self.seed + 1))
         try:
             tasks = load.start()
+            stop_planned(self, load, self._name_of(self.aimed), calm=True)
+            self.platform.wait(lambda: not self._dead())
+            load.calm = False
             faults = [gevent.spawn(self._faults) for _ in range(2)]
             faults.append(gevent.spawn(self._name_limits))
             faults.append(gevent.spawn(self._release))
+            faults.append(gevent.spawn(repeat_pauses, self, load))
             gevent.joinall(faults, raise_error=True)
             self._mend()
             gevent.sleep(SETTLE_S)
@@ -147,7 +155,10 @@
             fault()
 
     def _gateway(self):
-        return self.rng.choice(self.platform.names)
+        return self._name_of(self.rng)
+
+    def _name_of(self, rng):
+        return rng.choice(self.platform.names)
 
     def _kill(self):
         name = self._gateway()
@@ -162,13 +173,7 @@
     def _terminate(self):
         name = self._gateway()
         with self.locks[name]:
-            process = self.platform.deployment.processes[name]
-            process.send_signal(signal.SIGTERM)
-            # A second signal must not end it sooner.
-            gevent.sleep(0.2)
-            process.send_signal(signal.SIGTERM)
-            process.wait(timeout=15)
-            self.platform.deployment.restart(name)
+            stop_planned(self, self.load, name, calm=False)
 
     def _pause(self):
         name = self._gateway()
--- a/tests/support/soak_crashes.py
+++ b/tests/support/soak_crashes.py
@@ -18,6 +18,8 @@
     """Send requests that crash servers again and again, at any gateway."""
     while not load.stopping:
         gevent.sleep(load.rng.uniform(0.3, 2.0))
+        if load.calm:
+            continue
         body = load.rng.choice(DEADLY)
         # Clients send a request twice.
         for _ in range(2):
--- a/tests/support/soak_load.py
+++ b/tests/support/soak_load.py
@@ -7,6 +7,7 @@
 import gevent
 
 from pistachionotch.http_client import ExchangeError
+from pistachionotch.standins.platform_servers import FILLINGS
 from tests.support.platform import Client, new_id
 from tests.support.soak_crashes import send_deadly
 
@@ -18,6 +19,11 @@
 # A step that is not complete after this time is ended by its trainer.
 STEP_S = 20.0
 READ_PAUSE_S = 0.3
+# Steps whose texts have other characters than ASCII or are large, and the sizes of their events.
+ODD_SHARE = 0.3
+ODD_SIZES = (500, 10_000, 100_000)
+# A page has all results that there are if they take no more than this.
+WHOLE_PAGE_BYTES = 800_000
 NOT_RUN = (408, 421, 429, 503)
 
 
@@ -28,11 +34,17 @@
     id: str
     min_version: int
     items: int
+    # What its items ask of the engines, and the text that their events get from it.
+    prompt: str = "hello"
     accepted: bool = False
     # Whether every try to submit it was answered that it has not run.
     refused: bool = True
     results: dict = attrs.field(factory=dict)
+    # When each position was first read.
+    read_at: dict = attrs.field(factory=dict)
     ended_at: float | None = None
+    # Whether its trainer gives it up before all its items are listed.
+    may_end_early: bool = False
 
 
 @attrs.define
@@ -58,6 +70,10 @@
     steps: list = attrs.field(factory=list)
     streams: list = attrs.field(factory=list)
     problems: list = attrs.field(factory=list)
+    # Whether nothing is disturbed yet.
+    calm: bool = True
+    # Late requests on connections that were open before a planned stop.
+    late: list = attrs.field(factory=list)
 
     def start(self):
         tasks = [gevent.spawn(self._call) for _ in range(CALLERS)]
@@ -110,7 +126,11 @@
         count = 0
         while not self.stopping:
             count += 1
-            step = Step(f"t{number}-{count}-{new_id()[:6]}", 1, 6)
+            prompt = "hello"
+            if self.rng.random() < ODD_SHARE:
+                kind = self.rng.choice(sorted(FILLINGS))
+                prompt = f"play event_ms=40 {kind}={self.rng.choice(ODD_SIZES)}"
+            step = Step(f"t{number}-{count}-{new_id()[:6]}", 1, 6, prompt)
             self.steps.append(step)
             self._submit(step)
             if step.accepted:
@@ -126,7 +146,7 @@
     def _submit(self, step):
         end = time.monotonic() + STEP_S
         while time.monotonic() < end and not self.stopping:
-            status = self._ask(self.platform.submit, step.id)
+            status = self._ask(self._submit_at, step)
             if status == 202:
                 step.accepted = True
                 step.refused = False
@@ -136,40 +156,79 @@
                 step.refused = False
             gevent.sleep(READ_PAUSE_S)
 
+    def _submit_at(self, name, step):
+        return self.platform.submit(name, step.id, step.items // 2, 2, prompt=step.prompt)
+
+    def submit(self, step):
+        """Submit a step and return whether it was accepted."""
+        self.steps.append(step)
+        self._submit(step)
+        return step.accepted
+
+    def read(self, step, name, after=0):
+        """Read a page of a step at one gateway."""
+        asked = time.monotonic()
+        try:
+            page = self.platform.read(name, step.id, after)
+        except ExchangeError:
+            return None
+        if isinstance(page, dict):
+            self._take(step, after, page, asked, name)
+        return page
+
     def _collect(self, step):
         end = time.monotonic() + STEP_S
         position = 0
         while time.monotonic() < end:
             # Now and then a trainer reads from an earlier position.
             after = position if self.rng.random() < 0.8 else self.rng.randrange(position + 1)
-            page = self._ask(self.platform.read, step.id, after)
+            page = self.read(step, self.rng.choice(self.platform.names), after)
             if page == 404:
                 self.problems.append(f"{step.id}: an accepted step is called absent")
             if isinstance(page, dict):
-                self._take(step, after, page)
                 position = max(position, page["next_token"])
                 if len(step.results) == step.items:
                     break
             gevent.sleep(READ_PAUSE_S)
         for _ in range(40):
-            if self._ask(self.platform.end, step.id) == 200:
-                step.ended_at = time.monotonic()
+            if self.end(step, self.rng.choice(self.platform.names)):
                 return
             gevent.sleep(READ_PAUSE_S)
 
-    def _take(self, step, after, page):
+    def end(self, step, name):
+        """End a step at one gateway; returns whether that was acknowledged."""
+        try:
+            acknowledged = self.platform.end(name, step.id) == 200
+        except ExchangeError:
+            return False
+        if acknowledged and step.ended_at is None:
+            step.ended_at = time.monotonic()
+        return acknowledged
+
+    def _take(self, step, after, page, asked, name):
+        missing = after + len(page["results"])
+        known = [*page["results"], *([step.results[missing]] if missing in step.results else [])]
+        # A page is limited in bytes.
+        fits = len(json.dumps(known)) <= WHOLE_PAGE_BYTES
+        if step.read_at.get(missing, asked) < asked and (fits or not page["results"]):
+            self.problems.append(
+                f"{step.id}: position {missing}, read before, is missing at {name}"
+            )
         if page["total"] != step.items:
             self.problems.append(f"{step.id}: total {page['total']}")
         for place, result in enumerate(page["results"], start=after):
+            step.read_at.setdefault(place, time.monotonic())
             known = step.results.setdefault(place, result)
             if known != result:
                 self.problems.append(f"{step.id}: position {place} has changed")
 
     def read_again(self, step):
-        """Read a step from its start at every gateway, after the faults."""
+        """Read a step from its start at every gateway, and end it, after the faults."""
+        if step.ended_at is None and not self.end(step, self.platform.names[0]):
+            self.problems.append(f"{step.id}: cannot be ended after the faults")
         for name in self.platform.names:
             answer = Client(self.platform.address(name)).ask("GET", f"/api/lots/{step.id}?after=0")
             if answer[0] != 200:
                 self.problems.append(f"{step.id}: status {answer[0]} at {name} after the faults")
                 continue
-            self._take(step, 0, json.loads(answer[2]))
+            self._take(step, 0, json.loads(answer[2]), time.monotonic(), name)
--- a/tests/support/soak_oracle.py
+++ b/tests/support/soak_oracle.py
@@ -3,16 +3,21 @@
 import json
 from collections import Counter
 
+from pistachionotch.standins.platform_servers import Play, event_text
 from tests.support.platform import MODEL, REWARD_SUFFIX
+from tests.support.soak_aimed import check_late
 from tests.support.soak_crashes import DEADLY, check_innocent
 from tests.support.soak_load import NOT_RUN
 
 EVENTS = 8
 
 
-def whole_text(software):
-    """Return the text that one version of the software produces."""
-    return "\n".join(f"{number}-of-{EVENTS} by {software}" for number in range(1, EVENTS + 1))
+def whole_text(software, prompt=""):
+    """Return the text that one version of the software produces for a prompt."""
+    filling = Play.parse(prompt).filling
+    return "\n".join(
+        event_text(number, EVENTS, software, filling) for number in range(1, EVENTS + 1)
+    )
 
 
 # No item starts later than this after the end of its step was acknowledged.
@@ -29,12 +34,14 @@
     rewards = [run for run in shop_runs if run["request"].endswith(REWARD_SUFFIX)]
     runs = [run for run in shop_runs if not run["request"].endswith(REWARD_SUFFIX)]
     runs = [run for run in runs if run["body"].encode() not in DEADLY]
+    problems_late = check_late(load.late, [*runs, *platform.runs("engine")])
+    runs = [run for run in runs if not run["body"].startswith("play")]
     item_runs = platform.runs("engine")
     item_runs = [run for run in item_runs if run["body"].encode() not in DEADLY]
     for step in load.steps:
         if step.accepted:
             load.read_again(step)
-    problems = list(load.problems)
+    problems = [*load.problems, *problems_late]
     problems += check_calls(load.calls, runs)
     problems += check_steps(load.steps, item_runs)
     problems += check_streams(load.streams)
@@ -136,11 +143,12 @@
     for result in step.results.values():
         if result["state"] != "done":
             continue
-        if result["text"] != whole_text(result["text"].rpartition(" ")[2]):
-            problems.append(f"{result['id']}: text {result['text']!r}")
+        if result["text"] != whole_text(result["text"].rpartition(" ")[2], step.prompt):
+            problems.append(f"{result['id']}: text {result['text'][:200]!r}")
         if not result["weight_versions"] or min(result["weight_versions"]) < step.min_version:
             problems.append(f"{result['id']}: versions {result['weight_versions']}")
-    if step.accepted and step.ended_at is not None and len(step.results) != step.items:
+    complete = not step.may_end_early
+    if step.accepted and complete and step.ended_at and len(step.results) != step.items:
         problems.append(f"{step.id}: {len(step.results)} of {step.items} results")
     return problems
 
