Use the check of the listing's age for placements only

The empty list of a paused gateway would also have said that no server of a stream's software version is left, and its client would have been told to begin anew (read in the code, not seen in a run). Facts about services use the listing as it is.

--- a/src/pistachionotch/batches/engines.py
+++ b/src/pistachionotch/batches/engines.py
@@ -15,7 +15,7 @@
 ) -> list[EngineCandidate]:
     """Return the engines of a service that may get items now."""
     engines = []
-    for upstream in table.available_for(service):
+    for upstream in table.usable_for(service):
         if max(upstream.full_until_ms, upstream.backoff_until_ms) > now_ms:
             continue
         record = upstream.record
--- a/src/pistachionotch/gateway/call_selection.py
+++ b/src/pistachionotch/gateway/call_selection.py
@@ -50,7 +50,7 @@
         """
         now_ms = self.clock.now_ms()
         limits = self.table.rate_limits
-        candidates = [each for each in self.table.available_for(service) if accepts(each.record)]
+        candidates = [each for each in self.table.usable_for(service) if accepts(each.record)]
         excluded = {*tried, *rate_limited}
         rejecting: dict[str, int] = {}
         limited = set()
--- a/src/pistachionotch/gateway/orders.py
+++ b/src/pistachionotch/gateway/orders.py
@@ -138,7 +138,7 @@
             keep_running = not any(
                 route.single_version for route in catalog.batch_routes(service.name)
             )
-            engines = [_weights(u, named) for u in self.table.available_for(service.name)]
+            engines = [_weights(u, named) for u in self.table.usable_for(service.name)]
             paused = {name for name, until_ms in self.paused_until_ms.items() if until_ms > now_ms}
             for load in plan_loads(
                 engines, named, self.loading | paused, now_ms, self.demands.tokens
--- a/src/pistachionotch/gateway/upstreams.py
+++ b/src/pistachionotch/gateway/upstreams.py
@@ -277,11 +277,13 @@
 
     def available_for(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service that accept new requests."""
-        if not self.is_current():
-            return []
         return [
             upstream
             for upstream in self.upstreams.values()
             if upstream.record.service == service
             and not (upstream.record.leaving or upstream.announced_leaving)
         ]
+
+    def usable_for(self, service: str) -> list[Upstream]:
+        """Return the upstreams that new requests may go to now; none by an outdated listing."""
+        return self.available_for(service) if self.is_current() else []
