Limit the attempts of an item over two owners

Cause: failures are counted in memory; an owner allows twice the limit where fewer engines than the limit serve.

Change: an owner that has taken a batch over without its progress allows the limit itself, the least for a truthful failure.

After two lost owners one or two answers more than nine remain possible.

--- a/src/pistachionotch/batches/owner.py
+++ b/src/pistachionotch/batches/owner.py
@@ -275,7 +275,7 @@
             state.avoid.add(upstream.record.instance)
         if outcome is AttemptOutcome.FAILED:
             state.failed_at.add(upstream.record.instance)
-            if route and _attempts_exhausted(state, route.max_attempts):
+            if route and _attempts_exhausted(run, state, route.max_attempts):
                 self._finish(run, state, False, f"failed {state.failures} times")
                 return
         self.measures.count("items_again", outcome.value)
@@ -346,11 +346,13 @@
         gevent.killall(tasks, timeout=STOP_TIMEOUT_MS / MS_PER_SECOND)
 
 
-def _attempts_exhausted(state: ItemProgress, max_attempts: int) -> bool:
+def _attempts_exhausted(run: BatchRun, state: ItemProgress, max_attempts: int) -> bool:
     """Return whether the failures point to the item itself rather than to a faulty engine."""
     if len(state.failed_at) >= max_attempts:
         return True
-    return state.failures >= max_attempts * SAME_ENGINE_FACTOR
+    # The former owner may have made almost as many attempts as this one may.
+    factor = 1 if run.failures_unknown else SAME_ENGINE_FACTOR
+    return state.failures >= max_attempts * factor
 
 
 def batch_route(catalog: Catalog, run: BatchRun) -> Route | None:
--- a/src/pistachionotch/batches/ownership_transfer.py
+++ b/src/pistachionotch/batches/ownership_transfer.py
@@ -160,6 +160,7 @@
                 self.owner.runs[batch] = found
                 gevent.spawn(self.owner_cache.announce, batch)
                 return found
+            found.failures_unknown = True
             if found.owner != lost and found.owner.node != self.local_owner.node:
                 self.owner_cache.remember(batch, found.owner)
                 return OwnerChanged()
--- a/src/pistachionotch/batches/run.py
+++ b/src/pistachionotch/batches/run.py
@@ -63,6 +63,8 @@
     tenure: Tenure = attrs.field(factory=Tenure)
     # Whether the log says that the ownership is not confirmed.
     unconfirmed_logged: bool = False
+    # Whether items may have failed at former owners that did not hand their progress over.
+    failures_unknown: bool = False
     # Earliest time to list results, after a takeover from an owner that may still answer reads.
     list_from_ms: int = 0
     # Maximum size of the results or texts of the next log entries; reduced after a rejection.
--- a/tests/unit/batches/test_batch_ownership_transfer.py
+++ b/tests/unit/batches/test_batch_ownership_transfer.py
@@ -1,5 +1,7 @@
 """Guards against batches with two owners, or without an owner for longer than necessary."""
 
+import types
+
 import attrs
 import gevent
 import pytest
@@ -7,6 +9,7 @@
 from test_batch_log import done, entry, head
 
 from pistachionotch.batches import ownership_transfer
+from pistachionotch.batches.attempts import AttemptOutcome
 from pistachionotch.batches.log import BatchLog, create_batch
 from pistachionotch.batches.model import BatchErrorKind
 from pistachionotch.batches.ownership import GatewayRecord, rank_owners
@@ -325,3 +328,29 @@
     service = cluster.start("b")
     assert item_ids(service.read("b1", 0, 0)) == ["i1"]
     assert not service.owner.runs["b1"].open
+
+
+@pytest.mark.parametrize("failures_before", [0, 4, 5])
+def test_an_item_that_fails_at_each_run_has_a_limit_over_two_owners(cluster, failures_before):
+    # The new owner began to count anew: 11 answers of 500 where nine are the most.
+    first, second = cluster.start("a"), cluster.start("b")
+    first.submit(submission(), ROUTE)
+    fail(first, failures_before)
+    assert not first.owner.runs["b1"].progress["i0"].finished
+    del cluster.peers.services["a"]
+    second.read("b1", 0, 0)
+    runs = 0
+    while not second.owner.runs["b1"].progress["i0"].finished:
+        fail(second, 1)
+        runs += 1
+    assert ROUTE.max_attempts <= failures_before + runs <= 3 * ROUTE.max_attempts - 1
+
+
+def fail(service, times):
+    """Let an item fail at the only engine that there is."""
+    run = service.owner.runs["b1"]
+    state = run.progress["i0"]
+    engine = types.SimpleNamespace(record=types.SimpleNamespace(instance="e"))
+    for _ in range(times):
+        state.failures += 1
+        service.owner._handle_outcome(run, state, engine, AttemptOutcome.FAILED)
