Give a slot back if the client leaves while its stream is resumed

Seen by the review in the code: each such client left the server one slot less for this gateway, for as long as the server was registered. The count was lowered after errors of the exchange only. Both cases of test_resumed_slots.py failed before.

--- a/src/pistachionotch/gateway/calls.py
+++ b/src/pistachionotch/gateway/calls.py
@@ -328,25 +328,9 @@
             if upstream is None:
                 return None
             progress.tried.add(upstream.record.instance)
-            request = self._upstream_request(progress, upstream, left_ms)
-            request = attrs.evolve(request, resume_after=last)
-            upstream.in_flight += 1
-            is_trial = self.suspects.begin(call.content, upstream, progress.ruling)
-            try:
-                exchange = self.client.send_request(
-                    upstream, request, min(left_ms, MIN_FIRST_BYTE_TIMEOUT_MS), True
-                )
-            except RateLimitedError as error:
-                upstream.in_flight -= 1
-                self._record_rejection(progress, upstream, error)
+            exchange = self._take_up(progress, upstream, last, left_ms)
+            if exchange is None:
                 continue
-            except ExchangeError as error:
-                self._record_failure(progress, upstream, error)
-                upstream.in_flight -= 1
-                continue
-            finally:
-                if is_trial:
-                    self.suspects.end(call.content, upstream)
             if exchange.response.is_stream():
                 return exchange
             exchange.connection.close()
@@ -355,6 +339,30 @@
             self.call_log.failed(progress, upstream, reason, not exchange.response.not_run)
         return None
 
+    def _take_up(
+        self, progress: CallProgress, upstream: Upstream, last: int | None, left_ms: int
+    ) -> Exchange | None:
+        """Ask an upstream for the rest of a stream; its slot is taken if there is an answer."""
+        request = self._upstream_request(progress, upstream, left_ms)
+        request = attrs.evolve(request, resume_after=last)
+        patience_ms = min(left_ms, MIN_FIRST_BYTE_TIMEOUT_MS)
+        exchange = None
+        upstream.in_flight += 1
+        is_trial = self.suspects.begin(progress.call.content, upstream, progress.ruling)
+        try:
+            exchange = self.client.send_request(upstream, request, patience_ms, True)
+        except RateLimitedError as error:
+            self._record_rejection(progress, upstream, error)
+        except ExchangeError as error:
+            self._record_failure(progress, upstream, error)
+        finally:
+            # Also if the client leaves meanwhile.
+            if exchange is None:
+                upstream.in_flight -= 1
+            if is_trial:
+                self.suspects.end(progress.call.content, upstream)
+        return exchange
+
     def _upstream_request(
         self, progress: CallProgress, upstream: Upstream, left_ms: int
     ) -> UpstreamRequest:
