Refuse items whose headers can't be sent as Latin-1

Seen by the review in the code: a printable header outside Latin-1 failed at each send, and each failure was held against the engine, so that one batch backed all engines off. The submission gets 400 now; the case in test_decode.py failed before.

--- a/src/pistachionotch/platform/batches.py
+++ b/src/pistachionotch/platform/batches.py
@@ -83,10 +83,15 @@
     if not target.startswith("/") or not _fits_request_line(target):
         raise ValueError(f"item {item}: its path cannot be sent")
     for name, value in headers:
-        if not name or not _fits_request_line(name) or ":" in name or not value.isprintable():
+        if not name or not _fits_request_line(name) or ":" in name or not _fits_header(value):
             raise ValueError(f"item {item}: header {name!r} cannot be sent")
 
 
+def _fits_header(value: str) -> bool:
+    """Return whether a text can be the value of a header, which is sent as Latin-1."""
+    return value.isprintable() and all(ord(character) < 256 for character in value)
+
+
 def _fits_request_line(text: str) -> bool:
     """Return whether a text is printable ASCII without spaces, as a request line needs it."""
     return text.isascii() and text.isprintable() and " " not in text
--- a/tests/unit/platform/test_decode.py
+++ b/tests/unit/platform/test_decode.py
@@ -240,6 +240,8 @@
         {"path": "/p/1 HTTP/1.1\r\nX: 1"},
         {"path": "p"},
         {"headers": {"Model": "m\r\nX: 1"}},
+        # Printable but not Latin-1: it failed at each send, and the engine was held responsible.
+        {"headers": {"Model": "審査"}},
         {"headers": {"Mo del": "m"}},
     ],
 )
