--- a/src/pistachionotch/batches/log_writer.py
+++ b/src/pistachionotch/batches/log_writer.py
@@ -99,7 +99,7 @@
             entry=run.log.position,
             age_ms=None if confirmed_ms is None else self.clock.now_ms() - confirmed_ms,
             # A pause of this process that began after the last confirmation.
-            paused_ms=run.tenure.paused_ms if confirmed_ms is None else 0,
+            paused_ms=run.tenure.pauses.paused_ms if confirmed_ms is None else 0,
             reason=reason,
         )
 
@@ -198,7 +198,7 @@
                 batch=run.id,
                 owner=run.owner.node,
                 entry=run.log.position - 1,
-                last_pause_ms=run.tenure.paused_ms,
+                last_pause_ms=run.tenure.pauses.paused_ms,
                 unlisted=len(run.unlisted),
             )
         if not run.open:
--- a/src/pistachionotch/batches/tenure.py
+++ b/src/pistachionotch/batches/tenure.py
@@ -15,6 +15,8 @@
 
 import attrs
 
+from ..pauses import PauseDetector
+
 # Time after a confirmation for which a process may act as the owner. Outages of the object API
 # that are shorter do not hold up a batch.
 TENURE_MS = 3_000
@@ -27,7 +29,8 @@
 # A process that has not looked at the clock for this long was paused. Another gateway takes over
 # from an owner only after a longer silence.
 MAX_GAP_MS = 500
-# The same during a handoff, when the next owner may list results at any time.
+# Time for which a confirmation is valid during a handoff: the next owner may list results at any
+# time then.
 HANDOFF_TENURE_MS = 300
 
 
@@ -38,11 +41,7 @@
     # Start of the last store call that showed no other owner; None if there is no valid one.
     confirmed_ms: int | None = None
     attempted_ms: int | None = None
-    # Last time at which this process was seen to run, and when its last pause was noticed.
-    observed_ms: int | None = None
-    resumed_ms: int = 0
-    # Duration of that pause.
-    paused_ms: int = 0
+    pauses: PauseDetector = attrs.field(factory=lambda: PauseDetector(MAX_GAP_MS))
 
     def holds(self, now_ms: int, max_age_ms: int = TENURE_MS) -> bool:
         """Return whether this process may act as the owner at ``now_ms``."""
@@ -53,7 +52,7 @@
         """Record that a store call that began at ``started_ms`` showed no other owner."""
         self._observe(now_ms)
         # A call that began before a pause says nothing about the time since then.
-        if started_ms >= self.resumed_ms:
+        if self.pauses.covers(started_ms):
             self.confirmed_ms = max(started_ms, self.confirmed_ms or started_ms)
 
     def renewal_due(self, now_ms: int) -> bool:
@@ -71,12 +70,9 @@
         return self.attempted_ms is None or now_ms - self.attempted_ms >= ATTEMPT_INTERVAL_MS
 
     def _observe(self, now_ms: int) -> None:
-        if self.observed_ms is not None and now_ms - self.observed_ms > MAX_GAP_MS:
+        if self.pauses.observe(now_ms):
             self.confirmed_ms = None
             self.attempted_ms = None
-            self.resumed_ms = now_ms
-            self.paused_ms = now_ms - self.observed_ms
-        self.observed_ms = now_ms
 
 
 def first_listing_ms(claimed_ms: int, former_silent: bool) -> int:
--- a/src/pistachionotch/gateway/daemon.py
+++ b/src/pistachionotch/gateway/daemon.py
@@ -341,7 +341,7 @@
             "running_items": len(self.owner.tasks),
             "upstream_connections": self.pool.opened,
             "holds_orders": self.orders.holds_lease(),
-            "listing_pause_ms": self.cluster.listing_age.paused_ms,
+            "listing_pause_ms": self.cluster.listing_age.pauses.paused_ms,
             "rate_limits": self.limits.board.limited(),
             **self.suspects.guard.status(),
         }
--- a/src/pistachionotch/gateway/listing_age.py
+++ b/src/pistachionotch/gateway/listing_age.py
@@ -10,6 +10,7 @@
 import attrs
 
 from ..clock import Clock
+from ..pauses import PauseDetector
 
 # A process that has not looked at the clock for this long was paused. A listing is up to 2 s old
 # without a pause, and the platform allows a server that leaves 2.5 s until nothing new arrives.
@@ -21,25 +22,19 @@
     """Notices pauses of this process, and the reads of a listing after them; times in ms."""
 
     clock: Clock
-    observed_ms: int | None = None
-    resumed_ms: int = 0
-    paused_ms: int = 0
+    pauses: PauseDetector = attrs.field(factory=lambda: PauseDetector(MAX_GAP_MS))
     # Start of the last read that has ended, successful or not: in an outage the listing stays.
-    read_started_ms: int | None = None
+    read_started_ms: int = 0
 
     def current(self) -> bool:
         """Return whether the listing was read since the last pause."""
-        now_ms = self.clock.now_ms()
-        if self.observed_ms is not None and now_ms - self.observed_ms > MAX_GAP_MS:
-            self.resumed_ms = now_ms
-            self.paused_ms = now_ms - self.observed_ms
-        self.observed_ms = now_ms
-        return self.resumed_ms == 0 or (self.read_started_ms or 0) >= self.resumed_ms
+        self.pauses.observe(self.clock.now_ms())
+        return self.pauses.covers(self.read_started_ms)
 
     def paused_since(self, started_ms: int) -> bool:
         """Return whether this process was paused at or after a time."""
-        self.current()
-        return self.resumed_ms > started_ms
+        self.pauses.observe(self.clock.now_ms())
+        return not self.pauses.covers(started_ms)
 
     def record_read(self, started_ms: int) -> None:
         """Record the end of a read of the listing that began at ``started_ms``."""
--- a/tests/unit/batches/test_batch_tenure.py
+++ b/tests/unit/batches/test_batch_tenure.py
@@ -289,7 +289,7 @@
     assert found.holds(450)
     found.confirm(400, 2_000)
     assert not found.holds(2_000)
-    assert found.paused_ms == 1_550
+    assert found.pauses.paused_ms == 1_550
     found.confirm(2_000, 2_004)
     assert found.holds(2_004)
 
