Watch from the first page of a listing

It needs a listing of over about 500 entries.

Cause: a listing had the revision of its last page, so the first watch left out what changed on an earlier page meanwhile.

Evidence: three cases of test_platform_store.py failed before.

--- a/src/pistachionotch/platform/store.py
+++ b/src/pistachionotch/platform/store.py
@@ -82,6 +82,8 @@
         """Read all pages of a kind and return its objects with the revision to watch from."""
         kind = prefix.partition("/")[0]
         objects: list[StoredObject] = []
+        # That of the first page: the first watch returns what changed while the pages were read.
+        revision: int | None = None
         after = ""
         while True:
             query = "?" + urlencode({"after": after}) if after else ""
@@ -94,13 +96,12 @@
                 items = reply.fields["items"]
                 page = [stored for item in items if (stored := _parse_entry(kind, item))]
                 more = bool(reply.fields["has_more"])
-                revision = int(reply.fields["current_rev"])
+                page_revision = int(reply.fields["current_rev"])
             except MALFORMED as error:
                 return Failure(StoreUnavailable(f"malformed answer: {error!r}"))
             objects.extend(page)
+            revision = page_revision if revision is None else revision
             if not (more and page):
-                # The revision is that of the last page, so the first watch misses an object that
-                # changed between the reads of its own page and the last one.
                 return Success(Snapshot(revision, tuple(objects)))
             after = _wire_name(page[-1].key.partition("/")[2])
 
--- a/tests/unit/platform/test_platform_store.py
+++ b/tests/unit/platform/test_platform_store.py
@@ -49,6 +49,45 @@
     assert store.get("leases/orders/all").unwrap().key == "leases/orders/all"
 
 
+@pytest.mark.parametrize("change", ["write", "create", "delete"])
+def test_a_change_between_two_pages_of_a_listing_is_seen_by_the_first_watch(
+    store, standin, monkeypatch, change
+):
+    # The revision of the last page hid it until the object changed again.
+    standin.page_size = 2
+    for name in ("a", "b", "c", "d"):
+        store.put(f"things/{name}", b"1", None)
+    first = store.get("things/a").unwrap()
+    request = PlatformStore._request
+    pages = []
+
+    def read(self, method, target, *arguments, **more):
+        reply = request(self, method, target, *arguments, **more)
+        if "watch" not in target and target.startswith("/api/objects/things") and not pages:
+            pages.append(target)
+            if change == "write":
+                store.put("things/a", b"2", first.version)
+            if change == "create":
+                store.put("things/aa", b"2", None)
+            if change == "delete":
+                store.delete("things/a", first.version)
+        return reply
+
+    monkeypatch.setattr(PlatformStore, "_request", read)
+    cache = ObjectCache(store, "things/")
+    assert cache.refresh()
+    assert cache.refresh()
+    found = {key: stored.value for key, stored in cache.objects.items()}
+    expected = {f"things/{name}": b"1" for name in ("a", "b", "c", "d")}
+    if change == "write":
+        expected["things/a"] = b"2"
+    if change == "create":
+        expected["things/aa"] = b"2"
+    if change == "delete":
+        del expected["things/a"]
+    assert found == expected
+
+
 def test_listing_of_several_pages_is_complete(store, standin):
     standin.page_size = 2
     for name in ("a", "b", "c/d", "e", "f"):
