--- a/review/lib2/harness.py
+++ b/review/lib2/harness.py
@@ -143,7 +143,7 @@
 
 
 def routes():
-    plain = {"hostname": HOSTNAME, "timeout_ms": 3000, "target_latency_ms": 240, "priority": 2,
+    plain = {"hostname": HOSTNAME, "timeout_ms": 2000, "target_latency_ms": 240, "priority": 2,
              "service": "shop", "max_attempts": 3}
     tokens = {"hostname": HOSTNAME, "timeout_ms": 10000, "target_latency_ms": 400, "priority": 0,
               "service": "engines", "max_attempts": 3}
