--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,55 +1,132 @@
-"""A header line that can't be parsed takes the body from its request, and runs what is inside."""
+"""Gateways abort while the store is down and clients read batch submissions."""
 
+import json
+import signal
+import socket
 import sys
+import threading
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib2"))
 
-from harness import HOSTNAME, Server, echo, main, raw_exchange  # noqa: E402
+from engine import engine, submission  # noqa: E402
+from harness import HOST, HOSTNAME, Server, main  # noqa: E402
 
-GATEWAY = "gateway-1"
-# One more line of the head, as clients send it that don't keep to RFC 9112. The body follows as
-# stated by the line after it.
-LINES = {
-    "blank before the colon": "X-Note : by phone",
-    "name outside ASCII": "X-Größe: 5",
-    "no colon": "by phone",
-}
+GATEWAYS = ("gateway-1", "gateway-2")
+MODELS = tuple(f"m{number}" for number in range(8))
+# How long the store answers 503, and how often.
+OUTAGE_S = 4.5
+OUTAGES = 3
+# Clients that read a batch submission, each twice a second on a new channel.
+READERS = 12
+READ_PAUSE_S = 0.5
+# An event of an item takes this long, so that the batch submissions stay open.
+EVENT_S = 2.0
+RESTART_S = 0.5
 
 
-def request(name, body, *lines):
-    """Return a whole request with a length."""
-    first = ["POST /unsafe/order HTTP/1.1", f"Host: {HOSTNAME}", f"Request-Id: {name}",
-             "Deadline-Ms: 2000", *lines, f"Content-Length: {len(body)}"]
-    return "\r\n".join([*first, "", ""]).encode() + body
+class Readers:
+    """The clients that read one batch submission at one gateway."""
+
+    def __init__(self, deployment, record, gateway, batch):
+        self.deployment, self.record, self.gateway, self.batch = deployment, record, gateway, batch
+        self.stopping = threading.Event()
+        self.thread = threading.Thread(target=self._run, daemon=True)
+        self.thread.start()
+
+    def _run(self):
+        request = (f"GET /api/lots/{self.batch}?after=0 HTTP/1.1\r\nHost: {HOSTNAME}\r\n"
+                   "Connection: close\r\n\r\n").encode()
+        while not self.stopping.is_set():
+            began = time.monotonic()
+            channels, statuses = [], {}
+            try:
+                for _ in range(READERS):
+                    channels.append(socket.create_connection(
+                        (HOST, self.deployment.front(self.gateway)), timeout=2.0))
+                for channel in channels:
+                    channel.sendall(request)
+                for channel in channels:
+                    status = channel.recv(65_536)[9:12].decode() or "closed"
+                    statuses[status] = statuses.get(status, 0) + 1
+            except OSError as error:
+                statuses[type(error).__name__] = 1
+            for channel in channels:
+                channel.close()
+            self.record.write("reads", gateway=self.gateway, batch=self.batch, statuses=statuses)
+            self.stopping.wait(max(0.0, READ_PAUSE_S - (time.monotonic() - began)))
+
+    def stop(self):
+        self.stopping.set()
+        self.thread.join()
+
+
+def own_batches(deployment, record, outage):
+    """Submit batches of several models until each gateway runs one; returns them by gateway."""
+    found = {}
+    for number, model in enumerate(MODELS):
+        batch = f"{outage}{number:03x}"
+        fields = {**submission(batch, 2, "400"), "model": model}
+        status, _ = deployment.ask(
+            deployment.front(GATEWAYS[number % 2]), "POST", f"/steps/{batch}", fields,
+            {"Request-Id": batch, "Content-Type": "application/json"})
+        record.write("submitted", batch=batch, status=status)
+        status, body = deployment.ask(
+            deployment.store_port, "GET", f"/api/objects/batches/{batch}")
+        if status == 200:
+            found.setdefault(json.loads(body)["spec"]["owner"]["node"], batch)
+        if len(found) == len(GATEWAYS):
+            break
+    assert len(found) == len(GATEWAYS), "one gateway runs no batch submission"
+    return found
+
+
+def slow_engine(server, sock, request):
+    """Run an item, of which the next event takes long."""
+    return engine(server, sock, request, EVENT_S)
 
 
 def play(deployment, record, trouble):
-    servers = [Server(record, f"i-{number}", "shop", echo) for number in (1, 2)]
+    versions = dict.fromkeys(["m0", *MODELS], 1)
+    for number in (1, 2, 3):
+        deployment.register(
+            Server(record, f"i-{number}", "engines", slow_engine, models=versions, slots=12))
     deployment.write_config()
-    for server in servers:
-        deployment.register(server)
-    deployment.start_gateway(GATEWAY)
-    deployment.wait(lambda: deployment.ready(GATEWAY))
-    breaches = []
-    for number, (title, line) in enumerate(LINES.items()):
-        sent = {}
-        # The body of the second order is a text that quotes a request.
-        quoted = request(f"5{number}bb", b"100 jerseys")
-        for name, body in ((f"5{number}aa", b"one jersey, size M"), (f"5{number}ab", quoted)):
-            sent[name] = body
-            data = request(name, body, *([line] if trouble else []))
-            record.write("sent", id=name, body=body.decode(), line=line if trouble else "")
-            answer = raw_exchange(deployment.front(GATEWAY), data, timeout_s=1.0)
-            record.write("answered", id=name, answer=answer.decode("latin-1"))
-        for run in [each for server in servers for each in server.runs]:
-            if not run.id.startswith(f"5{number}"):
+    for gateway in GATEWAYS:
+        deployment.start_gateway(gateway)
+    deployment.wait(lambda: all(deployment.ready(gateway) for gateway in GATEWAYS))
+    ends = dict.fromkeys(GATEWAYS, 0)
+    for outage in range(OUTAGES):
+        time.sleep(2.0)
+        batches = own_batches(deployment, record, outage)
+        readers = [Readers(deployment, record, *each) for each in batches.items()]
+        time.sleep(1.5)
+        if trouble:
+            record.write("store", outage=True)
+            deployment.ask(deployment.store_port, "PUT", "/faults", {"outage": True})
+        time.sleep(OUTAGE_S)
+        deployment.ask(deployment.store_port, "PUT", "/faults", {"outage": False})
+        record.write("store", outage=False)
+        for each in readers:
+            each.stop()
+        for gateway in GATEWAYS:
+            status = deployment.processes[gateway].poll()
+            if status is None:
                 continue
-            if run.id not in sent:
-                breaches.append(f"UNASKED: {run.id} was run, which no client sent ({title})")
-            elif run.body != sent[run.id]:
-                breaches.append(f"UNASKED: {run.id} was run with the body {run.body!r} ({title})")
-    return breaches
+            ends[gateway] += 1
+            record.write("ended by itself", gateway=gateway, times=ends[gateway],
+                         signal=signal.Signals(-status).name if status < 0 else status,
+                         last_line=deployment.log(gateway).splitlines()[-1][-300:])
+            time.sleep(RESTART_S)
+            deployment.start_gateway(gateway)
+        deployment.wait(lambda: all(deployment.ready(gateway) for gateway in GATEWAYS))
+        for batch in batches.values():
+            deployment.ask(deployment.front(GATEWAYS[0]), "DELETE", f"/api/lots/{batch}")
+    record.write("ends", **ends)
+    if all(times >= OUTAGES for times in ends.values()):
+        return [f"FAULT: {len(ends)} of {len(ends)} gateways ended by themselves {OUTAGES} times"]
+    return []
 
 
 if __name__ == "__main__":
--- a/review/lib2/engine.py
+++ b/review/lib2/engine.py
@@ -8,7 +8,7 @@
 EVENTS = 5
 
 
-def engine(server, sock, request):
+def engine(server, sock, request, event_s=0.02):
     """Run a request for tokens, or refuse it if the model is not held."""
     if request.target == "/api/order":
         # No trainer names a version in these cases, so there is nothing to load.
@@ -22,7 +22,7 @@
              "Transfer-Encoding: chunked", *(f"{name}: {value}" for name, value in headers)]
     sock.sendall("\r\n".join([*lines, "", ""]).encode())
     for number in range(after + 1, EVENTS + 1):
-        time.sleep(0.02)
+        time.sleep(event_s)
         event = f"id: {number}\ndata: {request.id} {number}\n\n".encode()
         sock.sendall(b"%x\r\n%b\r\n" % (len(event), event))
     sock.sendall(b"0\r\n\r\n")
--- a/review/lib2/harness.py
+++ b/review/lib2/harness.py
@@ -256,7 +256,7 @@
 
     def write_config(self, found=None, limits=None):
         self.version += 1
-        engine = {"slots": 4, "models": [{"name": MODEL}]}
+        engine = {"slots": 4, "models": [{"name": f"m{number}"} for number in range(8)]}
         services = [{"name": "engines", "max_conns": 150, "engine": engine},
                     {"name": "shop", "max_conns": 100}]
         spec = {"version": self.version, "routes": found or routes(), "services": services,
