--- a/review/7/case.py
+++ b/review/7/case.py
@@ -11,10 +11,9 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib2"))
 
 from engine import engine, submission  # noqa: E402
-from harness import HOST, HOSTNAME, Server, main  # noqa: E402
+from harness import HOST, HOSTNAME, MODELS, Server, main  # noqa: E402
 
 GATEWAYS = ("gateway-1", "gateway-2")
-MODELS = tuple(f"m{number}" for number in range(8))
 # How long the store answers 503, and how often.
 OUTAGE_S = 4.5
 OUTAGES = 3
@@ -88,7 +87,7 @@
 
 
 def play(deployment, record, trouble):
-    versions = dict.fromkeys(["m0", *MODELS], 1)
+    versions = dict.fromkeys(MODELS, 1)
     for number in (1, 2, 3):
         deployment.register(
             Server(record, f"i-{number}", "engines", slow_engine, models=versions, slots=12))
--- a/review/lib2/harness.py
+++ b/review/lib2/harness.py
@@ -21,6 +21,9 @@
 HOST = "127.0.0.1"
 HOSTNAME = "shop.example"
 MODEL = "m0"
+# Names of models; the gateway that runs a batch submission follows from a hash of its model.
+MODELS = (MODEL, "daka510000", "lohu93", "pufi791", "ficu95x", "huvo11a", "wuno96b", "ombra",
+          "kelp7", "q", "vx99", "nine-two", "zeta12", "rollout", "t3t", "ur")
 ROOT = Path(__file__).resolve().parents[2]
 LIB = Path(__file__).resolve().parent
 
@@ -256,7 +259,7 @@
 
     def write_config(self, found=None, limits=None):
         self.version += 1
-        engine = {"slots": 4, "models": [{"name": f"m{number}"} for number in range(8)]}
+        engine = {"slots": 4, "models": [{"name": name} for name in MODELS]}
         services = [{"name": "engines", "max_conns": 150, "engine": engine},
                     {"name": "shop", "max_conns": 100}]
         spec = {"version": self.version, "routes": found or routes(), "services": services,
