Gateways: a client's socket is watched by the event loop and never closed under its watch

Callers saw all connections of a gateway cut, again and again, while the object API was down: libev aborted the process ("I/O watcher with invalid fd found in epoll_ctl").

Cause: the watch for a client's disconnect was a greenlet that waited on the number of the descriptor and was only told to end. The HTTP server closes the descriptor past gevent's socket. If request, answer and close came in one round of the event loop, and more than 50 callbacks or 5 ms were left to run, the greenlet ended in the next round, after libev had found the closed descriptor. Ruled out: waits on the bare number alone (with gevent's own close the process lived), and a wait through gevent's socket as the cure (with the server's close it aborted too).

Fix: client_socket.py owns the socket and the only watch, an entry of the loop that ends at once. It ends with the answer, the stream or the request, in the task that closes the socket afterwards. Others only shut the socket down.

--- a/src/pistachionotch/gateway/disconnect.py
+++ b/src/pistachionotch/gateway/disconnect.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-import socket
-from typing import Any
-
 import gevent
-from gevent.socket import wait_read
+
+from ..client_socket import ClientSocket
 
 
 class ClientDisconnectedError(gevent.GreenletExit):
@@ -17,17 +15,10 @@
     """Raised in a worker greenlet whose process is about to end."""
 
 
-def watch_for_disconnect(sock: Any) -> gevent.Greenlet:
-    """Raise ``ClientDisconnectedError`` in the calling greenlet once its client disconnects."""
-    return gevent.spawn(_watch, sock, gevent.getcurrent())
-
+def raise_on_disconnect(client: ClientSocket) -> None:
+    """Raise ``ClientDisconnectedError`` in the calling greenlet once its client disconnects.
 
-def _watch(sock: Any, worker: Any) -> None:
-    try:
-        wait_read(sock.fileno())
-        # Peek only: a pipelined request must stay in the buffer until this one is answered.
-        closed = not sock.recv(1, socket.MSG_PEEK)
-    except OSError:
-        closed = True
-    if closed:
-        gevent.kill(worker, ClientDisconnectedError)
+    This lasts until the watch of the client's socket ends.
+    """
+    worker = gevent.getcurrent()
+    client.watch(lambda: worker.throw(ClientDisconnectedError))
--- a/src/pistachionotch/platform/answers.py
+++ b/src/pistachionotch/platform/answers.py
@@ -4,31 +4,24 @@
 
 import contextlib
 from collections.abc import Callable, Iterable, Iterator
-from typing import Any
 
 import attrs
 import gevent
 
+from ..client_socket import ClientSocket
 from ..limits.byte_budget import SMALL_BYTES, ByteBudget, Holding, NoRoomError, Purpose
-from ..server import drop_unsent, shut
 
 PART_BYTES = 64 * 1024
 
 
-def _hold_answer(budget: ByteBudget, sock: Any, label: str) -> Holding:
-    def cut() -> None:
-        drop_unsent(sock)
-        shut(sock)
-
-    return budget.hold(Purpose.ANSWER, label, cut)
-
-
-def hold_buffered(budget: ByteBudget, sock: Any, label: str, body: bytes) -> Iterable[bytes]:
+def hold_buffered(
+    budget: ByteBudget, client: ClientSocket, label: str, body: bytes
+) -> Iterable[bytes]:
     """Return a body as the parts of a WSGI response; a large one holds room until it is sent."""
     if len(body) <= SMALL_BYTES:
         # The system's send buffer takes it at once.
         return [body]
-    holding = _hold_answer(budget, sock, label)
+    holding = budget.hold(Purpose.ANSWER, label, client.cut)
     with contextlib.suppress(NoRoomError):
         # Its request has run, so it gets room even if that exceeds the budget for a moment.
         holding.grow(len(body), force=True)
@@ -67,13 +60,13 @@
     def build(
         cls,
         budget: ByteBudget,
-        sock: Any,
+        client: ClientSocket,
         label: str,
         parts: Iterator[bytes],
         ended: Callable[[], None],
     ) -> StreamBody:
-        """Return the body of a stream that is sent to a client's socket."""
-        return cls(parts, _hold_answer(budget, sock, label), ended)
+        """Return the body of a stream that is sent to a client."""
+        return cls(parts, budget.hold(Purpose.ANSWER, label, client.cut), ended)
 
     def __iter__(self) -> Iterator[bytes]:
         for part in self.parts:
--- a/src/pistachionotch/platform/ingress.py
+++ b/src/pistachionotch/platform/ingress.py
@@ -13,6 +13,7 @@
 
 from ..batches.model import ResultPage
 from ..batches.service import BatchService
+from ..client_socket import ClientSocket
 from ..clock import Clock
 from ..gateway.call_progress import expected_call
 from ..gateway.calls import CallForwarder
@@ -20,7 +21,7 @@
 from ..gateway.disconnect import (
     ClientDisconnectedError,
     DrainEndedError,
-    watch_for_disconnect,
+    raise_on_disconnect,
 )
 from ..gateway.draining import BatchEnd, BatchRead, Call, Drain
 from ..gateway.responses import (
@@ -121,7 +122,7 @@
     ) -> Iterable[bytes]:
         """Handle one request."""
         self.adjust_open_requests(1)
-        watcher = None
+        client: ClientSocket = environ[CLIENT_SOCKET]
         malformed = False
         response: ClientResponse = CallFailure(
             FailureCause.NOT_RUN, "the gateway has stopped", self.drain.retry_after_ms()
@@ -130,7 +131,7 @@
         self.unanswered.add(worker)
         try:
             if self.is_rejecting():
-                return self._send(response, start_response, environ, None)
+                return self._send(response, start_response, environ)
             call = self._read_call(environ)
             if isinstance(call, CallFailure):
                 response = call
@@ -138,7 +139,7 @@
                     environ.get(BODY_GIVEN_UP) or framing_error(environ[RAW_HEADERS])
                 )
             else:
-                watcher = watch_for_disconnect(environ[CLIENT_SOCKET])
+                raise_on_disconnect(client)
                 response = self._dispatch(*call)
         except ClientDisconnectedError:
             self.log.info("client left", request=_header(environ, REQUEST_ID_HEADER))
@@ -152,16 +153,15 @@
             raise
         finally:
             self.unanswered.discard(worker)
-            if watcher is not None and not isinstance(response, StreamingResponse):
-                watcher.kill(block=False)
-        return self._send(response, start_response, environ, watcher, malformed)
+            if not isinstance(response, StreamingResponse):
+                client.end_watch()
+        return self._send(response, start_response, environ, malformed)
 
     def _send(
         self,
         response: ClientResponse,
         start_response: Callable[..., Any],
         environ: dict[str, Any],
-        watcher: Any,
         malformed: bool = False,
     ) -> Iterable[bytes]:
         if isinstance(response, CallFailure):
@@ -170,24 +170,23 @@
         # The end of a malformed request is uncertain, so no further request is read after it.
         if malformed or self.is_closing():
             headers.append(("Connection", "close"))
-        sock = environ[CLIENT_SOCKET]
+        client: ClientSocket = environ[CLIENT_SOCKET]
         label = _label(environ)
         if isinstance(response, BufferedResponse):
             self.adjust_open_requests(-1)
             _release_body(environ)
             headers.append(("Content-Length", str(len(response.body))))
             start_response(status_line(response.status), headers)
-            return hold_buffered(self.budget, sock, label, response.body)
+            return hold_buffered(self.budget, client, label, response.body)
         start_response(status_line(response.status), headers)
 
         def end() -> None:
             self.adjust_open_requests(-1)
             # Until then, the stream may go on at another upstream, which needs the body again.
             _release_body(environ)
-            if watcher is not None:
-                watcher.kill(block=False)
+            client.end_watch()
 
-        return StreamBody.build(self.budget, sock, label, response.parts, end)
+        return StreamBody.build(self.budget, client, label, response.parts, end)
 
     def _read_call(self, environ: dict[str, Any]) -> tuple[ClientCall, Admission] | CallFailure:
         received_ms = self.clock.now_ms()
--- a/src/pistachionotch/request_bodies.py
+++ b/src/pistachionotch/request_bodies.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
-import socket
 from collections.abc import Iterator
 from contextlib import contextmanager
 from io import BytesIO
@@ -56,8 +54,8 @@
 
         def cut() -> None:
             buffer.close()
-            with contextlib.suppress(OSError, KeyError):
-                environ[CLIENT_SOCKET].shutdown(socket.SHUT_RD)
+            if CLIENT_SOCKET in environ:
+                environ[CLIENT_SOCKET].stop_receiving()
 
         holding = self.budget.hold(self.purpose, label, cut)
         try:
--- a/src/pistachionotch/server.py
+++ b/src/pistachionotch/server.py
@@ -4,7 +4,6 @@
 
 import contextlib
 import socket
-import struct
 from collections.abc import Iterator
 from contextlib import contextmanager
 from http.client import LineTooLong
@@ -14,6 +13,7 @@
 from gevent.pool import Pool
 from gevent.pywsgi import Input, WSGIHandler
 
+from .client_socket import ClientSocket
 from .clock import SystemClock
 from .http_server import NoDelayServer
 from .limits.connection_table import ConnectionTable, OpenConnection, Stage
@@ -110,8 +110,16 @@
     def __init__(self, sock: socket.socket, *arguments: Any) -> None:
         sock.settimeout(IDLE_TIMEOUT_S)
         super().__init__(sock, *arguments)
+        self.client: ClientSocket = self.server.clients[sock]
         self.connection: OpenConnection = self.server.records[sock]
 
+    def handle_one_request(self) -> Any:
+        """Serve one request; no watch of the socket outlasts it."""
+        try:
+            return super().handle_one_request()
+        finally:
+            self.client.end_watch()
+
     def read_requestline(self) -> Any:
         """Wait for the next request on this connection."""
         self.connection.enter(Stage.IDLE)
@@ -133,7 +141,7 @@
         self.wsgi_input.__class__ = _BoundedInput
         environ[RAW_TARGET] = self.path
         environ[RAW_HEADERS] = tuple(self.headers.items())
-        environ[CLIENT_SOCKET] = self.socket
+        environ[CLIENT_SOCKET] = self.client
         environ[CONNECTION] = self.connection
         has_body = bool(self.content_length) or self.wsgi_input.chunked_input
         self.connection.enter(Stage.RECEIVING if has_body else Stage.RUNNING)
@@ -145,7 +153,7 @@
         try:
             super()._sendall(data)
         except OSError:
-            drop_unsent(self.socket)
+            self.client.discard_unsent()
             raise
         # A body may still be on its way, if the request was refused without it.
         self.connection.enter(stage)
@@ -157,21 +165,6 @@
             self.close_connection = True
 
 
-def drop_unsent(sock: Any) -> None:
-    """Let the close of a socket discard what its client has not taken.
-
-    Otherwise the system keeps these bytes for minutes after the process has closed the connection.
-    """
-    with contextlib.suppress(OSError):
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-
-
-def shut(sock: Any) -> None:
-    """End the waits for a client; the task that serves it closes the socket."""
-    with contextlib.suppress(OSError):
-        sock.shutdown(socket.SHUT_RDWR)
-
-
 class BoundedServer(NoDelayServer):
     """A server whose connection table decides who gets and loses a connection."""
 
@@ -187,6 +180,7 @@
         self.connections = connections
         self.measures = measures
         self.records: dict[Any, OpenConnection] = {}
+        self.clients: dict[Any, ClientSocket] = {}
         # The pool has no limit of its own; it ends the handlers when the server stops.
         super().__init__(address, application, spawn=Pool(), handler_class=TimeoutHandler, log=None)
 
@@ -194,7 +188,8 @@
         """Give a new connection a place or refuse it."""
         sock, address = args
         peer = str(address[0])
-        place = self.connections.open(peer, lambda: _close_for_room(sock))
+        client = ClientSocket(sock)
+        place = self.connections.open(peer, client.cut)
         if place.closed is not None:
             self._report(place.closed, "closed for another connection")
             place.closed.shut()
@@ -204,6 +199,7 @@
             _refuse(sock)
             return
         self.records[sock] = place.connection
+        self.clients[sock] = client
         super().do_handle(*args)
 
     def handle(self, sock: Any, address: Any) -> None:
@@ -213,6 +209,7 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
             super().handle(sock, address)
         finally:
+            del self.clients[sock]
             self.connections.remove(self.records.pop(sock))
 
     def _report(self, connection: OpenConnection, outcome: str) -> None:
@@ -227,11 +224,6 @@
         )
 
 
-def _close_for_room(sock: Any) -> None:
-    drop_unsent(sock)
-    shut(sock)
-
-
 def _refuse(sock: Any) -> None:
     """Tell a client that nothing of its request has run, and close its connection."""
     with contextlib.suppress(OSError):
--- a/tests/unit/batches/test_account_batches.py
+++ b/tests/unit/batches/test_account_batches.py
@@ -14,6 +14,7 @@
 from pistachionotch.accounts.model import AccountEntry, AccountTable
 from pistachionotch.batches.attempts import AttemptOutcome, ItemRunner
 from pistachionotch.batches.records import head_bytes, read_head
+from pistachionotch.client_socket import ClientSocket
 from pistachionotch.config.spec import Address
 from pistachionotch.gateway.catalog import Catalog, ClientLimits
 from pistachionotch.gateway.upstreams import UpstreamRecord
@@ -80,7 +81,7 @@
             "wsgi.input": BytesIO(body),
             RAW_TARGET: target,
             RAW_HEADERS: tuple(headers),
-            CLIENT_SOCKET: pair[0],
+            CLIENT_SOCKET: ClientSocket(pair[0]),
         }
         seen = []
         parts = self.app(environ, lambda status, headers: seen.append(int(status[:3])))
--- a/tests/unit/platform/test_client_access.py
+++ b/tests/unit/platform/test_client_access.py
@@ -8,6 +8,7 @@
 import pytest
 import structlog
 
+from pistachionotch.client_socket import ClientSocket
 from pistachionotch.clock import ManualClock
 from pistachionotch.gateway.cluster_state import ClusterState
 from pistachionotch.gateway.responses import BufferedResponse, FailureCause
@@ -82,7 +83,7 @@
             "wsgi.input": type("Input", (), {"read": staticmethod(read)}),
             RAW_TARGET: target,
             RAW_HEADERS: tuple(headers),
-            CLIENT_SOCKET: pair[0],
+            CLIENT_SOCKET: ClientSocket(pair[0]),
         }
         seen = []
         self.forwarded.clear()
