Gateways: tell which process ended by itself, and why

Gateways that aborted were restarted by the platform, and no log line or metric said that the former process had not been stopped. A gateway's registration now has its start and, from the signal on, its planned stop. The next process of that gateway logs 'former process ended by itself' with its incarnation, start and the time of the restart, and counts unplanned_ends. A fatal signal writes the stack of the process to standard error.

Test: gateway/test_gateways.py; registrations of earlier versions, which record no stops, are not reported.

--- a/src/pistachionotch/cli/daemons.py
+++ b/src/pistachionotch/cli/daemons.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ctypes
+import faulthandler
 import gc
 import signal
 from typing import Protocol
@@ -59,6 +60,8 @@
 
 def run_daemon(daemon: Daemon) -> None:
     """Run a daemon until a signal or an operator's request to drain."""
+    # A fatal signal, for example the abort of a failed assertion, writes the stack to the logs.
+    faulthandler.enable()
     stopping = Event()
     gevent.signal_handler(signal.SIGTERM, stopping.set)
     gevent.signal_handler(signal.SIGINT, stopping.set)
--- a/src/pistachionotch/gateway/daemon.py
+++ b/src/pistachionotch/gateway/daemon.py
@@ -115,6 +115,7 @@
         self.gateways = GatewayRegistry(
             me, self.store, logger("gateway"), settings.region, settings.processor
         )
+        self.gateways.measures = self.measures
         self.gateways.odd.measures = self.demands.odd.measures = self.measures
         self.watchers = Watchers(
             settings.node,
@@ -383,6 +384,7 @@
         """Fail the readiness probe, hand over batches, finish open requests and stop."""
         if self.state != "serving":
             return
+        gevent.spawn(self.gateways.record_stop)
         drain_gateway(self, reason)
         if self.duties is not None:
             self.duties.exchange.step()
--- a/src/pistachionotch/gateway/peers.py
+++ b/src/pistachionotch/gateway/peers.py
@@ -13,6 +13,7 @@
 
 from ..batches.model import Owner
 from ..batches.ownership import GatewayRecord, rank_owners
+from ..batches.ownership_transfer import unix_ms
 from ..batches.peers import PeerApp
 from ..clock import SystemClock
 from ..config.spec import Address
@@ -54,6 +55,10 @@
     rejected: bool = False
     # Whether an earlier process of this gateway was registered when this one started.
     restarted: bool = False
+    # Unix time at which this process started.
+    started_ms: int = attrs.field(factory=unix_ms)
+    # Unix time at which this process began its planned stop; 0 before that.
+    stopped_ms: int = 0
     versions: dict[str, int] = attrs.field(factory=dict)
     measures: Measures = attrs.field(factory=Measures)
     odd: OddObjects = attrs.field(init=False)
@@ -85,19 +90,21 @@
     def register(self) -> bool:
         """Store the registration of this gateway; returns whether the write is confirmed."""
         key = GATEWAYS_PREFIX + self.local_owner.node
-        value = canonical_json(
-            {
-                "address": str(self.local_owner.address),
-                "incarnation": self.local_owner.incarnation,
-                "region": self.region,
-                "processor": self.processor,
-            }
-        )
+        fields = {
+            "address": str(self.local_owner.address),
+            "incarnation": self.local_owner.incarnation,
+            "region": self.region,
+            "processor": self.processor,
+            "started_ms": self.started_ms,
+        }
+        if self.stopped_ms:
+            fields["stopped_ms"] = self.stopped_ms
+        value = canonical_json(fields)
         written = self.store.put(key, value, None)
         if isinstance(written, Failure):
             error = written.failure()
             if isinstance(error, VersionConflict) and error.current is not None:
-                self.restarted |= self._is_of_earlier_process(error.current.value)
+                self._read_former(error.current.value)
                 written = self.store.put(key, value, error.current.version)
         self.registered = not isinstance(written, Failure)
         self.rejected = isinstance(written, Failure) and isinstance(
@@ -107,14 +114,35 @@
             self.log.warning("gateway registration failed", reason=str(written.failure()))
         return self.registered
 
-    def _is_of_earlier_process(self, value: bytes) -> bool:
-        """Return whether a registration of this gateway was stored by another process."""
+    def record_stop(self) -> None:
+        """Record a planned stop, so that the next process does not take it for an unplanned end."""
+        self.stopped_ms = unix_ms()
+        self.register()
+
+    def _read_former(self, value: bytes) -> None:
+        """Note whether an earlier process was registered, and report it if it ended by itself."""
         try:
-            incarnation = load_json(value)["incarnation"]
+            fields = load_json(value)
+            incarnation = fields["incarnation"]
+            started_ms, stopped_ms = fields.get("started_ms"), fields.get("stopped_ms")
         except MALFORMED as error:
             self.log.warning("malformed own registration", error=repr(error))
-            return False
-        return bool(incarnation != self.local_owner.incarnation)
+            return
+        if incarnation == self.local_owner.incarnation or self.restarted:
+            return
+        self.restarted = True
+        # Gateways of earlier versions record neither their starts nor their stops.
+        if started_ms is None or stopped_ms is not None:
+            return
+        self.measures.count("unplanned_ends", "gateway")
+        self.log.warning(
+            "former process ended by itself",
+            gateway=self.local_owner.node,
+            incarnation=str(incarnation),
+            started_ms=started_ms,
+            # It ended between its last log line and this time.
+            restarted_ms=self.started_ms,
+        )
 
     def apply_listing(self, objects: dict[str, StoredObject], revision: int) -> None:
         """Replace the known gateways with a newer listing."""
--- a/tests/unit/gateway/test_gateways.py
+++ b/tests/unit/gateway/test_gateways.py
@@ -1,6 +1,7 @@
-"""Guards against a registry that keeps lost gateways, or lacks running ones."""
+"""Guards against a registry that keeps lost gateways, lacks running ones, or hides their ends."""
 
 import structlog
+import structlog.testing
 
 from pistachionotch.batches.model import Owner
 from pistachionotch.config.spec import Address
@@ -14,9 +15,9 @@
         self.all = [self.start(number) for number in range(3)]
         self.spread()
 
-    def start(self, number):
+    def start(self, number, incarnation="1"):
         address = Address("10.0.0.1", 7_000 + number)
-        me = Owner(node=f"g{number}", incarnation="1", address=address)
+        me = Owner(node=f"g{number}", incarnation=incarnation, address=address)
         gateways = GatewayRegistry(me, self.store, structlog.get_logger(), "r", 0.5 + number)
         assert gateways.register()
         return gateways
@@ -98,3 +99,29 @@
     fleet.store.put(GATEWAYS_PREFIX + "x", b"[]", None)
     fleet.spread()
     assert sorted(fleet.all[0].addresses) == ["g1", "g2"]
+
+
+def test_the_next_process_reports_one_that_ended_by_itself_and_no_planned_stop():
+    # Two gateways aborted several times, and nothing but their exit statuses showed it.
+    fleet = Fleet()
+    killed, stopped, older = fleet.all
+    stopped.record_stop()
+    older_record = b'{"address":"10.0.0.1:7002","incarnation":"1"}'
+    fleet.store.put(
+        GATEWAYS_PREFIX + "g2", older_record, fleet.store.objects[GATEWAYS_PREFIX + "g2"].version
+    )
+    with structlog.testing.capture_logs() as logs:
+        started = [fleet.start(number, "2") for number in range(3)]
+    assert [gateways.restarted for gateways in started] == [True] * 3
+    assert [gateways.measures.counters["unplanned_ends", "gateway"] for gateways in started] == [
+        1,
+        0,
+        0,
+    ]
+    found = [line for line in logs if line["event"] == "former process ended by itself"]
+    assert [(line["gateway"], line["incarnation"]) for line in found] == [("g0", "1")]
+    assert killed.started_ms == found[0]["started_ms"] <= found[0]["restarted_ms"]
+    # A registration that is written again reports nothing more.
+    started[0].apply_listing({}, 0)
+    assert started[0].register()
+    assert started[0].measures.counters["unplanned_ends", "gateway"] == 1
