Stand-in of servers: send the surplus response on the socket of its client

The environment of a request has the client's socket with its watch since; the stand-in still expected the bare socket and answered 500. Seen in gateway/test_call_forwarding.py, which failed.

--- a/src/pistachionotch/standins/platform_servers.py
+++ b/src/pistachionotch/standins/platform_servers.py
@@ -19,6 +19,7 @@
 import gevent
 
 from ..clock import MS_PER_SECOND
+from ..server import CLIENT_SOCKET
 from .arrivals import ArrivalWindows
 from .http import Environ, StartResponse, read_body, respond_json
 
@@ -276,7 +277,7 @@
         response_body = json.dumps({"server": self.instance, "received": body.decode()}).encode()
         start_response("200 OK", [*headers, ("Content-Length", str(len(response_body)))])
         if self._consume_fault("surplus"):
-            sock = environ["pistachionotch.socket"]
+            sock = environ[CLIENT_SOCKET].sock
             text = response_body.decode()
             second_response = (
                 f"HTTP/1.1 200 OK\r\nContent-Length: {len(text)}\r\nRequest-Id: x\r\n\r\n{text}"
