Batches: accept only what every process can read again

Cause: the writers of records took any number, the readers refuse integers of more than 20 digits, and the store's client returned an empty value for such an object. The same in log entries, through weight versions and event numbers of servers, and in the demand of a model, a sum.

Fix: batches/fields.py decides what a submission may hold; the rest is refused before 202 with 400 and the field's name. An estimate counts as the largest number that can be kept. The store's client keeps what JSON can hold, and each reader decides; the readers of batches also take what earlier versions stored.

--- a/src/pistachionotch/batches/log.py
+++ b/src/pistachionotch/batches/log.py
@@ -11,7 +11,7 @@
 import attrs
 from returns.result import Failure, Result, Success
 
-from ..malformed import load_json
+from ..malformed import load_any_json
 from ..objects.api import (
     ObjectStore,
     StoredObject,
@@ -98,14 +98,13 @@
         part = read.unwrap()
         if part is None:
             return Failure(StoreUnavailable(f"part {number} is missing"))
-        items.extend(read_item(fields) for fields in _decode_items(part))
+        items.extend(_read_items(part.value))
     submission = attrs.evolve(head.submission, items=tuple(items))
     return Success(attrs.evolve(head, submission=submission))
 
 
-def _decode_items(stored: StoredObject) -> list[object]:
-    found: list[object] = load_json(stored.value)
-    return found
+def _read_items(value: bytes) -> list[BatchItem]:
+    return [read_item(fields) for fields in load_any_json(value)]
 
 
 @attrs.define
--- a/src/pistachionotch/batches/records.py
+++ b/src/pistachionotch/batches/records.py
@@ -1,4 +1,8 @@
-"""Serialization of batches and their logs as canonical JSON: equal records have equal bytes."""
+"""Serialization of batches and their logs as canonical JSON: equal records have equal bytes.
+
+The readers also take integers that are too large for ``load_json``, which earlier versions stored,
+as the largest ones that it reads.
+"""
 
 from __future__ import annotations
 
@@ -8,7 +12,7 @@
 import attrs
 
 from ..config.spec import Address
-from ..malformed import load_json
+from ..malformed import clamp_integer, load_any_json
 from ..objects.values import canonical_json
 from ..software.origin import Origin
 from .model import (
@@ -54,8 +58,8 @@
         target=fields["target"],
         headers=tuple((name, value) for name, value in fields["headers"]),
         body=base64.b64decode(fields["body"]),
-        max_tokens=fields["max_tokens"],
-        expected_tokens=fields["expected_tokens"],
+        max_tokens=clamp_integer(fields["max_tokens"]),
+        expected_tokens=clamp_integer(fields["expected_tokens"]),
         group=fields["group"],
         reward=None if reward is None else _read_reward_call(reward),
     )
@@ -93,24 +97,24 @@
 
 def read_head(value: bytes) -> tuple[BatchHead, int]:
     """Parse a batch's head with its first items, and the number of objects with the others."""
-    fields = load_json(value)
+    fields = load_any_json(value)
     submission = Submission(
         id=fields["id"],
         host=fields["host"],
         target=fields["target"],
         items=tuple(read_item(item) for item in fields["items"]),
         model=fields["model"],
-        step=fields["step"],
-        min_version=fields["min_version"],
-        wanted_groups=fields["wanted_groups"],
+        step=clamp_integer(fields["step"]),
+        min_version=clamp_integer(fields["min_version"]),
+        wanted_groups=clamp_integer(fields["wanted_groups"]),
         account=fields.get("account", ""),
     )
     head = BatchHead(
         submission=submission,
         owner=read_owner(fields["owner"]),
-        accepted_ms=fields["accepted_ms"],
+        accepted_ms=clamp_integer(fields["accepted_ms"]),
     )
-    return head, fields["parts"]
+    return head, clamp_integer(fields["parts"])
 
 
 def result_fields(result: ItemResult) -> dict[str, Any]:
@@ -175,7 +179,7 @@
 
 def read_state(value: bytes) -> BatchState:
     """Parse the state of a batch that another owner hands off."""
-    fields = load_json(value)
+    fields = load_any_json(value)
     head, _parts = read_head(fields["head"].encode())
     unlisted = tuple(read_result(result) for result in fields["unlisted"])
     if not fields.get("single_origins"):
@@ -207,7 +211,7 @@
 
 def read_entry(value: bytes) -> LogEntry:
     """Parse a log entry."""
-    fields = load_json(value)
+    fields = load_any_json(value)
     owner = fields.get("owner")
     piece = fields.get("piece")
     return LogEntry(
--- a/src/pistachionotch/duties/scaling.py
+++ b/src/pistachionotch/duties/scaling.py
@@ -22,7 +22,7 @@
 
 from ..clock import MS_PER_SECOND, Clock
 from ..gateway.catalog import ScalingLimits
-from ..malformed import MALFORMED, load_json
+from ..malformed import MALFORMED, load_utf8_json
 from .demand import ANY_ZONE, ZoneDemand
 
 SCALING_KEY = "duties/scaling"
@@ -350,7 +350,7 @@
 def decode_sender(value: bytes) -> Sender:
     """Return fence and holder of the stored orders; raises ``ValueError`` if malformed."""
     try:
-        fields = load_json(value)
+        fields = load_utf8_json(value)
         return int(fields.get("fence", 0)), str(fields.get("holder", ""))
     except MALFORMED as error:
         raise ValueError(f"malformed sender: {error!r}") from error
@@ -365,7 +365,7 @@
     try:
         return {
             (str(item["service"]), str(item["zone"])): _decode_order(item, now_ms, unix_ms)
-            for item in load_json(value)["orders"]
+            for item in load_utf8_json(value)["orders"]
         }
     except MALFORMED as error:
         raise ValueError(f"malformed orders: {error!r}") from error
--- a/src/pistachionotch/duties/usage_record.py
+++ b/src/pistachionotch/duties/usage_record.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from ..malformed import load_json
+from ..malformed import load_utf8_json
 from ..objects.values import canonical_json
 from .usage_counts import Counts
 
@@ -51,7 +51,7 @@
     @classmethod
     def from_bytes(cls, value: bytes) -> UsageRecord:
         """Decode a stored record; raises one of ``MALFORMED``."""
-        fields = load_json(value)
+        fields = load_utf8_json(value)
         names = [str(name) for name in fields["accounts"]]
         windows = {}
         for window, numbers in fields["windows"].items():
--- a/src/pistachionotch/gateway/crash_store.py
+++ b/src/pistachionotch/gateway/crash_store.py
@@ -9,7 +9,7 @@
 from returns.result import Failure
 
 from ..clock import Clock
-from ..malformed import MALFORMED, load_json
+from ..malformed import MALFORMED, load_utf8_json
 from ..objects.api import ObjectStore, StoredObject, StoreRejected, VersionConflict
 from ..objects.values import canonical_json
 from ..quarantine.board import EVIDENCE_MS, CrashBoard, CrashReport
@@ -79,7 +79,7 @@
         now_ms = self.clock.now_ms()
         offset_ms = self.unix_ms() - now_ms
         added = 0
-        for content, service, upstream, unix_ms in load_json(stored.value)["reports"]:
+        for content, service, upstream, unix_ms in load_utf8_json(stored.value)["reports"]:
             at_ms = min(now_ms, int(unix_ms) - offset_ms)
             report = CrashReport(str(content), str(service), str(upstream), at_ms)
             added += self.board.apply(report, now_ms)
--- a/src/pistachionotch/gateway/peers.py
+++ b/src/pistachionotch/gateway/peers.py
@@ -20,7 +20,7 @@
 from ..exchange.service import EXCHANGE_PATH, StateExchange
 from ..limits.byte_budget import DEFAULT_BUDGET_BYTES, ByteBudget, NoRoomError, Purpose
 from ..logs import logger
-from ..malformed import MALFORMED, load_json
+from ..malformed import MALFORMED, load_utf8_json
 from ..measures import Measures
 from ..objects.api import ObjectStore, StoredObject, StoreRejected, VersionConflict
 from ..objects.odd_objects import OddObjects
@@ -122,7 +122,7 @@
     def _read_former(self, value: bytes) -> None:
         """Note whether an earlier process was registered, and report it if it ended by itself."""
         try:
-            fields = load_json(value)
+            fields = load_utf8_json(value)
             incarnation = fields["incarnation"]
             started_ms, stopped_ms = fields.get("started_ms"), fields.get("stopped_ms")
         except MALFORMED as error:
@@ -181,7 +181,7 @@
 
 
 def _read_record(value: bytes) -> GatewayRecord:
-    fields = load_json(value)
+    fields = load_utf8_json(value)
     return GatewayRecord(
         address=Address.parse_peer(fields["address"]),
         # Gateways of earlier versions don't store these fields.
--- a/src/pistachionotch/lease/record.py
+++ b/src/pistachionotch/lease/record.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from ..malformed import load_json
+from ..malformed import load_utf8_json
 
 
 @attrs.frozen
@@ -32,7 +32,7 @@
 def parse_lease(value: bytes) -> LeaseRecord | None:
     """Parse the value of a lease object; return None if it is malformed."""
     try:
-        fields = load_json(value)
+        fields = load_utf8_json(value)
         if isinstance(fields, dict):
             # Earlier versions stored a JSON object. A malformed lease would never be taken again.
             fields = [fields[field.name] for field in attrs.fields(LeaseRecord)]
--- a/src/pistachionotch/platform/batches.py
+++ b/src/pistachionotch/platform/batches.py
@@ -8,9 +8,10 @@
 from collections.abc import Callable
 from typing import Any
 
+from ..batches.fields import InvalidFieldError, read_estimate, read_integer, read_text
 from ..batches.model import BatchItem, ItemResult, ResultPage, RewardCall, Submission
 from ..http_client import Header
-from ..malformed import MALFORMED, load_json
+from ..malformed import MALFORMED, load_any_json
 
 LENGTH_HINT = "length-hint"
 # Memory of parsed JSON: an object or list with its first members, and a further member with its
@@ -49,20 +50,21 @@
     ``kept_headers`` returns those of an item's own headers that are stored.
     """
     try:
-        fields = load_json(body)
+        # Its fields are checked one by one, so that an error names the field.
+        fields = load_any_json(body)
         items = tuple(_parse_item(item, kept_headers) for item in fields["items"])
         if not items or len({item.id for item in items}) != len(items):
-            raise ValueError("no items, or two with one id")
+            raise ValueError("items: none, or two with one id")
         return Submission(
             id=batch,
             host=host,
             target=target,
             items=items,
-            model=str(fields.get("model") or ""),
-            step=int(fields.get("train_step") or 0),
-            min_version=int(fields.get("min_version") or 0),
+            model=read_text("model", fields.get("model") or ""),
+            step=read_integer("train_step", fields.get("train_step")),
+            min_version=read_integer("min_version", fields.get("min_version")),
             # Counts groups, not items.
-            wanted_groups=int(fields.get("desired") or 0),
+            wanted_groups=read_integer("desired", fields.get("desired")),
             account=account,
         )
     except ValueError:
@@ -72,18 +74,22 @@
 
 
 def _parse_item(fields: Any, kept_headers: Filter) -> BatchItem:
-    headers = tuple((str(name), str(value)) for name, value in fields["headers"].items())
-    _check_sendable(str(fields["id"]), str(fields["path"]), headers)
+    item = read_text("items: id", fields["id"])
+    headers = tuple(
+        (name, read_text(f"item {item}: header {name!r}", value))
+        for name, value in fields["headers"].items()
+    )
+    _check_sendable(item, str(fields["path"]), headers)
     hint = next((value for name, value in headers if name.lower() == LENGTH_HINT), "")
     return BatchItem(
-        id=str(fields["id"]),
+        id=item,
         target=str(fields["path"]),
         headers=kept_headers(headers),
-        body=base64.b64decode(fields["body"], validate=True),
-        max_tokens=int(fields.get("token_count") or 0),
-        expected_tokens=int(hint) if hint.isdigit() else 0,
-        group=str(fields.get("group_id") or fields["id"]),
-        reward=_parse_reward_call(str(fields["id"]), fields.get("scorer")),
+        body=_parse_body(f"item {item}: body", fields["body"]),
+        max_tokens=read_integer(f"item {item}: token_count", fields.get("token_count")),
+        expected_tokens=read_estimate(hint),
+        group=read_text(f"item {item}: group_id", fields.get("group_id") or item),
+        reward=_parse_reward_call(item, fields.get("scorer")),
     )
 
 
@@ -103,13 +109,17 @@
         raise ValueError(f"item {item}: scorer.path cannot be sent")
     if not (_fits_request_line(texts["id"]) and _fits_request_line(texts["hostname"])):
         raise ValueError(f"item {item}: scorer.id or scorer.hostname cannot be sent")
-    try:
-        body = base64.b64decode(texts["body"], validate=True)
-    except binascii.Error as error:
-        raise ValueError(f"item {item}: scorer.body is not base64") from error
+    body = _parse_body(f"item {item}: scorer.body", texts["body"])
     return RewardCall(id=texts["id"], host=texts["hostname"], target=texts["path"], body=body)
 
 
+def _parse_body(field: str, text: Any) -> bytes:
+    try:
+        return base64.b64decode(text, validate=True)
+    except (binascii.Error, TypeError, ValueError) as error:
+        raise InvalidFieldError(field, "not base64") from error
+
+
 def _check_sendable(item: str, target: str, headers: tuple[tuple[str, str], ...]) -> None:
     """Raise ``ValueError`` if a field could inject a header or a second request."""
     if not item or not _fits_request_line(item):
--- a/src/pistachionotch/platform/decode.py
+++ b/src/pistachionotch/platform/decode.py
@@ -18,7 +18,7 @@
     ServiceShare,
 )
 from ..gateway.upstreams import UpstreamRecord
-from ..malformed import MALFORMED, load_json
+from ..malformed import MALFORMED, load_utf8_json
 from ..objects.api import StoredObject
 
 CONFIG_PREFIX = "config/"
@@ -50,7 +50,7 @@
 def read_catalog(stored: StoredObject) -> Catalog:
     """Decode the configuration; raises one of ``MALFORMED`` if that fails."""
     try:
-        fields = load_json(stored.value)
+        fields = load_utf8_json(stored.value)
     except UnicodeDecodeError as error:
         # The exception quotes the bytes, which may contain clients' keys.
         raise ValueError(f"no UTF-8 at byte {error.start}") from None
@@ -139,7 +139,7 @@
 
 def read_upstream(stored: StoredObject) -> UpstreamRecord:
     """Decode a server's registration; raises one of ``MALFORMED`` if the server can't be used."""
-    fields = load_json(stored.value)
+    fields = load_utf8_json(stored.value)
     state = fields["state"]
     if state not in ("ready", "draining"):
         raise ValueError(f"unknown state {state!r}")
@@ -180,5 +180,5 @@
 
 def read_named_version(stored: StoredObject) -> tuple[str, int]:
     """Decode a model and the newest weight version that a trainer has named for it."""
-    fields = load_json(stored.value)
+    fields = load_utf8_json(stored.value)
     return _read_model({"name": fields["model"], "version": fields["version"]})
--- a/src/pistachionotch/platform/tolerant_json.py
+++ b/src/pistachionotch/platform/tolerant_json.py
@@ -9,45 +9,50 @@
 import re
 from typing import Any
 
-from ..malformed import load_json, parse_float, parse_integer
+from ..malformed import Unrepresentable, load_any_json, load_json
 
 # Nesting beyond this depth is cut; the platform's and our own objects use less than ten levels.
 MAX_DEPTH = 64
 _TOKEN = re.compile(r'"[^"\\]*(?:\\.[^"\\]*)*"|[\[\]{}]', re.DOTALL)
+_HALF_PAIR = re.compile("[\ud800-\udfff]")
+# What the bytes of texts that are no UTF-8 are decoded to.
+_RAW_HALF_PAIR = re.compile("[\udc80-\udcff]")
 # A constant that valid JSON doesn't have.
 _CUT = "NaN"
 
 
-class Unrepresentable:
-    """Stands for a value that can't be represented; it can't be serialized."""
-
-
 def load_tolerantly(text: bytes) -> Any:
     """Decode JSON, with ``Unrepresentable`` in place of odd values; raises ``ValueError``."""
     try:
         return load_json(text)
     except ValueError:
-        # Bytes that are no UTF-8 become lone surrogates.
+        # Bytes that are no UTF-8 become halves of surrogate pairs.
         decoded = text.decode("utf-8", "surrogateescape")
-        try:
-            return json.loads(
-                _cut_nesting(decoded),
-                parse_int=_integer_or_marker,
-                parse_float=_float_or_marker,
-                parse_constant=lambda _name: Unrepresentable(),
-            )
-        except RecursionError as error:
-            raise ValueError("nested too deeply") from error
+    value = load_any_json(_cut_nesting(decoded))
+    return _mark_half_pairs(value) if _RAW_HALF_PAIR.search(decoded) else value
+
+
+def _mark_half_pairs(value: Any) -> Any:
+    """Put ``Unrepresentable`` in place of each text and table with half of a surrogate pair."""
+    if isinstance(value, str):
+        return Unrepresentable() if _HALF_PAIR.search(value) else value
+    if isinstance(value, list):
+        return [_mark_half_pairs(each) for each in value]
+    if not isinstance(value, dict):
+        return value
+    if any(_HALF_PAIR.search(name) for name in value):
+        return Unrepresentable()
+    return {name: _mark_half_pairs(each) for name, each in value.items()}
 
 
 def dump_value(value: Any) -> bytes:
-    """Return a value as JSON, empty if it can't be represented."""
+    """Return a value as JSON, empty if it can't be represented.
+
+    Large integers are kept, and halves of surrogate pairs that are escaped; the readers decide
+    about them.
+    """
     try:
-        text = json.dumps(value, separators=(",", ":"), allow_nan=False)
-        if "\\ud" in text:
-            # Raises an error for a lone surrogate.
-            json.dumps(value, ensure_ascii=False).encode()
-        return text.encode()
+        return json.dumps(value, separators=(",", ":"), allow_nan=False).encode()
     except (TypeError, ValueError, RecursionError):
         return b""
 
@@ -72,17 +77,3 @@
         raise ValueError("nested too deeply and not closed")
     kept.append(text[start:])
     return "".join(kept)
-
-
-def _integer_or_marker(text: str) -> Any:
-    try:
-        return parse_integer(text)
-    except ValueError:
-        return Unrepresentable()
-
-
-def _float_or_marker(text: str) -> Any:
-    try:
-        return parse_float(text)
-    except ValueError:
-        return Unrepresentable()
--- a/src/pistachionotch/platform/upstream.py
+++ b/src/pistachionotch/platform/upstream.py
@@ -19,7 +19,7 @@
     UpstreamResponse,
 )
 from ..http_client import Header, ResponseHead
-from ..malformed import load_json
+from ..malformed import MAX_INTEGER_DIGITS, load_json, parse_integer
 
 # Names of response headers are in lower case, as ``ResponseHead`` has them.
 REQUEST_ID_HEADER = "Request-Id"
@@ -99,11 +99,11 @@
         name, _, value = line.partition(":")
         value = value.removeprefix(" ")
         if name == "id":
-            number = int(value)
+            number = parse_integer(value)
         elif name == "data":
             data.append(value)
         elif name == VERSIONS_HEADER:
-            version = int(value)
+            version = parse_integer(value)
     if number is None:
         raise ValueError("event without a number")
     return StreamEvent(number=number, data="\n".join(data), version=version)
@@ -252,4 +252,10 @@
 
 
 def _parse_versions(text: str) -> tuple[int, ...]:
-    return tuple(int(part) for part in text.replace(",", " ").split() if part.isdigit())
+    """Return the weight versions of a header, without what is no number that can be stored."""
+    parts = text.replace(",", " ").split()
+    return tuple(
+        int(part)
+        for part in parts
+        if part.isascii() and part.isdigit() and len(part) <= MAX_INTEGER_DIGITS
+    )
--- a/src/pistachionotch/software/records.py
+++ b/src/pistachionotch/software/records.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from typing import Any
 
-from ..malformed import load_json
+from ..malformed import load_utf8_json
 from ..objects.values import canonical_json
 from .history import Beginning, OriginHistory
 from .origin import BegunStream, Origin
@@ -23,7 +23,7 @@
 def read_history(value: bytes) -> OriginHistory:
     """Parse the history; raises one of ``MALFORMED``."""
     found: dict[Beginning, int | None] = {}
-    for host, prefix, service, software, since_ms in load_json(value)["beginnings"]:
+    for host, prefix, service, software, since_ms in load_utf8_json(value)["beginnings"]:
         origin = Origin(str(service), str(software))
         beginning = Beginning(str(host), str(prefix), origin)
         found[beginning] = None if since_ms is None else int(since_ms)
@@ -53,7 +53,7 @@
 
 def read_streams(value: bytes, unix_offset_ms: int) -> dict[str, BegunStream]:
     """Parse begun streams; raises one of ``MALFORMED``."""
-    fields = load_json(value)
+    fields = load_utf8_json(value)
     origins = [Origin(str(service), str(software)) for service, software in fields["origins"]]
     found = {}
     for key, (number, begun_ms, expires_ms) in fields["streams"].items():
--- a/src/pistachionotch/weights/demand.py
+++ b/src/pistachionotch/weights/demand.py
@@ -8,7 +8,7 @@
 import attrs
 from returns.result import Failure
 
-from ..malformed import MALFORMED, load_json
+from ..malformed import MALFORMED, clamp_integer, load_utf8_json
 from ..objects.api import ObjectStore, StoredObject, VersionConflict
 from ..objects.odd_objects import OddObjects
 
@@ -32,6 +32,7 @@
     def record_step(self, model: str, tokens: int) -> None:
         """Update the estimate with the work of a step, and store it if it changed enough."""
         known = self.tokens.get(model)
+        tokens = clamp_integer(tokens)
         if tokens <= 0 or (known and abs(tokens - known) <= CHANGE_SHARE * known):
             return
         # Averaging keeps a single unusual step from moving engines between models.
@@ -56,7 +57,7 @@
         """Apply a newer listing of the stored estimates."""
         for key, stored in objects.items():
             try:
-                tokens = int(load_json(stored.value)["tokens"])
+                tokens = int(load_utf8_json(stored.value)["tokens"])
             except MALFORMED as error:
                 self.odd.report(key, stored.version, error)
                 continue
