Batches: no two ids share an object

Ids with characters that paths or stores treat in a special way are quoted now; usual ids keep their names. What earlier versions stored under such an id is still found, and only under the id that it has. A batch without an id is refused with 400.

--- a/src/pistachionotch/batches/log.py
+++ b/src/pistachionotch/batches/log.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import Any
 
 import attrs
@@ -42,6 +43,7 @@
 LOGS_PREFIX = "batch-log/"
 # Maximum share of a value that the items of one object take. The rest is for its other fields.
 ITEMS_SHARE = 0.7
+CONFLICT = HTTPStatus.CONFLICT.value
 
 
 def odd_batches() -> OddObjects:
@@ -84,7 +86,10 @@
         return Success(head)
     error = answer.failure()
     if isinstance(error, VersionConflict) and error.current is not None:
-        return _load_all_items(store, error.current, odd or odd_batches())
+        loaded = _load_all_items(store, error.current, odd or odd_batches())
+        if isinstance(loaded, Success) and loaded.unwrap().submission.id != batch:
+            return Failure(StoreRejected(CONFLICT, "another batch has an id with the same name"))
+        return loaded
     return Failure(error)
 
 
@@ -112,7 +117,11 @@
     stored = read.unwrap()
     if stored is None:
         return Success(None)
-    return _load_all_items(store, stored, odd or odd_batches())
+    loaded = _load_all_items(store, stored, odd or odd_batches())
+    if isinstance(loaded, Success) and loaded.unwrap().submission.id != batch:
+        # Earlier versions stored two ids under one name, if only a slash and a tilde differ.
+        return Success(None)
+    return loaded
 
 
 def _load_all_items(
--- a/src/pistachionotch/cli/trace.py
+++ b/src/pistachionotch/cli/trace.py
@@ -10,6 +10,7 @@
 import attrs
 
 from ..accounts.access import client_batch_id
+from ..batches.ids import external_id
 from .output import ExitCode, complain, print_json
 
 # Fields of a log line that may hold the wanted id.
@@ -48,7 +49,7 @@
         if any(self.fields.get(field) == wanted for field in ID_FIELDS):
             return True
         # Clients know a batch of an account by a part of its id.
-        return client_batch_id(str(self.fields.get("batch", ""))) == wanted
+        return external_id(client_batch_id(str(self.fields.get("batch", "")))) == wanted
 
     def tells_knowledge(self) -> bool:
         """Return whether the line tells what the node knows."""
--- a/src/pistachionotch/platform/client_access.py
+++ b/src/pistachionotch/platform/client_access.py
@@ -16,6 +16,7 @@
     is_scoped,
     scoped_batch_id,
 )
+from ..batches.ids import internal_id
 from ..clock import Clock
 from ..gateway.catalog import Catalog, RouteKind
 from ..gateway.responses import CallFailure, FailureCause
@@ -41,15 +42,16 @@
         """Return the headers of the request that may be forwarded or stored."""
         return headers if self.catalog.accounts is None else without_credentials(headers)
 
-    def internal_id(self, batch: str) -> str | None:
-        """Return the internal id of the batch with a client's id; None if it can't be one.
+    def internal_ids(self, batch: str) -> tuple[str, ...]:
+        """Return the internal id of the batch with a client's id, and that of earlier versions.
 
-        Requests without an account would otherwise reach the batches of accounts by their
-        internal ids.
+        There is none if the id can't be that of a batch: requests without an account would
+        otherwise reach the batches of accounts by their internal ids.
         """
         if not self.account and self.catalog.accounts is not None and is_scoped(batch):
-            return None
-        return scoped_batch_id(self.account, batch)
+            return ()
+        names = dict.fromkeys((internal_id(batch), batch))
+        return tuple(scoped_batch_id(self.account, name) for name in names)
 
 
 @attrs.define
--- a/src/pistachionotch/platform/ingress.py
+++ b/src/pistachionotch/platform/ingress.py
@@ -256,11 +256,11 @@
     def _dispatch(self, call: ClientCall, admission: Admission) -> ClientResponse:
         path, _, query = call.target.partition("?")
         if path.startswith(BATCH_PREFIX):
-            batch = admission.internal_id(path.removeprefix(BATCH_PREFIX))
-            return NO_BATCH if batch is None else self._handle_batch(call, batch, query)
+            batches = admission.internal_ids(path.removeprefix(BATCH_PREFIX))
+            return _first_found(batches, lambda batch: self._handle_batch(call, batch, query))
         if path.startswith(ITEM_PREFIX) and call.method == "GET":
-            batch = admission.internal_id(path.removeprefix(ITEM_PREFIX))
-            return NO_BATCH if batch is None else self._handle_item(call, batch, query)
+            batches = admission.internal_ids(path.removeprefix(ITEM_PREFIX))
+            return _first_found(batches, lambda batch: self._handle_item(call, batch, query))
         catalog = admission.catalog
         route = catalog.match(call.host.lower(), call.target)
         if route is None:
@@ -283,9 +283,11 @@
 
     def _submit_batch(self, call: ClientCall, admission: Admission, route: Route) -> ClientResponse:
         """Accept a batch, holding room for what its body becomes when it is parsed."""
-        batch = admission.internal_id(call.request_id)
-        if batch is None:
+        batches = admission.internal_ids(call.request_id)
+        if not batches:
             return CallFailure(FailureCause.INVALID, "this id cannot be used without a key")
+        if not call.request_id:
+            return CallFailure(FailureCause.INVALID, f"{REQUEST_ID_HEADER}: a batch needs an id")
         holding, size = call.room, parsing_bytes(call.body)
         assert holding is not None
         holding.purpose = Purpose.SUBMISSION
@@ -300,7 +302,7 @@
         try:
             holding.grow(size)
             submission = read_submission(
-                batch,
+                batches[0],
                 call.host.lower(),
                 call.target,
                 call.body,
@@ -360,6 +362,18 @@
         return batch_failure(body)
 
 
+def _first_found(
+    batches: tuple[str, ...], handle: Callable[[str], ClientResponse]
+) -> ClientResponse:
+    """Return the response for the first of several internal ids under which there is a batch."""
+    response: ClientResponse = NO_BATCH
+    for batch in batches:
+        response = handle(batch)
+        if not (isinstance(response, CallFailure) and response.cause is FailureCause.NO_ROUTE):
+            break
+    return response
+
+
 def _release_body(environ: dict[str, Any]) -> None:
     holding: Holding | None = environ.pop(BODY_HOLDING, None)
     if holding is not None:
