--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -325,6 +325,12 @@
         body = json.dumps(fields).encode()
         return self.client(gateway).ask("POST", f"/steps/{batch}", headers, body)[0]
 
+    def submit_odd(self, gateway, batch, body):
+        """Submit a batch with a body of the caller; returns status and body of the answer."""
+        headers = [("Request-Id", batch), ("Content-Type", "application/json")]
+        status, _headers, answer = self.client(gateway).ask("POST", "/steps/odd", headers, body)
+        return status, answer
+
     def read(self, gateway, batch, after=0, key=None):
         target = f"/api/lots/{batch}?after={after}"
         status, _headers, body = self.client(gateway, key).ask("GET", target)
--- a/tests/support/soak.py
+++ b/tests/support/soak.py
@@ -35,6 +35,7 @@
 )
 from tests.support.soak_keys import check_keys, count_checked
 from tests.support.soak_load import SoakLoad
+from tests.support.soak_odd import OddSubmissions, burst_reads
 from tests.support.soak_oracle import check_all, check_retirements, count_take_ups
 
 GATEWAYS = 3
@@ -99,13 +100,18 @@
             tasks = load.start()
             stop_planned(self, load, self._name_of(self.aimed), calm=True)
             self.platform.wait(lambda: not self._dead())
+            problems = burst_reads(self, load)
+            self.platform.wait(lambda: not self._dead())
             load.calm = False
+            odd = OddSubmissions(self.platform, random.Random(self.seed + 5))
+            tasks.append(gevent.spawn(odd.run))
             faults = [gevent.spawn(self._faults) for _ in range(2)]
             faults.append(gevent.spawn(self._name_limits))
             faults.append(gevent.spawn(self._release))
             faults.append(gevent.spawn(repeat_pauses, self, load))
             faults.append(gevent.spawn(trouble_duties, self.platform, self.seed, self.seconds))
             gevent.joinall(faults, raise_error=True)
+            odd.stopping = True
             self._mend()
             # All gateways live on from here, and have to forget a key that they know.
             self._change_config()
@@ -116,7 +122,7 @@
             supervisor.get(timeout=20)
             print(f"  take-ups: {count_take_ups(load.streams)}", file=sys.stderr)
             bound_s, faults = LEAVING_BOUND_S, self.disturbances
-            problems = check_all(self.platform, load, self.departures, bound_s, faults)
+            problems += check_all(self.platform, load, self.departures, bound_s, faults)
             runs = self.platform.runs("engine")
             problems += check_retirements(
                 runs, self.retirements, self.outages, bound_s, self._sent_by_disturbed
@@ -124,6 +130,7 @@
             problems += check_accounts(load, [*runs, *self.platform.runs("shop")])
             problems += self._check_keys()
             problems += self._check_duties()
+            problems += odd.check()
             problems += check_crashes(self.platform.crashes(), self.downtimes)
             problems += [f"{name} did not recover" for name in self._dead()]
             if problems:
