HTTP servers: refuse a head with a line that is no header

Cause: the parser of headers stops at such a line and drops those after it, with the body's length; the guard against smuggled requests sees only what is left, and passed other transfer encodings than chunked.

--- a/src/pistachionotch/server.py
+++ b/src/pistachionotch/server.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import contextlib
+import re
 import socket
 from collections.abc import Iterator
 from contextlib import contextmanager
-from http.client import LineTooLong
+from http.client import HTTPException, LineTooLong
 from typing import Any
 
 import gevent
@@ -41,6 +42,8 @@
 # response before the connection is closed.
 MAX_DISCARDED_BYTES = 1024 * 1024
 DISCARD_TIMEOUT_S = 5.0
+# A header without folding, or the end of the head; RFC 9112, section 5.
+_HEAD_LINE = re.compile(rb"(?:[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\r\n\0]*)?(?:\r?\n)?")
 # Keys of the WSGI environment.
 RAW_TARGET = "pistachionotch.target"
 RAW_HEADERS = "pistachionotch.headers"
@@ -88,19 +91,32 @@
         self._chunked_input_error = True  # type: ignore[misc, unused-ignore]
 
 
+class MalformedHeadError(HTTPException):
+    """A line of a request's head is no header."""
+
+
 class _HeadLines:
-    """The lines of a request's head, up to a limit on their total size."""
+    """The lines of a request's head, up to a limit on their total size.
+
+    The parser of the headers stops at a line that it cannot read and drops those after it, also the
+    one that says where the body ends.
+    """
 
     def __init__(self, source: Any, max_bytes: int) -> None:
         self.source = source
         self.left = max_bytes
 
     def readline(self, size: int) -> bytes:
-        """Return the next line; raises ``LineTooLong`` beyond the limit."""
+        """Return the next line; raises ``LineTooLong`` beyond the limit.
+
+        Raises ``MalformedHeadError`` for a line that is neither a header nor the end of the head.
+        """
         line: bytes = self.source.readline(min(size, self.left + 1))
         self.left -= len(line)
         if self.left < 0:
             raise LineTooLong("head")
+        if not _HEAD_LINE.fullmatch(line):
+            raise MalformedHeadError("malformed header")
         return line
 
 
@@ -127,12 +143,21 @@
             return super().read_requestline()
 
     def read_request(self, raw_requestline: str) -> Any:
-        """Read the headers."""
-        with time_limit(HEADER_TIMEOUT_S):
-            return super().read_request(raw_requestline)
+        """Read the headers; False if they are malformed, which gevent answers with 400."""
+        try:
+            with time_limit(HEADER_TIMEOUT_S):
+                return super().read_request(raw_requestline)
+        except HTTPException as error:
+            logger("connections").info(
+                "malformed head",
+                port=self.server.server_port,
+                peer=self.connection.peer,
+                reason=repr(error),
+            )
+            return False
 
     def MessageClass(self, source: Any, *arguments: Any) -> Any:  # noqa: N802
-        """Parse the header lines; gevent answers 400 if they are too long."""
+        """Parse the header lines; raises ``HTTPException`` if they are too long or malformed."""
         return super().MessageClass(_HeadLines(source, MAX_HEAD_BYTES), *arguments)
 
     def get_environ(self) -> dict[str, Any]:
--- a/tests/unit/platform/test_ingress.py
+++ b/tests/unit/platform/test_ingress.py
@@ -76,6 +76,12 @@
         b"Content-Length: 0\r\nTransfer-Encoding: chunked",
         b"Content-Length: 0\r\nContent-Length: 60",
         b"Transfer-Encoding: chunked\r\nTransfer-Encoding: identity",
+        b"Transfer-Encoding: gzip, chunked",
+        b"Transfer-Encoding: identity",
+        b"Content-Length: +0",
+        b"Content-Length: 0_0",
+        b"Content-Length: 0,0",
+        b"Content-Length: ",
     ],
 )
 def test_no_request_is_read_after_a_malformed_one(gateway, framing):
@@ -87,6 +93,41 @@
     assert forwarder.targets == []
 
 
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"X-Note : by phone",
+        "X-Gr\u00f6\u00dfe: 5".encode(),
+        b"by phone",
+        b" folded: value",
+        b"\tfolded",
+        b": no name",
+        b"X-Note: a\rContent-Length: 0",
+        b"X-Note: a\x00b",
+        b"X Note: a",
+    ],
+)
+@pytest.mark.parametrize("place", ["before", "after"])
+def test_a_header_line_that_cannot_be_parsed_takes_no_body_from_its_request(gateway, line, place):
+    # The lines after it were dropped, with the length; the body was read as the next request.
+    server, forwarder = gateway
+    length = b"Content-Length: %d" % len(SMUGGLED_REQUEST)
+    lines = [line, length] if place == "before" else [length, line]
+    head = b"\r\n".join([b"POST /p/x HTTP/1.1", b"Host: h", *lines, b"", b""])
+    received = exchange(server, head + SMUGGLED_REQUEST)
+    assert received.startswith(b"HTTP/1.1 400 ")
+    assert received.count(b"HTTP/1.1 ") == 1
+    assert forwarder.targets == []
+
+
+@pytest.mark.parametrize("line", [b"X-Note:", b"X-Note:\tby phone ", b"x!#$%&'*+-.^_`|~9: \xff:"])
+def test_unusual_headers_are_accepted(gateway, line):
+    server, forwarder = gateway
+    head = b"POST /p/x HTTP/1.1\r\nHost: h\r\n" + line + b"\r\nContent-Length: 2\r\n\r\nok"
+    assert exchange(server, head).startswith(b"HTTP/1.1 200 ")
+    assert forwarder.targets == ["/p/x"]
+
+
 def test_too_large_body_closes_the_connection(gateway):
     server, forwarder = gateway
     head = b"POST /p/x HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n"
