HTTP servers: others get a turn while one client keeps a task busy

Cause: tasks change only when one waits; the chunk parser and the loop over a connection's requests do not while data is there, and time limits cannot fire either. A task that has worked for 10 ms pauses for 1 ms now, between parts of 4 KiB of a chunked body and between requests that were there already.

--- a/src/pistachionotch/request_bodies.py
+++ b/src/pistachionotch/request_bodies.py
@@ -12,7 +12,14 @@
 
 from .limits.byte_budget import ByteBudget, Holding, NoRoomError, Purpose
 from .limits.connection_table import Stage
-from .server import BODY_TIMEOUT_S, CLIENT_SOCKET, CONNECTION, time_limit
+from .server import (
+    BODY_TIMEOUT_S,
+    CHUNKED_PART_BYTES,
+    CLIENT_SOCKET,
+    CONNECTION,
+    time_limit,
+)
+from .time_slice import TimeSlice
 
 PART_BYTES = 64 * 1024
 
@@ -70,14 +77,20 @@
         return holding, body
 
     def _read_parts(self, environ: dict[str, Any], buffer: BytesIO, holding: Holding) -> None:
+        source = environ["wsgi.input"]
+        is_chunked = getattr(source, "chunked_input", False)
+        part_bytes = CHUNKED_PART_BYTES if is_chunked else PART_BYTES
+        time_slice = TimeSlice()
         try:
             with time_limit(self.timeout_s):
-                while part := environ["wsgi.input"].read(PART_BYTES):
+                while part := source.read(part_bytes):
                     if holding.held_bytes + len(part) > self.max_body_bytes:
                         raise BodyTooLargeError(f"the body has over {self.max_body_bytes} bytes")
                     holding.grow(len(part))
                     holding.move(len(part))
                     buffer.write(part)
+                    if is_chunked:
+                        time_slice.end_if_over()
         except OSError as error:
             if holding.is_cut:
                 raise NoRoomError("the client was too slow while others needed room") from error
--- a/src/pistachionotch/server.py
+++ b/src/pistachionotch/server.py
@@ -5,6 +5,7 @@
 import contextlib
 import re
 import socket
+import time
 from collections.abc import Iterator
 from contextlib import contextmanager
 from http.client import HTTPException, LineTooLong
@@ -20,6 +21,7 @@
 from .limits.connection_table import ConnectionTable, OpenConnection, Stage
 from .logs import logger
 from .measures import Measures
+from .time_slice import TimeSlice
 
 # An entry has a few hundred open requests at peak.
 MAX_CONNECTIONS = 1024
@@ -42,6 +44,11 @@
 # response before the connection is closed.
 MAX_DISCARDED_BYTES = 1024 * 1024
 DISCARD_TIMEOUT_S = 5.0
+# Bytes that are read of a chunked body at once. gevent reads the framing byte by byte, and other
+# tasks run only in between while data is there; chunks may have a single byte.
+CHUNKED_PART_BYTES = 4 * 1024
+# A request line that took less time was there already.
+SHORTEST_WAIT_S = 0.0005
 # A header without folding, or the end of the head; RFC 9112, section 5.
 _HEAD_LINE = re.compile(rb"(?:[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\r\n\0]*)?(?:\r?\n)?")
 # Keys of the WSGI environment.
@@ -78,13 +85,15 @@
             return
         self.send_100_continue_enabled = False  # type: ignore[misc, unused-ignore]
         left = MAX_DISCARDED_BYTES
+        time_slice = TimeSlice()
         try:
             with time_limit(DISCARD_TIMEOUT_S):
                 while left > 0:
-                    part = self.read(min(left, 16 * 1024))
+                    part = self.read(min(left, CHUNKED_PART_BYTES))
                     if not part:
                         return
                     left -= len(part)
+                    time_slice.end_if_over()
         except OSError:
             # The sender is slow or gone; its request has had its response.
             left = 0
@@ -128,6 +137,7 @@
         super().__init__(sock, *arguments)
         self.client: ClientSocket = self.server.clients[sock]
         self.connection: OpenConnection = self.server.records[sock]
+        self.time_slice = TimeSlice()
 
     def handle_one_request(self) -> Any:
         """Serve one request; no watch of the socket outlasts it."""
@@ -137,10 +147,18 @@
             self.client.end_watch()
 
     def read_requestline(self) -> Any:
-        """Wait for the next request on this connection."""
+        """Wait for the next request on this connection.
+
+        A client that sends requests ahead is served without a wait, so others get their turn here.
+        """
+        self.time_slice.end_if_over()
         self.connection.enter(Stage.IDLE)
+        began = time.monotonic()
         with time_limit(IDLE_TIMEOUT_S):
-            return super().read_requestline()
+            line = super().read_requestline()
+        if time.monotonic() - began >= SHORTEST_WAIT_S:
+            self.time_slice.restart()
+        return line
 
     def read_request(self, raw_requestline: str) -> Any:
         """Read the headers; False if they are malformed, which gevent answers with 400."""
