HTTP servers: pause only between requests that were sent ahead

A client that sends its next request after the answer made its connection pause 1 ms before each read, since the slice had begun before the work on the request. Nothing was lost by it but a wake-up. Tests: gateway/test_turns_of_clients.py still passes.

--- a/src/pistachionotch/server.py
+++ b/src/pistachionotch/server.py
@@ -138,6 +138,8 @@
         self.client: ClientSocket = self.server.clients[sock]
         self.connection: OpenConnection = self.server.records[sock]
         self.time_slice = TimeSlice()
+        # Whether the last request was there before the one before it had been answered.
+        self.was_ahead = False
 
     def handle_one_request(self) -> Any:
         """Serve one request; no watch of the socket outlasts it."""
@@ -151,12 +153,14 @@
 
         A client that sends requests ahead is served without a wait, so others get their turn here.
         """
-        self.time_slice.end_if_over()
+        if self.was_ahead:
+            self.time_slice.end_if_over()
         self.connection.enter(Stage.IDLE)
         began = time.monotonic()
         with time_limit(IDLE_TIMEOUT_S):
             line = super().read_requestline()
-        if time.monotonic() - began >= SHORTEST_WAIT_S:
+        self.was_ahead = time.monotonic() - began < SHORTEST_WAIT_S
+        if not self.was_ahead:
             self.time_slice.restart()
         return line
 
