Scenario: a gateway that aborts is reported by its next process, a planned stop is not

Real processes: the log has the stack of the abort, the report names the incarnation of the former process, and unplanned_ends is 1; after SIGTERM there is neither.

--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -126,3 +126,11 @@
     And 5 clients keep calling
     Then 1 servers run and each is used
     And no call was lost and no order contradicts another one
+
+  Scenario: A gateway that aborts is reported by its next process, and a planned stop is not
+    Given a platform with 2 gateways
+    When 1 second passes
+    And gateway-1 aborts and is started again
+    And gateway-2 is terminated and started again
+    Then gateway-1 reports that its former process ended by itself, and its log has the stack
+    And gateway-2 reports no such end
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -311,3 +311,50 @@
 def check_given_up(context, item, step):
     results = context.platform.read_all(step)
     assert [result["id"] for result in results if result["state"] == "dead"] == [item]
+
+
+@when("{name:Name} aborts and is started again")
+def abort_and_start(context, name):
+    context.platform.deployment.send_signal(name, signal.SIGABRT)
+    start_after_end(context, name)
+
+
+@when("{name:Name} is terminated and started again")
+def terminate_and_start(context, name):
+    context.platform.deployment.send_signal(name, signal.SIGTERM)
+    start_after_end(context, name)
+
+
+def start_after_end(context, name):
+    context.platform.deployment.processes[name].wait(timeout=30)
+    context.platform.deployment.restart(name)
+    context.platform.wait(lambda: context.platform.ready(name))
+
+
+def logged_starts(context, name):
+    lines = context.platform.log_lines(name)
+    return [line for line in lines if line["event"] == "gateway: started"]
+
+
+def reported_ends(context, name):
+    lines = context.platform.log_lines(name)
+    return [line for line in lines if "former process ended by itself" in line["event"]]
+
+
+@then("{name:Name} reports that its former process ended by itself, and its log has the stack")
+def reports_end(context, name):
+    context.platform.wait(lambda: reported_ends(context, name))
+    assert context.platform.gauge(name, "unplanned_ends_total") == 1
+    (reported,) = reported_ends(context, name)
+    assert reported["incarnation"] == logged_starts(context, name)[0]["incarnation"]
+    text = context.platform.deployment.log(name)
+    assert "Fatal Python error: Aborted" in text and "Current thread" in text
+
+
+@then("{name:Name} reports no such end")
+def reports_no_end(context, name):
+    context.platform.wait(lambda: len(logged_starts(context, name)) == 2)
+    # It registers right after its start, and writes its log lines a moment later.
+    time.sleep(1)
+    assert reported_ends(context, name) == []
+    assert context.platform.gauge(name, "unplanned_ends_total") is None
