--- a/src/pistachionotch/platform/ingress.py
+++ b/src/pistachionotch/platform/ingress.py
@@ -11,6 +11,7 @@
 import attrs
 import gevent
 
+from ..batches.fields import InvalidFieldError
 from ..batches.model import ResultPage
 from ..batches.service import BatchService
 from ..client_socket import ClientSocket
@@ -286,8 +287,6 @@
         batches = admission.internal_ids(call.request_id)
         if not batches:
             return CallFailure(FailureCause.INVALID, "this id cannot be used without a key")
-        if not call.request_id:
-            return CallFailure(FailureCause.INVALID, f"{REQUEST_ID_HEADER}: a batch needs an id")
         holding, size = call.room, parsing_bytes(call.body)
         assert holding is not None
         holding.purpose = Purpose.SUBMISSION
@@ -301,6 +300,8 @@
             return CallFailure(FailureCause.NOT_RUN, "no room for batches", ROOM_RETRY_MS)
         try:
             holding.grow(size)
+            if not call.request_id:
+                raise InvalidFieldError(REQUEST_ID_HEADER, "a batch needs an id")
             submission = read_submission(
                 batches[0],
                 call.host.lower(),
