--- a/tests/unit/platform/test_socket_watch.py
+++ b/tests/unit/platform/test_socket_watch.py
@@ -207,7 +207,8 @@
 
 
 @pytest.mark.parametrize("case", [case.__name__ for case in CASES])
-def test_a_socket_that_is_closed_in_the_round_in_which_its_watch_began(case):
+def test_no_abort_if_a_socket_is_closed_in_the_round_in_which_its_watch_began(case):
+    # Gateways ended by SIGABRT while clients read batches in an outage; a single abort fails this.
     ended = subprocess.run(
         [sys.executable, __file__, case], capture_output=True, text=True, timeout=TIMEOUT_S
     )
