--- a/review/lib3/fleet.py
+++ b/review/lib3/fleet.py
@@ -258,6 +258,12 @@
                 return int(line.split()[1])
         return 0
 
+    def cpu_s(self, name):
+        """Return the processor time of a process in s."""
+        fields = Path(f"/proc/{self.processes[name].pid}/stat").read_text().rpartition(")")[2]
+        user, system = fields.split()[11:13]
+        return (int(user) + int(system)) / os.sysconf("SC_CLK_TCK")
+
     def log(self, name):
         """Return the log of a process."""
         return (self.folder / f"{name}.log").read_text(errors="replace")
