--- a/review/13/case.py
+++ b/review/13/case.py
@@ -46,7 +46,7 @@
         self.sock.connect((HOST, port))
         self.sock.settimeout(15)
         self.sock.sendall(request)
-        self.thread = threading.Thread(target=self._read)
+        self.thread = threading.Thread(target=self._read, daemon=True)
         self.thread.start()
 
     def _read(self):
--- a/review/lib3/fleet.py
+++ b/review/lib3/fleet.py
@@ -69,6 +69,7 @@
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.processes = {}
         self.restarted = set()
+        self.closed = False
         self.ports = {}
         self.started = time.monotonic()
         self.lines = []
@@ -81,6 +82,7 @@
         return self
 
     def __exit__(self, *_error):
+        self.closed = True
         for process in self.processes.values():
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
@@ -98,6 +100,8 @@
 
     def spawn(self, name, command, **variables):
         """Start a process of the deployment at the root of the repository."""
+        if self.closed:
+            raise SystemExit(2)
         kept = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
         environment = {**kept, "PYTHONPATH": str(REPOSITORY / "target" / "deps"), **variables}
         log = open(self.folder / f"{name}.log", "ab")
