--- a/src/pistachionotch/batches/model.py
+++ b/src/pistachionotch/batches/model.py
@@ -79,6 +79,18 @@
     address: Address
 
 
+@attrs.frozen
+class OwnerTerm:
+    """An owner of a batch, with the term in which it owns the batch.
+
+    The term is the number of log entries up to the one that names the owner, 0 for the owner in the
+    head. Of two owners, the one of the higher term replaced the other.
+    """
+
+    owner: Owner
+    term: int
+
+
 @attrs.frozen(kw_only=True)
 class ItemResult:
     """Final state of an item."""
--- a/src/pistachionotch/batches/ownership_transfer.py
+++ b/src/pistachionotch/batches/ownership_transfer.py
@@ -26,6 +26,7 @@
     BatchState,
     LogEntry,
     Owner,
+    OwnerTerm,
     Submission,
 )
 from .owner import BatchOwner
@@ -101,20 +102,20 @@
         ranked = self.owner_candidates(owner_key(run.head.submission))
         others = [gateway for gateway in ranked if gateway.address != self.local_owner.address]
         for successor in others[:MAX_SUCCESSORS]:
-            owner = self.peers.hand_off(successor.address, state)
+            accepted = self.peers.hand_off(successor.address, state)
             self.log.info(
                 "batch handed on",
                 batch=run.id,
                 gateway=str(successor.address),
-                owner=owner.node if owner is not None else "",
+                owner=accepted.owner.node if accepted is not None else "",
                 listed=len(state.listed),
                 parts=len(state.parts),
             )
-            if owner is not None:
-                self.owner_cache.remember(run.id, owner)
+            if accepted is not None:
+                self.owner_cache.learn(run.id, accepted)
                 return
 
-    def accept_handoff(self, state: BatchState) -> Owner | None:
+    def accept_handoff(self, state: BatchState) -> OwnerTerm | None:
         """Continue a batch of a gateway that stops; returns the new owner, None if that failed."""
         submission = state.head.submission
         catalog = self.owner.catalog()
@@ -122,13 +123,14 @@
         if route is None or self.draining:
             return None
         with self.locks.setdefault(submission.id, BoundedSemaphore()):
-            if self.local_run(submission.id) is None:
+            run = self.local_run(submission.id)
+            if run is None:
                 run = self.new_run(state.head, route)
                 run.restore(state, self.clock.now_ms())
                 # The claim fails if another owner has written the next log entry in the meantime.
                 if not isinstance(self._claim(run, state.head.owner, False), BatchRun):
                     return None
-        return self.local_owner
+        return OwnerTerm(self.local_owner, run.term.term)
 
     def new_run(self, head: BatchHead, route: Route | None) -> BatchRun:
         """Return a new run of a stored batch, without listed results."""
@@ -150,8 +152,8 @@
             return None
         return run
 
-    def take_over(self, batch: str, lost: Owner, silent: bool = False) -> Any:
-        """Become the owner of a batch unless another process has done so already.
+    def take_over(self, batch: str, lost: OwnerTerm, silent: bool = False) -> Any:
+        """Become the owner of a batch unless its log names another one than the lost owner.
 
         ``silent`` says that the former owner did not answer and may still run.
         """
@@ -165,15 +167,24 @@
             if found.ended:
                 # The log of an ended batch does not change, so this process can serve reads of it.
                 self.owner.runs[batch] = found
-                gevent.spawn(self.owner_cache.announce, batch)
+                gevent.spawn(self.owner_cache.announce, batch, found.term.term)
                 return found
             found.failures_unknown = True
-            if found.owner != lost and found.owner.node != self.local_owner.node:
-                self.owner_cache.remember(batch, found.owner)
+            self.owner_cache.record(batch, found.term)
+            if found.term != lost and found.owner.node != self.local_owner.node:
+                self.log.info(
+                    "owner read from the log",
+                    batch=batch,
+                    owner=found.owner.node,
+                    term=found.owner_term,
+                    believed=lost.owner.node,
+                    believed_term=lost.term,
+                )
+                gevent.spawn(self.owner_cache.correct, batch, found.term)
                 return OwnerChanged()
             if self.draining:
                 return BatchError(BatchErrorKind.UNAVAILABLE, "draining", 0)
-            return self._claim(found, lost, silent)
+            return self._claim(found, found.owner, silent)
 
     def _replay_log(self, batch: str) -> BatchRun | BatchError:
         """Read a batch and its log; a failed read is continued by the next call.
@@ -236,10 +247,10 @@
                 run.list_from_ms = first_listing_ms(now_ms, silent)
                 break
             if entry.owner is not None:
-                self.owner_cache.remember(run.id, entry.owner)
+                self.owner_cache.record(run.id, run.term)
                 return OwnerChanged()
-        self.owner_cache.entries.pop(run.id, None)
-        gevent.spawn(self.owner_cache.announce, run.id)
+        self.owner_cache.record(run.id, run.term)
+        gevent.spawn(self.owner_cache.announce, run.id, run.term.term)
         self.measures.count("take_overs", "batch")
         self.log.warning(
             "batch taken over",
--- a/src/pistachionotch/batches/peers.py
+++ b/src/pistachionotch/batches/peers.py
@@ -21,19 +21,20 @@
     BatchHead,
     BatchState,
     Owner,
+    OwnerTerm,
     ResultPage,
     Submission,
 )
 from .records import (
     head_bytes,
     item_fields,
-    owner_fields,
     read_head,
-    read_owner,
     read_result,
     read_state,
+    read_term,
     result_fields,
     state_bytes,
+    term_fields,
 )
 
 BATCHES_PREFIX = "/batches/"
@@ -105,7 +106,7 @@
         reply = self._request(owner, "DELETE", _path(batch))
         return None if isinstance(reply, bytes) else reply
 
-    def submit(self, address: Address, head: BatchHead) -> Owner | BatchError | PeerError:
+    def submit(self, address: Address, head: BatchHead) -> OwnerTerm | BatchError | PeerError:
         """Ask another gateway to accept a batch; returns the owner of an accepted batch."""
         peer = Owner(node="", incarnation=ANY_INCARNATION, address=address)
         submission = head.submission
@@ -119,25 +120,29 @@
             return PeerUnreachable(decoded.reason, refused=False)
         return decoded
 
-    def hand_off(self, address: Address, state: BatchState) -> Owner | None:
+    def hand_off(self, address: Address, state: BatchState) -> OwnerTerm | None:
         """Ask another gateway to continue a batch; returns the new owner, None if it failed."""
         peer = Owner(node="", incarnation=ANY_INCARNATION, address=address)
         target = _path(state.head.submission.id)
-        return _owner_or_none(
-            self._request(peer, "PUT", target, RESPONSE_TIMEOUT_MS, state_bytes(state))
-        )
+        reply = self._request(peer, "PUT", target, RESPONSE_TIMEOUT_MS, state_bytes(state))
+        if not isinstance(reply, bytes):
+            return None
+        decoded = _decode(reply, read_term)
+        return decoded if isinstance(decoded, OwnerTerm) else None
 
-    def owner_of(self, address: Address, batch: str) -> Owner | None:
-        """Return the owner of a batch according to another gateway, None if it knows none."""
+    def owner_of(self, address: Address, batch: str) -> OwnerTerm | PeerError:
+        """Return the owner of a batch according to another gateway."""
         peer = Owner(node="", incarnation=ANY_INCARNATION, address=address)
         target = f"{OWNERS_PREFIX}{quote(batch, safe='')}"
-        return _owner_or_none(self._request(peer, "GET", target, READ_TIMEOUT_MS))
+        reply = self._request(peer, "GET", target, READ_TIMEOUT_MS)
+        return _decode(reply, read_term) if isinstance(reply, bytes) else reply
 
-    def announce(self, address: Address, batch: str, owner: Owner) -> None:
-        """Notify another gateway of the owner of a batch; a hint, so failures are ignored."""
-        query = urlencode(owner_fields(owner))
+    def announce(self, address: Address, batch: str, found: OwnerTerm) -> bool:
+        """Notify another gateway of the owner of a batch; returns whether it was received."""
+        query = urlencode(term_fields(found))
         peer = Owner(node="", incarnation=ANY_INCARNATION, address=address)
-        self._request(peer, "PUT", f"{OWNERS_PREFIX}{quote(batch, safe='')}?{query}")
+        target = f"{OWNERS_PREFIX}{quote(batch, safe='')}?{query}"
+        return isinstance(self._request(peer, "PUT", target), bytes)
 
     def _request(
         self,
@@ -177,13 +182,6 @@
         return PeerRequestFailed(f"malformed answer of the owner: {error!r}")
 
 
-def _owner_or_none(reply: bytes | PeerError) -> Owner | None:
-    if not isinstance(reply, bytes):
-        return None
-    owner = _decode(reply, read_owner)
-    return owner if isinstance(owner, Owner) else None
-
-
 def _read_page(fields: Any) -> ResultPage:
     return ResultPage(
         total=int(fields["total"]),
@@ -192,9 +190,9 @@
     )
 
 
-def _read_submission_response(fields: Any) -> Owner | BatchError:
+def _read_submission_response(fields: Any) -> OwnerTerm | BatchError:
     if "owner" in fields:
-        return read_owner(fields["owner"])
+        return read_term(fields["owner"])
     return BatchError(BatchErrorKind(fields["trouble"]), fields["reason"], fields["retry_after_ms"])
 
 
@@ -214,17 +212,17 @@
     def local_end(self, batch: str) -> bool | None:
         """End a batch; False if the end may not be stored."""
 
-    def local_submit(self, submission: Submission) -> Owner | BatchError | None:
+    def local_submit(self, submission: Submission) -> OwnerTerm | BatchError | None:
         """Accept a batch for a peer; returns the owner of an accepted batch."""
 
-    def local_accept_handoff(self, state: BatchState) -> Owner | None:
+    def local_accept_handoff(self, state: BatchState) -> OwnerTerm | None:
         """Continue a batch of a peer that stops; returns the new owner, None if that failed."""
 
-    def known_owner(self, batch: str) -> Owner | None:
+    def known_owner(self, batch: str) -> OwnerTerm | None:
         """Return the owner of a batch, None if this process does not know it."""
 
-    def remember_owner(self, batch: str, owner: Owner) -> None:
-        """Cache the owner of a batch."""
+    def learn_owner(self, batch: str, found: OwnerTerm) -> None:
+        """Cache the owner of a batch if it is newer than the known one."""
 
 
 @attrs.frozen
@@ -256,20 +254,20 @@
         batch = environ["PATH_INFO"].removeprefix(OWNERS_PREFIX)
         if environ["REQUEST_METHOD"] == "PUT":
             query = {name: found[0] for name, found in parse_qs(environ["QUERY_STRING"]).items()}
-            self.batches.remember_owner(batch, read_owner(query))
+            self.batches.learn_owner(batch, read_term(query))
             return HTTPStatus.OK, b""
-        owner = self.batches.known_owner(batch)
-        if owner is None:
+        found = self.batches.known_owner(batch)
+        if found is None:
             return HTTPStatus.NOT_FOUND, b""
-        return HTTPStatus.OK, cbor2.dumps(owner_fields(owner))
+        return HTTPStatus.OK, cbor2.dumps(term_fields(found))
 
     def _handle_submission(self, environ: dict[str, Any]) -> tuple[HTTPStatus, bytes]:
         head, _parts = read_head(environ["wsgi.input"].read())
         accepted = self.batches.local_submit(head.submission)
         if accepted is None:
             return HTTPStatus.NOT_FOUND, b""
-        if isinstance(accepted, Owner):
-            return HTTPStatus.OK, cbor2.dumps({"owner": owner_fields(accepted)})
+        if isinstance(accepted, OwnerTerm):
+            return HTTPStatus.OK, cbor2.dumps({"owner": term_fields(accepted)})
         fields = {
             "trouble": accepted.kind.value,
             "reason": accepted.reason,
@@ -278,10 +276,10 @@
         return HTTPStatus.OK, cbor2.dumps(fields)
 
     def _handle_handoff(self, environ: dict[str, Any]) -> tuple[HTTPStatus, bytes]:
-        owner = self.batches.local_accept_handoff(read_state(environ["wsgi.input"].read()))
-        if owner is None:
+        accepted = self.batches.local_accept_handoff(read_state(environ["wsgi.input"].read()))
+        if accepted is None:
             return HTTPStatus.SERVICE_UNAVAILABLE, b""
-        return HTTPStatus.OK, cbor2.dumps(owner_fields(owner))
+        return HTTPStatus.OK, cbor2.dumps(term_fields(accepted))
 
     def _handle(self, environ: dict[str, Any]) -> tuple[HTTPStatus, bytes]:
         if environ["PATH_INFO"].startswith(OWNERS_PREFIX):
--- a/src/pistachionotch/batches/records.py
+++ b/src/pistachionotch/batches/records.py
@@ -22,6 +22,7 @@
     ItemResult,
     LogEntry,
     Owner,
+    OwnerTerm,
     PartialResult,
     RewardCall,
     Submission,
@@ -233,6 +234,19 @@
     }
 
 
+def term_fields(found: OwnerTerm) -> dict[str, str | int]:
+    """Return the JSON fields of an owner and its term."""
+    return {**owner_fields(found.owner), "term": found.term}
+
+
+def read_term(fields: Any) -> OwnerTerm:
+    """Parse the JSON fields of an owner and its term; raises one of ``MALFORMED``.
+
+    Earlier versions send no term. Such an owner is a hint that any entry of the log replaces.
+    """
+    return OwnerTerm(read_owner(fields), int(fields.get("term", 0)))
+
+
 def read_owner(fields: Any) -> Owner:
     """Parse the JSON fields of an owner; raises one of ``MALFORMED``."""
     return Owner(
--- a/src/pistachionotch/batches/run.py
+++ b/src/pistachionotch/batches/run.py
@@ -18,6 +18,7 @@
     ItemResult,
     LogEntry,
     Owner,
+    OwnerTerm,
     PartialResult,
     ResultPage,
 )
@@ -54,6 +55,8 @@
     unlisted: list[ItemResult] = attrs.field(factory=list)
     oldest_unlisted_ms: int = 0
     ended: bool = False
+    # Number of log entries up to the one that names the owner.
+    owner_term: int = 0
     # Set when this process must not run the batch, because of another owner or a drain.
     stopped: bool = False
     # Set during a handoff, while this process still answers requests for listed results.
@@ -94,6 +97,14 @@
         """Return the batch's identifier."""
         return self.head.submission.id
 
+    @property
+    def term(self) -> OwnerTerm:
+        """Return the owner according to the log, as far as it was read.
+
+        Nothing replaces a process that answers for an ended batch, so its term is the log's end.
+        """
+        return OwnerTerm(self.owner, self.log.position if self.ended else self.owner_term)
+
     @property
     def open(self) -> bool:
         """Whether items may start."""
@@ -365,6 +376,7 @@
             self.unlisted = [result for result in self.unlisted if result.id not in ids]
         if entry.owner is not None:
             self.owner = entry.owner
+            self.owner_term = self.log.position
         if entry.ended:
             self.ended = True
         self.changed.set()
--- a/src/pistachionotch/batches/service.py
+++ b/src/pistachionotch/batches/service.py
@@ -24,6 +24,7 @@
     BatchHead,
     BatchState,
     Owner,
+    OwnerTerm,
     ResultPage,
     Submission,
     items_bytes,
@@ -54,8 +55,8 @@
 TAKE_OVER_AFTER_MS = 1_500
 # A gateway that did not accept a forwarded submission gets no other one for this time.
 AVOID_GATEWAY_MS = 5_000
-# Maximum number of owners queried in one request: the cached one, an outdated one from a directory
-# gateway, and the one in the log.
+# Maximum number of owners queried in one request, each of a later term than the one before: the
+# cached one, a newer one from a directory gateway, and the one in the log.
 MAX_OWNERS_QUERIED = 3
 # Delay before an owner that did not answer is queried again.
 OWNER_RETRY_MS = 200
@@ -118,7 +119,7 @@
     def draining(self, draining: bool) -> None:
         self.ownership_transfer.draining = draining
 
-    def local_accept_handoff(self, state: BatchState) -> Owner | None:
+    def local_accept_handoff(self, state: BatchState) -> OwnerTerm | None:
         """Continue a batch of a peer that stops; returns the new owner, None if that failed."""
         return self.ownership_transfer.accept_handoff(state)
 
@@ -133,8 +134,8 @@
         if chosen is None:
             return self._accept(head, route)
         forwarded = self._forward_submission(head, chosen)
-        if isinstance(forwarded, Owner):
-            self.owner_cache.remember(submission.id, forwarded)
+        if isinstance(forwarded, OwnerTerm):
+            self.owner_cache.learn(submission.id, forwarded)
             return None
         if isinstance(forwarded, BatchError):
             return forwarded
@@ -156,7 +157,7 @@
 
     def _forward_submission(
         self, head: BatchHead, chosen: GatewayRecord
-    ) -> Owner | BatchError | PeerError:
+    ) -> OwnerTerm | BatchError | PeerError:
         """Forward a submission to the gateway that should run it."""
         forwarded = self.peers.submit(chosen.address, head)
         if isinstance(forwarded, NotOwner | PeerUnreachable):
@@ -166,11 +167,11 @@
             batch=head.submission.id,
             gateway=str(chosen.address),
             processor=chosen.processor,
-            outcome=forwarded.node if isinstance(forwarded, Owner) else str(forwarded),
+            outcome=(forwarded.owner.node if isinstance(forwarded, OwnerTerm) else str(forwarded)),
         )
         return forwarded
 
-    def local_submit(self, submission: Submission) -> Owner | BatchError | None:
+    def local_submit(self, submission: Submission) -> OwnerTerm | BatchError | None:
         """Accept a batch for another gateway; None if this one cannot accept it."""
         catalog = self.owner.catalog()
         route = catalog.match(submission.host, submission.target) if catalog else None
@@ -202,7 +203,7 @@
             **({"account": submission.account} if submission.account else {}),
         )
         if stored.owner != self.local_owner:
-            self.owner_cache.remember(submission.id, stored.owner)
+            self.owner_cache.learn(submission.id, OwnerTerm(stored.owner, 0))
         elif submission.id not in self.owner.runs:
             run = self.ownership_transfer.new_run(stored, route)
             # If the batch is new, no log entry can be older than its head.
@@ -213,20 +214,27 @@
                 # The drain began while the batch was being stored.
                 gevent.spawn(self.ownership_transfer.hand_off, run)
             gevent.spawn(self._record_demand, submission)
-            gevent.spawn(self.owner_cache.announce, submission.id)
+            gevent.spawn(self.owner_cache.announce, submission.id, run.term.term)
         return None
 
-    def known_owner(self, batch: str) -> Owner | None:
-        """Return the owner of a batch, None if this process does not know it."""
-        if self.ownership_transfer.local_run(batch) is not None:
-            return self.local_owner
+    def known_owner(self, batch: str) -> OwnerTerm | None:
+        """Return the latest owner of a batch that this process knows, None if it knows none."""
+        run = self.ownership_transfer.local_run(batch)
+        if run is not None:
+            return OwnerTerm(self.local_owner, run.term.term)
+        self._learn_from_run(batch)
         cached = self.owner_cache.entries.get(batch)
-        return None if cached is None else cached.owner
+        return None if cached is None else cached.found
+
+    def learn_owner(self, batch: str, found: OwnerTerm) -> None:
+        """Cache the owner of a batch that another gateway named, if it is newer."""
+        self.owner_cache.learn(batch, found)
 
-    def remember_owner(self, batch: str, owner: Owner) -> None:
-        """Cache the owner of a batch after a notification from that owner."""
-        if owner != self.local_owner:
-            self.owner_cache.remember(batch, owner)
+    def _learn_from_run(self, batch: str) -> None:
+        """Cache the owner that replaced this process, as its log writer found it."""
+        run = self.owner.runs.get(batch)
+        if run is not None and run.owner != self.local_owner:
+            self.owner_cache.learn(batch, run.term)
 
     def _record_demand(self, submission: Submission) -> None:
         if submission.model:
@@ -351,18 +359,19 @@
         return BatchError(BatchErrorKind.UNAVAILABLE, "the owner changes", UNAVAILABLE_RETRY_MS)
 
     def _query_current_owner(self, batch: str, query: Any) -> Any:
+        self._learn_from_run(batch)
         cached = self.owner_cache.find(batch, self.store)
         if isinstance(cached, BatchError):
             return cached
         if cached.owner.node == self.local_owner.node:
             # This process took it over or lost it, or an earlier incarnation of this node owned it.
-            return self.ownership_transfer.take_over(batch, cached.owner)
+            return self.ownership_transfer.take_over(batch, cached.found)
         answer = self._query_with_retries(batch, cached, query)
         if isinstance(answer, OwnerChanged):
             return answer
         if isinstance(answer, NotOwner | PeerUnreachable):
             silent = isinstance(answer, PeerUnreachable) and not answer.refused
-            return self.ownership_transfer.take_over(batch, cached.owner, silent)
+            return self.ownership_transfer.take_over(batch, cached.found, silent)
         cached.unreachable_since_ms = None
         if isinstance(answer, PeerItemNotFound):
             return BatchError(BatchErrorKind.NOT_FOUND, "no such item")
@@ -377,7 +386,7 @@
             answer = query(cached.owner)
             if not isinstance(answer, NotOwner | PeerUnreachable):
                 return answer
-            if self.owner_cache.replaced(batch, cached.owner):
+            if self.owner_cache.replaced(batch, cached):
                 return OwnerChanged()
             if isinstance(answer, NotOwner) or answer.refused:
                 return answer
--- a/src/pistachionotch/gateway/upkeep.py
+++ b/src/pistachionotch/gateway/upkeep.py
@@ -8,6 +8,7 @@
 import attrs
 
 from ..batches.cleanup import CLEANUP_PERIOD_MS, BatchCleaner
+from ..batches.owner_cache import ANNOUNCE_INTERVAL_MS
 from ..batches.ownership_transfer import unix_ms
 from ..batches.service import BatchService
 from ..clock import Clock
@@ -46,7 +47,13 @@
 
     def tasks(self) -> list[Callable[[], None]]:
         """Return the tasks to run."""
-        return [self.register, self.evict_batches, self.clean_batches, self.prune_gateways]
+        return [
+            self.register,
+            self.announce_batches,
+            self.evict_batches,
+            self.clean_batches,
+            self.prune_gateways,
+        ]
 
     def register(self) -> None:
         """Keep the gateway registered."""
@@ -59,6 +66,12 @@
             rejected = gateway.gateways.rejected
             gateway.clock.sleep_ms(CLEANUP_PERIOD_MS if rejected else REGISTER_RETRY_MS)
 
+    def announce_batches(self) -> None:
+        """Repeat the notifications about owned batches until all directory gateways have them."""
+        while True:
+            self.gateway.clock.sleep_ms(ANNOUNCE_INTERVAL_MS)
+            self.gateway.batches.owner_cache.announce_missing()
+
     def evict_batches(self) -> None:
         """Evict ended batches from memory after their retention period."""
         while True:
--- a/tests/unit/batches/batch_cluster.py
+++ b/tests/unit/batches/batch_cluster.py
@@ -46,9 +46,15 @@
         self.reachable_at_ms = None
         self.clock = None
 
+    def at(self, address):
+        return next((s for s in self.services.values() if s.local_owner.address == address), None)
+
     def owner_of(self, address, batch):
-        peer = next(s for s in self.services.values() if s.local_owner.address == address)
-        return peer.known_owner(batch)
+        peer = self.at(address)
+        if peer is None or peer.local_owner.node in self.unreachable:
+            return PeerUnreachable("no response", peer is None)
+        found = peer.known_owner(batch)
+        return NotOwner() if found is None else found
 
     def submit(self, address, head):
         peer = next((s for s in self.services.values() if s.local_owner.address == address), None)
@@ -65,9 +71,12 @@
             return None
         return peer.local_accept_handoff(read_state(state_bytes(state)))
 
-    def announce(self, address, batch, owner):
-        peer = next(s for s in self.services.values() if s.local_owner.address == address)
-        peer.remember_owner(batch, owner)
+    def announce(self, address, batch, found):
+        peer = self.at(address)
+        if peer is None or peer.local_owner.node in self.unreachable:
+            return False
+        peer.learn_owner(batch, found)
+        return True
 
     def send(self, peer, request):
         if self.reachable_at_ms is not None and self.clock.now_ms() >= self.reachable_at_ms:
--- a/tests/unit/batches/test_batch_peers.py
+++ b/tests/unit/batches/test_batch_peers.py
@@ -8,6 +8,7 @@
     BatchErrorKind,
     BatchState,
     ItemResult,
+    OwnerTerm,
     PartialResult,
 )
 from pistachionotch.batches.peers import NotOwner, PeerApp, PeerClient, PeerUnreachable
@@ -66,8 +67,8 @@
 def test_a_submission_and_its_answer_are_transmitted_unchanged(peer):
     batches, address = peer
     assert isinstance(client().submit(address, head()), NotOwner)
-    batches.answer = head().owner
-    assert client().submit(address, head()) == head().owner
+    batches.answer = OwnerTerm(head().owner, 3)
+    assert client().submit(address, head()) == OwnerTerm(head().owner, 3)
     batches.answer = BatchError(BatchErrorKind.UNKNOWN, "lost", 300)
     assert client().submit(address, head()) == batches.answer
     assert batches.received == [head().submission] * 3
@@ -77,8 +78,8 @@
 def test_a_batch_state_is_transmitted_unchanged(peer):
     batches, address = peer
     assert client().hand_off(address, STATE) is None
-    batches.answer = head().owner
-    assert client().hand_off(address, STATE) == head().owner
+    batches.answer = OwnerTerm(head().owner, 3)
+    assert client().hand_off(address, STATE) == OwnerTerm(head().owner, 3)
     assert batches.received == [STATE, STATE]
 
 
--- a/tests/unit/batches/test_partial_replays.py
+++ b/tests/unit/batches/test_partial_replays.py
@@ -7,7 +7,7 @@
 
 from pistachionotch.batches import ownership_transfer
 from pistachionotch.batches.log import BatchLog
-from pistachionotch.batches.model import BatchError
+from pistachionotch.batches.model import BatchError, OwnerTerm
 from pistachionotch.objects.api import StoreUnavailable
 
 
@@ -39,7 +39,7 @@
     del cluster.peers.services["a"]
     flaky = second.ownership_transfer.store = FlakyStore(cluster.store)
     for _ in range(8):
-        found = second.ownership_transfer.take_over("b1", first.local_owner)
+        found = second.ownership_transfer.take_over("b1", OwnerTerm(first.local_owner, 0))
         if not isinstance(found, BatchError):
             break
     assert found.owner == second.local_owner
@@ -59,6 +59,6 @@
     for batch in batches:
         # The read of the head succeeds, that of the log fails.
         flaky.reads = 3
-        second.ownership_transfer.take_over(batch, first.local_owner)
+        second.ownership_transfer.take_over(batch, OwnerTerm(first.local_owner, 0))
     kept = second.ownership_transfer.unfinished_replays
     assert list(kept) == batches[-ownership_transfer.MAX_UNFINISHED_REPLAYS :]
--- a/tests/unit/batches/test_scoring.py
+++ b/tests/unit/batches/test_scoring.py
@@ -15,7 +15,7 @@
 from pistachionotch.batches.attempts import AttemptOutcome
 from pistachionotch.batches.listing import MAX_UNSAVED_TEXT_MS, should_list
 from pistachionotch.batches.log import BatchLog, create_batch
-from pistachionotch.batches.model import RewardCall
+from pistachionotch.batches.model import OwnerTerm, RewardCall
 from pistachionotch.batches.owner import BatchOwner
 from pistachionotch.batches.run import BatchRun
 from pistachionotch.batches.scoring import MAX_RETRY_DELAY_MS, RewardCallRunner
@@ -245,7 +245,7 @@
     run.mark_complete(run.progress["i0"], 0)
     run.progress["i0"].reward_failures = 2
     taken = second.local_accept_handoff(run.snapshot())
-    assert taken == second.local_owner
+    assert taken == OwnerTerm(second.local_owner, 1)
     successor = second.owner.runs["b1"]
     assert [w.item for w in successor.waiting_rewards()] == ["i0"]
     assert successor.progress["i0"].reward_failures == 2
--- a/tests/unit/objects/test_message_round_trips.py
+++ b/tests/unit/objects/test_message_round_trips.py
@@ -32,6 +32,7 @@
     BatchError,
     BatchErrorKind,
     Owner,
+    OwnerTerm,
     ResultPage,
 )
 from pistachionotch.batches.records import (
@@ -39,6 +40,7 @@
     item_fields,
     owner_fields,
     read_owner,
+    term_fields,
 )
 from pistachionotch.clock import ManualClock
 from pistachionotch.config.spec import Address
@@ -85,6 +87,9 @@
     assert json.loads(encode_page(page))["total"] == total
 
 
+TERMS = st.builds(OwnerTerm, OWNERS, COUNTS)
+
+
 @EXAMPLES
 @given(OWNERS)
 def test_owners_in_messages_to_peers(owner):
@@ -153,7 +158,7 @@
 
 
 @EXAMPLES
-@given(OWNERS | st.builds(BatchError, st.sampled_from(BatchErrorKind), TEXTS, st.none() | COUNTS))
+@given(TERMS | st.builds(BatchError, st.sampled_from(BatchErrorKind), TEXTS, st.none() | COUNTS))
 def test_answers_to_forwarded_submissions(answer):
     head = head_of(accepted(submission()))
     received = []
@@ -166,18 +171,18 @@
 
 
 @EXAMPLES
-@given(WORDS, WORDS, ADDRESSES)
-def test_announced_owners(node, batch, address):
-    owner = Owner(node=node, incarnation=batch, address=address)
+@given(WORDS, WORDS, ADDRESSES, COUNTS)
+def test_announced_owners(node, batch, address, term):
+    found = OwnerTerm(Owner(node=node, incarnation=batch, address=address), term)
     remembered = []
-    batches = SimpleNamespace(remember_owner=lambda *found: remembered.append(found))
+    batches = SimpleNamespace(learn_owner=lambda *found: remembered.append(found))
     environ = {
         "REQUEST_METHOD": "PUT",
         "PATH_INFO": peers.OWNERS_PREFIX + internal_id(batch),
-        "QUERY_STRING": urlencode(owner_fields(owner)),
+        "QUERY_STRING": urlencode(term_fields(found)),
     }
     peers.PeerApp(batches, "1")._handle_owner(environ)
-    assert remembered == [(internal_id(batch), owner)]
+    assert remembered == [(internal_id(batch), found)]
 
 
 def crash_exchange():
