--- a/src/pistachionotch/gateway/exchange.py
+++ b/src/pistachionotch/gateway/exchange.py
@@ -86,7 +86,7 @@
         except ExchangeError as error:
             closed_early = self.clock.now_ms() - started_ms < timeout_ms
             resendable = repeatable and kept and closed_early
-            if not (resendable and connection.parser.get_code() == 0):
+            if not resendable or connection.parser.message_begun:
                 raise
             first = error
         # The upstream may have counted the first request, so the second one needs its own permit.
--- a/src/pistachionotch/http_client.py
+++ b/src/pistachionotch/http_client.py
@@ -165,7 +165,7 @@
             _set_timeout(self.sock, timeout_ms)
             with gevent.Timeout(max(1, timeout_ms) / MS_PER_SECOND, TimeoutError("no response")):
                 received = 0
-                while not self.parser.headers_complete or self.parser.get_code() < 200:
+                while not self.parser.has_final_head:
                     if received >= MAX_HEAD_BYTES:
                         raise HTTPParseError("the head is too large")
                     received += self._feed(MAX_HEAD_BYTES)
--- a/tests/unit/gateway/test_permits.py
+++ b/tests/unit/gateway/test_permits.py
@@ -98,8 +98,9 @@
         self.timeouts.append(timeout_ms)
         raise ExchangeError("send: connection reset", sent=True)
 
-    def get_code(self):
-        return 0
+    @property
+    def message_begun(self):
+        return False
 
     def close(self):
         pass
