Batches: a silent owner is waited for although its successor is lost too

The gateway that takes a batch over from a silent owner lists nothing for 3.3 s, since that owner may still answer reads. If it was lost before that, the next one took over from a process that had ended and listed at once, and reads could go backwards.

The entry of a new owner says whether the former one was silent, and each owner after it waits until an entry lists results.

Evidence: the new test in batches/test_lost_successors.py failed before (the next owner would list at once) and passes; all tests of batches pass.

--- a/src/pistachionotch/batches/model.py
+++ b/src/pistachionotch/batches/model.py
@@ -157,6 +157,8 @@
     texts: tuple[PartialResult, ...] = ()
     piece: TextPiece | None = None
     owner: Owner | None = None
+    # Whether the former owner did not answer; it may still answer reads for a while.
+    former_silent: bool = False
     ended: bool = False
 
 
--- a/src/pistachionotch/batches/ownership_transfer.py
+++ b/src/pistachionotch/batches/ownership_transfer.py
@@ -232,9 +232,12 @@
 
     def _claim(self, run: BatchRun, lost: Owner, silent: bool) -> Any:
         token = f"{self.rng.getrandbits(64):016x}"
+        # The lost owner may itself have waited for a silent one before it.
+        silent = silent or run.former_silent
+        claim = LogEntry(token=token, owner=self.local_owner, former_silent=silent)
         while not run.ended:
             started_ms = self.clock.now_ms()
-            appended = run.log.append(LogEntry(token=token, owner=self.local_owner))
+            appended = run.log.append(claim)
             if isinstance(appended, Failure):
                 return BatchError(
                     BatchErrorKind.UNAVAILABLE, str(appended.failure()), UNAVAILABLE_RETRY_MS
--- a/src/pistachionotch/batches/records.py
+++ b/src/pistachionotch/batches/records.py
@@ -205,6 +205,8 @@
         fields["piece"] = attrs.asdict(entry.piece)
     if entry.owner is not None:
         fields["owner"] = owner_fields(entry.owner)
+    if entry.former_silent:
+        fields["former_silent"] = True
     if entry.ended:
         fields["ended"] = True
     return canonical_json(fields)
@@ -221,6 +223,7 @@
         texts=tuple(read_part(part) for part in fields.get("texts", ())),
         piece=None if piece is None else TextPiece(piece["id"], piece["text_id"], piece["text"]),
         owner=None if owner is None else read_owner(owner),
+        former_silent=bool(fields.get("former_silent", False)),
         ended=fields.get("ended", False),
     )
 
--- a/src/pistachionotch/batches/run.py
+++ b/src/pistachionotch/batches/run.py
@@ -68,6 +68,8 @@
     unconfirmed_logged: bool = False
     # Whether items may have failed at former owners that did not hand their progress over.
     failures_unknown: bool = False
+    # Whether a silent former owner may still answer reads; the log lists nothing since its loss.
+    former_silent: bool = False
     # Earliest time to list results, after a takeover from an owner that may still answer reads.
     list_from_ms: int = 0
     # Maximum size of the results or texts of the next log entries; reduced after a rejection.
@@ -372,11 +374,13 @@
             self.listed.append(self.texts.join(result))
             self.texts.forget(result.id)
         if entry.results:
+            self.former_silent = False
             ids = {result.id for result in entry.results}
             self.unlisted = [result for result in self.unlisted if result.id not in ids]
         if entry.owner is not None:
             self.owner = entry.owner
             self.owner_term = self.log.position
+            self.former_silent = entry.former_silent
         if entry.ended:
             self.ended = True
         self.changed.set()
--- a/tests/unit/batches/test_lost_successors.py
+++ b/tests/unit/batches/test_lost_successors.py
@@ -11,6 +11,7 @@
 
 from pistachionotch.batches.model import BatchError, OwnerTerm, ResultPage
 from pistachionotch.batches.service import MAX_OWNERS_QUERIED
+from pistachionotch.batches.tenure import TENURE_MS
 
 # No item of an accepted batch may be at no server for longer, by the users' rules.
 IDLE_MS = 5_000
@@ -223,3 +224,15 @@
         assert reader.owner_cache.entries["b1"].owner.node == "b"
     reader.learn_owner("b1", OwnerTerm(owner.local_owner, 0))
     assert reader.owner_cache.entries["b1"].owner.node == "b"
+
+
+def test_a_silent_owner_is_waited_for_although_its_successor_is_lost_too():
+    cluster, _owner = started_cluster()
+    lose(cluster, "silent")
+    cluster.ask("b", REQUESTS["read"])
+    assert cluster.peers.services["b"].owner.runs["b1"].open
+    cluster.losses.kill("b")
+    cluster.ask("c", REQUESTS["read"])
+    # The first owner may answer reads of its own clients for as long.
+    run = cluster.peers.services["c"].owner.runs["b1"]
+    assert run.list_from_ms - cluster.clock.now_ms() >= TENURE_MS
