Listings: a copy does not bring back what the store said is gone

The cache remembers the versions that it has dropped and takes only later ones from a copy.

Evidence: the new test in objects/test_cache.py failed before and passes.

--- a/src/pistachionotch/objects/cache.py
+++ b/src/pistachionotch/objects/cache.py
@@ -8,6 +8,9 @@
 from ..clock import Clock, SystemClock
 from .api import ObjectStore, StoredObject, WatchExpired
 
+# Dropped objects that are remembered; more are dropped in no time for which copies retain them.
+MAX_DROPPED = 4_096
+
 
 @attrs.define
 class ObjectCache:
@@ -31,6 +34,9 @@
     retained: dict[str, StoredObject] = attrs.field(factory=dict)
     # When each retained object is dropped; a further outage does not extend the time.
     drop_at_ms: dict[str, int] = attrs.field(factory=dict)
+    # Versions of the objects that were dropped last. A copy may contain them, as another process
+    # that reached the store later retains them for longer.
+    dropped: dict[str, int] = attrs.field(factory=dict)
     # Whether the objects come from another process's copy. It may contain objects that were deleted
     # before its revision and that the other process retains, so changes since then are not enough.
     is_copied: bool = False
@@ -53,10 +59,19 @@
         if expired:
             self.change_count += 1
         for key in expired:
-            self.objects.pop(key, None)
-            self._forget_retained(key)
+            self._drop(key)
         return True
 
+    def _drop(self, key: str) -> None:
+        self._forget_retained(key)
+        stored = self.objects.pop(key, None)
+        if stored is None:
+            return
+        self.dropped.pop(key, None)
+        self.dropped[key] = stored.version
+        if len(self.dropped) > MAX_DROPPED:
+            del self.dropped[next(iter(self.dropped))]
+
     def _forget_retained(self, key: str) -> None:
         self.retained.pop(key, None)
         self.drop_at_ms.pop(key, None)
@@ -92,14 +107,17 @@
             self.drop_at_ms.setdefault(key, self.grace_until_ms)
             self.retained[key] = self.objects[key]
             return
-        self._forget_retained(key)
-        self.objects.pop(key, None)
+        self._drop(key)
 
     def replace(self, objects: dict[str, StoredObject] | None, revision: int) -> None:
         """Replace the contents with an at least equally recent copy; None keeps the objects."""
         if objects is not None:
             self.change_count += 1
-            self.objects = objects
+            self.objects = {
+                key: stored
+                for key, stored in objects.items()
+                if stored.version > self.dropped.get(key, -1)
+            }
             # The process that supplied the copy applied the grace period for deleted objects.
             self.retained = {}
             self.drop_at_ms = {}
--- a/tests/unit/objects/record_values.py
+++ b/tests/unit/objects/record_values.py
@@ -62,6 +62,7 @@
     texts=st.lists(PARTIAL, max_size=2).map(tuple),
     piece=st.none() | st.builds(TextPiece, WORDS, WORDS, TEXTS),
     owner=st.none() | OWNERS,
+    former_silent=st.booleans(),
     ended=st.booleans(),
 )
 
--- a/tests/unit/objects/test_cache.py
+++ b/tests/unit/objects/test_cache.py
@@ -182,3 +182,22 @@
     clock.advance(2_000)
     cache.refresh()
     assert not cache.objects
+
+
+def test_a_copy_does_not_bring_back_what_the_store_said_is_gone():
+    """Another process that reached the store later retains the object for longer (soak 7034)."""
+    clock = ManualClock()
+    store = MemoryStore(clock)
+    removed = store.put("servers/a", b"{}", None).unwrap()
+    kept = store.put("servers/b", b"{}", None).unwrap()
+    cache = ObjectCache(store, "servers/", deletion_grace_ms=2_000, clock=clock)
+    cache.refresh()
+    store.delete("servers/a", removed.version)
+    cache.refresh()
+    assert list(cache.objects) == ["servers/b"]
+    retained = {"servers/a": removed, "servers/b": kept}
+    cache.replace(dict(retained), cache.revision)
+    assert list(cache.objects) == ["servers/b"]
+    again = store.put("servers/a", b"{}", None).unwrap()
+    cache.replace({**retained, "servers/a": again}, again.version)
+    assert list(cache.objects) == ["servers/a", "servers/b"]
