--- a/src/pistachionotch/batches/owner.py
+++ b/src/pistachionotch/batches/owner.py
@@ -28,7 +28,7 @@
 from .model import Owner, items_bytes
 from .moves import Move, RunningItem, plan_moves, plan_transient_moves
 from .progress import ItemProgress
-from .routes import attempts_exhausted, batch_route
+from .routes import attempts_exhausted, batch_route, has_path_of
 from .run import ENTRY_OVERHEAD_BYTES, MAX_ENTRY_BYTES, BatchRun
 from .scoring import RewardCallRunner
 
@@ -281,6 +281,10 @@
             catalog = self.catalog()
             route = batch_route(catalog, run) if catalog else None
             submission = run.head.submission
+            if catalog and route and not has_path_of(catalog, route, submission, state.item):
+                # Accepted by an earlier version.
+                self._finish(run, state, False, "its path is not under its route")
+                return
             priority = catalog.priority(route, submission.account) if catalog and route else 0
             outcome = self.item_runner.run(
                 submission,
--- a/src/pistachionotch/batches/routes.py
+++ b/src/pistachionotch/batches/routes.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from ..gateway.catalog import Catalog, Route
+from .fields import InvalidFieldError
+from .model import BatchItem, Submission
 from .progress import ItemProgress
 from .run import BatchRun
 
@@ -20,6 +22,23 @@
     return state.failures >= max_attempts * factor
 
 
+def check_item_paths(catalog: Catalog, route: Route, submission: Submission) -> None:
+    """Raise ``InvalidFieldError`` if an item's path is none of the route of its batch.
+
+    An item reaches its server as a request of the gateway's own. Without this, its path could be
+    that of an order or of another service.
+    """
+    for item in submission.items:
+        if not has_path_of(catalog, route, submission, item):
+            raise InvalidFieldError(f"item {item.id}: path", "not under the route of its batch")
+
+
+def has_path_of(catalog: Catalog, route: Route, submission: Submission, item: BatchItem) -> bool:
+    """Return whether an item's path belongs to a route, as that of a call would."""
+    found = catalog.match(submission.host, item.target)
+    return found is not None and found.name == route.name
+
+
 def batch_route(catalog: Catalog, run: BatchRun) -> Route | None:
     """Return the route of a batch in this catalog, None if there is none."""
     submission = run.head.submission
--- a/src/pistachionotch/platform/ingress.py
+++ b/src/pistachionotch/platform/ingress.py
@@ -13,6 +13,7 @@
 
 from ..batches.fields import InvalidFieldError
 from ..batches.model import ResultPage
+from ..batches.routes import check_item_paths
 from ..batches.service import BatchService
 from ..client_socket import ClientSocket
 from ..clock import Clock
@@ -305,6 +306,7 @@
                 call.account,
                 admission.forwarded_headers,
             )
+            check_item_paths(admission.catalog, route, submission)
         except NoRoomError as error:
             return CallFailure(FailureCause.NOT_RUN, str(error), ROOM_RETRY_MS)
         except ValueError as error:
