Soak: lost successors, slow readers beside planned stops, odd statuses

The owner of a batch is killed, and the gateway that takes it over while the store holds the answer to its write; a third gateway, which copies listings and so uses the directory, has to be able to read it. Clients read 800 KB at 150 KB/s from a gateway that gets SIGTERM, and one reads nothing: all answers are whole, and the process is gone by the end of its grace period. Servers answer with statuses from 000 to 999: no client sees one, or a malformed head.

The new faults have random numbers of their own; those of a seed stay the same.

--- a/src/pistachionotch/standins/platform_servers.py
+++ b/src/pistachionotch/standins/platform_servers.py
@@ -99,6 +99,8 @@
     leaving: bool = False
     # Values of the header that names a rate limit, each in a header of its own.
     limit: list[str] = attrs.field(factory=list)
+    # Statuses of the next answers, one each, which may be none of an answer.
+    odd_statuses: list[str] = attrs.field(factory=list)
     # Fail each request whose id ends with this text.
     fail_suffix: str = ""
     # Close without a response to an order and don't carry it out.
@@ -238,10 +240,9 @@
         self._crash_if_deadly(run)
         if not self._consume_fault("unproved"):
             headers.append(("Server-Stamp", run["proof"]))
-        suffix = self.faults.fail_suffix
-        if self._consume_fault("fail") or (suffix and request.endswith(suffix)):
-            status = HTTPStatus.INTERNAL_SERVER_ERROR
-            return respond_json(start_response, status, {"error": "failed"}, headers)
+        failed = self._fail(request, start_response, headers)
+        if failed is not None:
+            return failed
         if self._consume_fault("drip"):
             start_response("200 OK", [*headers, ("Weight-Versions", "1")])
             return _repeat_forever(b":", DRIP_PAUSE_S)
@@ -258,6 +259,20 @@
             return self._stream(model, after, run)
         return self._plain(environ, start_response, headers, body)
 
+    def _fail(
+        self, request: str, start_response: StartResponse, headers: list[tuple[str, str]]
+    ) -> list[bytes] | None:
+        """Answer a request with a failure; None if it has no such fault."""
+        if self.faults.odd_statuses:
+            status = self.faults.odd_statuses.pop(0)
+            start_response(f"{status} Odd", [*headers, ("Content-Length", "2")])
+            return [b"{}"]
+        suffix = self.faults.fail_suffix
+        if self._consume_fault("fail") or (suffix and request.endswith(suffix)):
+            failed = HTTPStatus.INTERNAL_SERVER_ERROR
+            return respond_json(start_response, failed, {"error": "failed"}, headers)
+        return None
+
     def _crash_if_deadly(self, run: dict[str, Any]) -> None:
         if not self.faults.crash_text or self.faults.crash_text not in run["body"]:
             return
--- a/src/pistachionotch/standins/platform_store.py
+++ b/src/pistachionotch/standins/platform_store.py
@@ -2,7 +2,8 @@
 
 ``PUT /faults`` sets the switches ``outage``, ``busy_peers`` (addresses that get status 503),
 ``slow_ms``, ``lose_answers`` (no response to the next N writes, which take effect), ``lose_writes``
-(the same without their effect) and ``forget`` (discard the history of changes now). ``GET /calls``
+(the same without their effect), ``hold_owner`` (answer late to new objects that name this node as
+their owner) and ``forget`` (discard the history of changes now). ``GET /calls``
 returns the number of calls by kind.
 """
 
@@ -36,6 +37,8 @@
 OBJECTS_PATH = "/api/objects/"
 DEFAULT_PAGE_SIZE = 500
 MAX_WAIT_MS = 30_000
+# Delay of the answers of which ``hold_owner`` speaks.
+HELD_ANSWER_MS = 1_000
 
 
 @attrs.define
@@ -46,6 +49,7 @@
     slow_ms: int = 0
     busy_peers: set[str] = attrs.field(factory=set)
     page_size: int = DEFAULT_PAGE_SIZE
+    held_owner: str = ""
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         """Handle one request."""
@@ -68,6 +72,7 @@
         self.busy_peers = set(switches.get("busy_peers", self.busy_peers))
         faults.lose_answers = int(switches.get("lose_answers", faults.lose_answers))
         faults.lose_writes = int(switches.get("lose_writes", faults.lose_writes))
+        self.held_owner = str(switches.get("hold_owner", self.held_owner))
         if switches.get("forget"):
             self.store.history.clear()
             self.store.discarded_revision = self.store.revision
@@ -130,9 +135,11 @@
 
     def _create(self, kind: str, body: dict[str, Any]) -> tuple[int, Any]:
         key = f"{kind}/{body['metadata']['name']}"
-        return self._write_response(
-            key, self.store.put(key, _encode_value(body.get("spec"), None), None)
-        )
+        spec = body.get("spec") or {}
+        written = self.store.put(key, _encode_value(body.get("spec"), None), None)
+        if self.held_owner and (spec.get("owner") or {}).get("node") == self.held_owner:
+            gevent.sleep(HELD_ANSWER_MS / MS_PER_SECOND)
+        return self._write_response(key, written)
 
     def _replace(self, key: str, body: dict[str, Any]) -> tuple[int, Any]:
         current = self.store.objects.get(key)
--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -10,6 +10,11 @@
     context.problems = Soak(seed, seconds).run()
 
 
+@when("a soak of {gateways:d} gateways with seed {seed:d} lasts {seconds:d} seconds")
+def run_larger_soak(context, gateways, seed, seconds):
+    context.problems = Soak(seed, seconds, gateways).run()
+
+
 @then("no promise is broken")
 def check_problems(context):
     # The runner shows the message of a failed assertion only, not the values that it compares.
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -293,7 +293,7 @@
             headers += [("Last-Event-Id", str(last)), ("Resumes", begun_by)]
         return self.client(gateway).stream("/streams/x", headers, body)
 
-    def submit(self, gateway, batch, groups=3, size=2, min_version=1, prompt="hello"):
+    def submit(self, gateway, batch, groups=3, size=2, min_version=1, prompt="hello", model=MODEL):
         items = []
         prompt = base64.b64encode(prompt.encode()).decode()
         for group in range(groups):
@@ -316,7 +316,7 @@
                 )
         fields = {
             "train_step": 0,
-            "model": MODEL,
+            "model": model,
             "min_version": min_version,
             "desired": groups,
             "items": items,
--- a/tests/support/soak.py
+++ b/tests/support/soak.py
@@ -1,4 +1,4 @@
-"""Fault soak of gateways: ``python -m tests.support.soak [SEED...] [--seconds N]``.
+"""Fault soak of gateways: ``python -m tests.support.soak [SEED...] [--seconds N] [--gateways N]``.
 
 Gateways run as separate processes between stand-ins of the users' platform. Faults come from
 outside them, at random and overlapping: signals, and proxies before the object API and the servers.
@@ -37,8 +37,18 @@
 from tests.support.soak_load import SoakLoad
 from tests.support.soak_odd import OddSubmissions, burst_reads
 from tests.support.soak_oracle import check_all, check_retirements, count_take_ups
+from tests.support.soak_statuses import send_odd_statuses
+from tests.support.soak_takeovers import (
+    copying,
+    lose_successor,
+    repeat_losses,
+    stop_beside_slow_readers,
+)
 
 GATEWAYS = 3
+# Gateways of which three are outside the directory of owners. They know each other after this time.
+MANY_GATEWAYS = 5
+CALM_S = 16.0
 # What the faults delay is answered within this time after the last one.
 SETTLE_S = 12.0
 # A server that is registered as leaving gets nothing new after this time.
@@ -53,6 +63,7 @@
 
     seed: int
     seconds: float
+    gateways: int = GATEWAYS
     rng: random.Random = attrs.field(init=False)
     # Randomness of the aimed faults; the others of a seed stay the same.
     aimed: random.Random = attrs.field(init=False)
@@ -91,17 +102,23 @@
 
     def run(self):
         self.platform = Platform(
-            GATEWAYS, self.proxy, accounts_of, STEADY, STEADY_KEY, reports_usage=True
+            self.gateways, self.proxy, accounts_of, STEADY, STEADY_KEY, reports_usage=True
         )
         self.platform.start_server("shop")
         supervisor = gevent.spawn(self._supervise)
         load = self.load = SoakLoad(self.platform, random.Random(self.seed + 1))
         try:
             tasks = load.start()
+            if self.gateways >= MANY_GATEWAYS:
+                gevent.sleep(CALM_S)
+                lose_successor(self, load, copying(self.platform))
+                self.platform.wait(lambda: not self._dead())
             stop_planned(self, load, self._name_of(self.aimed), calm=True)
             self.platform.wait(lambda: not self._dead())
             problems = burst_reads(self, load)
             self.platform.wait(lambda: not self._dead())
+            problems += stop_beside_slow_readers(self, load, self._name_of(self.aimed))
+            self.platform.wait(lambda: not self._dead())
             load.calm = False
             odd = OddSubmissions(self.platform, random.Random(self.seed + 5))
             tasks.append(gevent.spawn(odd.run))
@@ -109,6 +126,8 @@
             faults.append(gevent.spawn(self._name_limits))
             faults.append(gevent.spawn(self._release))
             faults.append(gevent.spawn(repeat_pauses, self, load))
+            faults.append(gevent.spawn(repeat_losses, self, load, random.Random(self.seed + 6)))
+            faults.append(gevent.spawn(send_odd_statuses, self, random.Random(self.seed + 7)))
             faults.append(gevent.spawn(trouble_duties, self.platform, self.seed, self.seconds))
             gevent.joinall(faults, raise_error=True)
             odd.stopping = True
@@ -357,7 +376,7 @@
             proxy.mend()
         self.platform.faults("store", outage=False, lose_answers=0, lose_writes=0, slow_ms=0)
         for name in self.platform.servers:
-            self.platform.faults(name, limit=[])
+            self.platform.faults(name, limit=[], odd_statuses=[])
             if name not in self.retired:
                 self.platform.register(name)
 
@@ -367,10 +386,11 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("seeds", nargs="*", type=int)
     parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--gateways", type=int, default=GATEWAYS)
     options = parser.parse_args()
     failed = 0
     for seed in options.seeds or [random.SystemRandom().randrange(1_000_000)]:
-        problems = Soak(seed, options.seconds).run()
+        problems = Soak(seed, options.seconds, options.gateways).run()
         print(f"seed {seed}: {len(problems)} problems", flush=True)
         for problem in problems:
             print(f"  {problem}", flush=True)
--- a/tests/support/soak_disturbances.py
+++ b/tests/support/soak_disturbances.py
@@ -62,6 +62,12 @@
             for fault in self.faults
         )
 
+    def is_calm(self, gateway, start):
+        """Return whether nothing has disturbed a gateway since ``start``, nor shortly before."""
+        return not any(
+            fault.concerns(gateway) and fault.end + CONTACT_S >= start for fault in self.faults
+        )
+
     def steady_s(self, start, end):
         """Return how long between two times no gateway was excused."""
         steady, at = 0.0, start
--- a/tests/support/soak_load.py
+++ b/tests/support/soak_load.py
@@ -8,9 +8,10 @@
 
 from pistachionotch.http_client import ExchangeError
 from pistachionotch.standins.platform_servers import FILLINGS
-from tests.support.platform import new_id
+from tests.support.platform import MODEL, new_id
 from tests.support.soak_accounts import FINAL, Callers
 from tests.support.soak_crashes import send_deadly
+from tests.support.soak_statuses import check_error
 
 CALLERS = 4
 TRAINERS = 2
@@ -45,6 +46,8 @@
     read_at: dict = attrs.field(factory=dict)
     accepted_at: float | None = None
     ended_at: float | None = None
+    # Without a model, its owner follows from its id.
+    model: str = MODEL
     # Whether its trainer gives it up before all its items are listed.
     may_end_early: bool = False
 
@@ -98,8 +101,9 @@
                 sent = self.callers.send(request, name)
                 body = request.encode()
                 answer = self.platform.call(name, f"/{kind}/x", request, body, 1_500, key)
-            except ExchangeError:
+            except ExchangeError as error:
                 answer = (0, {}, b"")
+                self.problems += check_error(request, error)
             sent.answer(answer[0])
             self.calls[request] = (kind, *answer)
             gevent.sleep(self.rng.uniform(0.02, 0.2))
@@ -142,7 +146,7 @@
             self.steps.append(step)
             self._submit(step)
             if step.accepted:
-                self._collect(step)
+                self.collect(step)
 
     def _ask(self, function, *arguments):
         name = self.rng.choice(self.platform.names)
@@ -167,7 +171,9 @@
             gevent.sleep(READ_PAUSE_S)
 
     def _submit_at(self, name, step):
-        return self.platform.submit(name, step.id, step.items // 2, 2, prompt=step.prompt)
+        return self.platform.submit(
+            name, step.id, step.items // 2, 2, prompt=step.prompt, model=step.model
+        )
 
     def submit(self, step):
         """Submit a step and return whether it was accepted."""
@@ -188,7 +194,8 @@
             self.problems.append(f"{step.id}: read as {page} with a key that is always in force")
         return page
 
-    def _collect(self, step):
+    def collect(self, step):
+        """Read a step until it is complete or its time is up, and end it."""
         end = time.monotonic() + STEP_S
         position = 0
         while time.monotonic() < end:
--- a/tests/support/soak_odd.py
+++ b/tests/support/soak_odd.py
@@ -155,7 +155,7 @@
         if ended is not None:
             problems.append(f"{name}: ended by itself with status {ended} in an outage")
             platform.deployment.restart(name)
-    gevent.spawn(load._collect, step)
+    gevent.spawn(load.collect, step)
     return problems
 
 
--- a/tests/support/soak_oracle.py
+++ b/tests/support/soak_oracle.py
@@ -9,6 +9,7 @@
 from tests.support.soak_crashes import DEADLY, check_innocent
 from tests.support.soak_disturbances import CONTACT_S
 from tests.support.soak_load import NOT_RUN
+from tests.support.soak_statuses import check_status
 
 EVENTS = 8
 
@@ -71,6 +72,7 @@
         problems.append(f"{request}: run though nobody sent it")
     for request, (kind, status, headers, body) in calls.items():
         problems += check_innocent(request, status)
+        problems += check_status(request, status)
         if kind == "unsafe" and counts[request] > 1:
             problems.append(f"{request}: unsafe and run {counts[request]} times")
         if kind == "unsafe" and status in NOT_RUN and counts[request]:
@@ -93,6 +95,7 @@
             problems.append(f"stream {stream.request}: events {numbers}, tries {stream.tries}")
         for status, *_rest in stream.tries:
             problems += check_innocent(stream.request, status)
+            problems += check_status(stream.request, status)
         versions = {text.rpartition(" ")[2] for _number, text in stream.events}
         if len(versions) > 1:
             problems.append(f"stream {stream.request}: {versions}, tries {stream.tries}")
--- /dev/null
+++ b/tests/support/soak_takeovers.py
@@ -0,0 +1,185 @@
+"""Take-overs whose gateway is lost, and slow readers beside a planned stop."""
+
+import signal
+import socket
+import time
+import zlib
+
+import gevent
+
+from tests.support.platform import HOSTNAME, new_id
+from tests.support.platform_client import Client, credentials
+from tests.support.soak_disturbances import CONTACT_S, Kind
+from tests.support.soak_load import Step
+
+# A gateway that nothing disturbs reads a batch this long after its owners were lost: the platform
+# allows its items to be at no server for 5 s of steady state.
+READ_S = CONTACT_S + 5.0
+READ_PAUSE_S = 0.5
+TAKE_OVER_S = 4.0
+# Gateways that watch the store themselves do so at least once in this time.
+COPYING_S = 4.0
+# Batches that are submitted until the owner of one is outside the directory.
+SUBMISSIONS = 5
+# Keeps the batch open while its owners are lost.
+LOST_PROMPT = "play event_ms=300"
+# Results of about 800 KB, which their readers have 2 s before the end of the grace period.
+LARGE_ITEMS = 20
+LARGE_PROMPT = "play event_ms=2 ascii=5000"
+READERS = 4
+PACE = 150_000
+PART_BYTES = 10_000
+GRACE_S = 8.0
+
+
+def outside_directory(platform):
+    """Return the gateways that don't keep the directory of owners: all but two, by their names."""
+    return sorted(platform.names, key=lambda name: zlib.crc32(name.encode()))[2:]
+
+
+def watches(platform, name):
+    """Return how often a gateway has watched the servers in the store itself."""
+    page = Client(platform.address(name, 1)).ask("GET", "/metrics")[2].decode()
+    lines = [line for line in page.splitlines() if 'kind="servers, watch"' in line]
+    return sum(float(line.rpartition(" ")[2]) for line in lines if "store_calls" in line)
+
+
+def copying(platform):
+    """Return the gateways that use the directory: they copy the listings of its two gateways."""
+    names = outside_directory(platform)
+    former = {name: watches(platform, name) for name in names}
+    gevent.sleep(COPYING_S)
+    return [name for name in names if watches(platform, name) == former[name]]
+
+
+def submit_lasting(platform, load):
+    """Submit a batch whose owner is outside the directory; returns it and its owner, or None."""
+    for _ in range(SUBMISSIONS):
+        name = f"l-{new_id()[:8]}"
+        step = Step(name, 0, 6, LOST_PROMPT, model="", may_end_early=True)
+        if not load.submit(step):
+            continue
+        owner = platform.owner(step.id)
+        if owner in outside_directory(platform):
+            return step, owner
+        gevent.spawn(load.collect, step)
+    return None
+
+
+def lose_successor(soak, load, readers=()):
+    """Kill the owner of a batch, and the gateway that takes it over right after its write.
+
+    It is read afterwards at one of ``readers``, if one is left.
+    """
+    platform = soak.platform
+    found = submit_lasting(platform, load)
+    if found is None:
+        return
+    step, owner = found
+    names = [*outside_directory(platform), *platform.names]
+    others = [name for name in dict.fromkeys([*readers, *names]) if name != owner]
+    reader, successor = others[0], others[1]
+    for name in platform.names:
+        load.read(step, name)
+    started = time.monotonic()
+    with soak.locks[owner], soak.locks[successor]:
+        platform.faults("store", hold_owner=successor)
+        faults = [soak.disturbances.begin(Kind.ENDED, owner)]
+        platform.deployment.kill(owner)
+        taking_over = gevent.spawn(load.read, step, successor)
+        while platform.owner(step.id) != successor and time.monotonic() < started + TAKE_OVER_S:
+            gevent.sleep(0.02)
+        faults.append(soak.disturbances.begin(Kind.ENDED, successor))
+        platform.deployment.kill(successor)
+        taking_over.kill()
+        platform.faults("store", hold_owner="")
+        lost = time.monotonic()
+        page = None
+        while not isinstance(page, dict) and time.monotonic() < lost + READ_S:
+            page = load.read(step, reader)
+            gevent.sleep(READ_PAUSE_S)
+        if not isinstance(page, dict) and soak.disturbances.is_calm(reader, started):
+            load.problems.append(f"{step.id}: not read at {reader} after two owners were lost")
+        for fault, name in zip(faults, (owner, successor), strict=True):
+            fault.end_with(platform.deployment.restart, name)
+    load.collect(step)
+
+
+def repeat_losses(soak, load, rng):
+    """Lose successors now and then, beside the other faults."""
+    end = time.monotonic() + soak.seconds
+    while time.monotonic() < end:
+        gevent.sleep(rng.uniform(2.0, 5.0))
+        lose_successor(soak, load)
+
+
+class SlowReader:
+    """A client that reads the results of a batch at a constant pace, or not at all."""
+
+    def __init__(self, platform, name, batch, pace):
+        self.pace = pace
+        self.received = b""
+        self.sock = socket.socket()
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16 * 1024)
+        address = platform.address(name)
+        self.sock.connect((address.host, address.port))
+        self.sock.settimeout(2 * GRACE_S)
+        lines = [f"GET /api/lots/{batch}?after=0 HTTP/1.1", f"Host: {HOSTNAME}"]
+        lines += [f"{title}: {value}" for title, value in credentials(platform.key)]
+        self.sock.sendall("\r\n".join([*lines, "", ""]).encode())
+        self.task = gevent.spawn(self._read) if pace else None
+
+    def _read(self):
+        began = time.monotonic()
+        while not self.is_whole():
+            try:
+                part = self.sock.recv(PART_BYTES)
+            except OSError:
+                return
+            if not part:
+                return
+            self.received += part
+            gevent.sleep(max(0.0, began + len(self.received) / self.pace - time.monotonic()))
+
+    def is_whole(self):
+        head, separator, body = self.received.partition(b"\r\n\r\n")
+        lengths = [
+            int(line.partition(b":")[2])
+            for line in head.lower().split(b"\r\n")
+            if line.startswith(b"content-length:")
+        ]
+        return bool(separator and lengths and len(body) >= lengths[0])
+
+
+def stop_beside_slow_readers(soak, load, name):
+    """Stop a gateway whose clients read slowly; returns problems. Nothing else is disturbed."""
+    platform = soak.platform
+    step = Step(f"slow-{new_id()[:6]}", 1, LARGE_ITEMS, LARGE_PROMPT, may_end_early=True)
+    if not load.submit(step):
+        return [f"{step.id}: not accepted without a fault"]
+    end = time.monotonic() + 20.0
+    while len(step.results) < LARGE_ITEMS and time.monotonic() < end:
+        load.read(step, name, len(step.results))
+        gevent.sleep(0.1)
+    readers = [SlowReader(platform, name, step.id, PACE) for _ in range(READERS)]
+    silent = SlowReader(platform, name, step.id, 0)
+    gevent.sleep(0.5)
+    fault = soak.disturbances.begin(Kind.ENDED, name)
+    process = platform.deployment.processes[name]
+    process.send_signal(signal.SIGTERM)
+    stopped = time.monotonic()
+    while process.poll() is None and time.monotonic() < stopped + 2 * GRACE_S:
+        gevent.sleep(0.02)
+    took_s = time.monotonic() - stopped
+    gevent.joinall([reader.task for reader in readers], timeout=2 * GRACE_S)
+    silent.sock.close()
+    fault.end_with(platform.deployment.restart, name)
+    problems = [
+        f"{name}: cut an answer after {len(reader.received)} bytes, {took_s:.1f} s after SIGTERM"
+        for reader in readers
+        if not reader.is_whole()
+    ]
+    if took_s > GRACE_S:
+        problems.append(f"{name}: ran {took_s:.1f} s after SIGTERM for a client that reads nothing")
+    gevent.spawn(load.collect, step)
+    return problems
