--- a/tests/unit/batches/test_lost_successors.py
+++ b/tests/unit/batches/test_lost_successors.py
@@ -20,6 +20,18 @@
 # More operations than any take-over or hand-over has.
 OPERATIONS = 40
 
+
+def at_each_operation(play):
+    """Call ``play`` with each operation at which a process can be lost.
+
+    It returns whether the process got to its end before.
+    """
+    for operation in range(OPERATIONS):
+        if play(operation):
+            return
+    raise AssertionError("it has more operations")
+
+
 REQUESTS = {
     "read": lambda service: service.read("b1", 0, 0),
     "item body": lambda service: service.item_body("b1", "i0"),
@@ -84,7 +96,7 @@
 @pytest.mark.parametrize("known", ["known", "unknown"])
 @pytest.mark.parametrize("how", ["killed", "restarted", "silent"])
 def test_a_successor_is_lost_at_each_operation_of_its_take_over(how, known, request_kind):
-    for operation in range(OPERATIONS):
+    def play(operation):
         cluster, _owner = started_cluster()
         if known == "known":
             cluster.ask("c", REQUESTS["read"])
@@ -98,13 +110,13 @@
             check_complete(cluster, "c")
         else:
             assert check_served(cluster, "c", REQUESTS["end"]) is None
-        if finished:
-            return
-    raise AssertionError("the take-over has more operations")
+        return finished
+
+    at_each_operation(play)
 
 
 def test_the_successor_of_a_successor_is_lost_at_each_operation():
-    for operation in range(OPERATIONS):
+    def play(operation):
         cluster, _owner = started_cluster("cf")
         cluster.ask("f", REQUESTS["read"])
         lose(cluster, "killed")
@@ -116,14 +128,14 @@
         finished = "c" not in cluster.losses.dead
         cluster.losses.kill("c")
         check_complete(cluster, "f")
-        if finished:
-            return
-    raise AssertionError("the take-over has more operations")
+        return finished
+
+    at_each_operation(play)
 
 
 @pytest.mark.parametrize("lost", ["a", "b"])
 def test_a_gateway_is_lost_at_each_operation_of_a_hand_over(lost):
-    for operation in range(OPERATIONS):
+    def play(operation):
         cluster, owner = started_cluster()
         cluster.ask("c", REQUESTS["read"])
         records = [cluster.peers.services[node].local_owner for node in "ab"]
@@ -138,15 +150,15 @@
         if lost == "b":
             cluster.losses.kill("b")
         check_complete(cluster, "c")
-        if finished:
-            return
-    raise AssertionError("the hand-over has more operations")
+        return finished
+
+    at_each_operation(play)
 
 
 @pytest.mark.parametrize("lost", ["killed", "cut off from the others", "cut off from the store"])
 @pytest.mark.parametrize("directory", ["d", "de"])
 def test_the_directory_gateways_are_lost_with_the_owner(directory, lost):
-    for operation in range(OPERATIONS):
+    def play(operation):
         cluster, _owner = started_cluster()
         cluster.ask("c", REQUESTS["read"])
         for node in directory:
@@ -162,13 +174,13 @@
         finished = "b" not in cluster.losses.dead
         cluster.losses.kill("b")
         check_complete(cluster, "c")
-        if finished:
-            return
-    raise AssertionError("the take-over has more operations")
+        return finished
+
+    at_each_operation(play)
 
 
 def test_a_directory_gateway_itself_serves_reads_after_its_hint_failed():
-    for operation in range(OPERATIONS):
+    def play(operation):
         cluster, _owner = started_cluster()
         lose(cluster, "killed")
         cluster.losses.arm("b", operation)
@@ -176,9 +188,9 @@
         finished = "b" not in cluster.losses.dead
         cluster.losses.kill("b")
         check_complete(cluster, "de")
-        if finished:
-            return
-    raise AssertionError("the take-over has more operations")
+        return finished
+
+    at_each_operation(play)
 
 
 def test_a_missed_notification_of_the_directory_is_repeated():
