--- a/src/pistachionotch/batches/progress.py
+++ b/src/pistachionotch/batches/progress.py
@@ -86,3 +86,28 @@
             origin=self.origin,
             reward_failures=self.reward_failures,
         )
+
+    def restore(self, part: PartialResult, now_ms: int) -> bool:
+        """Go on from a partial result; returns False if only its failures were restored.
+
+        A text without an origin was joined from different software versions by an earlier release.
+        """
+        self.failures = part.failures
+        self.failed_at = set(part.failed_at)
+        self.reward_failures = part.reward_failures
+        self.waiting_since_ms = now_ms
+        if part.origin is None:
+            return False
+        self.texts = list(part.texts)
+        self.characters = sum(len(text) for text in part.texts)
+        self.last_event = part.last_event
+        self.versions = list(part.versions)
+        self.origin = part.origin
+        if part.complete:
+            self.mark_complete(now_ms)
+        return True
+
+    def mark_complete(self, now_ms: int) -> None:
+        """Record that the text is complete and only its reward is missing."""
+        self.complete = True
+        self.complete_ms = now_ms
--- a/src/pistachionotch/batches/run.py
+++ b/src/pistachionotch/batches/run.py
@@ -208,8 +208,7 @@
 
     def mark_complete(self, state: ItemProgress, now_ms: int) -> None:
         """Record that an item's text is complete and its reward is missing."""
-        state.complete = True
-        state.complete_ms = now_ms
+        state.mark_complete(now_ms)
 
     def finish(self, state: ItemProgress, done: bool, now_ms: int, reward: str = "") -> None:
         """Record the final state of an item, whose result then waits to be listed."""
@@ -255,22 +254,8 @@
             self._restore_part(part, now_ms)
 
     def _restore_part(self, part: PartialResult, now_ms: int) -> None:
-        progress = self.progress[part.id]
-        progress.failures = part.failures
-        progress.failed_at = set(part.failed_at)
-        progress.reward_failures = part.reward_failures
-        progress.waiting_since_ms = now_ms
-        if part.origin is None:
-            # Written by a gateway that joined texts of different software versions.
-            self.discarded_texts += bool(part.texts)
-            return
-        progress.texts = list(part.texts)
-        progress.characters = sum(len(text) for text in part.texts)
-        progress.last_event = part.last_event
-        progress.versions = list(part.versions)
-        progress.origin = part.origin
-        if part.complete:
-            self.mark_complete(progress, now_ms)
+        restored = self.progress[part.id].restore(part, now_ms)
+        self.discarded_texts += not restored and bool(part.texts)
 
     def listing_state(self) -> ListingState:
         """Return the facts that decide whether to write a log entry now."""
--- a/tests/support/soak.py
+++ b/tests/support/soak.py
@@ -39,16 +39,12 @@
 from tests.support.soak_oracle import check_all, check_retirements, count_take_ups
 from tests.support.soak_statuses import send_odd_statuses
 from tests.support.soak_takeovers import (
-    copying,
-    lose_successor,
+    lose_successor_in_calm,
     repeat_losses,
     stop_beside_slow_readers,
 )
 
 GATEWAYS = 3
-# Gateways of which three are outside the directory of owners. They know each other after this time.
-MANY_GATEWAYS = 5
-CALM_S = 16.0
 # What the faults delay is answered within this time after the last one.
 SETTLE_S = 12.0
 # A server that is registered as leaving gets nothing new after this time.
@@ -109,10 +105,8 @@
         load = self.load = SoakLoad(self.platform, random.Random(self.seed + 1))
         try:
             tasks = load.start()
-            if self.gateways >= MANY_GATEWAYS:
-                gevent.sleep(CALM_S)
-                lose_successor(self, load, copying(self.platform))
-                self.platform.wait(lambda: not self._dead())
+            lose_successor_in_calm(self, load)
+            self.platform.wait(lambda: not self._dead())
             stop_planned(self, load, self._name_of(self.aimed), calm=True)
             self.platform.wait(lambda: not self._dead())
             problems = burst_reads(self, load)
--- a/tests/support/soak_takeovers.py
+++ b/tests/support/soak_takeovers.py
@@ -19,6 +19,9 @@
 TAKE_OVER_S = 4.0
 # Gateways that watch the store themselves do so at least once in this time.
 COPYING_S = 4.0
+# Gateways of which three are outside the directory of owners. They know each other after this time.
+MANY_GATEWAYS = 5
+CALM_S = 16.0
 # Batches that are submitted until the owner of one is outside the directory.
 SUBMISSIONS = 5
 # Keeps the batch open while its owners are lost.
@@ -105,6 +108,13 @@
     load.collect(step)
 
 
+def lose_successor_in_calm(soak, load):
+    """Lose a successor before the other faults, if enough gateways are outside the directory."""
+    if soak.gateways >= MANY_GATEWAYS:
+        gevent.sleep(CALM_S)
+        lose_successor(soak, load, copying(soak.platform))
+
+
 def repeat_losses(soak, load, rng):
     """Lose successors now and then, beside the other faults."""
     end = time.monotonic() + soak.seconds
