--- a/src/pistachionotch/server.py
+++ b/src/pistachionotch/server.py
@@ -49,6 +49,7 @@
 # Bytes that are read of a chunked body at once. gevent reads the framing byte by byte, and other
 # tasks run only in between while data is there; chunks may have a single byte.
 CHUNKED_PART_BYTES = 4 * 1024
+HEAD_END = b"\r\n\r\n"
 # A request line that took less time was there already.
 SHORTEST_WAIT_S = 0.0005
 # A header without folding, or the end of the head; RFC 9112, section 5.
@@ -226,8 +227,8 @@
         """Return the size of an answer that begins with ``first``; None if it is not known."""
         if self.provided_content_length is None:
             return None
-        head, separator, _body = bytes(first).partition(b"\r\n\r\n")
-        return len(head) + len(separator) + int(self.provided_content_length)
+        head_bytes: int = first.find(HEAD_END) + len(HEAD_END)
+        return head_bytes + int(self.provided_content_length)
 
     def handle_one_response(self) -> None:
         """Serve one request, and close the connection if its body was not read to the end."""
