--- a/tests/support/soak_takeovers.py
+++ b/tests/support/soak_takeovers.py
@@ -1,7 +1,6 @@
 """Take-overs whose gateway is lost, and slow readers beside a planned stop."""
 
 import signal
-import socket
 import time
 import zlib
 
@@ -9,6 +8,7 @@
 
 from tests.support.platform import HOSTNAME, new_id
 from tests.support.platform_client import Client, credentials
+from tests.support.slow_reader import SlowReader
 from tests.support.soak_disturbances import CONTACT_S, Kind
 from tests.support.soak_load import Step
 
@@ -31,7 +31,6 @@
 LARGE_PROMPT = "play event_ms=2 ascii=5000"
 READERS = 4
 PACE = 150_000
-PART_BYTES = 10_000
 GRACE_S = 8.0
 
 
@@ -123,42 +122,11 @@
         lose_successor(soak, load)
 
 
-class SlowReader:
-    """A client that reads the results of a batch at a constant pace, or not at all."""
-
-    def __init__(self, platform, name, batch, pace):
-        self.pace = pace
-        self.received = b""
-        self.sock = socket.socket()
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16 * 1024)
-        address = platform.address(name)
-        self.sock.connect((address.host, address.port))
-        self.sock.settimeout(2 * GRACE_S)
-        lines = [f"GET /api/lots/{batch}?after=0 HTTP/1.1", f"Host: {HOSTNAME}"]
-        lines += [f"{title}: {value}" for title, value in credentials(platform.key)]
-        self.sock.sendall("\r\n".join([*lines, "", ""]).encode())
-        self.task = gevent.spawn(self._read) if pace else None
-
-    def _read(self):
-        began = time.monotonic()
-        while not self.is_whole():
-            try:
-                part = self.sock.recv(PART_BYTES)
-            except OSError:
-                return
-            if not part:
-                return
-            self.received += part
-            gevent.sleep(max(0.0, began + len(self.received) / self.pace - time.monotonic()))
-
-    def is_whole(self):
-        head, separator, body = self.received.partition(b"\r\n\r\n")
-        lengths = [
-            int(line.partition(b":")[2])
-            for line in head.lower().split(b"\r\n")
-            if line.startswith(b"content-length:")
-        ]
-        return bool(separator and lengths and len(body) >= lengths[0])
+def read_slowly(platform, name, batch, pace):
+    """Read the results of a batch at a gateway."""
+    lines = [f"GET /api/lots/{batch}?after=0 HTTP/1.1", f"Host: {HOSTNAME}"]
+    lines += [f"{title}: {value}" for title, value in credentials(platform.key)]
+    return SlowReader(platform.address(name), "\r\n".join([*lines, "", ""]).encode(), pace)
 
 
 def stop_beside_slow_readers(soak, load, name):
@@ -171,8 +139,8 @@
     while len(step.results) < LARGE_ITEMS and time.monotonic() < end:
         load.read(step, name, len(step.results))
         gevent.sleep(0.1)
-    readers = [SlowReader(platform, name, step.id, PACE) for _ in range(READERS)]
-    silent = SlowReader(platform, name, step.id, 0)
+    readers = [read_slowly(platform, name, step.id, PACE) for _ in range(READERS)]
+    silent = read_slowly(platform, name, step.id, 0)
     gevent.sleep(0.5)
     fault = soak.disturbances.begin(Kind.ENDED, name)
     process = platform.deployment.processes[name]
--- a/tests/unit/batches/test_lost_successors.py
+++ b/tests/unit/batches/test_lost_successors.py
@@ -50,6 +50,15 @@
         cluster.start("a", incarnation="2")
 
 
+def lose_in_take_over(cluster, node, operation):
+    """Lose a gateway at an operation of its take-over; returns whether that had ended before."""
+    cluster.losses.arm(node, operation)
+    cluster.ask(node, REQUESTS["read"])
+    finished = node not in cluster.losses.dead
+    cluster.losses.kill(node)
+    return finished
+
+
 def started_cluster(readers="c"):
     cluster = LosingCluster()
     owner = cluster.start("a")
@@ -101,10 +110,7 @@
         if known == "known":
             cluster.ask("c", REQUESTS["read"])
         lose(cluster, how)
-        cluster.losses.arm("b", operation)
-        cluster.ask("b", REQUESTS["read"])
-        finished = "b" not in cluster.losses.dead
-        cluster.losses.kill("b")
+        finished = lose_in_take_over(cluster, "b", operation)
         if request_kind != "end":
             check_served(cluster, "c", REQUESTS[request_kind])
             check_complete(cluster, "c")
@@ -120,13 +126,8 @@
         cluster, _owner = started_cluster("cf")
         cluster.ask("f", REQUESTS["read"])
         lose(cluster, "killed")
-        cluster.losses.arm("b", operation)
-        cluster.ask("b", REQUESTS["read"])
-        cluster.losses.kill("b")
-        cluster.losses.arm("c", operation)
-        cluster.ask("c", REQUESTS["read"])
-        finished = "c" not in cluster.losses.dead
-        cluster.losses.kill("c")
+        lose_in_take_over(cluster, "b", operation)
+        finished = lose_in_take_over(cluster, "c", operation)
         check_complete(cluster, "f")
         return finished
 
@@ -169,10 +170,7 @@
             else:
                 cluster.cuts.update(frozenset({node, other}) for other in "abcde")
         lose(cluster, "killed")
-        cluster.losses.arm("b", operation)
-        cluster.ask("b", REQUESTS["read"])
-        finished = "b" not in cluster.losses.dead
-        cluster.losses.kill("b")
+        finished = lose_in_take_over(cluster, "b", operation)
         check_complete(cluster, "c")
         return finished
 
@@ -183,10 +181,7 @@
     def play(operation):
         cluster, _owner = started_cluster()
         lose(cluster, "killed")
-        cluster.losses.arm("b", operation)
-        cluster.ask("b", REQUESTS["read"])
-        finished = "b" not in cluster.losses.dead
-        cluster.losses.kill("b")
+        finished = lose_in_take_over(cluster, "b", operation)
         check_complete(cluster, "de")
         return finished
 
