--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -28,7 +28,7 @@
 python -m pytest --numprocesses 6 $(printf -- " --ignore %s" $patched $gateways) $known
 # One at a time and after all others: each of these tests nearly fills a process's memory.
 python -m pytest tests/overload $known
-# Known faults that wait for their mending; none of the tests above runs their seeds.
+# Known faults that wait for their mending; the soak above printed the problems of theirs that it met.
 if [ -s KNOWN-RED.txt ]; then
   echo "known to be red:"
   cat KNOWN-RED.txt
