--- a/tests/support/soak_disturbances.py
+++ b/tests/support/soak_disturbances.py
@@ -86,18 +86,28 @@
         )
 
 
-def gateways_that_sent(folder, run):
-    """Return the gateways whose logs say that they sent a run's request to its server."""
-    senders = set()
+def read_logs(folder):
+    """Yield the fields of the lines of all gateways' logs, in the order of each log."""
     for path in folder.glob("gateway-*.log"):
         for line in path.read_text(errors="replace").splitlines():
-            if run["request"] not in line or ' placed"' not in line:
-                continue
             try:
-                fields = json.loads(line)
+                yield json.loads(line)
             except ValueError:
                 # A killed gateway may leave a part of a line.
                 continue
-            if run["request"] in (fields.get("request"), fields.get("item")):
-                senders |= {fields["node"]} if fields["upstream"] == run["server"] else set()
-    return senders
+
+
+def placed_requests(fields):
+    """Return the requests that a line says to be sent to the server ``upstream``."""
+    if not fields.get("event", "").endswith(" placed"):
+        return set()
+    return {fields[name] for name in ("request", "item") if name in fields}
+
+
+def gateways_that_sent(folder, run):
+    """Return the gateways whose logs say that they sent a run's request to its server."""
+    return {
+        fields["node"]
+        for fields in read_logs(folder)
+        if run["request"] in placed_requests(fields) and fields["upstream"] == run["server"]
+    }
--- a/tests/support/soak_limits.py
+++ b/tests/support/soak_limits.py
@@ -4,13 +4,14 @@
 some time before, and a restarted gateway has passed on none.
 """
 
-import json
 import time
 from collections import defaultdict
 from datetime import datetime
 
 import attrs
 
+from tests.support.soak_disturbances import placed_requests, read_logs
+
 # Gateways follow a limit from this time after the answer that names it.
 KNOWN_S = 0.5
 LEARNT = ("limits: rate limit announced", "limits: rate limit received")
@@ -33,14 +34,8 @@
         """Read the logs of all gateways; their times become monotonic ones of this machine."""
         known = cls()
         offset_s = time.time() - time.monotonic()
-        for path in folder.glob("gateway-*.log"):
-            for line in path.read_text(errors="replace").splitlines():
-                try:
-                    fields = json.loads(line)
-                except ValueError:
-                    # A killed gateway may leave a part of a line.
-                    continue
-                known.record(fields, offset_s)
+        for fields in read_logs(folder):
+            known.record(fields, offset_s)
         return known
 
     def record(self, fields, offset_s):
@@ -52,9 +47,8 @@
             server = fields["upstream"].partition("@")[0]
             limited = fields["limit"] is not None
             self.changes[node, server].append((_time_of(fields) - offset_s, limited))
-        if event.endswith(" placed"):
-            for request in (fields.get("request"), fields.get("item")):
-                self.senders[request, fields["upstream"]].add(node)
+        for request in placed_requests(fields):
+            self.senders[request, fields["upstream"]].add(node)
 
     def count(self, server, arrivals):
         """Return how many requests count against the limit of a server.
