--- a/src/pistachionotch/server.py
+++ b/src/pistachionotch/server.py
@@ -13,8 +13,9 @@
 
 import gevent
 from gevent.pool import Pool
-from gevent.pywsgi import Input, WSGIHandler
+from gevent.pywsgi import Input, WSGIHandler, _InvalidClientInput
 
+from .chunk_framing import ChunkedSource
 from .client_socket import ClientSocket
 from .clock import SystemClock
 from .http_server import NoDelayServer
@@ -83,6 +84,26 @@
         """Whether no further request can be read from the connection."""
         return bool(self._chunked_input_error)
 
+    def read(self, length: int | None = None) -> bytes:
+        """Return up to ``length`` bytes of the body, or all of it.
+
+        Raises ``_InvalidClientInput`` if chunks are malformed or their framing exceeds its limit.
+        """
+        if not self.chunked_input:
+            data: bytes = super().read(length)
+            return data
+        if length is None or length < 0:
+            return b"".join(iter(lambda: self.read(CHUNKED_PART_BYTES), b""))
+        self.rfile.begin_read(length)
+        try:
+            part: bytes = super().read(length)
+        except _InvalidClientInput as error:
+            logger("connections").info("malformed chunks", peer=self.rfile.peer, reason=str(error))
+            self._chunked_input_error = True  # type: ignore[misc, unused-ignore]
+            raise
+        self.rfile.content += len(part)
+        return part
+
     def _discard(self) -> None:
         if self.unusable or not (self.chunked_input or self.position < (self.content_length or 0)):
             return
@@ -191,6 +212,8 @@
         """Add the unmodified target and headers, for forwarding, and the client's socket."""
         environ: dict[str, Any] = super().get_environ()
         self.wsgi_input.__class__ = _BoundedInput
+        if self.wsgi_input.chunked_input:
+            self.wsgi_input.rfile = ChunkedSource(self.wsgi_input.rfile, self.connection.peer)
         environ[RAW_TARGET] = self.path
         environ[RAW_HEADERS] = tuple(self.headers.items())
         environ[CLIENT_SOCKET] = self.client
