Server: the limit on framing holds however much of a body is wanted at once

Entries read a body in one piece of up to 900 KiB, and the limit allowed for the framing of as many chunks of a byte in advance: 19 MB of trailers passed. A chunked body is now read in parts of 4 KiB inside the source too.

--- a/src/pistachionotch/server.py
+++ b/src/pistachionotch/server.py
@@ -5,6 +5,7 @@
 import contextlib
 import re
 import socket
+import sys
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -92,8 +93,14 @@
         if not self.chunked_input:
             data: bytes = super().read(length)
             return data
-        if length is None or length < 0:
-            return b"".join(iter(lambda: self.read(CHUNKED_PART_BYTES), b""))
+        left = sys.maxsize if length is None or length < 0 else length
+        parts = []
+        while left > 0 and (part := self._read_part(min(left, CHUNKED_PART_BYTES))):
+            parts.append(part)
+            left -= len(part)
+        return b"".join(parts)
+
+    def _read_part(self, length: int) -> bytes:
         self.rfile.begin_read(length)
         try:
             part: bytes = super().read(length)
--- a/tests/unit/gateway/test_chunk_framing.py
+++ b/tests/unit/gateway/test_chunk_framing.py
@@ -32,11 +32,17 @@
         return [body]
 
 
-@pytest.fixture(params=[read, refuse], ids=["read", "discarded"])
+def read_at_once(environ, start_response):
+    body = environ["wsgi.input"].read(1_000_000)
+    start_response("200 OK", [("Content-Length", str(len(body)))])
+    return [body]
+
+
+@pytest.fixture(params=[read, read_at_once, refuse], ids=["read", "at once", "discarded"])
 def server(request):
     found = make_server("127.0.0.1", 0, request.param)
     found.start()
-    found.reads = request.param is read
+    found.reads = request.param is not refuse
     yield found
     found.stop(timeout=0)
 
@@ -92,6 +98,11 @@
     assert received.count(status) == 2
 
 
+def test_framing_is_limited_however_much_content_is_wanted(server):
+    received, _ended = exchange(server.server_port, HEAD + b"0\r\n" + TRAILER * 300 + b"\r\n")
+    assert not received.startswith(b"HTTP/1.1 200 ")
+
+
 @pytest.mark.parametrize("trailer", [b"bad name: x\r\n\r\n", b": x\r\n\r\n", TRAILER * 100])
 def test_nothing_after_malformed_framing_is_read_as_a_request(server, trailer):
     hidden = b"GET /hidden HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
